--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# all set-up happens here: a fresh machine needs Python 3.11 or newer, make and a package index
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := packages/core packages/node packages/cli
+SOURCES := packages tests
+
+.PHONY: demo test lint unit soak bench capacity clean
+
+$(STAMP): constraints.txt requirements-test.txt $(PACKAGES:%=%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -r requirements-test.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt --no-build-isolation $(PACKAGES:%=-e %)
+	touch $@
+
+demo: $(STAMP)
+	PYTHONPATH=tests $(BIN)/python -m rig.demo
+
+test: lint unit
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/mypy $(PACKAGES:%=%/src) tests
+
+unit: $(STAMP)
+	$(BIN)/pytest
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/cli/src/vaneturn_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command line."""
--- /dev/null
+++ b/packages/cli/src/vaneturn_cli/client.py
@@ -0,0 +1,84 @@
+"""Calls of the operators' interface of nodes."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final, TypeVar
+
+import httpx
+import msgspec
+
+from vaneturn_core.configuration.schema import Configuration
+from vaneturn_core.identifiers import ChangeId
+from vaneturn_node.http.operators import ChangeAnswer, NodeState, ProposalBody
+
+TIMEOUT: Final = 15.0  # seconds; longer than a node takes to settle a write with a lost answer
+
+_Body = TypeVar("_Body")
+
+
+@dataclass(frozen=True)
+class NoAnswer:
+    """A node did not answer."""
+
+    node: str
+    cause: str
+
+
+class OperatorClient:
+    """Talks to nodes by their HTTP addresses."""
+
+    def __init__(self, nodes: Sequence[str], key: str) -> None:
+        self.nodes = tuple(nodes)
+        self._client = httpx.Client(headers={"Authorization": f"Bearer {key}"}, timeout=TIMEOUT)
+
+    def read_state(self, node: str) -> NodeState | NoAnswer:
+        """Read what one node does and sees."""
+        return self._call(node, "GET", "state", NodeState)
+
+    def read_configuration(self) -> Configuration | NoAnswer:
+        """Read the newest configuration that any node has in force."""
+        answers = [self._call(node, "GET", "configuration", Configuration) for node in self.nodes]
+        known = [answer for answer in answers if isinstance(answer, Configuration)]
+        if known:
+            return max(known, key=lambda configuration: configuration.revision)
+        return next(answer for answer in answers if isinstance(answer, NoAnswer))
+
+    def propose(self, proposal: ProposalBody) -> ChangeAnswer | NoAnswer:
+        """Send a change to the first node that answers; the change's id makes a repeat harmless."""
+        return self._call_any("POST", "changes", ChangeAnswer, msgspec.json.encode(proposal))
+
+    def find_change(self, change: ChangeId) -> ChangeAnswer | NoAnswer:
+        """Ask every node for a change until one knows it."""
+        answer: ChangeAnswer | NoAnswer = NoAnswer("", "no node given")
+        for node in self.nodes:
+            answer = self._call(node, "GET", f"changes/{change}", ChangeAnswer)
+            if isinstance(answer, ChangeAnswer) and answer.result == "applied":
+                break
+        return answer
+
+    def _call_any(self, method: str, path: str, kind: type[_Body], content: bytes) -> _Body | NoAnswer:
+        answer: _Body | NoAnswer = NoAnswer("", "no node given")
+        for node in self.nodes:
+            answer = self._call(node, method, path, kind, content)
+            if not isinstance(answer, NoAnswer):
+                break
+        return answer
+
+    def _call(
+        self, node: str, method: str, path: str, kind: type[_Body], content: bytes | None = None
+    ) -> _Body | NoAnswer:
+        try:
+            response = self._client.request(method, f"http://{node}/operator/v1/{path}", content=content)
+        except httpx.HTTPError as error:
+            return NoAnswer(node, type(error).__name__)
+        if response.status_code == httpx.codes.UNAUTHORIZED:
+            return NoAnswer(node, "unknown operator key")
+        try:
+            return msgspec.json.decode(response.content, type=kind)
+        except msgspec.DecodeError as error:
+            return NoAnswer(node, str(error))
+
+
+__all__ = ["NoAnswer", "OperatorClient"]
--- /dev/null
+++ b/packages/cli/src/vaneturn_cli/commands.py
@@ -0,0 +1,154 @@
+"""The vaneturn command: arguments, and what each verb prints and returns."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+import uuid
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Final
+
+import msgspec
+
+from vaneturn_cli.client import NoAnswer, OperatorClient
+from vaneturn_cli.declarations import load_declarations
+from vaneturn_cli.difference import compare_configurations
+from vaneturn_cli.exits import Exit
+from vaneturn_core.configuration.document import describe_schema
+from vaneturn_core.configuration.schema import Configuration
+from vaneturn_core.identifiers import ChangeId
+from vaneturn_node.http.operators import ChangeAnswer, ProposalBody
+
+NODES_VARIABLE: Final = "VANETURN_NODES"  # HTTP addresses, separated by commas
+KEY_VARIABLE: Final = "VANETURN_OPERATOR_KEY"
+
+_EXITS: Final = {
+    "applied": Exit.DONE,
+    "rejected": Exit.FAULTY,
+    "overtaken": Exit.OVERTAKEN,
+    "not_accepted": Exit.NO_ANSWER,
+    "unsettled": Exit.UNSETTLED,
+    "unknown": Exit.DIFFERENT,
+}
+
+Command = Callable[[argparse.Namespace], Exit]
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one command."""
+    options = _make_parser().parse_args(arguments)
+    command: Command = options.command
+    return command(options)
+
+
+def _make_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="vaneturn", description="Ask and command the nodes of a vaneturn router.")
+    parser.add_argument("--nodes", default=os.environ.get(NODES_VARIABLE, ""), help="HTTP addresses of nodes, by comma")
+    parser.add_argument("--json", action="store_true", help="print JSON")
+    verbs = parser.add_subparsers(required=True, metavar="VERB")
+    _add_files(verbs.add_parser("check", help="check declarations"), check)
+    _add_files(verbs.add_parser("diff", help="compare declarations with what is in force"), diff)
+    applying = verbs.add_parser("apply", help="put declarations in force")
+    _add_files(applying, apply)
+    applying.add_argument("--change", default="", help="id of the change; the same id never applies twice")
+    applying.add_argument("--summary", default="", help="a line for the audit log")
+    asking = verbs.add_parser("change", help="tell whether a change took effect")
+    asking.add_argument("id")
+    asking.set_defaults(command=show_change)
+    verbs.add_parser("schema", help="print the JSON Schema of declarations").set_defaults(command=show_schema)
+    return parser
+
+
+def _add_files(parser: argparse.ArgumentParser, command: Command) -> None:
+    parser.add_argument("files", nargs="+", type=Path, metavar="FILE")
+    parser.set_defaults(command=command)
+
+
+def _make_client(options: argparse.Namespace) -> OperatorClient:
+    nodes = [node for node in options.nodes.split(",") if node]
+    return OperatorClient(nodes, os.environ.get(KEY_VARIABLE, ""))
+
+
+def _load(options: argparse.Namespace) -> Configuration | None:
+    declared = load_declarations(options.files)
+    if isinstance(declared, Configuration):
+        return declared
+    for fault in declared:
+        print(fault, file=sys.stderr)
+    return None
+
+
+def check(options: argparse.Namespace) -> Exit:
+    """Check declarations without any node."""
+    return Exit.FAULTY if _load(options) is None else Exit.DONE
+
+
+def diff(options: argparse.Namespace) -> Exit:
+    """Compare declarations with the configuration in force."""
+    declared = _load(options)
+    if declared is None:
+        return Exit.FAULTY
+    present = _make_client(options).read_configuration()
+    if isinstance(present, NoAnswer):
+        return _report_no_answer(present)
+    differences = compare_configurations(present, declared)
+    for difference in differences:
+        print(difference)
+    return Exit.DIFFERENT if differences else Exit.DONE
+
+
+def apply(options: argparse.Namespace) -> Exit:
+    """Put declarations in force; VMs that are draining go on draining."""
+    declared = _load(options)
+    if declared is None:
+        return Exit.FAULTY
+    client = _make_client(options)
+    present = client.read_configuration()
+    if isinstance(present, NoAnswer):
+        return _report_no_answer(present)
+    declared = msgspec.structs.replace(declared, draining=declared.draining or present.draining)
+    change = ChangeId(options.change or uuid.uuid4().hex)
+    return _report_change(change, client.propose(ProposalBody(change, options.summary, present.revision, declared)))
+
+
+def show_change(options: argparse.Namespace) -> Exit:
+    """Tell whether a change took effect."""
+    change = ChangeId(options.id)
+    return _report_change(change, _make_client(options).find_change(change))
+
+
+def show_schema(_options: argparse.Namespace) -> Exit:
+    """Print the JSON Schema of declarations."""
+    print(msgspec.json.format(msgspec.json.encode(describe_schema())).decode())
+    return Exit.DONE
+
+
+def _report_no_answer(answer: NoAnswer) -> Exit:
+    print(f"no answer from {answer.node or 'any node'}: {answer.cause}", file=sys.stderr)
+    return Exit.NO_ANSWER
+
+
+def _report_change(change: ChangeId, answer: ChangeAnswer | NoAnswer) -> Exit:
+    if isinstance(answer, NoAnswer):
+        print(f"change {change}: not known whether it took effect", file=sys.stderr)
+        _report_no_answer(answer)
+        return Exit.UNSETTLED
+    print(_describe_change(change, answer))
+    return _EXITS[answer.result]
+
+
+def _describe_change(change: ChangeId, answer: ChangeAnswer) -> str:
+    lines = [f"change {change}: {answer.result}", *answer.faults]
+    if answer.cause:
+        lines.append(answer.cause)
+    if answer.result == "overtaken" and answer.change is not None:
+        winner = answer.change
+        lines.append(f"change {winner.id} of {winner.operator} came first, as revision {winner.revision}")
+    elif answer.change is not None:
+        lines.append(f"revision {answer.change.revision}")
+    return "\n".join(lines)
+
+
+__all__ = ["main"]
--- /dev/null
+++ b/packages/core/src/vaneturn_core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' declarations: schema, cross-checks and encoding."""
--- /dev/null
+++ b/packages/core/src/vaneturn_core/configuration/document.py
@@ -0,0 +1,67 @@
+"""Encoding and decoding of the configuration document."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import msgspec
+import xxhash
+
+from vaneturn_core.configuration.schema import Change, Configuration
+from vaneturn_core.faults import Fault, describe_decode_error
+from vaneturn_core.identifiers import ChangeId, Revision
+
+KEPT_CHANGES: Final = 256  # at 1,100 changes a day this covers five hours
+CONFIGURATION_KEY: Final = "vaneturn/configuration"
+
+
+def decode_configuration(data: bytes) -> Configuration | Fault:
+    """Decode and check the types of a document."""
+    try:
+        return msgspec.json.decode(data, type=Configuration)
+    except msgspec.DecodeError as error:
+        return describe_decode_error(error)
+
+
+def encode_configuration(configuration: Configuration) -> bytes:
+    """Encode a document as it is held in the key-value service."""
+    return msgspec.json.encode(configuration)
+
+
+def digest_configuration(data: bytes) -> str:
+    """Name the content of an encoded document."""
+    return xxhash.xxh3_128_hexdigest(data)
+
+
+def describe_schema() -> dict[str, Any]:
+    """Give the JSON Schema of the document."""
+    return msgspec.json.schema(Configuration)
+
+
+def record_change(declared: Configuration, newest: Configuration, change: Change) -> Configuration:
+    """Make the document that follows the newest one; the revision and the changes are not the operator's to set."""
+    kept = (*newest.changes, change)[-KEPT_CHANGES:]
+    return msgspec.structs.replace(declared, revision=change.revision, changes=kept)
+
+
+def next_revision(*known: Revision) -> Revision:
+    """Give the revision after every known one."""
+    return Revision(max(known, default=0) + 1)
+
+
+def find_change(configuration: Configuration, change: ChangeId) -> Change | None:
+    """Find an accepted change by its id."""
+    return next((entry for entry in configuration.changes if entry.id == change), None)
+
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "KEPT_CHANGES",
+    "decode_configuration",
+    "describe_schema",
+    "digest_configuration",
+    "encode_configuration",
+    "find_change",
+    "next_revision",
+    "record_change",
+]
--- /dev/null
+++ b/packages/core/src/vaneturn_core/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol of model engines."""
--- /dev/null
+++ b/packages/core/src/vaneturn_core/engine/messages.py
@@ -0,0 +1,126 @@
+"""Messages of the engine's stage link: MessagePack lists of tagged maps over one WebSocket.
+
+An engine runs steps of many sessions at once. Its replies carry everything that names the step, so that a late,
+crossed or doubled reply can be told from the one that is awaited.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Final
+
+import msgspec
+from msgspec import Struct
+
+from vaneturn_core.identifiers import SessionId
+
+LINK_PATH: Final = "/v1/link"
+CACHE_PATH: Final = "/v1/cache"  # GET exports and PUT imports the KV cache of one session and attempt
+
+
+class Open(Struct, frozen=True, tag="open", array_like=True):
+    """Prepare the session's KV cache for a range of layers; a repeat with the same content changes nothing."""
+
+    session: SessionId
+    attempt: int
+    model: str
+    version: str
+    adapter: str | None
+    first: int
+    end: int
+    priority: int
+
+
+class Step(Struct, frozen=True, tag="step", array_like=True):
+    """Run the layers over the positions [position, position + count).
+
+    Positions must follow those that the stage holds. A repeat of the newest step gets the stored reply. A rebuild
+    step may cover positions already held: the stage recomputes their output and leaves its cache unchanged.
+    """
+
+    session: SessionId
+    attempt: int
+    position: int
+    count: int
+    inputs: bytes  # the first stage: count 4-byte tokens; later stages: the activations of the stage before
+    seed: int  # of the sampling, used by the last stage
+    rebuild: bool = False
+
+
+class Close(Struct, frozen=True, tag="close", array_like=True):
+    """Forget the session, running steps included."""
+
+    session: SessionId
+
+
+class Done(Struct, frozen=True, tag="done", array_like=True):
+    """The layers ran once over the positions."""
+
+    session: SessionId
+    attempt: int
+    position: int
+    count: int
+    first: int
+    end: int
+    outputs: bytes  # activations; empty on the last stage
+    token: int | None  # the last stage: the token at position + count
+    text: str  # the last stage: the text of the token
+    last: bool  # the last stage: the answer ends with this token
+    queued: int  # steps that wait at the server
+    rebuild: bool = False
+
+
+class Refusal(Enum):
+    """Why an engine did not run a step."""
+
+    NO_SESSION = "no_session"  # the cache was evicted or never built
+    POSITION = "position"  # not the next position
+    ATTEMPT = "attempt"  # an older attempt of the session
+    NOT_HELD = "not_held"  # the layers, version or adapter are not loaded
+    OVERLOAD = "overload"
+    LEAVING = "leaving"  # accepts no new session
+
+
+class Refused(Struct, frozen=True, tag="refused", array_like=True):
+    """The engine did not run the step."""
+
+    session: SessionId
+    attempt: int
+    position: int
+    refusal: Refusal
+    expected: int  # the position that the stage would accept
+    queued: int
+
+
+class Leaving(Struct, frozen=True, tag="leaving", array_like=True):
+    """The server will stop: no new session, and sessions in progress should move."""
+
+    deadline: float  # seconds from now
+
+
+Order = Open | Step | Close
+Reply = Done | Refused | Leaving
+
+ORDERS: Final = msgspec.msgpack.Decoder(list[Order])
+REPLIES: Final = msgspec.msgpack.Decoder(list[Reply])
+ENCODER: Final = msgspec.msgpack.Encoder()
+
+TOKEN_BYTES: Final = 4
+
+__all__ = [
+    "CACHE_PATH",
+    "ENCODER",
+    "LINK_PATH",
+    "ORDERS",
+    "REPLIES",
+    "TOKEN_BYTES",
+    "Close",
+    "Done",
+    "Leaving",
+    "Open",
+    "Order",
+    "Refusal",
+    "Refused",
+    "Reply",
+    "Step",
+]
--- /dev/null
+++ b/packages/core/src/vaneturn_core/outcomes.py
@@ -0,0 +1,56 @@
+"""Outcomes of work handed to a backend server: values, never exceptions."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Reason(Enum):
+    """Why work was refused or its outcome is unknown; the value appears in answers, logs and metrics."""
+
+    UNKNOWN_KEY = "unknown_key"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
+    NO_CONFIGURATION = "no_configuration"
+    NO_ROUTE = "no_route"
+    CUSTOMER_LIMIT = "customer_limit"
+    OVERLOAD = "overload"
+    DEADLINE = "deadline"
+    STOPPING = "stopping"
+    CLAIMED = "claimed"
+    CLAIM_STORE_DOWN = "claim_store_down"
+    CONNECTION_LOST = "connection_lost"
+    SERVER_REFUSED = "server_refused"
+    RECOVERY_FAILED = "recovery_failed"
+
+
+@dataclass(frozen=True)
+class Completed:
+    """A plain service answered in full."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclass(frozen=True)
+class NotRun:
+    """No byte of the work left for a server, or the server itself said that it did not run it."""
+
+    reason: Reason
+    retry_after: float = 1.0  # seconds
+
+
+@dataclass(frozen=True)
+class Unknown:
+    """The work may have run."""
+
+    reason: Reason
+
+
+Outcome = Completed | NotRun | Unknown
+
+__all__ = ["Completed", "NotRun", "Outcome", "Reason", "Unknown"]
--- /dev/null
+++ b/packages/core/src/vaneturn_core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which backend servers an answer crosses."""
--- /dev/null
+++ b/packages/core/src/vaneturn_core/routing/choice.py
@@ -0,0 +1,67 @@
+"""Choice of one route: in proportion to the flow, the same on every node with the same view."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Mapping
+from typing import Final, Protocol
+
+import xxhash
+
+from vaneturn_core.identifiers import VmId
+from vaneturn_core.routing.flow import Flow
+from vaneturn_core.routing.hops import Hop, Route, find_reachable
+
+LATENCY_RATIO: Final = 2.0  # the second server is taken when the first is this many times slower
+_HASH_RANGE: Final = float(1 << 64)
+
+
+class LoadView(Protocol):
+    """What a node knows of the load of backend servers."""
+
+    def is_full(self, vm: VmId) -> bool:
+        """Tell whether the server's concurrency limit on this node is reached."""
+
+    def estimate_latency(self, vm: VmId) -> float:
+        """Estimate the seconds to the reply of one step, link and queue included."""
+
+
+def choose_route(flow: Flow, layers: int, affinity: str, load: LoadView, avoided: Collection[VmId]) -> Route | None:
+    """Choose a route that tiles all layers, or none when the usable servers cannot.
+
+    :param affinity: requests with the same affinity prefer the same servers, so that prompt prefixes are reused.
+    :param avoided: servers that this answer must not use.
+    """
+    usable = {
+        boundary: {hop: weight for hop, weight in starting.items() if hop.vm not in avoided}
+        for boundary, starting in flow.hops.items()
+    }
+    reachable = find_reachable(usable, layers)
+    if 0 not in reachable:
+        return None
+    chosen: list[Hop] = []
+    boundary = 0
+    while boundary < layers:
+        fitting = {hop: weight for hop, weight in usable[boundary].items() if hop.end in reachable}
+        hop = _choose_hop(fitting, affinity, load)
+        chosen.append(hop)
+        boundary = hop.end
+    return Route(layers, tuple(chosen))
+
+
+def _choose_hop(weights: Mapping[Hop, float], affinity: str, load: LoadView) -> Hop:
+    ranked = sorted(weights, key=lambda hop: _score(hop, weights[hop], affinity), reverse=True)
+    free = [hop for hop in ranked if not load.is_full(hop.vm)] or ranked
+    first, second = free[0], free[min(1, len(free) - 1)]
+    if load.estimate_latency(first.vm) > LATENCY_RATIO * load.estimate_latency(second.vm):
+        return second
+    return first
+
+
+def _score(hop: Hop, weight: float, affinity: str) -> float:
+    """Score a hop by weighted rendezvous hashing: it wins in proportion to its weight over all affinities."""
+    digest = xxhash.xxh3_64_intdigest(f"{affinity} {hop.vm} {hop.end}".encode())
+    return -weight / math.log((digest + 0.5) / _HASH_RANGE)
+
+
+__all__ = ["LATENCY_RATIO", "LoadView", "choose_route"]
--- /dev/null
+++ b/packages/core/src/vaneturn_core/routing/hops.py
@@ -0,0 +1,76 @@
+"""Hops and routes: which server runs which layers of one answer."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+
+from vaneturn_core.configuration.schema import Pipeline
+from vaneturn_core.identifiers import VmId
+
+
+@dataclass(frozen=True)
+class Hop:
+    """The layers [first, end) run on one server."""
+
+    vm: VmId
+    first: int
+    end: int
+    rate: float = 0.0  # tokens a second the server can give at this range
+
+
+@dataclass(frozen=True)
+class Route:
+    """The hops of one answer, in the order of the layers."""
+
+    layers: int
+    hops: tuple[Hop, ...]
+
+    def __post_init__(self) -> None:
+        assert_tiling(self.hops, self.layers)
+
+    def __str__(self) -> str:
+        return " ".join(f"{hop.vm}[{hop.first},{hop.end})" for hop in self.hops)
+
+
+def assert_tiling(hops: Sequence[Hop], layers: int) -> None:
+    """Stop the process on a route with a gap, an overlap or a missing layer.
+
+    :raises AssertionError: the invariant is broken.
+    """
+    boundary = 0
+    for hop in hops:
+        if hop.first != boundary or hop.end <= hop.first:
+            raise AssertionError(f"route breaks at layer {boundary}: {hops}")
+        boundary = hop.end
+    if boundary != layers:
+        raise AssertionError(f"route ends at layer {boundary} of {layers}: {hops}")
+
+
+def list_hops(pipeline: Pipeline) -> Mapping[int, Sequence[Hop]]:
+    """List the hops that may start at each layer boundary.
+
+    A server may be entered at any boundary inside its range and runs from there to its own end; the time of a
+    token grows with the layers that it runs, so a shorter hop has a higher rate.
+    """
+    boundaries = {0, *(stage.end for stage in pipeline.stages if stage.end < pipeline.layers)}
+    hops: dict[int, list[Hop]] = defaultdict(list)
+    for stage in pipeline.stages:
+        for boundary in boundaries:
+            if stage.first <= boundary < stage.end:
+                rate = stage.rate * (stage.end - stage.first) / (stage.end - boundary)
+                hops[boundary].append(Hop(stage.vm, boundary, stage.end, rate))
+    return hops
+
+
+def find_reachable(hops: Mapping[int, Iterable[Hop]], layers: int) -> set[int]:
+    """Find the boundaries from which the last layer can be reached."""
+    reachable = {layers}
+    for boundary in sorted(hops, reverse=True):
+        if any(hop.end in reachable for hop in hops[boundary]):
+            reachable.add(boundary)
+    return reachable
+
+
+__all__ = ["Hop", "Route", "assert_tiling", "find_reachable", "list_hops"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters and wiring of the daemon of an entry VM."""
--- /dev/null
+++ b/packages/node/src/vaneturn_node/answers/__init__.py
@@ -0,0 +1,1 @@
+"""Generation of answers over the stages of a route."""
--- /dev/null
+++ b/packages/node/src/vaneturn_node/answers/generation.py
@@ -0,0 +1,200 @@
+"""Generation of one answer, token by token, through the loss of any of its stages."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import AsyncGenerator, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+
+from vaneturn_core.engine.messages import TOKEN_BYTES, Done, Refusal, Refused, Step
+from vaneturn_core.engine.tokens import count_tokens, encode_token
+from vaneturn_core.identifiers import CustomerName, PipelineName, RequestId, VmId
+from vaneturn_core.outcomes import NotRun, Reason, Unknown
+from vaneturn_core.routing.hops import Hop, Route
+from vaneturn_node.answers.placement import Placement
+from vaneturn_node.answers.request import AnswerRequest, Piece, Yield
+from vaneturn_node.answers.stagerun import HopFailure, StageRun
+from vaneturn_node.metrics import Metrics
+from vaneturn_node.stages.link import Lost
+
+CHUNK: Final = 256  # positions of a prompt in one step
+ROUTE_RETRY: Final = 0.1  # seconds between looks for a route while an answer in progress has none
+FIRST_ROUTE_WAIT: Final = 2.0  # seconds that a request without any route waits before it is refused
+LOST_AVOIDANCE: Final = 30.0  # seconds that an answer keeps away from a server that did not reply
+REFUSED_AVOIDANCE: Final = 1.0  # seconds that it keeps away from one that refused
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class GenerationState:
+    """An answer in progress as operators see it."""
+
+    request: RequestId
+    customer: CustomerName
+    pipeline: PipelineName
+    routes: tuple[str, ...]  # the newest last
+    recoveries: int
+
+
+class Generation:
+    """The state of one answer: its tokens, its route and how far each stage holds it."""
+
+    def __init__(self, request: AnswerRequest, run: StageRun, placement: Placement, metrics: Metrics) -> None:
+        self._request = request
+        self._run = run
+        self._placement = placement
+        self._metrics = metrics
+        self._tokens = bytearray(request.prompt)
+        self._held = 0  # positions that ran through every layer
+        self._lacking: set[Hop] = set()  # hops of the route whose cache lacks held positions
+        self._route: Route | None = None
+        self._start_until = time.monotonic() + FIRST_ROUTE_WAIT
+        self._avoided: dict[VmId, float] = {}  # until when, on the monotonic clock
+        self._lost_at: float | None = None
+        self.routes: list[str] = []  # every route taken, for the operators
+        self.recoveries = 0
+
+    def describe(self) -> GenerationState:
+        """Describe the answer for the operators."""
+        request = self._request
+        return GenerationState(request.id, request.customer, request.pipeline.name, tuple(self.routes), self.recoveries)
+
+    async def run(self) -> AsyncGenerator[Yield, None]:
+        """Yield each token once and in order, or one outcome that says why there are no more."""
+        try:
+            for produced in range(1, self._request.max_tokens + 1):
+                result = await self._advance()
+                if not isinstance(result, Done):
+                    yield result
+                    return
+                yield self._append(result, produced)
+                if result.last:
+                    return
+        finally:
+            self._run.close()
+
+    def _append(self, reply: Done, produced: int) -> Piece:
+        if reply.token is None or reply.position + reply.count != count_tokens(self._tokens):
+            raise AssertionError(f"token out of order after position {reply.position}")
+        position = count_tokens(self._tokens)
+        self._tokens += encode_token(reply.token)
+        self._metrics.tokens.inc()
+        self._note_recovery()
+        return Piece(position, reply.token, reply.text, last=reply.last or produced == self._request.max_tokens)
+
+    async def _advance(self) -> Done | NotRun | Unknown:
+        """Run all tokens that no stage holds yet; the last reply carries the next token."""
+        while True:
+            if time.monotonic() >= self._request.deadline:
+                return self._give_up(Reason.DEADLINE)
+            if not await self._find_route():
+                return self._give_up(Reason.NO_ROUTE)
+            result = await self._rebuild() or await self._run_new()
+            if isinstance(result, Done):
+                return result
+            self._replace(result)
+
+    async def _find_route(self) -> bool:
+        """Wait for a route: briefly before the first step, to the deadline once the answer is in progress."""
+        until = self._request.deadline if self._run.may_have_run else self._start_until
+        while time.monotonic() < until:
+            if self._route is not None:
+                return True
+            request = self._request
+            self._take_route(self._placement.choose(request.pipeline, request.affinity, self._list_avoided()))
+            if self._route is None:
+                self._avoided.clear()
+                await anyio.sleep(ROUTE_RETRY)
+        return False
+
+    async def _run_new(self) -> Done | HopFailure:
+        hops = self._route.hops if self._route else ()
+        while True:
+            result = await self._run_chunk(hops, self._held, count_tokens(self._tokens), rebuild=False)
+            if not isinstance(result, Done):
+                return result
+            if result.position != self._held:
+                raise AssertionError(f"position {result.position} ran where {self._held} is next")
+            self._held += result.count
+            if self._held == count_tokens(self._tokens):
+                return result
+
+    async def _rebuild(self) -> HopFailure | None:
+        """Run the held positions again on the leading hops, up to the last one that lacks them."""
+        if self._route is None or not self._lacking:
+            return None
+        last = max(index for index, hop in enumerate(self._route.hops) if hop in self._lacking)
+        leading = self._route.hops[: last + 1]
+        position = 0
+        while position < self._held:
+            result = await self._run_chunk(leading, position, self._held, rebuild=True)
+            if not isinstance(result, Done):
+                return result
+            position += result.count
+            self._metrics.rebuilt.inc(result.count)
+        self._lacking.clear()
+        return None
+
+    async def _run_chunk(self, hops: Sequence[Hop], position: int, end: int, *, rebuild: bool) -> Done | HopFailure:
+        count = min(CHUNK, end - position)
+        inputs = bytes(self._tokens[position * TOKEN_BYTES : (position + count) * TOKEN_BYTES])
+        request = self._request
+        step = Step(request.session, self._run.attempt, position, count, inputs, request.seed, rebuild)
+        return await self._run.run_hops(hops, step)
+
+    def _replace(self, failure: HopFailure) -> None:
+        """Take another server for the failed hop, or the same one where only its cache was lost."""
+        route = self._route
+        if route is None:
+            raise AssertionError("no route to replace")
+        self._lost_at = self._lost_at or time.monotonic()
+        self._run.attempt += 1
+        self.recoveries += 1
+        hop = route.hops[failure.index]
+        logger.info(
+            "hop failed",
+            extra={"request": self._request.id, "server": hop.vm, "cause": str(failure.cause), "held": self._held},
+        )
+        if _is_cache_lost(failure.cause):
+            self._lacking.add(hop)
+            return
+        avoidance = LOST_AVOIDANCE if isinstance(failure.cause, Lost) else REFUSED_AVOIDANCE
+        self._avoided[hop.vm] = time.monotonic() + avoidance
+        request = self._request
+        self._take_route(
+            self._placement.replace(request.pipeline, route, failure.index, request.affinity, self._list_avoided())
+        )
+
+    def _take_route(self, route: Route | None) -> None:
+        """Go on over another route; hops that the present one does not have lack all held positions."""
+        held = set(self._route.hops) - self._lacking if self._route else set()
+        self._route = route
+        if route is None:
+            return
+        self._lacking = set(route.hops) - held
+        self.routes.append(str(route))
+
+    def _list_avoided(self) -> set[VmId]:
+        now = time.monotonic()
+        return {vm for vm, until in self._avoided.items() if until > now}
+
+    def _note_recovery(self) -> None:
+        if self._lost_at is None:
+            return
+        self._metrics.recovery.labels("rebuild").observe(time.monotonic() - self._lost_at)
+        self._lost_at = None
+
+    def _give_up(self, reason: Reason) -> NotRun | Unknown:
+        return Unknown(reason) if self._run.may_have_run else NotRun(reason)
+
+
+def _is_cache_lost(cause: Refused | Lost) -> bool:
+    return isinstance(cause, Refused) and cause.refusal in {Refusal.NO_SESSION, Refusal.POSITION}
+
+
+__all__ = ["CHUNK", "Generation", "GenerationState"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/answers/request.py
@@ -0,0 +1,41 @@
+"""One request for an answer, and what its generation yields."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from vaneturn_core.configuration.schema import Pipeline
+from vaneturn_core.identifiers import ClassName, CustomerName, RequestId, SessionId
+from vaneturn_core.outcomes import NotRun, Unknown
+
+
+@dataclass(frozen=True)
+class AnswerRequest:
+    """A request for an answer, admitted and checked."""
+
+    id: RequestId
+    session: SessionId
+    customer: CustomerName
+    work_class: ClassName
+    priority: int
+    pipeline: Pipeline  # as configured when the request came; the answer keeps this version to its end
+    prompt: bytes  # tokens
+    seed: int
+    max_tokens: int
+    affinity: str
+    deadline: float  # on the monotonic clock, seconds
+
+
+@dataclass(frozen=True)
+class Piece:
+    """One generated token."""
+
+    position: int  # of the token in prompt and answer
+    token: int
+    text: str
+    last: bool
+
+
+Yield = Piece | NotRun | Unknown
+
+__all__ = ["AnswerRequest", "Piece", "Yield"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/answers/stagerun.py
@@ -0,0 +1,95 @@
+"""Running steps of one session over the hops of its route."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from vaneturn_core.engine.messages import Close, Done, Open, Refused, Step
+from vaneturn_core.identifiers import VmId
+from vaneturn_core.routing.hops import Hop, assert_tiling
+from vaneturn_node.answers.request import AnswerRequest
+from vaneturn_node.stages.health import ServerHealths
+from vaneturn_node.stages.link import Lost
+from vaneturn_node.stages.pool import LinkPool
+
+
+@dataclass(frozen=True)
+class HopFailure:
+    """The hop of a route that did not run its step."""
+
+    index: int
+    cause: Refused | Lost
+
+
+class StageRun:
+    """Sends the steps of one session; an attempt is never used again once a hop has been replaced."""
+
+    def __init__(self, request: AnswerRequest, pool: LinkPool, healths: ServerHealths, call_timeout: float) -> None:
+        self._request = request
+        self._pool = pool
+        self._healths = healths
+        self._call_timeout = call_timeout
+        self._opened: set[tuple[VmId, int]] = set()
+        self._used: set[VmId] = set()
+        self.attempt = 0
+        self.may_have_run = False
+
+    async def run_hops(self, hops: Sequence[Hop], step: Step) -> Done | HopFailure:
+        """Run one step on each hop in order, each on the outputs of the one before."""
+        inputs = step.inputs
+        reply: Done | None = None
+        ran: list[Hop] = []
+        for index, hop in enumerate(hops):
+            result = await self._run_hop(hop, step, inputs)
+            if not isinstance(result, Done):
+                return HopFailure(index, result)
+            ran.append(Hop(hop.vm, result.first, result.end))
+            reply, inputs = result, result.outputs
+        if reply is None:
+            raise AssertionError("a step needs a hop")
+        assert_tiling(ran, hops[-1].end)
+        return reply
+
+    async def _run_hop(self, hop: Hop, step: Step, inputs: bytes) -> Done | Refused | Lost:
+        link = self._pool[hop.vm]
+        if link is None or not link.is_connected:
+            return Lost(sent=False)
+        if (hop.vm, self.attempt) not in self._opened:
+            self._opened.add((hop.vm, self.attempt))
+            self._used.add(hop.vm)
+            link.send(self._describe_session(hop))
+        own = Step(step.session, self.attempt, step.position, step.count, inputs, step.seed, step.rebuild)
+        timeout = self._healths[hop.vm].compute_timeout(step.count, self._call_timeout)
+        result = await link.run_step(own, hop, timeout)
+        if isinstance(result, Done) or (isinstance(result, Lost) and result.sent):
+            self.may_have_run = True
+        return result
+
+    def _describe_session(self, hop: Hop) -> Open:
+        request = self._request
+        pipeline = request.pipeline
+        return Open(
+            request.session,
+            self.attempt,
+            pipeline.model,
+            pipeline.version,
+            pipeline.adapter,
+            hop.first,
+            hop.end,
+            request.priority,
+        )
+
+    def close(self) -> None:
+        """Let every server that was used forget the session."""
+        for vm in self._used:
+            self.forget(vm)
+
+    def forget(self, vm: VmId) -> None:
+        """Let one server forget the session."""
+        link = self._pool[vm]
+        if link is not None:
+            link.send(Close(self._request.session))
+
+
+__all__ = ["HopFailure", "StageRun"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims on requests that must run at most once."""
--- /dev/null
+++ b/packages/node/src/vaneturn_node/claims/bykey.py
@@ -0,0 +1,96 @@
+"""A claim for each request, made by compare-and-swap on a key of its own in the key-value service."""
+
+from __future__ import annotations
+
+import hashlib
+import uuid
+from enum import Enum
+from typing import Final
+
+import msgspec
+from msgspec import Struct
+
+from vaneturn_core.identifiers import CustomerName, NodeId, RepeatKey, StoreVersion
+from vaneturn_core.outcomes import NotRun, Reason, Unknown
+from vaneturn_core.ports import Conflict, Entry, KeyValueService, Unavailable
+
+PREFIX: Final = "vaneturn/claims/"
+
+
+class ClaimState(Enum):
+    """State of a claimed request."""
+
+    HELD = "held"  # it may have run
+    RELEASED = "released"  # it was not run and may be claimed again
+
+
+class ClaimRecord(Struct, frozen=True):
+    """What is stored under the key of a claim."""
+
+    id: str
+    node: NodeId
+    state: ClaimState
+
+
+class Claim(Struct, frozen=True):
+    """A claim that was won: its holder alone may run the request, once."""
+
+    id: str
+    key: str
+    version: StoreVersion
+
+
+class ClaimsByKey:
+    """Two writes at most for each request; nothing of it lives in the node."""
+
+    def __init__(self, store: KeyValueService, node: NodeId) -> None:
+        self._store = store
+        self._node = node
+
+    async def claim(self, customer: CustomerName, repeat_key: RepeatKey) -> Claim | NotRun | Unknown:
+        """Claim a request, or say why it is not run."""
+        key = name_claim(customer, repeat_key)
+        entry = await self._store.read(key)
+        if isinstance(entry, Unavailable):
+            return NotRun(Reason.CLAIM_STORE_DOWN)
+        if _is_held(entry):
+            return Unknown(Reason.CLAIMED)
+        record = ClaimRecord(uuid.uuid4().hex, self._node, ClaimState.HELD)
+        result = await self._store.write(key, msgspec.json.encode(record), entry.version)
+        if isinstance(result, Conflict):
+            return Unknown(Reason.CLAIMED)
+        if isinstance(result, Unavailable):
+            return await self._settle(key, record)
+        return Claim(record.id, key, result)
+
+    async def _settle(self, key: str, record: ClaimRecord) -> Claim | NotRun | Unknown:
+        """Find out after a lost answer whether the claim was won."""
+        entry = await self._store.read(key)
+        if isinstance(entry, Unavailable):
+            # nothing runs here, yet the claim may stand: a later try with the key is told that it is claimed
+            return NotRun(Reason.CLAIM_STORE_DOWN)
+        if entry.value and msgspec.json.decode(entry.value, type=ClaimRecord).id == record.id:
+            return Claim(record.id, key, entry.version)
+        if _is_held(entry):
+            return Unknown(Reason.CLAIMED)
+        return NotRun(Reason.CLAIM_STORE_DOWN)
+
+    async def release(self, claim: Claim) -> None:
+        """Give up a claim whose request was not run, so that the caller may try again."""
+        record = ClaimRecord(claim.id, self._node, ClaimState.RELEASED)
+        await self._store.write(claim.key, msgspec.json.encode(record), claim.version)
+
+
+def name_claim(customer: CustomerName, repeat_key: RepeatKey) -> str:
+    """Name the key of a claim; the caller's own text does not appear in it."""
+    digest = hashlib.sha256(f"{customer}\0{repeat_key}".encode()).hexdigest()
+    return PREFIX + digest[:32]
+
+
+def _is_held(entry: Entry) -> bool:
+    if not entry.value:
+        return False
+    return msgspec.json.decode(entry.value, type=ClaimRecord).state is ClaimState.HELD
+
+
+__all__ = ["Claim", "ClaimsByKey", "name_claim"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration in force on a node: following, changing and sharing it."""
--- /dev/null
+++ b/packages/node/src/vaneturn_node/configuration/follower.py
@@ -0,0 +1,61 @@
+"""Following the configuration's key in the platform's key-value service."""
+
+from __future__ import annotations
+
+import logging
+import random
+from typing import Final
+
+import anyio
+
+from vaneturn_core.configuration.document import CONFIGURATION_KEY
+from vaneturn_core.identifiers import StoreVersion
+from vaneturn_core.ports import Entry, KeyValueService, Unavailable
+from vaneturn_node.configuration.inforce import ConfigurationInForce, Offer
+
+WATCH: Final = 20.0  # seconds; one counted call for each
+FIRST_BACKOFF: Final = 0.2  # seconds, full jitter
+LAST_BACKOFF: Final = 2.0
+RESTORE_SPREAD: Final = 1.0  # seconds over which the nodes spread the writing back of a newer document
+
+logger = logging.getLogger(__name__)
+
+
+class ConfigurationFollower:
+    """One waiting watch on one key; puts a store that was restored to an older state right again."""
+
+    def __init__(self, store: KeyValueService, in_force: ConfigurationInForce) -> None:
+        self._store = store
+        self._in_force = in_force
+
+    async def run(self) -> None:
+        """Follow the key until cancelled."""
+        version = StoreVersion(-1)  # no version of a key, so the first watch answers at once
+        backoff = FIRST_BACKOFF
+        while True:
+            entry = await self._store.watch(CONFIGURATION_KEY, version, WATCH)
+            if isinstance(entry, Unavailable):
+                await anyio.sleep(random.uniform(0, backoff))  # noqa: S311 # jitter
+                backoff = min(LAST_BACKOFF, backoff * 2)
+                continue
+            backoff = FIRST_BACKOFF
+            if entry is not None:
+                version = entry.version
+                await self._take(entry)
+
+    async def _take(self, entry: Entry) -> None:
+        is_behind = not entry.value or self._in_force.offer(entry.value) is Offer.OLDER
+        if is_behind and self._in_force.data:
+            await self._restore(entry)
+
+    async def _restore(self, entry: Entry) -> None:
+        """Write the newer document back; of all nodes that try, the first wins."""
+        await anyio.sleep(random.uniform(0, RESTORE_SPREAD))  # noqa: S311 # jitter
+        result = await self._store.write(CONFIGURATION_KEY, self._in_force.data, entry.version)
+        logger.warning(
+            "store held an older configuration",
+            extra={"revision": self._in_force.revision, "result": str(result)},
+        )
+
+
+__all__ = ["ConfigurationFollower"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/daemon.py
@@ -0,0 +1,140 @@
+"""The vaneturn-node process: wiring, start and planned stop."""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import signal
+import sys
+import uuid
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, Final, cast
+
+import anyio
+import httpx
+import uvloop
+from anyio.abc import TaskGroup
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from vaneturn_core.faults import Fault
+from vaneturn_core.identifiers import NodeId
+from vaneturn_core.ports import Unavailable, VmList
+from vaneturn_core.settings import NodeSettings, load_settings
+from vaneturn_node.answers.placement import Placement
+from vaneturn_node.claims.bykey import ClaimsByKey
+from vaneturn_node.configuration.changes import Changes
+from vaneturn_node.configuration.follower import ConfigurationFollower
+from vaneturn_node.configuration.inforce import ConfigurationInForce
+from vaneturn_node.http.app import make_app
+from vaneturn_node.limits.admission import Admission
+from vaneturn_node.logs import configure_logs
+from vaneturn_node.metrics import Metrics
+from vaneturn_node.platform.keyvalue import HttpKeyValueService
+from vaneturn_node.platform.vms import HttpVmList
+from vaneturn_node.runtime import Runtime
+from vaneturn_node.stages.health import LeavingSource, ServerHealths
+from vaneturn_node.stages.pool import LinkPool
+
+EXIT_SETTINGS: Final = 2
+UNREADY_TIME: Final = 1.0  # seconds from unready to refusing, for the balancer to notice
+VM_LIST_INTERVAL: Final = 2.0  # seconds
+MAX_CLIENT_CONNECTIONS: Final = 512
+
+logger = logging.getLogger(__name__)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run a node until SIGTERM or SIGINT."""
+    parser = argparse.ArgumentParser(prog="vaneturn-node", description="Daemon of a vaneturn entry VM.")
+    parser.add_argument("--settings", type=Path, required=True, help="JSON file with the settings of this VM")
+    parser.add_argument("--check", action="store_true", help="check the settings and exit")
+    options = parser.parse_args(arguments)
+    settings = load_settings(options.settings)
+    if isinstance(settings, Fault):
+        print(settings, file=sys.stderr)  # noqa: T201 # the one line an operator must see
+        return EXIT_SETTINGS
+    if options.check:
+        return 0
+    node = NodeId(uuid.uuid4().hex[:16])
+    configure_logs(settings.log_level, settings.vm, node)
+    anyio.run(_run, settings, node, backend_options={"loop_factory": uvloop.new_event_loop})
+    return 0
+
+
+async def _run(settings: NodeSettings, node: NodeId) -> None:
+    limits = httpx.Limits(max_connections=MAX_CLIENT_CONNECTIONS)
+    async with httpx.AsyncClient(limits=limits) as client, anyio.create_task_group() as tasks:
+        runtime = _make_runtime(settings, node, client, tasks)
+        store = HttpKeyValueService(client, settings.key_value_url)
+        tasks.start_soon(ConfigurationFollower(store, runtime.in_force).run)
+        if settings.vm_list_url is not None:
+            tasks.start_soon(_follow_vm_list, HttpVmList(client, settings.vm_list_url), runtime.healths)
+        stopped = anyio.Event()
+        tasks.start_soon(_await_stop, runtime, stopped)
+        await _serve(runtime, stopped)
+        tasks.cancel_scope.cancel()
+    logger.info("stopped")
+
+
+def _make_runtime(settings: NodeSettings, node: NodeId, client: httpx.AsyncClient, tasks: TaskGroup) -> Runtime:
+    metrics = Metrics()
+    store = HttpKeyValueService(client, settings.key_value_url)
+    in_force = ConfigurationInForce(metrics)
+    healths = ServerHealths()
+    pool = LinkPool(tasks, healths, metrics)
+    placement = Placement(healths, pool, metrics)
+    in_force.listen(lambda configuration: healths.replace_leaving(LeavingSource.OPERATOR, configuration.draining))
+    in_force.listen(pool.follow)
+    in_force.listen(placement.follow)
+    return Runtime(
+        settings=settings,
+        node=node,
+        metrics=metrics,
+        in_force=in_force,
+        changes=Changes(store, in_force),
+        claims=ClaimsByKey(store, node),
+        admission=Admission(metrics),
+        healths=healths,
+        pool=pool,
+        placement=placement,
+        client=client,
+        generations={},
+    )
+
+
+async def _serve(runtime: Runtime, stopped: anyio.Event) -> None:
+    config = Config()
+    config.bind = [runtime.settings.http_address]
+    config.graceful_timeout = 2.0
+    config.keep_alive_timeout = 75.0
+    config.accesslog = None
+    config.errorlog = logging.getLogger("hypercorn.error")
+    logger.info("serving", extra={"address": runtime.settings.http_address})
+    await serve(cast("Any", make_app(runtime)), config, shutdown_trigger=stopped.wait, mode="asgi")
+
+
+async def _await_stop(runtime: Runtime, stopped: anyio.Event) -> None:
+    """At a signal turn unready, refuse new requests after a moment, and stop when the last one has ended."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for received in signals:
+            logger.info("stopping", extra={"signal": received.name})
+            break
+    runtime.admission.ready = False
+    await anyio.sleep(UNREADY_TIME)
+    runtime.admission.stopping = True
+    with anyio.move_on_after(runtime.settings.stop_timeout):
+        await runtime.admission.wait_idle()
+    stopped.set()
+
+
+async def _follow_vm_list(vm_list: VmList, healths: ServerHealths) -> None:
+    while True:
+        leaving = await vm_list.list_leaving()
+        if not isinstance(leaving, Unavailable):
+            healths.replace_leaving(LeavingSource.VM_LIST, leaving)
+        await anyio.sleep(VM_LIST_INTERVAL)
+
+
+__all__ = ["main"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and operators."""
--- /dev/null
+++ b/packages/node/src/vaneturn_node/http/accounting.py
@@ -0,0 +1,61 @@
+"""What every request leaves behind: metrics and one log line."""
+
+from __future__ import annotations
+
+import logging
+import time
+import uuid
+from dataclasses import dataclass, field
+
+from vaneturn_core.configuration.schema import Customer
+from vaneturn_core.identifiers import ClassName, RequestId
+from vaneturn_core.outcomes import NotRun, Unknown
+from vaneturn_node.metrics import Metrics
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass
+class Account:
+    """Times and outcome of one admitted request."""
+
+    metrics: Metrics
+    customer: Customer
+    target: str  # pipeline or service
+    id: RequestId = field(default_factory=lambda: RequestId(uuid.uuid4().hex))
+    started: float = field(default_factory=time.monotonic)
+    last_token: float | None = None
+    tokens: int = 0
+
+    def note_token(self) -> None:
+        """Observe the time to this token."""
+        now = time.monotonic()
+        since = self.started if self.last_token is None else self.last_token
+        histogram = self.metrics.first_token if self.last_token is None else self.metrics.between_tokens
+        self.metrics.observe(histogram, ClassName(self.customer.work_class), self.customer.name, now - since)
+        self.last_token = now
+        self.tokens += 1
+
+    def close(self, outcome: NotRun | Unknown | None) -> None:
+        """Record the outcome; none means that the request was completed."""
+        seconds = time.monotonic() - self.started
+        work_class = ClassName(self.customer.work_class)
+        name = "completed" if outcome is None else type(outcome).__name__.lower()
+        reason = "" if outcome is None else outcome.reason.value
+        self.metrics.observe(self.metrics.total, work_class, self.customer.name, seconds)
+        self.metrics.outcomes.labels(work_class, name, reason).inc()
+        logger.info(
+            "request ended",
+            extra={
+                "request": self.id,
+                "customer": self.customer.name,
+                "target": self.target,
+                "outcome": name,
+                "reason": reason,
+                "seconds": round(seconds, 4),
+                "tokens": self.tokens,
+            },
+        )
+
+
+__all__ = ["Account"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/http/errors.py
@@ -0,0 +1,57 @@
+"""Answers to requests that are refused or whose outcome is unknown."""
+
+from __future__ import annotations
+
+import math
+from typing import Final
+
+import msgspec
+from starlette.responses import Response
+
+from vaneturn_core.outcomes import NotRun, Reason, Unknown
+from vaneturn_node.http.chatformat import ErrorBody, ErrorDetail
+
+_STATUS: Final = {
+    Reason.UNKNOWN_KEY: 401,
+    Reason.UNKNOWN_MODEL: 404,
+    Reason.UNKNOWN_SERVICE: 404,
+    Reason.MALFORMED: 400,
+    Reason.TOO_LARGE: 413,
+    Reason.CUSTOMER_LIMIT: 429,
+    Reason.CLAIMED: 409,
+}
+_DEFAULT_STATUS: Final = 503
+_UNKNOWN_STATUS: Final = 502
+_RETRYABLE_FROM: Final = 429
+_TYPES: Final = {400: "invalid_request_error", 401: "authentication_error", 429: "rate_limit_error"}
+
+
+def describe_error(outcome: NotRun | Unknown, message: str = "") -> ErrorBody:
+    """Describe an outcome in the format of the callers."""
+    ran = isinstance(outcome, Unknown)
+    status = find_status(outcome)
+    text = message or ("the request may have run" if ran else "the request was not run")
+    detail = ErrorDetail(
+        text, _TYPES.get(status, "server_error"), outcome.reason.value, "unknown" if ran else "not_run"
+    )
+    return ErrorBody(detail)
+
+
+def find_status(outcome: NotRun | Unknown) -> int:
+    """Find the HTTP status of an outcome."""
+    if isinstance(outcome, Unknown) and outcome.reason is not Reason.CLAIMED:
+        return _UNKNOWN_STATUS
+    return _STATUS.get(outcome.reason, _DEFAULT_STATUS)
+
+
+def answer_error(outcome: NotRun | Unknown, message: str = "") -> Response:
+    """Answer at once; a refusal that may pass says when to come back."""
+    status = find_status(outcome)
+    headers = {}
+    if isinstance(outcome, NotRun) and status >= _RETRYABLE_FROM:
+        headers["Retry-After"] = str(max(1, math.ceil(outcome.retry_after)))
+    body = msgspec.json.encode(describe_error(outcome, message))
+    return Response(body, status, headers, "application/json")
+
+
+__all__ = ["answer_error", "describe_error", "find_status"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/http/operators.py
@@ -0,0 +1,197 @@
+"""The operators' interface of a node."""
+
+from __future__ import annotations
+
+import hmac
+import logging
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+from starlette.requests import Request
+from starlette.responses import Response
+
+from vaneturn_core.configuration.document import find_change
+from vaneturn_core.configuration.schema import Change, Configuration
+from vaneturn_core.faults import describe_decode_error
+from vaneturn_core.identifiers import ChangeId, DataHall, NodeId, PipelineName, RequestId, Revision, VmId
+from vaneturn_node.configuration.changes import (
+    Applied,
+    ChangeResult,
+    NotAccepted,
+    Overtaken,
+    Proposal,
+    Rejected,
+    Unsettled,
+)
+from vaneturn_node.http.reading import read_bearer
+from vaneturn_node.runtime import Runtime
+
+audit = logging.getLogger("vaneturn.audit")
+
+
+class ProposalBody(Struct, forbid_unknown_fields=True, frozen=True):
+    """A change as the command line sends it."""
+
+    id: Annotated[ChangeId, Meta(min_length=8)]
+    summary: str
+    based_on: Revision
+    declared: Configuration
+
+
+class ChangeAnswer(Struct, frozen=True, omit_defaults=True):
+    """What became of a change."""
+
+    result: str  # applied, rejected, overtaken, not_accepted, unsettled, unknown
+    change: Change | None = None  # the change itself, or the one that came first
+    faults: tuple[str, ...] = ()
+    cause: str = ""
+
+
+class ServerState(Struct, frozen=True):
+    """A backend server as this node sees it."""
+
+    vm: VmId
+    connected: bool
+    in_progress: int
+    latency: float  # seconds
+    limit: float
+    ejected: bool
+    leaving: list[str]
+
+
+class SessionState(Struct, frozen=True):
+    """An answer in progress on this node."""
+
+    request: RequestId
+    customer: str
+    pipeline: str
+    routes: list[str]
+    recoveries: int
+
+
+class NodeState(Struct, frozen=True):
+    """What a node answers to an operator's query."""
+
+    node: NodeId
+    vm: VmId
+    data_hall: DataHall
+    stopping: bool
+    revision: Revision
+    digest: str
+    servers: list[ServerState]
+    sessions: list[SessionState]
+    bounds: dict[PipelineName, float]
+
+
+def find_operator(request: Request, runtime: Runtime) -> str | None:
+    """Find the operator of the request's bearer key."""
+    key = read_bearer(request)
+    matching = [
+        name
+        for name, known in runtime.settings.operator_keys.items()
+        if hmac.compare_digest(known.encode(), key.encode())
+    ]
+    return matching[0] if matching else None
+
+
+def refuse_operator() -> Response:
+    """Answer a request without a known operator's key."""
+    return _encode(ChangeAnswer("rejected", cause="unknown operator key"), 401)
+
+
+async def show_state(request: Request, runtime: Runtime) -> Response:
+    """Show what this node does and sees."""
+    if find_operator(request, runtime) is None:
+        return refuse_operator()
+    return _encode(describe_state(runtime))
+
+
+async def show_configuration(request: Request, runtime: Runtime) -> Response:
+    """Show the document in force."""
+    if find_operator(request, runtime) is None:
+        return refuse_operator()
+    return Response(runtime.in_force.data or b"{}", media_type="application/json")
+
+
+async def apply_change(request: Request, runtime: Runtime) -> Response:
+    """Apply a whole new configuration."""
+    operator = find_operator(request, runtime)
+    if operator is None:
+        return refuse_operator()
+    try:
+        body = msgspec.json.decode(await request.body(), type=ProposalBody)
+    except msgspec.DecodeError as error:
+        return _encode(ChangeAnswer("rejected", faults=(str(describe_decode_error(error)),)), 400)
+    result = await runtime.changes.apply(Proposal(body.id, operator, body.summary, body.declared, body.based_on))
+    answer = _describe_result(result)
+    audit.info(
+        "change",
+        extra={"operator": operator, "change": body.id, "summary": body.summary, "result": answer.result},
+    )
+    return _encode(answer, 200 if isinstance(result, Applied) else 409)
+
+
+async def show_change(request: Request, runtime: Runtime) -> Response:
+    """Tell whether a change took effect."""
+    if find_operator(request, runtime) is None:
+        return refuse_operator()
+    change = find_change(runtime.in_force.view.configuration, ChangeId(request.path_params["change"]))
+    if change is None:
+        return _encode(ChangeAnswer("unknown"), 404)
+    return _encode(ChangeAnswer("applied", change))
+
+
+def describe_state(runtime: Runtime) -> NodeState:
+    """Describe this node as it is now."""
+    ejected = runtime.healths.list_ejected()
+    down = runtime.pool.list_down()
+    configuration = runtime.in_force.view.configuration
+    servers = [
+        ServerState(
+            vm=server.vm,
+            connected=server.vm not in down,
+            in_progress=(health := runtime.healths[server.vm]).in_progress,
+            latency=health.latency,
+            limit=health.limit,
+            ejected=server.vm in ejected,
+            leaving=sorted(source.value for source in health.leaving),
+        )
+        for server in configuration.servers
+    ]
+    sessions = [generation.describe() for generation in runtime.generations.values()]
+    return NodeState(
+        node=runtime.node,
+        vm=runtime.settings.vm,
+        data_hall=runtime.settings.data_hall,
+        stopping=not runtime.admission.ready,
+        revision=runtime.in_force.revision,
+        digest=runtime.in_force.digest,
+        servers=servers,
+        sessions=[
+            SessionState(state.request, state.customer, state.pipeline, list(state.routes), state.recoveries)
+            for state in sessions
+        ],
+        bounds=dict(runtime.placement.list_bounds()),
+    )
+
+
+def _describe_result(result: ChangeResult) -> ChangeAnswer:
+    match result:
+        case Applied(change):
+            return ChangeAnswer("applied", change)
+        case Rejected(faults):
+            return ChangeAnswer("rejected", faults=tuple(str(fault) for fault in faults))
+        case Overtaken(winner):
+            return ChangeAnswer("overtaken", winner)
+        case NotAccepted(cause):
+            return ChangeAnswer("not_accepted", cause=cause)
+        case Unsettled():
+            return ChangeAnswer("unsettled")
+
+
+def _encode(body: Struct, status: int = 200) -> Response:
+    return Response(msgspec.json.encode(body), status, media_type="application/json")
+
+
+__all__ = ["ChangeAnswer", "NodeState", "ProposalBody", "ServerState", "SessionState"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/http/services.py
@@ -0,0 +1,132 @@
+"""Calls of plain services."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Final
+
+import httpx
+from starlette.requests import Request
+from starlette.responses import Response
+
+from vaneturn_core.configuration.schema import Service
+from vaneturn_core.identifiers import RepeatKey, ServiceName, VmId
+from vaneturn_core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
+from vaneturn_node.claims.bykey import Claim
+from vaneturn_node.http.accounting import Account
+from vaneturn_node.http.errors import answer_error
+from vaneturn_node.http.reading import Call, Malformed, find_customer, read_call
+from vaneturn_node.runtime import Runtime
+
+CONNECT_TIMEOUT: Final = 1.0  # seconds
+MAX_TRIES: Final = 3
+_PASSED_HEADERS: Final = ("Accept", "Content-Type", "Idempotency-Key")
+# raised before any byte of the request was written
+_NOT_SENT: Final = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout, httpx.UnsupportedProtocol)
+
+
+async def call_service(request: Request, runtime: Runtime) -> Response:
+    """Pass a call to one of the service's servers."""
+    view = runtime.in_force.view
+    customer = find_customer(request, view)
+    if isinstance(customer, Malformed):
+        return answer_error(customer.outcome, customer.message)
+    service = view.find_service(ServiceName(request.path_params["name"]))
+    if service is None:
+        return answer_error(NotRun(Reason.UNKNOWN_SERVICE), "unknown service")
+    call = await read_call(request, customer, key_required=request.method not in service.repeatable_methods)
+    if isinstance(call, Malformed):
+        return answer_error(call.outcome, call.message)
+    refusal = runtime.admission.enter(customer)
+    if refusal is not None:
+        return answer_error(refusal)
+    try:
+        return _answer(await _ServiceCall(runtime, service, request, call).run())
+    finally:
+        runtime.admission.leave(customer)
+
+
+def _answer(outcome: Outcome) -> Response:
+    if isinstance(outcome, Completed):
+        return Response(outcome.body, outcome.status, media_type=outcome.content_type)
+    return answer_error(outcome)
+
+
+class _ServiceCall:
+    """One call, with its retries where they are allowed."""
+
+    def __init__(self, runtime: Runtime, service: Service, request: Request, call: Call) -> None:
+        self._runtime = runtime
+        self._service = service
+        self._request = request
+        self._call = call
+        self._account = Account(runtime.metrics, call.customer, service.name)
+        self._deadline = self._account.started + call.timeout
+
+    async def run(self) -> Outcome:
+        """Run the call, at most once if it has a repeat key."""
+        outcome: Outcome = Unknown(Reason.CONNECTION_LOST)
+        repeat_key = self._call.repeat_key
+        try:
+            outcome = await self._run_claimed(repeat_key) if repeat_key else await self._try_servers(repeatable=True)
+        finally:
+            self._account.close(None if isinstance(outcome, Completed) else outcome)
+        return outcome
+
+    async def _run_claimed(self, repeat_key: RepeatKey) -> Outcome:
+        claim = await self._runtime.claims.claim(self._call.customer.name, repeat_key)
+        if not isinstance(claim, Claim):
+            return claim
+        outcome = await self._try_servers(repeatable=False)
+        if isinstance(outcome, NotRun):
+            await self._runtime.claims.release(claim)
+        return outcome
+
+    async def _try_servers(self, *, repeatable: bool) -> Outcome:
+        """Try servers in turn: after no run always, after an unknown run only if the call may be repeated."""
+        outcome: Outcome = NotRun(Reason.NO_ROUTE)
+        for vm in self._rank_servers()[:MAX_TRIES]:
+            if time.monotonic() >= self._deadline:
+                break
+            outcome = await self._send(vm)
+            if isinstance(outcome, Completed) or (isinstance(outcome, Unknown) and not repeatable):
+                break
+        return outcome
+
+    def _rank_servers(self) -> list[VmId]:
+        """Rank the usable servers: the less loaded of two random ones first."""
+        healths = self._runtime.healths
+        leaving = healths.list_leaving()
+        usable = [vm for vm in self._service.servers if vm not in leaving]
+        random.shuffle(usable)
+        usable[:2] = sorted(usable[:2], key=lambda vm: healths[vm].in_progress)
+        ejected = healths.list_ejected()
+        return sorted(usable, key=lambda vm: vm in ejected)
+
+    async def _send(self, vm: VmId) -> Outcome:
+        server = self._runtime.in_force.view.find_server(vm)
+        health = self._runtime.healths[vm]
+        health.in_progress += 1
+        started = time.monotonic()
+        try:
+            response = await self._runtime.client.request(
+                self._request.method,
+                f"http://{server.address}/{self._request.path_params['path']}",
+                params=httpx.QueryParams(self._request.url.query),
+                content=self._call.body,
+                headers={
+                    name: self._request.headers[name] for name in _PASSED_HEADERS if name in self._request.headers
+                },
+                timeout=httpx.Timeout(max(0.001, self._deadline - started), connect=CONNECT_TIMEOUT),
+            )
+        except httpx.HTTPError as error:
+            self._runtime.healths.record_failure(vm)
+            return NotRun(Reason.NO_ROUTE) if isinstance(error, _NOT_SENT) else Unknown(Reason.CONNECTION_LOST)
+        finally:
+            health.in_progress -= 1
+        health.record_reply(time.monotonic() - started)
+        return Completed(response.status_code, response.headers.get("Content-Type", ""), response.content)
+
+
+__all__ = ["call_service"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the work that a node takes in."""
--- /dev/null
+++ b/packages/node/src/vaneturn_node/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform's services."""
--- /dev/null
+++ b/packages/node/src/vaneturn_node/platform/keyvalue.py
@@ -0,0 +1,74 @@
+"""HTTP adapter to the platform's key-value service."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import httpx
+
+from vaneturn_core.identifiers import StoreVersion
+from vaneturn_core.ports import Conflict, Entry, Unavailable
+
+CALL_TIMEOUT: Final = 2.0  # seconds; the service answers in milliseconds when it is well
+VERSION_HEADER: Final = "Version"
+
+
+class HttpKeyValueService:
+    """The key-value service behind its HTTP interface."""
+
+    def __init__(self, client: httpx.AsyncClient, base_url: str) -> None:
+        self._client = client
+        self._base_url = base_url.rstrip("/")
+
+    async def read(self, key: str) -> Entry | Unavailable:
+        """Read a key."""
+        response = await self._call("GET", key)
+        if isinstance(response, Unavailable):
+            return response
+        return _decode_entry(response)
+
+    async def watch(self, key: str, after: StoreVersion, wait: float) -> Entry | Unavailable | None:
+        """Wait until the key has another version than the given one; none when the wait (seconds) ran out."""
+        query = {"after": str(after), "wait": str(wait)}
+        response = await self._call("GET", key, query=query, timeout=wait + CALL_TIMEOUT)
+        if isinstance(response, Unavailable):
+            return response
+        if response.status_code == httpx.codes.NOT_MODIFIED:
+            return None
+        return _decode_entry(response)
+
+    async def write(self, key: str, value: bytes, expected: StoreVersion) -> StoreVersion | Conflict | Unavailable:
+        """Write a key if it has the expected version."""
+        response = await self._call("PUT", key, query={"expected": str(expected)}, content=value)
+        if isinstance(response, Unavailable):
+            return response
+        version = StoreVersion(int(response.headers[VERSION_HEADER]))
+        if response.status_code == httpx.codes.CONFLICT:
+            return Conflict(version)
+        return version
+
+    async def _call(
+        self,
+        method: str,
+        key: str,
+        *,
+        query: dict[str, str] | None = None,
+        content: bytes | None = None,
+        timeout: float = CALL_TIMEOUT,  # noqa: ASYNC109 # handed to the client, which bounds the call
+    ) -> httpx.Response | Unavailable:
+        url = f"{self._base_url}/v1/kv/{key}"
+        try:
+            response = await self._client.request(method, url, params=query, content=content, timeout=timeout)
+        except httpx.HTTPError as error:
+            return Unavailable(type(error).__name__)
+        if response.status_code >= httpx.codes.INTERNAL_SERVER_ERROR or VERSION_HEADER not in response.headers:
+            return Unavailable(f"status {response.status_code}")
+        return response
+
+
+def _decode_entry(response: httpx.Response) -> Entry:
+    version = StoreVersion(int(response.headers[VERSION_HEADER]))
+    return Entry(response.content if version else b"", version)
+
+
+__all__ = ["HttpKeyValueService"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/runtime.py
@@ -0,0 +1,40 @@
+"""The parts of a running node that its request handlers share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import httpx
+
+from vaneturn_core.identifiers import NodeId, RequestId
+from vaneturn_core.settings import NodeSettings
+from vaneturn_node.answers.generation import Generation
+from vaneturn_node.answers.placement import Placement
+from vaneturn_node.claims.bykey import ClaimsByKey
+from vaneturn_node.configuration.changes import Changes
+from vaneturn_node.configuration.inforce import ConfigurationInForce
+from vaneturn_node.limits.admission import Admission
+from vaneturn_node.metrics import Metrics
+from vaneturn_node.stages.health import ServerHealths
+from vaneturn_node.stages.pool import LinkPool
+
+
+@dataclass(frozen=True)
+class Runtime:
+    """One instance for each process, made by the daemon."""
+
+    settings: NodeSettings
+    node: NodeId
+    metrics: Metrics
+    in_force: ConfigurationInForce
+    changes: Changes
+    claims: ClaimsByKey
+    admission: Admission
+    healths: ServerHealths
+    pool: LinkPool
+    placement: Placement
+    client: httpx.AsyncClient
+    generations: dict[RequestId, Generation]
+
+
+__all__ = ["Runtime"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/stages/__init__.py
@@ -0,0 +1,1 @@
+"""Links to model engines."""
--- /dev/null
+++ b/packages/node/src/vaneturn_node/stages/link.py
@@ -0,0 +1,200 @@
+"""One multiplexed WebSocket to one model engine, shared by all answers of this node."""
+
+from __future__ import annotations
+
+import logging
+import time
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+import msgspec
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.exceptions import WebSocketException
+
+from vaneturn_core.configuration.schema import Server
+from vaneturn_core.engine.messages import ENCODER, LINK_PATH, REPLIES, Done, Leaving, Order, Refused, Reply, Step
+from vaneturn_core.identifiers import SessionId
+from vaneturn_core.routing.hops import Hop
+from vaneturn_node.metrics import Metrics
+from vaneturn_node.stages.health import LeavingSource, ServerHealths
+
+CONNECT_TIMEOUT: Final = 1.0  # seconds
+FIRST_BACKOFF: Final = 0.05  # seconds between attempts to connect, doubled up to the last
+LAST_BACKOFF: Final = 2.0
+PING_INTERVAL: Final = 2.0  # seconds
+PING_TIMEOUT: Final = 4.0
+MAX_FRAME: Final = 64 << 20  # bytes
+
+logger = logging.getLogger(__name__)
+
+_StepKey = tuple[SessionId, int, int, bool]
+
+
+@dataclass(frozen=True)
+class Lost:
+    """No reply to a step."""
+
+    sent: bool  # whether the step may have reached the server
+
+
+StepResult = Done | Refused | Lost
+
+
+@dataclass
+class _Awaited:
+    """A step whose reply is awaited."""
+
+    step: Step
+    hop: Hop
+    done: anyio.Event
+    result: StepResult = Lost(sent=False)
+
+
+class StageLink:
+    """Sends orders in batches and hands each reply to the step that awaits it."""
+
+    def __init__(self, server: Server, healths: ServerHealths, metrics: Metrics) -> None:
+        self.server = server
+        self._healths = healths
+        self._metrics = metrics
+        self._outgoing: list[Order] = []
+        self._wake = anyio.Event()
+        self._awaited: dict[_StepKey, _Awaited] = {}
+        self._connected = anyio.Event()
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether orders can be sent now."""
+        return self._connected.is_set()
+
+    async def wait_connected(self) -> None:
+        """Wait for the first connection or the next one."""
+        await self._connected.wait()
+
+    def send(self, order: Order) -> None:
+        """Queue an order that has no reply; it is dropped when the link is down."""
+        if not self.is_connected:
+            return
+        self._outgoing.append(order)
+        self._wake.set()
+
+    async def run_step(self, step: Step, hop: Hop, timeout: float) -> StepResult:  # noqa: ASYNC109 # an outcome, not an error
+        """Run a step and wait for its reply.
+
+        :param hop: the layers that the reply must name.
+        """
+        if not self.is_connected:
+            return Lost(sent=False)
+        key = _name_step(step)
+        if key in self._awaited:
+            raise AssertionError(f"step awaited twice: {key}")
+        awaited = self._awaited[key] = _Awaited(step, hop, anyio.Event(), Lost(sent=True))
+        health = self._healths[self.server.vm]
+        health.in_progress += 1
+        started = time.monotonic()
+        try:
+            self.send(step)
+            with anyio.move_on_after(timeout):
+                await awaited.done.wait()
+        finally:
+            del self._awaited[key]
+            health.in_progress -= 1
+        self._record(awaited.result, time.monotonic() - started)
+        return awaited.result
+
+    def _record(self, result: StepResult, latency: float) -> None:
+        self._metrics.steps.labels(type(result).__name__.lower()).inc()
+        if isinstance(result, Lost):
+            self._healths.record_failure(self.server.vm)
+            return
+        self._healths[self.server.vm].record_reply(latency)
+
+    async def run(self) -> None:
+        """Keep the link connected until cancelled."""
+        backoff = FIRST_BACKOFF
+        while True:
+            try:
+                uri = f"ws://{self.server.address}{LINK_PATH}"
+                async with connect(
+                    uri,
+                    open_timeout=CONNECT_TIMEOUT,
+                    max_size=MAX_FRAME,
+                    compression=None,
+                    ping_interval=PING_INTERVAL,
+                    ping_timeout=PING_TIMEOUT,
+                ) as connection:
+                    backoff = FIRST_BACKOFF
+                    await self._use(connection)
+            except* (OSError, TimeoutError, WebSocketException, msgspec.DecodeError) as errors:
+                logger.info("stage link down", extra={"server": self.server.vm, "cause": repr(errors.exceptions[0])})
+            await anyio.sleep(backoff)
+            backoff = min(LAST_BACKOFF, backoff * 2)
+
+    async def _use(self, connection: ClientConnection) -> None:
+        self._outgoing.clear()
+        self._connected.set()
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._write, connection)
+                await self._read(connection)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._connected = anyio.Event()
+            self._lose_awaited()
+
+    async def _write(self, connection: ClientConnection) -> None:
+        """Send all that was queued since the last frame as one frame."""
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            batch, self._outgoing = self._outgoing, []
+            if not batch:
+                continue
+            try:
+                await connection.send(ENCODER.encode(batch))
+            except WebSocketException:
+                return  # the reader sees the same end
+
+    async def _read(self, connection: ClientConnection) -> None:
+        async for frame in connection:
+            data = frame if isinstance(frame, bytes) else frame.encode()
+            for reply in REPLIES.decode(data):
+                if not self._take(reply):
+                    return  # this link can no longer be trusted
+
+    def _take(self, reply: Reply) -> bool:
+        """Hand a reply to its step; false when the server broke the protocol."""
+        if isinstance(reply, Leaving):
+            self._healths.mark_leaving(self.server.vm, LeavingSource.SERVER)
+            return True
+        rebuild = isinstance(reply, Done) and reply.rebuild
+        awaited = self._awaited.get((reply.session, reply.attempt, reply.position, rebuild))
+        if awaited is None and isinstance(reply, Refused):
+            awaited = self._awaited.get((reply.session, reply.attempt, reply.position, True))
+        if awaited is None or awaited.done.is_set():
+            self._metrics.dropped.labels("late").inc()
+            return True
+        if isinstance(reply, Done) and not _matches(reply, awaited):
+            self._metrics.dropped.labels("mismatch").inc()
+            logger.error("reply names other work than its step", extra={"server": self.server.vm})
+            return False
+        awaited.result = reply
+        awaited.done.set()
+        return True
+
+    def _lose_awaited(self) -> None:
+        for awaited in self._awaited.values():
+            awaited.done.set()
+
+
+def _name_step(step: Step) -> _StepKey:
+    return (step.session, step.attempt, step.position, step.rebuild)
+
+
+def _matches(reply: Done, awaited: _Awaited) -> bool:
+    step, hop = awaited.step, awaited.hop
+    return reply.count == step.count and reply.first == hop.first and reply.end == hop.end
+
+
+__all__ = ["Lost", "StageLink", "StepResult"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/stages/pool.py
@@ -0,0 +1,56 @@
+"""The links of a node, one task each, kept in step with the configuration."""
+
+from __future__ import annotations
+
+import anyio
+from anyio.abc import TaskGroup
+
+from vaneturn_core.configuration.schema import Configuration, Server
+from vaneturn_core.identifiers import VmId
+from vaneturn_node.metrics import Metrics
+from vaneturn_node.stages.health import ServerHealths
+from vaneturn_node.stages.link import StageLink
+
+
+class LinkPool:
+    """Starts a link for each server that a pipeline names and stops those no longer named."""
+
+    def __init__(self, tasks: TaskGroup, healths: ServerHealths, metrics: Metrics) -> None:
+        self._tasks = tasks
+        self._healths = healths
+        self._metrics = metrics
+        self._links: dict[VmId, StageLink] = {}
+        self._scopes: dict[VmId, anyio.CancelScope] = {}
+
+    def __getitem__(self, vm: VmId) -> StageLink | None:
+        return self._links.get(vm)
+
+    def list_down(self) -> frozenset[VmId]:
+        """List the servers whose link is not connected."""
+        return frozenset(vm for vm, link in self._links.items() if not link.is_connected)
+
+    def follow(self, configuration: Configuration) -> None:
+        """Start and stop links after a change of configuration."""
+        named = {stage.vm for pipeline in configuration.pipelines for stage in pipeline.stages}
+        wanted = {server.vm: server for server in configuration.servers if server.vm in named}
+        for vm in [vm for vm, link in self._links.items() if wanted.get(vm) != link.server]:
+            self._scopes.pop(vm).cancel()
+            del self._links[vm]
+        for vm, server in wanted.items():
+            if vm not in self._links:
+                self._start(server)
+
+    def _start(self, server: Server) -> None:
+        link = StageLink(server, self._healths, self._metrics)
+        scope = anyio.CancelScope()
+        self._links[server.vm] = link
+        self._scopes[server.vm] = scope
+        self._tasks.start_soon(_run_in, scope, link)
+
+
+async def _run_in(scope: anyio.CancelScope, link: StageLink) -> None:
+    with scope:
+        await link.run()
+
+
+__all__ = ["LinkPool"]
--- /dev/null
+++ b/tests/rig/installation.py
@@ -0,0 +1,216 @@
+"""A whole installation on loopback: platform, backend servers and nodes."""
+
+from __future__ import annotations
+
+import hashlib
+import uuid
+from collections.abc import Sequence
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Self
+
+import httpx
+import msgspec
+
+from rig.processes import Process, answers, find_port, wait_until
+from standins.model import Sampled, Weights, generate
+from standins.serving import read_journal
+from vaneturn_core.engine.tokens import encode_prompt
+from vaneturn_node.http.chatformat import ChatMessage
+from vaneturn_node.http.rendering import render_prompt
+
+OPERATOR_KEY = "operator-key-for-tests"
+CUSTOMER_KEY = "customer-key-for-tests"
+PIPELINE = "ledgerlm"
+LAYERS = 12
+TIMEOUT = 60.0
+
+
+class Installation:
+    """Processes by name; a test changes the declared configuration and applies it."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.processes: dict[str, Process] = {}
+        self.ports: dict[str, int] = {}
+        self.nodes: list[str] = []
+        self._starting: list[str] = []  # probes of processes that may not answer yet
+        self.client = httpx.Client(timeout=TIMEOUT)
+        self.declared: dict[str, Any] = {
+            "classes": [{"name": "portal", "priority": 0}, {"name": "batch", "priority": 5}],
+            "customers": [self.describe_customer("osborne-finance", CUSTOMER_KEY, "portal")],
+            "servers": [],
+            "pipelines": [],
+            "services": [],
+        }
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        for process in self.processes.values():
+            process.end()
+        self.client.close()
+
+    # processes
+
+    def start(self, name: str, module: str, *arguments: str, probe: str = "/") -> None:
+        port = self.ports.setdefault(name, find_port())
+        output = self.folder / f"{name}.log"
+        self.processes[name] = Process(module, ["--port", str(port), *arguments], output)
+        self._starting.append(self.url(name) + probe)
+
+    def wait_started(self) -> None:
+        """Wait until every process started so far answers."""
+        while self._starting:
+            url = self._starting[-1]
+            wait_until(lambda url=url: answers(url))  # type: ignore[misc]
+            self._starting.pop()
+
+    def start_platform(self, vm_list_lag: float = 0.0) -> None:
+        self.start("kv", "standins.keyvalue", *self._journal("kv"))
+        self.start("vms", "standins.vmlist", "--lag", str(vm_list_lag))
+
+    def start_engine(self, name: str, first: int, end: int, *arguments: str, rate: float = 1000.0) -> None:
+        """Start an engine; the first engine of a name also declares it for the pipeline."""
+        options = ["--layers", str(LAYERS), "--first", str(first), "--end", str(end)]
+        self.start(name, "standins.engine", *options, *self._journal(name), *arguments)
+        if any(server["vm"] == name for server in self.declared["servers"]):
+            return
+        self._declare_server(name)
+        if not self.declared["pipelines"]:
+            pipeline = {"name": PIPELINE, "model": "ledger", "version": "1", "layers": LAYERS, "stages": []}
+            self.declared["pipelines"].append(pipeline)
+        stage = {"vm": name, "first": first, "end": end, "rate": rate}
+        self.declared["pipelines"][0]["stages"].append(stage)
+
+    def start_plain(self, name: str, service: str) -> None:
+        self.start(name, "standins.plainservice", "--name", name, *self._journal(name), probe="/control/none")
+        self._declare_server(name)
+        for declared in self.declared["services"]:
+            if declared["name"] == service:
+                declared["servers"].append(name)
+                return
+        self.declared["services"].append({"name": service, "servers": [name]})
+
+    def start_node(self, name: str, **settings: object) -> None:
+        self.ports.setdefault(name, find_port())
+        peer = self.ports.setdefault(f"{name}-peer", find_port())
+        seeds = [f"127.0.0.1:{self.ports[f'{other}-peer']}" for other in self.nodes if other != name]
+        path = self.folder / f"{name}.json"
+        defaults = {
+            "vm": name,
+            "data_hall": "osborne",
+            "http_address": f"127.0.0.1:{self.ports[name]}",
+            "peer_address": f"127.0.0.1:{peer}",
+            "key_value_url": self.url("kv"),
+            "vm_list_url": self.url("vms") + "/v1/vms",
+            "seeds": seeds,
+            "cluster_key": "cluster-key-for-tests",
+            "operator_keys": {"tester": OPERATOR_KEY},
+        }
+        path.write_bytes(msgspec.json.encode({**defaults, **settings}))
+        output = self.folder / f"{name}.log"
+        self.processes[name] = Process("vaneturn_node", ["--settings", str(path)], output)
+        if name not in self.nodes:
+            self.nodes.append(name)
+        self._starting.append(self.url(name) + "/healthz")
+
+    def url(self, name: str) -> str:
+        return f"http://127.0.0.1:{self.ports[name]}"
+
+    def _journal(self, name: str) -> list[str]:
+        return ["--journal", str(self.folder / f"{name}.journal")]
+
+    def _declare_server(self, name: str) -> None:
+        address = f"127.0.0.1:{self.ports[name]}"
+        self.declared["servers"].append({"vm": name, "address": address, "data_hall": "osborne"})
+
+    @staticmethod
+    def describe_customer(name: str, key: str, work_class: str, **limits: object) -> dict[str, Any]:
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        return {"name": name, "key_sha256": digest, "work_class": work_class, **limits}
+
+    # operators
+
+    def apply(self, node: str | None = None, change: str | None = None) -> httpx.Response:
+        """Apply the declared configuration through a node."""
+        based_on = self.show_state(node)["revision"]
+        return self.propose(based_on, node, change)
+
+    def propose(self, based_on: int, node: str | None = None, change: str | None = None) -> httpx.Response:
+        body = {
+            "id": change or uuid.uuid4().hex,
+            "summary": "test",
+            "based_on": based_on,
+            "declared": self.declared,
+        }
+        url = self.url(node or self.nodes[0]) + "/operator/v1/changes"
+        return self.client.post(url, json=body, headers=operator_headers())
+
+    def show_state(self, node: str | None = None) -> dict[str, Any]:
+        url = self.url(node or self.nodes[0]) + "/operator/v1/state"
+        state: dict[str, Any] = self.client.get(url, headers=operator_headers()).json()
+        return state
+
+    def apply_everywhere(self) -> None:
+        """Apply, and wait until the change is in force and every link is connected on every node."""
+        self.wait_started()
+        response = self.apply()
+        assert response.status_code == httpx.codes.OK, response.text
+        self.wait_in_force(response.json()["change"]["revision"])
+
+    def wait_in_force(self, revision: int) -> None:
+        """Wait until the revision is in force and every link is connected on every node."""
+        for node in self.nodes:
+            wait_until(lambda node=node: self.show_state(node)["revision"] >= revision)  # type: ignore[misc]
+            wait_until(lambda node=node: self._is_connected(node))  # type: ignore[misc]
+
+    def _is_connected(self, node: str) -> bool:
+        return all(server["connected"] for server in self.show_state(node)["servers"])
+
+    def set_faults(self, name: str, **faults: object) -> None:
+        self.client.post(self.url(name) + "/control/faults", json=faults).raise_for_status()
+
+    # callers
+
+    def chat(self, text: str, node: str | None = None, key: str = CUSTOMER_KEY, **fields: object) -> httpx.Response:
+        body = {"model": PIPELINE, "messages": [{"role": "user", "content": text}], "seed": 7, "max_tokens": 24}
+        url = self.url(node or self.nodes[0]) + "/v1/chat/completions"
+        return self.client.post(url, json={**body, **fields}, headers=caller_headers(key))
+
+    def read_journal(self, name: str) -> list[dict[str, Any]]:
+        return read_journal(self.folder / f"{name}.journal")
+
+
+def operator_headers() -> dict[str, str]:
+    return {"Authorization": f"Bearer {OPERATOR_KEY}"}
+
+
+def caller_headers(key: str = CUSTOMER_KEY, **others: str) -> dict[str, str]:
+    return {"Authorization": f"Bearer {key}", **others}
+
+
+def expect_answer(text: str, seed: int = 7, max_tokens: int = 24, version: str = "1") -> list[Sampled]:
+    """Give the answer that a correct run of the whole model gives."""
+    prompt = encode_prompt(render_prompt([ChatMessage("user", text)]))
+    return generate(Weights("ledger", version, None), LAYERS, prompt, seed, max_tokens)
+
+
+def expect_text(text: str, seed: int = 7, max_tokens: int = 24, version: str = "1") -> str:
+    return "".join(sampled.text for sampled in expect_answer(text, seed, max_tokens, version))
+
+
+def read_text(response: httpx.Response) -> str:
+    assert response.status_code == httpx.codes.OK, response.text
+    text: str = response.json()["choices"][0]["message"]["content"]
+    return text
+
+
+def name_engines(count: int) -> Sequence[str]:
+    return [f"runner-{index}" for index in range(count)]
+
+
+__all__ = ["CUSTOMER_KEY", "LAYERS", "PIPELINE", "Installation", "caller_headers", "expect_text", "read_text"]
--- /dev/null
+++ b/tests/rig/processes.py
@@ -0,0 +1,65 @@
+"""Processes started by a rig, each ended by its own id."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+import httpx
+
+TESTS = Path(__file__).parents[1]
+START_TIMEOUT = 30.0  # seconds; generous, for busy machines
+
+
+def find_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def wait_until(condition: Callable[[], bool], timeout: float = START_TIMEOUT, interval: float = 0.02) -> None:
+    until = time.monotonic() + timeout
+    while not condition():
+        if time.monotonic() > until:
+            raise TimeoutError("the awaited condition did not come about")
+        time.sleep(interval)
+
+
+def answers(url: str) -> bool:
+    try:
+        return httpx.get(url, timeout=1).status_code < httpx.codes.INTERNAL_SERVER_ERROR
+    except httpx.HTTPError:
+        return False
+
+
+class Process:
+    """One process with its output in a file."""
+
+    def __init__(self, module: str, arguments: Sequence[str], output: Path) -> None:
+        environment = {**os.environ, "PYTHONPATH": str(TESTS)}
+        self.output = output
+        with output.open("ab") as file:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments], stdout=file, stderr=file, env=environment, cwd=TESTS
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        self.send(signal.SIGKILL)
+        self.popen.wait()
+
+    def end(self) -> None:
+        if self.popen.poll() is None:
+            self.send(signal.SIGCONT)
+            self.kill()
+
+
+__all__ = ["Process", "answers", "find_port", "wait_until"]
--- /dev/null
+++ b/tests/standins/keyvalue.py
@@ -0,0 +1,190 @@
+"""Stand-in for the platform's key-value service: compare-and-swap, leases, watches, and its faults."""
+
+from __future__ import annotations
+
+import argparse
+import itertools
+import time
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+
+import anyio
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from standins.serving import Journal, serve_app
+
+MAX_VALUE = 1 << 20
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """What goes wrong now."""
+
+    down: bool = False  # every call gets 503, waiting watches too
+    delay: float = 0.0  # seconds before a call is taken
+    lose_write_answers: int = 0  # so many writes take effect and then get no answer
+
+
+@dataclass
+class Held:
+    value: bytes
+    version: int
+    lease: int | None = None
+
+
+class Store:
+    def __init__(self, journal: Journal) -> None:
+        self.journal = journal
+        self.faults = Faults()
+        self.calls: Counter[str] = Counter()
+        self._held: dict[str, Held] = {}
+        self._older: dict[str, list[Held]] = {}
+        self._leases: dict[int, float] = {}
+        self._ttls: dict[int, float] = {}
+        self._ids = itertools.count(1)
+        self.changed = anyio.Event()
+
+    def find(self, key: str) -> Held:
+        held = self._held.get(key)
+        if held is not None and held.lease is not None and self._leases.get(held.lease, 0) < time.monotonic():
+            del self._held[key]
+            held = None
+        return held or Held(b"", 0)
+
+    def put(self, key: str, value: bytes, lease: int | None) -> int:
+        held = Held(value, next(self._ids), lease)
+        self._older.setdefault(key, []).append(self.find(key))
+        self._held[key] = held
+        self.journal.write(event="write", key=key, version=held.version, size=len(value))
+        self.notify()
+        return held.version
+
+    def delete(self, key: str) -> None:
+        self._held.pop(key, None)
+        self.notify()
+
+    def restore(self, key: str, steps: int) -> None:
+        """Go back to an older value of a key, as a restored backup would; the version goes on."""
+        older = self._older[key][-steps]
+        self._held[key] = Held(older.value, next(self._ids))
+        self.notify()
+
+    def notify(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def grant(self, ttl: float) -> int:
+        lease = next(self._ids)
+        self._ttls[lease] = ttl
+        self._leases[lease] = time.monotonic() + ttl
+        return lease
+
+    def renew(self, lease: int) -> bool:
+        if self._leases.get(lease, 0) < time.monotonic():
+            return False
+        self._leases[lease] = time.monotonic() + self._ttls[lease]
+        return True
+
+
+def make_app(store: Store) -> Starlette:
+    async def fail() -> Response | None:
+        if store.faults.delay:
+            await anyio.sleep(store.faults.delay)
+        return Response(status_code=503) if store.faults.down else None
+
+    async def read(request: Request) -> Response:
+        store.calls["watch" if "after" in request.query_params else "read"] += 1
+        refused = await fail()
+        if refused:
+            return refused
+        key = request.path_params["key"]
+        held = store.find(key)
+        if "after" in request.query_params:
+            after = int(request.query_params["after"])
+            with anyio.move_on_after(float(request.query_params["wait"])):
+                while (held := store.find(key)).version == after and not store.faults.down:
+                    with anyio.move_on_after(0.5):  # a lease may lapse meanwhile
+                        await store.changed.wait()
+            if store.faults.down:
+                return Response(status_code=503)
+            if held.version == after:
+                return Response(status_code=304, headers={"Version": str(after)})
+        return Response(held.value, headers={"Version": str(held.version)})
+
+    async def write(request: Request) -> Response:
+        store.calls["write"] += 1
+        value = await request.body()
+        refused = await fail()
+        if refused:
+            return refused
+        key = request.path_params["key"]
+        if len(value) > MAX_VALUE:
+            return Response(status_code=413)
+        held = store.find(key)
+        if held.version != int(request.query_params["expected"]):
+            return Response(status_code=409, headers={"Version": str(held.version)})
+        if request.method == "DELETE":
+            store.delete(key)
+            return Response(headers={"Version": "0"})
+        lease = request.query_params.get("lease")
+        version = store.put(key, value, int(lease) if lease else None)
+        if store.faults.lose_write_answers:
+            store.faults.lose_write_answers -= 1
+            await anyio.sleep(4)
+            return Response(status_code=503)
+        return Response(headers={"Version": str(version)})
+
+    async def grant(request: Request) -> Response:
+        store.calls["lease"] += 1
+        return await fail() or JSONResponse({"lease": store.grant(float(request.query_params["ttl"]))})
+
+    async def renew(request: Request) -> Response:
+        store.calls["lease"] += 1
+        refused = await fail()
+        if refused:
+            return refused
+        return Response(status_code=200 if store.renew(int(request.path_params["lease"])) else 410)
+
+    async def set_faults(request: Request) -> Response:
+        store.faults = msgspec.json.decode(await request.body(), type=Faults)
+        store.notify()
+        return Response()
+
+    async def restore(request: Request) -> Response:
+        store.restore(request.path_params["key"], int(request.query_params["steps"]))
+        return Response()
+
+    async def count(_request: Request) -> Response:
+        return JSONResponse(dict(store.calls))
+
+    return Starlette(
+        routes=[
+            Route("/v1/kv/{key:path}", read, methods=["GET"]),
+            Route("/v1/kv/{key:path}", write, methods=["PUT", "DELETE"]),
+            Route("/v1/leases", grant, methods=["POST"]),
+            Route("/v1/leases/{lease}", renew, methods=["PUT"]),
+            Route("/control/faults", set_faults, methods=["POST"]),
+            Route("/control/restore/{key:path}", restore, methods=["POST"]),
+            Route("/control/calls", count, methods=["GET"]),
+        ]
+    )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--journal", type=Path)
+    options = parser.parse_args()
+
+    async def run() -> None:
+        await serve_app(make_app(Store(Journal(options.journal))), options.port)
+
+    anyio.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/standins/plainservice.py
@@ -0,0 +1,65 @@
+"""Stand-in for a plain service: it runs each call once and writes down that it did."""
+
+from __future__ import annotations
+
+import argparse
+from pathlib import Path
+
+import anyio
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from standins.serving import Journal, serve_app
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """What goes wrong now; the counts are used up."""
+
+    delay: float = 0.0  # seconds before a call runs
+    lose_replies: int = 0  # run the call, never answer
+
+
+def make_app(journal: Journal, name: str) -> Starlette:
+    state = {"faults": Faults()}
+
+    async def call(request: Request) -> Response:
+        body = await request.body()
+        if state["faults"].delay:
+            await anyio.sleep(state["faults"].delay)
+        key = request.headers.get("Idempotency-Key", "")
+        journal.write(event="call", method=request.method, path=request.url.path, key=key, body=body.decode())
+        if state["faults"].lose_replies:
+            state["faults"].lose_replies -= 1
+            await anyio.sleep(3600)
+        return JSONResponse({"server": name, "path": request.url.path, "body": body.decode()})
+
+    async def set_faults(request: Request) -> Response:
+        state["faults"] = msgspec.json.decode(await request.body(), type=Faults)
+        return Response()
+
+    return Starlette(
+        routes=[
+            Route("/control/faults", set_faults, methods=["POST"]),
+            Route("/{path:path}", call, methods=["GET", "POST", "PUT", "DELETE"]),
+        ]
+    )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--journal", type=Path)
+    parser.add_argument("--name", default="plain")
+    options = parser.parse_args()
+
+    async def run() -> None:
+        await serve_app(make_app(Journal(options.journal), options.name), options.port)
+
+    anyio.run(run)
+
+
+if __name__ == "__main__":
+    main()
