Go on when stages die, leave or become slow

Cause: a session spans several servers for minutes; any may be lost or leave meanwhile.

Change: a lost hop is replaced and the held positions run again on the leading hops, marked as rebuild steps; a hop on a leaving or slow server moves by cache import or by rebuild, whichever is estimated to be done first; attempts fence the replies of replaced hops.

Ruled out: keeping activations for a rebuild of a single stage (16 KB a position and stage in a real model against 4 bytes for a token); rebuilding on all hops (only those up to the lost one need their outputs again).

The journals of the engines show no layer run twice on one server and no position that missed a layer.

Conclusion: holds on these tests; long randomised runs are still to come.

--- a/packages/core/src/vaneturn_core/configuration/schema.py
+++ b/packages/core/src/vaneturn_core/configuration/schema.py
@@ -61,6 +61,7 @@
     layers: Count
     stages: tuple[Stage, ...]
     preference: Preference = Preference.THROUGHPUT
+    cache_bytes: Count = 4096  # of the KV cache, for each position and layer
 
 
 class Service(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
--- /dev/null
+++ b/packages/core/src/vaneturn_core/routing/recovery.py
@@ -0,0 +1,86 @@
+"""Choice of how a stage's KV cache comes to another server: imported from the old one or built again."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from vaneturn_core.configuration.schema import Link, Preference
+from vaneturn_core.identifiers import DataHall
+
+LOCAL_LATENCY: Final = 0.0005  # seconds, one way, for data halls without a declared link
+LOCAL_BANDWIDTH: Final = 1e9  # bytes a second
+MIN_STEP_TIMEOUT: Final = {Preference.THROUGHPUT: 2.0, Preference.RECOVERY: 0.75}  # seconds
+
+
+class Method(Enum):
+    """How the new server gets the cache."""
+
+    IMPORT = "import"
+    REBUILD = "rebuild"
+
+
+class LinkTable:
+    """Links between data halls, measured where a transfer has been seen and declared otherwise."""
+
+    def __init__(self) -> None:
+        self._declared: dict[frozenset[DataHall], Link] = {}
+        self._measured: dict[frozenset[DataHall], float] = {}
+
+    def declare(self, links: Iterable[Link]) -> None:
+        """Replace the declared links."""
+        self._declared = {frozenset(link.halls): link for link in links}
+
+    def record_transfer(self, first: DataHall, second: DataHall, size: int, seconds: float) -> None:
+        """Take the bandwidth of a finished transfer."""
+        self._measured[frozenset((first, second))] = size / max(seconds, 1e-6)
+
+    def estimate_transfer(self, first: DataHall, second: DataHall, size: float) -> float:
+        """Estimate the seconds that a transfer takes."""
+        pair = frozenset((first, second))
+        link = self._declared.get(pair)
+        latency = link.latency if link else LOCAL_LATENCY
+        bandwidth = self._measured.get(pair) or (link.bandwidth if link else LOCAL_BANDWIDTH)
+        return latency + size / bandwidth
+
+
+@dataclass(frozen=True)
+class Move:
+    """A cache that has to come to another server."""
+
+    positions: int
+    layers: int  # of the moved hop
+    cache_bytes: int  # for each position and layer
+    old_hall: DataHall
+    new_hall: DataHall
+    node_hall: DataHall  # the cache passes through the node
+
+
+def estimate_import(move: Move, links: LinkTable) -> float:
+    """Estimate the seconds to export, carry and import the cache."""
+    size = float(move.positions * move.layers * move.cache_bytes)
+    out = links.estimate_transfer(move.old_hall, move.node_hall, size)
+    return out + links.estimate_transfer(move.node_hall, move.new_hall, size)
+
+
+def estimate_rebuild(positions: int, position_seconds: Sequence[float]) -> float:
+    """Estimate the seconds to run the positions again on each of the leading hops, one after the other."""
+    return sum(positions * seconds for seconds in position_seconds)
+
+
+def choose_method(estimates: Mapping[Method, float]) -> Method:
+    """Choose the method that is expected to be done first."""
+    return min(estimates, key=lambda method: estimates[method])
+
+
+__all__ = [
+    "MIN_STEP_TIMEOUT",
+    "LinkTable",
+    "Method",
+    "Move",
+    "choose_method",
+    "estimate_import",
+    "estimate_rebuild",
+]
--- a/packages/node/src/vaneturn_node/answers/generation.py
+++ b/packages/node/src/vaneturn_node/answers/generation.py
@@ -15,6 +15,8 @@
 from vaneturn_core.identifiers import CustomerName, PipelineName, RequestId, VmId
 from vaneturn_core.outcomes import NotRun, Reason, Unknown
 from vaneturn_core.routing.hops import Hop, Route
+from vaneturn_core.routing.recovery import Method
+from vaneturn_node.answers.moving import CHECK_INTERVAL, Mover
 from vaneturn_node.answers.placement import Placement
 from vaneturn_node.answers.request import AnswerRequest, Piece, Yield
 from vaneturn_node.answers.stagerun import HopFailure, StageRun
@@ -44,10 +46,13 @@
 class Generation:
     """The state of one answer: its tokens, its route and how far each stage holds it."""
 
-    def __init__(self, request: AnswerRequest, run: StageRun, placement: Placement, metrics: Metrics) -> None:
+    def __init__(
+        self, request: AnswerRequest, run: StageRun, placement: Placement, mover: Mover, metrics: Metrics
+    ) -> None:
         self._request = request
         self._run = run
         self._placement = placement
+        self._mover = mover
         self._metrics = metrics
         self._tokens = bytearray(request.prompt)
         self._held = 0  # positions that ran through every layer
@@ -56,6 +61,8 @@
         self._start_until = time.monotonic() + FIRST_ROUTE_WAIT
         self._avoided: dict[VmId, float] = {}  # until when, on the monotonic clock
         self._lost_at: float | None = None
+        self._method = Method.REBUILD
+        self._looked_at = time.monotonic()
         self.routes: list[str] = []  # every route taken, for the operators
         self.recoveries = 0
 
@@ -94,6 +101,7 @@
                 return self._give_up(Reason.DEADLINE)
             if not await self._find_route():
                 return self._give_up(Reason.NO_ROUTE)
+            await self._move_if_better()
             result = await self._rebuild() or await self._run_new()
             if isinstance(result, Done):
                 return result
@@ -112,6 +120,29 @@
                 await anyio.sleep(ROUTE_RETRY)
         return False
 
+    async def _move_if_better(self) -> None:
+        """Leave a server that is going away or has become slow; the answer goes on where it is if none is better."""
+        route = self._route
+        if route is None or self._lacking or time.monotonic() < self._looked_at + CHECK_INTERVAL:
+            return
+        self._looked_at = time.monotonic()
+        suggestion = self._mover.suggest(route)
+        if suggestion is None:
+            return
+        request = self._request
+        new = self._placement.replace(request.pipeline, route, suggestion.index, request.affinity, self._list_avoided())
+        if new is None or not self._mover.is_worth_it(suggestion, route, new):
+            return
+        self._lost_at = time.monotonic()
+        self._run.attempt += 1
+        self._method = await self._mover.move_cache(request, route, new, suggestion.index, self._held)
+        self._take_route(new)
+        if self._method is Method.IMPORT:
+            self._lacking.clear()
+        for hop in route.hops:
+            if hop not in new.hops:
+                self._run.forget(hop.vm)
+
     async def _run_new(self) -> Done | HopFailure:
         hops = self._route.hops if self._route else ()
         while True:
@@ -153,6 +184,7 @@
         if route is None:
             raise AssertionError("no route to replace")
         self._lost_at = self._lost_at or time.monotonic()
+        self._method = Method.REBUILD
         self._run.attempt += 1
         self.recoveries += 1
         hop = route.hops[failure.index]
@@ -186,7 +218,7 @@
     def _note_recovery(self) -> None:
         if self._lost_at is None:
             return
-        self._metrics.recovery.labels("rebuild").observe(time.monotonic() - self._lost_at)
+        self._metrics.recovery.labels(self._method.value).observe(time.monotonic() - self._lost_at)
         self._lost_at = None
 
     def _give_up(self, reason: Reason) -> NotRun | Unknown:
--- /dev/null
+++ b/packages/node/src/vaneturn_node/answers/moving.py
@@ -0,0 +1,117 @@
+"""Moving a hop of an answer in progress away from a server that leaves or has become slow."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from vaneturn_core.configuration.schema import Server
+from vaneturn_core.identifiers import VmId
+from vaneturn_core.routing.hops import Hop, Route
+from vaneturn_core.routing.recovery import Method, Move, choose_method, estimate_import, estimate_rebuild
+from vaneturn_node.answers.request import AnswerRequest
+from vaneturn_node.stages.cachemove import CacheMover
+from vaneturn_node.stages.health import ServerHealths
+
+CHECK_INTERVAL: Final = 0.25  # seconds between looks at the hops of one answer
+SLOW_RATIO: Final = 5.0  # a hop so many times slower than it was at best is moved
+SLOW_FLOOR: Final = 0.03  # seconds; below it a step is never called slow
+GAIN: Final = 3.0  # the new server must be expected to be so many times faster
+GUESSED_PREFILL_RATIO: Final = 10.0  # of the rate of prompts to that of tokens, until it was measured
+
+logger = logging.getLogger(__name__)
+
+
+class Cause(Enum):
+    """Why a hop should move."""
+
+    LEAVING = "leaving"
+    SLOW = "slow"
+
+
+@dataclass(frozen=True)
+class Suggestion:
+    """A hop that should move."""
+
+    index: int
+    cause: Cause
+
+
+class Mover:
+    """Finds hops that should move and moves their caches; shared by all answers of a node."""
+
+    def __init__(
+        self, healths: ServerHealths, caches: CacheMover, find_server: Callable[[VmId], Server | None]
+    ) -> None:
+        self._healths = healths
+        self._caches = caches
+        self._find_server = find_server
+
+    def suggest(self, route: Route) -> Suggestion | None:
+        """Find the first hop that should move."""
+        for index, hop in enumerate(route.hops):
+            health = self._healths[hop.vm]
+            if health.leaving:
+                return Suggestion(index, Cause.LEAVING)
+            if health.latency > max(SLOW_FLOOR, SLOW_RATIO * health.best_latency):
+                return Suggestion(index, Cause.SLOW)
+        return None
+
+    def is_worth_it(self, suggestion: Suggestion, old: Route, new: Route) -> bool:
+        """Tell whether the new route is better; away from a leaving server always."""
+        if suggestion.cause is Cause.LEAVING:
+            return True
+        slow = self._healths.estimate_latency(old.hops[suggestion.index].vm)
+        added = [hop for hop in new.hops if hop not in old.hops]
+        return GAIN * sum(self._healths.estimate_latency(hop.vm) for hop in added) < slow
+
+    async def move_cache(self, request: AnswerRequest, old: Route, new: Route, index: int, positions: int) -> Method:
+        """Bring the cache of the old hop to the new one if that is expected to be faster than a rebuild.
+
+        :return: the method that was used; after a rebuild the new hop still lacks the positions.
+        """
+        added = [hop for hop in new.hops if hop not in old.hops]
+        lost = old.hops[index]
+        if len(added) != 1 or (added[0].first, added[0].end) != (lost.first, lost.end):
+            return Method.REBUILD
+        old_server, new_server = self._find_server(lost.vm), self._find_server(added[0].vm)
+        if old_server is None or new_server is None:
+            return Method.REBUILD
+        move = Move(
+            positions=positions,
+            layers=lost.end - lost.first,
+            cache_bytes=request.pipeline.cache_bytes,
+            old_hall=old_server.data_hall,
+            new_hall=new_server.data_hall,
+            node_hall=self._caches.hall,
+        )
+        estimates = {
+            Method.IMPORT: estimate_import(move, self._caches.links),
+            Method.REBUILD: estimate_rebuild(positions, self._list_position_seconds(new.hops[: index + 1])),
+        }
+        method = choose_method(estimates)
+        started = time.monotonic()
+        if method is Method.IMPORT and not await self._caches.move(request.session, old_server, new_server):
+            method = Method.REBUILD
+        logger.info(
+            "cache moved",
+            extra={
+                "request": request.id,
+                "old": lost.vm,
+                "new": added[0].vm,
+                "method": method.value,
+                "estimates": {known.value: round(seconds, 4) for known, seconds in estimates.items()},
+                "seconds": round(time.monotonic() - started, 4),
+            },
+        )
+        return method
+
+    def _list_position_seconds(self, hops: Sequence[Hop]) -> list[float]:
+        return [self._healths[hop.vm].position_seconds or 1 / (GUESSED_PREFILL_RATIO * hop.rate) for hop in hops]
+
+
+__all__ = ["CHECK_INTERVAL", "Mover", "Suggestion"]
--- a/packages/node/src/vaneturn_node/answers/stagerun.py
+++ b/packages/node/src/vaneturn_node/answers/stagerun.py
@@ -8,6 +8,7 @@
 from vaneturn_core.engine.messages import Close, Done, Open, Refused, Step
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.routing.hops import Hop, assert_tiling
+from vaneturn_core.routing.recovery import MIN_STEP_TIMEOUT
 from vaneturn_node.answers.request import AnswerRequest
 from vaneturn_node.stages.health import ServerHealths
 from vaneturn_node.stages.link import Lost
@@ -60,7 +61,8 @@
             self._used.add(hop.vm)
             link.send(self._describe_session(hop))
         own = Step(step.session, self.attempt, step.position, step.count, inputs, step.seed, step.rebuild)
-        timeout = self._healths[hop.vm].compute_timeout(step.count, self._call_timeout)
+        shortest = MIN_STEP_TIMEOUT[self._request.pipeline.preference]
+        timeout = self._healths[hop.vm].compute_timeout(step.count, shortest, self._call_timeout)
         result = await link.run_step(own, hop, timeout)
         if isinstance(result, Done) or (isinstance(result, Lost) and result.sent):
             self.may_have_run = True
--- a/packages/node/src/vaneturn_node/configuration/inforce.py
+++ b/packages/node/src/vaneturn_node/configuration/inforce.py
@@ -9,9 +9,9 @@
 import anyio
 
 from vaneturn_core.configuration.document import decode_configuration, digest_configuration
-from vaneturn_core.configuration.schema import Configuration
+from vaneturn_core.configuration.schema import Configuration, Server
 from vaneturn_core.faults import Fault
-from vaneturn_core.identifiers import Revision
+from vaneturn_core.identifiers import Revision, VmId
 from vaneturn_node.metrics import Metrics
 from vaneturn_node.view import ConfigurationView
 
@@ -44,6 +44,10 @@
         """The revision in force; 0 before the first document."""
         return self.view.configuration.revision
 
+    def find_server(self, vm: VmId) -> Server | None:
+        """Find a server in the configuration that is in force when asked."""
+        return self.view.find_server(vm)
+
     def listen(self, listener: Callable[[Configuration], None]) -> None:
         """Call the listener with each newer configuration."""
         self._listeners.append(listener)
--- a/packages/node/src/vaneturn_node/daemon.py
+++ b/packages/node/src/vaneturn_node/daemon.py
@@ -22,6 +22,7 @@
 from vaneturn_core.identifiers import NodeId
 from vaneturn_core.ports import Unavailable, VmList
 from vaneturn_core.settings import NodeSettings, load_settings
+from vaneturn_node.answers.moving import Mover
 from vaneturn_node.answers.placement import Placement
 from vaneturn_node.claims.bykey import ClaimsByKey
 from vaneturn_node.configuration.changes import Changes
@@ -34,6 +35,7 @@
 from vaneturn_node.platform.keyvalue import HttpKeyValueService
 from vaneturn_node.platform.vms import HttpVmList
 from vaneturn_node.runtime import Runtime
+from vaneturn_node.stages.cachemove import CacheMover
 from vaneturn_node.stages.health import LeavingSource, ServerHealths
 from vaneturn_node.stages.pool import LinkPool
 
@@ -85,7 +87,9 @@
     healths = ServerHealths()
     pool = LinkPool(tasks, healths, metrics)
     placement = Placement(healths, pool, metrics)
+    caches = CacheMover(client, settings.data_hall)
     in_force.listen(lambda configuration: healths.replace_leaving(LeavingSource.OPERATOR, configuration.draining))
+    in_force.listen(caches.follow)
     in_force.listen(pool.follow)
     in_force.listen(placement.follow)
     return Runtime(
@@ -99,6 +103,7 @@
         healths=healths,
         pool=pool,
         placement=placement,
+        mover=Mover(healths, caches, in_force.find_server),
         client=client,
         generations={},
     )
--- a/packages/node/src/vaneturn_node/http/chat.py
+++ b/packages/node/src/vaneturn_node/http/chat.py
@@ -124,7 +124,7 @@
         self._claim: Claim | None = None
         self._request = self._describe(session_name)
         stage_run = StageRun(self._request, runtime.pool, runtime.healths, runtime.settings.call_timeout)
-        self._generation = Generation(self._request, stage_run, runtime.placement, runtime.metrics)
+        self._generation = Generation(self._request, stage_run, runtime.placement, runtime.mover, runtime.metrics)
         self._pieces: AsyncGenerator[Piece | NotRun | Unknown, None] = self._generation.run()
         self._closed = False
 
--- a/packages/node/src/vaneturn_node/http/services.py
+++ b/packages/node/src/vaneturn_node/http/services.py
@@ -106,6 +106,8 @@
 
     async def _send(self, vm: VmId) -> Outcome:
         server = self._runtime.in_force.view.find_server(vm)
+        if server is None:
+            return NotRun(Reason.NO_ROUTE)
         health = self._runtime.healths[vm]
         health.in_progress += 1
         started = time.monotonic()
@@ -125,7 +127,7 @@
             return NotRun(Reason.NO_ROUTE) if isinstance(error, _NOT_SENT) else Unknown(Reason.CONNECTION_LOST)
         finally:
             health.in_progress -= 1
-        health.record_reply(time.monotonic() - started)
+        self._runtime.healths.record_reply(vm, time.monotonic() - started)
         return Completed(response.status_code, response.headers.get("Content-Type", ""), response.content)
 
 
--- a/packages/node/src/vaneturn_node/runtime.py
+++ b/packages/node/src/vaneturn_node/runtime.py
@@ -9,6 +9,7 @@
 from vaneturn_core.identifiers import NodeId, RequestId
 from vaneturn_core.settings import NodeSettings
 from vaneturn_node.answers.generation import Generation
+from vaneturn_node.answers.moving import Mover
 from vaneturn_node.answers.placement import Placement
 from vaneturn_node.claims.bykey import ClaimsByKey
 from vaneturn_node.configuration.changes import Changes
@@ -33,6 +34,7 @@
     healths: ServerHealths
     pool: LinkPool
     placement: Placement
+    mover: Mover
     client: httpx.AsyncClient
     generations: dict[RequestId, Generation]
 
--- /dev/null
+++ b/packages/node/src/vaneturn_node/stages/cachemove.py
@@ -0,0 +1,55 @@
+"""Carrying the KV cache of a session from one engine to another."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import Final
+
+import httpx
+
+from vaneturn_core.configuration.schema import Configuration, Server
+from vaneturn_core.engine.messages import CACHE_PATH
+from vaneturn_core.identifiers import DataHall, SessionId
+from vaneturn_core.routing.recovery import LinkTable
+
+TIMEOUT: Final = 30.0  # seconds
+
+logger = logging.getLogger(__name__)
+
+
+class CacheMover:
+    """Exports from the old engine and imports into the new one; measures the links on the way."""
+
+    def __init__(self, client: httpx.AsyncClient, hall: DataHall) -> None:
+        self._client = client
+        self.hall = hall
+        self.links = LinkTable()
+
+    def follow(self, configuration: Configuration) -> None:
+        """Take the declared links after a change of configuration."""
+        self.links.declare(configuration.links)
+
+    async def move(self, session: SessionId, old: Server, new: Server) -> bool:
+        """Move a session's cache; false when either engine would not."""
+        try:
+            started = time.monotonic()
+            exported = await self._client.get(_name_cache(old, session), timeout=TIMEOUT)
+            exported.raise_for_status()
+            fetched = time.monotonic()
+            imported = await self._client.put(_name_cache(new, session), content=exported.content, timeout=TIMEOUT)
+            imported.raise_for_status()
+        except httpx.HTTPError as error:
+            logger.info("cache not moved", extra={"old": old.vm, "new": new.vm, "cause": repr(error)})
+            return False
+        size = len(exported.content)
+        self.links.record_transfer(old.data_hall, self.hall, size, fetched - started)
+        self.links.record_transfer(self.hall, new.data_hall, size, time.monotonic() - fetched)
+        return True
+
+
+def _name_cache(server: Server, session: SessionId) -> str:
+    return f"http://{server.address}{CACHE_PATH}/{session}"
+
+
+__all__ = ["CacheMover"]
--- a/packages/node/src/vaneturn_node/stages/health.py
+++ b/packages/node/src/vaneturn_node/stages/health.py
@@ -15,11 +15,13 @@
 MAX_EJECTION: Final = 60.0
 MAX_EJECTED_SHARE: Final = 0.5  # of the servers; beyond it failures do not eject
 LATENCY_WEIGHT: Final = 0.2  # of the newest reply in the moving average
+BEST_DRIFT: Final = 1.001  # with each reply the best latency is forgotten by so much
 INITIAL_LIMIT: Final = 64
 MIN_LIMIT: Final = 4
 MAX_LIMIT: Final = 4096
 LATENCY_TOLERANCE: Final = 3.0  # replies slower than this many times the best halve the limit
-MIN_STEP_TIMEOUT: Final = 1.0  # seconds; a stage silent for longer is replaced
+FORGETTING: Final = 5.0  # seconds without a reply in which half of a server's slowness is forgotten
+PROMPT_POSITIONS: Final = 16  # a step with at least so many tells the speed of prompts
 TIMEOUT_RATIO: Final = 10.0  # of the step timeout to the average latency
 POSITION_TIMEOUT: Final = 0.004  # seconds more for each position of a step
 
@@ -38,7 +40,9 @@
     """Load, latency and failures of one server as seen from this node."""
 
     in_progress: int = 0
-    latency: float = 0.0  # moving average, seconds
+    latency: float = 0.0  # moving average of steps with one position, seconds
+    position_seconds: float = 0.0  # moving average for each position of a prompt
+    replied_at: float = 0.0
     best_latency: float = float("inf")
     limit: float = INITIAL_LIMIT
     failures: int = 0  # in a row
@@ -46,23 +50,31 @@
     ejected_until: float = 0.0
     leaving: set[LeavingSource] = field(default_factory=set)
 
-    def compute_timeout(self, positions: int, longest: float) -> float:
+    def compute_timeout(self, positions: int, shortest: float, longest: float) -> float:
         """Compute how long to wait for the reply to a step; too short costs a rebuild, never a wrong answer."""
-        expected = max(MIN_STEP_TIMEOUT, TIMEOUT_RATIO * self.latency)
+        expected = max(shortest, TIMEOUT_RATIO * self.latency)
         return min(longest, expected + positions * POSITION_TIMEOUT)
 
-    def record_reply(self, latency: float) -> None:
+    def record_reply(self, latency: float, positions: int, now: float) -> None:
         """Take a reply into the averages and adapt the concurrency limit."""
         self.failures = 0
         self.ejections = 0
-        self.best_latency = min(self.best_latency * 1.001, latency)
-        self.latency = latency if not self.latency else self.latency + LATENCY_WEIGHT * (latency - self.latency)
+        self.replied_at = now
+        if positions >= PROMPT_POSITIONS:
+            self.position_seconds = _average(self.position_seconds, latency / positions)
+            return
+        self.best_latency = min(self.best_latency * BEST_DRIFT, latency)
+        self.latency = _average(self.latency, latency)
         if self.latency > LATENCY_TOLERANCE * self.best_latency:
             self.limit = max(MIN_LIMIT, self.limit - self.limit / 2 / max(self.in_progress, 1))
         elif self.in_progress * 2 >= self.limit:
             self.limit = min(MAX_LIMIT, self.limit + 1 / self.limit)
 
 
+def _average(average: float, newest: float) -> float:
+    return newest if not average else average + LATENCY_WEIGHT * (newest - average)
+
+
 class ServerHealths:
     """The health of all servers; decides which must not get new work."""
 
@@ -84,7 +96,16 @@
 
     def estimate_latency(self, vm: VmId) -> float:
         """Estimate the seconds to the reply of one step."""
-        return self[vm].latency
+        health = self[vm]
+        if not health.latency:
+            return 0.0
+        slowness = max(0.0, health.latency - health.best_latency)
+        remembered: float = 0.5 ** ((self._clock() - health.replied_at) / FORGETTING)
+        return health.latency - slowness * (1 - remembered)
+
+    def record_reply(self, vm: VmId, latency: float, positions: int = 1) -> None:
+        """Take a reply of a server into its health."""
+        self[vm].record_reply(latency, positions, self._clock())
 
     def record_failure(self, vm: VmId) -> None:
         """Count a lost or late reply; eject the server after several in a row, within the cap."""
--- a/packages/node/src/vaneturn_node/stages/link.py
+++ b/packages/node/src/vaneturn_node/stages/link.py
@@ -100,15 +100,15 @@
         finally:
             del self._awaited[key]
             health.in_progress -= 1
-        self._record(awaited.result, time.monotonic() - started)
+        self._record(awaited.result, time.monotonic() - started, step.count)
         return awaited.result
 
-    def _record(self, result: StepResult, latency: float) -> None:
+    def _record(self, result: StepResult, latency: float, positions: int) -> None:
         self._metrics.steps.labels(type(result).__name__.lower()).inc()
         if isinstance(result, Lost):
             self._healths.record_failure(self.server.vm)
             return
-        self._healths[self.server.vm].record_reply(latency)
+        self._healths.record_reply(self.server.vm, latency, positions)
 
     async def run(self) -> None:
         """Keep the link connected until cancelled."""
--- a/packages/node/src/vaneturn_node/view.py
+++ b/packages/node/src/vaneturn_node/view.py
@@ -35,9 +35,9 @@
         """Find a plain service."""
         return self._services.get(name)
 
-    def find_server(self, vm: VmId) -> Server:
-        """Find a server; the cross-checks of the configuration guarantee it."""
-        return self._servers[vm]
+    def find_server(self, vm: VmId) -> Server | None:
+        """Find a server; none when it is not declared any more."""
+        return self._servers.get(vm)
 
     def list_pipelines(self) -> list[PipelineName]:
         """List the names of all pipelines."""
--- /dev/null
+++ b/tests/rig/checks.py
@@ -0,0 +1,63 @@
+"""What the journals of the engines must show after a run."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+Journals = Mapping[str, Iterable[Mapping[str, Any]]]
+
+
+def find_faults(journals: Journals, layers: int) -> list[str]:
+    """List what contradicts that each layer ran once, in order, for each position of each session.
+
+    A stage that ran a position and died before its reply was used is replaced, and the position runs again elsewhere;
+    the first run has no effect on any answer. So a second run counts as a fault on the same server only.
+    """
+    faults: list[str] = []
+    covered: defaultdict[tuple[str, int], Counter[int]] = defaultdict(Counter)
+    for server, entries in journals.items():
+        next_position: dict[str, int] = {}
+        for entry in entries:
+            match entry["event"]:
+                case "diverged":
+                    faults.append(f"{server}: cache of {entry['session']} diverged at {entry['position']}")
+                case "close" | "evicted":
+                    next_position.pop(entry["session"], None)
+                case "import":
+                    next_position[entry["session"]] = entry["held"]
+                case "run":
+                    faults.extend(_check_order(server, entry, next_position))
+                    _cover(entry, covered)
+    faults.extend(_check_cover(covered, layers))
+    return faults
+
+
+def _check_order(server: str, entry: Mapping[str, Any], next_position: dict[str, int]) -> Iterable[str]:
+    session, position, end = entry["session"], entry["position"], entry["position"] + entry["count"]
+    expected = next_position.get(session, 0)
+    if entry["rebuild"]:
+        next_position[session] = max(expected, end)
+        return
+    if position != expected:
+        yield f"{server}: {session} ran position {position} where {expected} was next"
+    next_position[session] = end
+
+
+def _cover(entry: Mapping[str, Any], covered: defaultdict[tuple[str, int], Counter[int]]) -> None:
+    for position in range(entry["position"], entry["position"] + entry["count"]):
+        covered[entry["session"], position].update(range(entry["first"], entry["end"]))
+
+
+def _check_cover(covered: Mapping[tuple[str, int], Counter[int]], layers: int) -> Iterable[str]:
+    """Positions before a session's last must have run through every layer."""
+    last: dict[str, int] = {}
+    for session, position in covered:
+        last[session] = max(last.get(session, 0), position)
+    for (session, position), counted in covered.items():
+        if position < last[session] and set(counted) != set(range(layers)):
+            yield f"{session}: position {position} ran on layers {sorted(counted)} only"
+
+
+__all__ = ["find_faults"]
--- a/tests/rig/installation.py
+++ b/tests/rig/installation.py
@@ -4,7 +4,8 @@
 
 import hashlib
 import uuid
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
 from pathlib import Path
 from types import TracebackType
 from typing import Any, Self
@@ -26,6 +27,45 @@
 TIMEOUT = 60.0
 
 
+class Stream:
+    """A streamed answer, read in parts."""
+
+    def __init__(self, response: httpx.Response) -> None:
+        self.response = response
+        self.text = ""
+        self.is_whole = False
+        self.error = ""
+        self._lines = response.iter_lines()
+
+    @property
+    def route(self) -> list[str]:
+        """The servers of the route that the answer started on."""
+        return [hop.partition("[")[0] for hop in self.response.headers["Vaneturn-Route"].split()]
+
+    def read(self, events: int | None = None) -> str:
+        """Read so many events, or all that remain, and give the whole text so far."""
+        taken = 0
+        while events is None or taken < events:
+            line = next(self._lines, None)
+            if line is None:
+                break
+            if not line.startswith("data: "):
+                continue
+            taken += 1
+            self._take(line.removeprefix("data: "))
+        return self.text
+
+    def _take(self, data: str) -> None:
+        if data == "[DONE]":
+            self.is_whole = True
+            return
+        decoded = msgspec.json.decode(data)
+        if "error" in decoded:
+            self.error = decoded["error"]["code"]
+            return
+        self.text += decoded["choices"][0]["delta"].get("content") or ""
+
+
 class Installation:
     """Processes by name; a test changes the declared configuration and applies it."""
 
@@ -181,6 +221,15 @@
         url = self.url(node or self.nodes[0]) + "/v1/chat/completions"
         return self.client.post(url, json={**body, **fields}, headers=caller_headers(key))
 
+    @contextmanager
+    def stream(self, text: str, node: str | None = None, **fields: object) -> Iterator[Stream]:
+        """Open a streamed answer that the test reads piece by piece."""
+        body = {"model": PIPELINE, "messages": [{"role": "user", "content": text}], "seed": 7, "max_tokens": 24}
+        url = self.url(node or self.nodes[0]) + "/v1/chat/completions"
+        body = {**body, "stream": True, **fields}
+        with self.client.stream("POST", url, json=body, headers=caller_headers()) as response:
+            yield Stream(response)
+
     def read_journal(self, name: str) -> list[dict[str, Any]]:
         return read_journal(self.folder / f"{name}.journal")
 
