Let nodes know of each other and share configuration and leaving marks

Cause: each node watched the configuration by itself, so an outage of the key-value service kept a change from a node that had missed it, and 390 nodes would read a megabyte each at every change.

Change: membership after SWIM with suspicion over UDP, every datagram carrying the sender's revision and the leaving servers it was told of; documents are fetched from peers over ZeroMQ; four nodes of each data hall watch the store, the others hear of a change from them. A store restored to an older state is written anew by the first node that sees it.

Ruled out: a lease for each node (78 writes a second at 390 nodes and five seconds, and useless in an outage); heartbeats from each node to each (389 datagrams a second and node).

--- /dev/null
+++ b/packages/core/src/vaneturn_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of the nodes: who is believed alive."""
--- /dev/null
+++ b/packages/core/src/vaneturn_core/membership/table.py
@@ -0,0 +1,156 @@
+"""The members that a node knows, merged from what all nodes tell (after SWIM, with suspicion)."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Final
+
+import msgspec
+import xxhash
+
+from vaneturn_core.identifiers import NodeId
+from vaneturn_core.membership.member import Member, MemberState
+
+RETRANSMIT_FACTOR: Final = 3.0  # each change is told so many times the logarithm of the members
+SUSPICION_FACTOR: Final = 4.0  # seconds, times the decimal logarithm of the members and at least once
+REMEMBER_DEAD: Final = 7200.0  # seconds; regions that lost each other for an hour find each other again
+MAX_DEAD: Final = 256
+
+
+class MemberTable:
+    """Merges what is told of members and picks what to tell on and whom to probe."""
+
+    def __init__(self, own: Member, rng: Random, clock: Callable[[], float]) -> None:
+        self.own = own
+        self._rng = rng
+        self._clock = clock
+        self._members: dict[NodeId, Member] = {own.node: own}
+        self._since: dict[NodeId, float] = {}  # when a member became suspect or dead
+        self._tellings: dict[NodeId, int] = {own.node: 0}  # changes still to tell, with how often they were told
+        self._probe_order: list[NodeId] = []
+        self.listeners: list[Callable[[Member], None]] = []
+
+    def list_alive(self) -> list[Member]:
+        """List the members that are not dead, this node among them."""
+        return [member for member in self._members.values() if member.state is not MemberState.DEAD]
+
+    def list_peers(self) -> list[Member]:
+        """List the other members that are not dead."""
+        return [member for member in self.list_alive() if member.node != self.own.node]
+
+    def list_dead(self) -> list[Member]:
+        """List the dead members that are still remembered."""
+        return [member for member in self._members.values() if member.state is MemberState.DEAD]
+
+    def find(self, node: NodeId) -> Member | None:
+        """Find a member that is not dead."""
+        member = self._members.get(node)
+        return member if member is not None and member.state is not MemberState.DEAD else None
+
+    def merge(self, told: Iterable[Member]) -> None:
+        """Take what another node told."""
+        for member in told:
+            if member.node == self.own.node:
+                self._refute(member)
+            else:
+                self._take(member)
+
+    def _refute(self, told: Member) -> None:
+        """Answer a word of the own suspicion or death with a greater incarnation."""
+        if told.state is MemberState.ALIVE or told.incarnation < self.own.incarnation:
+            return
+        if self.own.state is MemberState.DEAD:
+            return  # this node is stopping
+        self.own = msgspec.structs.replace(self.own, incarnation=told.incarnation + 1)
+        self._set(self.own)
+
+    def _take(self, member: Member) -> None:
+        known = self._members.get(member.node)
+        if known is None and member.state is MemberState.DEAD:
+            return
+        if known is None or member.overrides(known):
+            self._set(member)
+        elif known.state is MemberState.DEAD and member.state is MemberState.ALIVE:
+            self._tellings[member.node] = 0  # it lives and must hear of its death to refute it
+
+    def _set(self, member: Member) -> None:
+        self._members[member.node] = member
+        self._tellings[member.node] = 0
+        if member.state is MemberState.ALIVE:
+            self._since.pop(member.node, None)
+        else:
+            self._since[member.node] = self._clock()
+        for listener in self.listeners:
+            listener(member)
+
+    def suspect(self, node: NodeId) -> None:
+        """Suspect a member that did not answer."""
+        known = self._members.get(node)
+        if known is not None and known.state is MemberState.ALIVE:
+            self._set(msgspec.structs.replace(known, state=MemberState.SUSPECT))
+
+    def expire(self) -> None:
+        """Declare dead the suspects that did not refute in time, and forget those long dead."""
+        now = self._clock()
+        patience = self.suspicion_time()
+        for node, since in list(self._since.items()):
+            member = self._members[node]
+            if member.state is MemberState.SUSPECT and now - since >= patience:
+                self._set(msgspec.structs.replace(member, state=MemberState.DEAD))
+            elif member.state is MemberState.DEAD and now - since >= REMEMBER_DEAD:
+                self._forget(node)
+        for member in self.list_dead()[:-MAX_DEAD]:
+            self._forget(member.node)
+
+    def suspicion_time(self) -> float:
+        """Give the seconds that a suspect has to refute."""
+        return SUSPICION_FACTOR * max(1.0, math.log10(len(self.list_alive())))
+
+    def stop(self) -> None:
+        """Tell the others that this node stops, so that none has to suspect it."""
+        self.own = msgspec.structs.replace(self.own, state=MemberState.DEAD)
+        self._set(self.own)
+
+    def _forget(self, node: NodeId) -> None:
+        del self._members[node]
+        self._since.pop(node, None)
+        self._tellings.pop(node, None)
+
+    def pick_probe(self) -> Member | None:
+        """Pick the next member to probe: every one once in a random order, then anew."""
+        while self._probe_order:
+            member = self.find(self._probe_order.pop())
+            if member is not None and member.node != self.own.node:
+                return member
+        peers = [member.node for member in self.list_peers()]
+        if not peers:
+            return None
+        self._rng.shuffle(peers)
+        self._probe_order = peers
+        return self.find(self._probe_order.pop())
+
+    def pick_helpers(self, target: NodeId, count: int) -> list[Member]:
+        """Pick members that probe the target for this node."""
+        others = [member for member in self.list_peers() if member.node != target]
+        return self._rng.sample(others, min(count, len(others)))
+
+    def take_tellings(self, limit: int) -> list[Member]:
+        """Take the changes to tell with the next message, the least told first."""
+        most = math.ceil(RETRANSMIT_FACTOR * math.log2(len(self._members) + 1))
+        chosen = sorted(self._tellings, key=lambda node: self._tellings[node])[:limit]
+        for node in chosen:
+            self._tellings[node] += 1
+            if self._tellings[node] >= most:
+                del self._tellings[node]
+        return [self._members[node] for node in chosen]
+
+    def is_chosen(self, role: str, count: int) -> bool:
+        """Tell whether this node is among the chosen of a role in its data hall; nodes with one view agree."""
+        hall = [member for member in self.list_alive() if member.data_hall == self.own.data_hall]
+        ranked = sorted(hall, key=lambda member: xxhash.xxh3_64_intdigest(f"{role} {member.node}".encode()))
+        return self.own.node in {member.node for member in ranked[:count]}
+
+
+__all__ = ["MemberTable"]
--- a/packages/node/src/vaneturn_node/configuration/follower.py
+++ b/packages/node/src/vaneturn_node/configuration/follower.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 from typing import Final
 
 import anyio
@@ -14,6 +15,8 @@
 from vaneturn_node.configuration.inforce import ConfigurationInForce, Offer
 
 WATCH: Final = 20.0  # seconds; one counted call for each
+WATCHERS: Final = 4  # nodes of each data hall that watch; the others hear of a change from their peers
+CHOICE_INTERVAL: Final = 1.0  # seconds
 FIRST_BACKOFF: Final = 0.2  # seconds, full jitter
 LAST_BACKOFF: Final = 2.0
 RESTORE_SPREAD: Final = 1.0  # seconds over which the nodes spread the writing back of a newer document
@@ -22,17 +25,21 @@
 
 
 class ConfigurationFollower:
-    """One waiting watch on one key; puts a store that was restored to an older state right again."""
+    """A waiting watch on one key; puts a store that was restored to an older state right again."""
 
-    def __init__(self, store: KeyValueService, in_force: ConfigurationInForce) -> None:
+    def __init__(self, store: KeyValueService, in_force: ConfigurationInForce, is_chosen: Callable[[], bool]) -> None:
         self._store = store
         self._in_force = in_force
+        self._is_chosen = is_chosen
 
     async def run(self) -> None:
-        """Follow the key until cancelled."""
+        """Follow the key until cancelled; once a configuration is known, only the chosen nodes watch."""
         version = StoreVersion(-1)  # no version of a key, so the first watch answers at once
         backoff = FIRST_BACKOFF
         while True:
+            if self._in_force.revision and not self._is_chosen():
+                await anyio.sleep(CHOICE_INTERVAL)
+                continue
             entry = await self._store.watch(CONFIGURATION_KEY, version, WATCH)
             if isinstance(entry, Unavailable):
                 await anyio.sleep(random.uniform(0, backoff))  # noqa: S311 # jitter
--- a/packages/node/src/vaneturn_node/daemon.py
+++ b/packages/node/src/vaneturn_node/daemon.py
@@ -26,12 +26,13 @@
 from vaneturn_node.answers.placement import Placement
 from vaneturn_node.claims.bykey import ClaimsByKey
 from vaneturn_node.configuration.changes import Changes
-from vaneturn_node.configuration.follower import ConfigurationFollower
+from vaneturn_node.configuration.follower import WATCHERS, ConfigurationFollower
 from vaneturn_node.configuration.inforce import ConfigurationInForce
 from vaneturn_node.http.app import make_app
 from vaneturn_node.limits.admission import Admission
 from vaneturn_node.logs import configure_logs
 from vaneturn_node.metrics import Metrics
+from vaneturn_node.peers.wiring import Peers, make_peers
 from vaneturn_node.platform.keyvalue import HttpKeyValueService
 from vaneturn_node.platform.vms import HttpVmList
 from vaneturn_node.runtime import Runtime
@@ -69,12 +70,16 @@
     limits = httpx.Limits(max_connections=MAX_CLIENT_CONNECTIONS)
     async with httpx.AsyncClient(limits=limits) as client, anyio.create_task_group() as tasks:
         runtime = _make_runtime(settings, node, client, tasks)
-        store = HttpKeyValueService(client, settings.key_value_url)
-        tasks.start_soon(ConfigurationFollower(store, runtime.in_force).run)
+        peers = make_peers(runtime, tasks)
+        follower = ConfigurationFollower(
+            runtime.store, runtime.in_force, lambda: peers.table.is_chosen("watch", WATCHERS)
+        )
+        tasks.start_soon(peers.run)
+        tasks.start_soon(follower.run)
         if settings.vm_list_url is not None:
             tasks.start_soon(_follow_vm_list, HttpVmList(client, settings.vm_list_url), runtime.healths)
         stopped = anyio.Event()
-        tasks.start_soon(_await_stop, runtime, stopped)
+        tasks.start_soon(_await_stop, runtime, peers, stopped)
         await _serve(runtime, stopped)
         tasks.cancel_scope.cancel()
     logger.info("stopped")
@@ -82,7 +87,7 @@
 
 def _make_runtime(settings: NodeSettings, node: NodeId, client: httpx.AsyncClient, tasks: TaskGroup) -> Runtime:
     metrics = Metrics()
-    store = HttpKeyValueService(client, settings.key_value_url)
+    store = HttpKeyValueService(client, settings.key_value_url, metrics)
     in_force = ConfigurationInForce(metrics)
     healths = ServerHealths()
     pool = LinkPool(tasks, healths, metrics)
@@ -96,6 +101,7 @@
         settings=settings,
         node=node,
         metrics=metrics,
+        store=store,
         in_force=in_force,
         changes=Changes(store, in_force),
         claims=ClaimsByKey(store, node),
@@ -120,7 +126,7 @@
     await serve(cast("Any", make_app(runtime)), config, shutdown_trigger=stopped.wait, mode="asgi")
 
 
-async def _await_stop(runtime: Runtime, stopped: anyio.Event) -> None:
+async def _await_stop(runtime: Runtime, peers: Peers, stopped: anyio.Event) -> None:
     """At a signal turn unready, refuse new requests after a moment, and stop when the last one has ended."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for received in signals:
@@ -131,6 +137,7 @@
     runtime.admission.stopping = True
     with anyio.move_on_after(runtime.settings.stop_timeout):
         await runtime.admission.wait_idle()
+    await peers.stop()
     stopped.set()
 
 
--- /dev/null
+++ b/packages/node/src/vaneturn_node/peers/gossip.py
@@ -0,0 +1,206 @@
+"""Probing the other nodes and telling them what has changed, over one UDP socket."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+import random
+from collections.abc import Callable, Iterable
+from typing import Final
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup, UDPSocket
+
+from vaneturn_core.identifiers import Revision, VmId
+from vaneturn_core.membership.member import Member
+from vaneturn_core.membership.table import MemberTable
+from vaneturn_node.metrics import Metrics
+from vaneturn_node.peers.messages import DATAGRAMS, ENCODER, Ack, Datagram, Ping, PingFor, Telling
+from vaneturn_node.peers.seal import Sealer
+
+PERIOD: Final = 1.0  # seconds between probes of a node
+ACK_TIMEOUT: Final = 0.3  # seconds to a direct answer
+INDIRECT_TIMEOUT: Final = 0.5  # seconds more to an answer through a helper
+HELPERS: Final = 3
+MAX_TELLINGS: Final = 8  # members on a datagram, which stays under 1,200 bytes
+FANOUT: Final = 4  # members that are told at once of a newer configuration or a leaving server
+REJOIN_PERIOD: Final = 10.0  # seconds between pings of a seed or a dead member, which heal a cut
+
+logger = logging.getLogger(__name__)
+
+
+class Gossip:
+    """One datagram socket; a task that probes and a task that answers."""
+
+    def __init__(
+        self,
+        table: MemberTable,
+        sealer: Sealer,
+        seeds: Iterable[str],
+        read_revision: Callable[[], Revision],
+        metrics: Metrics,
+    ) -> None:
+        self.table = table
+        self._sealer = sealer
+        self._seeds = list(seeds)
+        self._read_revision = read_revision
+        self._metrics = metrics
+        self._numbers = itertools.count(1)
+        self._acks: dict[int, anyio.Event] = {}
+        self._leaving: frozenset[VmId] = frozenset()
+        self._tasks: TaskGroup | None = None
+        self._sending = anyio.Lock()
+        self._newer_listeners: list[Callable[[Revision, str], None]] = []
+        self._leaving_listeners: list[Callable[[VmId], None]] = []
+
+    def on_newer_revision(self, listener: Callable[[Revision, str], None]) -> None:
+        """Call the listener with each revision above the own one, and the peer address that has it."""
+        self._newer_listeners.append(listener)
+
+    def on_leaving(self, listener: Callable[[VmId], None]) -> None:
+        """Call the listener with each server that a peer says is leaving."""
+        self._leaving_listeners.append(listener)
+
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Add addresses to join through."""
+        self._seeds.extend(address for address in addresses if address not in self._seeds)
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        host, _, port = self.table.own.address.rpartition(":")
+        async with (
+            await anyio.create_udp_socket(local_host=host, local_port=int(port)) as socket,
+            anyio.create_task_group() as tasks,
+        ):
+            self._socket = socket
+            self._tasks = tasks
+            tasks.start_soon(self._receive, socket, tasks)
+            tasks.start_soon(self._rejoin)
+            await self._probe()
+
+    async def stop(self) -> None:
+        """Tell that this node stops."""
+        self.table.stop()
+        await self.announce()
+
+    async def announce(self) -> None:
+        """Tell some members at once; they tell others in turn."""
+        for member in self.table.pick_helpers(self.table.own.node, FANOUT):
+            await self._send(member.address, Ping(next(self._numbers), self._tell()))
+
+    def announce_soon(self) -> None:
+        """Tell some members from a task of its own."""
+        if self._tasks is not None:
+            self._tasks.start_soon(self.announce)
+
+    def tell_leaving(self, vms: frozenset[VmId]) -> None:
+        """Tell from now on that these servers are leaving."""
+        if vms - self._leaving:
+            self.announce_soon()
+        self._leaving = vms
+
+    async def _probe(self) -> None:
+        while True:
+            self.table.expire()
+            self._metrics.members.set(len(self.table.list_alive()))
+            target = self.table.pick_probe()
+            if target is not None and not await self._is_alive(target):
+                logger.info("member does not answer", extra={"member": target.node, "member_vm": target.vm})
+                self.table.suspect(target.node)
+            await anyio.sleep(PERIOD * random.uniform(0.9, 1.1))  # noqa: S311 # jitter
+
+    async def _is_alive(self, target: Member) -> bool:
+        number = next(self._numbers)
+        acked = self._acks[number] = anyio.Event()
+        try:
+            await self._send(target.address, Ping(number, self._tell()))
+            with anyio.move_on_after(ACK_TIMEOUT):
+                await acked.wait()
+            if acked.is_set():
+                return True
+            for helper in self.table.pick_helpers(target.node, HELPERS):
+                await self._send(helper.address, PingFor(number, target.address, self._tell()))
+            with anyio.move_on_after(INDIRECT_TIMEOUT):
+                await acked.wait()
+            return acked.is_set()
+        finally:
+            del self._acks[number]
+
+    async def _rejoin(self) -> None:
+        """Ping a seed or a dead member now and then; often until the first peer is known."""
+        while True:
+            known = {member.address for member in self.table.list_alive()}
+            dead = [member.address for member in self.table.list_dead()]
+            candidates = [address for address in (*self._seeds, *dead) if address not in known]
+            if candidates:
+                telling = self._tell()
+                introduced = msgspec.structs.replace(telling, members=[self.table.own, *telling.members])
+                await self._send(random.choice(candidates), Ping(next(self._numbers), introduced))  # noqa: S311
+            await anyio.sleep(REJOIN_PERIOD if self.table.list_peers() else PERIOD / 4)
+
+    async def _receive(self, socket: UDPSocket, tasks: TaskGroup) -> None:
+        async for message, _ in socket:
+            self._metrics.peer_bytes.labels("received").inc(len(message))
+            payload = self._sealer.open(message)
+            if payload is None:
+                self._metrics.dropped.labels("seal").inc()
+                continue
+            try:
+                datagram = DATAGRAMS.decode(payload)
+            except msgspec.DecodeError:
+                self._metrics.dropped.labels("datagram").inc()
+                continue
+            await self._take(datagram, tasks)
+
+    async def _take(self, datagram: Datagram, tasks: TaskGroup) -> None:
+        self._listen(datagram.telling)
+        match datagram:
+            case Ping(number, telling):
+                await self._send(telling.sender, Ack(number, self._tell(telling)))
+            case Ack(number):
+                acked = self._acks.get(number)
+                if acked is not None:
+                    acked.set()
+            case PingFor(number, target, telling):
+                tasks.start_soon(self._ping_for, number, target, telling.sender)
+
+    async def _ping_for(self, number: int, target: str, asker: str) -> None:
+        own_number = next(self._numbers)
+        acked = self._acks[own_number] = anyio.Event()
+        await self._send(target, Ping(own_number, self._tell()))
+        with anyio.move_on_after(INDIRECT_TIMEOUT):
+            await acked.wait()
+            await self._send(asker, Ack(number, self._tell()))
+        del self._acks[own_number]
+
+    def _listen(self, telling: Telling) -> None:
+        self.table.merge(telling.members)
+        if telling.revision > self._read_revision():
+            for newer_listener in self._newer_listeners:
+                newer_listener(telling.revision, telling.sender)
+        for vm in telling.leaving:
+            for leaving_listener in self._leaving_listeners:
+                leaving_listener(vm)
+
+    def _tell(self, asked: Telling | None = None) -> Telling:
+        """Make what rides on a datagram; the answer to a node that tells of itself tells it of some members."""
+        own = self.table.own
+        members = self.table.take_tellings(MAX_TELLINGS)
+        if asked is not None and own not in members and any(member.address == asked.sender for member in asked.members):
+            others = self.table.pick_helpers(own.node, MAX_TELLINGS - len(members) - 1)
+            members = [*members, own, *(other for other in others if other not in members)]
+        return Telling(self._read_revision(), own.address, members, sorted(self._leaving))
+
+    async def _send(self, address: str, datagram: Datagram) -> None:
+        message = self._sealer.seal(ENCODER.encode(datagram))
+        host, _, port = address.rpartition(":")
+        self._metrics.peer_bytes.labels("sent").inc(len(message))
+        try:
+            async with self._sending:  # the socket takes one writer at a time
+                await self._socket.sendto(message, host, int(port))
+        except OSError as error:
+            logger.info("datagram not sent", extra={"address": address, "cause": repr(error)})
+
+
+__all__ = ["Gossip"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/peers/meeting.py
@@ -0,0 +1,39 @@
+"""The meeting point of the nodes: a short list of peer addresses in the key-value service."""
+
+from __future__ import annotations
+
+import logging
+from typing import Final
+
+import anyio
+import msgspec
+
+from vaneturn_core.ports import Entry, KeyValueService, Unavailable
+from vaneturn_node.peers.gossip import Gossip
+
+MEETING_KEY: Final = "vaneturn/meeting"
+MAX_ADDRESSES: Final = 16
+RETRY: Final = 1.0  # seconds
+TRIES: Final = 30
+
+logger = logging.getLogger(__name__)
+
+
+async def join_meeting(store: KeyValueService, gossip: Gossip) -> None:
+    """Learn whom to join through, and leave the own address for those that start later."""
+    own = gossip.table.own.address
+    for _ in range(TRIES):
+        entry = await store.read(MEETING_KEY)
+        if isinstance(entry, Entry):
+            addresses = msgspec.json.decode(entry.value, type=list[str]) if entry.value else []
+            gossip.add_seeds(address for address in addresses if address != own)
+            kept = [address for address in addresses if address != own][-(MAX_ADDRESSES - 1) :]
+            written = await store.write(MEETING_KEY, msgspec.json.encode([*kept, own]), entry.version)
+            if isinstance(written, int):
+                return
+        elif isinstance(entry, Unavailable):
+            logger.info("meeting point not reached", extra={"cause": entry.cause})
+        await anyio.sleep(RETRY)
+
+
+__all__ = ["join_meeting"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/peers/messages.py
@@ -0,0 +1,113 @@
+"""Messages between nodes: MessagePack arrays behind a seal."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+from msgspec import Struct
+
+from vaneturn_core.identifiers import CustomerName, NodeId, RepeatKey, Revision, VmId
+from vaneturn_core.membership.member import Member
+
+
+class Telling(Struct, frozen=True, array_like=True):
+    """What rides on every datagram."""
+
+    revision: Revision  # of the configuration in force at the sender
+    sender: str  # peer address
+    members: list[Member] = []
+    leaving: list[VmId] = []  # servers that told the sender that they leave
+
+
+class Ping(Struct, frozen=True, tag=1, array_like=True):
+    """Ask a node whether it is alive."""
+
+    number: int
+    telling: Telling
+
+
+class Ack(Struct, frozen=True, tag=2, array_like=True):
+    """Answer a ping; passed on to the node that asked through another."""
+
+    number: int
+    telling: Telling
+
+
+class PingFor(Struct, frozen=True, tag=3, array_like=True):
+    """Ask a node to ping another one and to pass its answer on."""
+
+    number: int
+    target: str  # peer address
+    telling: Telling
+
+
+Datagram = Ping | Ack | PingFor
+
+
+class FetchConfiguration(Struct, frozen=True, tag=10, array_like=True):
+    """Ask for the configuration in force."""
+
+
+class ConfigurationDocument(Struct, frozen=True, tag=11, array_like=True):
+    """The configuration in force; empty when there is none."""
+
+    data: bytes
+
+
+class ClaimRequest(Struct, frozen=True, tag=12, array_like=True):
+    """Ask the owner of a key's slot for the right to run a request once."""
+
+    node: NodeId
+    epoch: int  # of the slot map by which the sender found the owner
+    customer: CustomerName
+    repeat_key: RepeatKey
+    claim: str  # id, the same in each try of one node for one request
+
+
+class ClaimAnswer(Struct, frozen=True, tag=13, array_like=True):
+    """The owner's answer."""
+
+    result: str
+    claim: str
+
+
+class ReleaseRequest(Struct, frozen=True, tag=14, array_like=True):
+    """Give a claim back whose request was not run."""
+
+    customer: CustomerName
+    repeat_key: RepeatKey
+    claim: str
+
+
+class Received(Struct, frozen=True, tag=15, array_like=True):
+    """The request was taken and needs no other answer."""
+
+
+Query = FetchConfiguration | ClaimRequest | ReleaseRequest
+Answer = ConfigurationDocument | ClaimAnswer | Received
+
+DATAGRAMS: Final = msgspec.msgpack.Decoder(Datagram)
+QUERIES: Final = msgspec.msgpack.Decoder(Query)
+ANSWERS: Final = msgspec.msgpack.Decoder(Answer)
+ENCODER: Final = msgspec.msgpack.Encoder()
+
+__all__ = [
+    "ANSWERS",
+    "DATAGRAMS",
+    "ENCODER",
+    "QUERIES",
+    "Ack",
+    "Answer",
+    "ClaimAnswer",
+    "ClaimRequest",
+    "ConfigurationDocument",
+    "Datagram",
+    "FetchConfiguration",
+    "Ping",
+    "PingFor",
+    "Query",
+    "Received",
+    "ReleaseRequest",
+    "Telling",
+]
--- a/packages/node/src/vaneturn_node/platform/keyvalue.py
+++ b/packages/node/src/vaneturn_node/platform/keyvalue.py
@@ -8,6 +8,7 @@
 
 from vaneturn_core.identifiers import StoreVersion
 from vaneturn_core.ports import Conflict, Entry, Unavailable
+from vaneturn_node.metrics import Metrics
 
 CALL_TIMEOUT: Final = 2.0  # seconds; the service answers in milliseconds when it is well
 VERSION_HEADER: Final = "Version"
@@ -16,13 +17,14 @@
 class HttpKeyValueService:
     """The key-value service behind its HTTP interface."""
 
-    def __init__(self, client: httpx.AsyncClient, base_url: str) -> None:
+    def __init__(self, client: httpx.AsyncClient, base_url: str, metrics: Metrics) -> None:
         self._client = client
+        self._metrics = metrics
         self._base_url = base_url.rstrip("/")
 
     async def read(self, key: str) -> Entry | Unavailable:
         """Read a key."""
-        response = await self._call("GET", key)
+        response = await self._call("read", "GET", key)
         if isinstance(response, Unavailable):
             return response
         return _decode_entry(response)
@@ -30,7 +32,7 @@
     async def watch(self, key: str, after: StoreVersion, wait: float) -> Entry | Unavailable | None:
         """Wait until the key has another version than the given one; none when the wait (seconds) ran out."""
         query = {"after": str(after), "wait": str(wait)}
-        response = await self._call("GET", key, query=query, timeout=wait + CALL_TIMEOUT)
+        response = await self._call("watch", "GET", key, query=query, timeout=wait + CALL_TIMEOUT)
         if isinstance(response, Unavailable):
             return response
         if response.status_code == httpx.codes.NOT_MODIFIED:
@@ -39,7 +41,7 @@
 
     async def write(self, key: str, value: bytes, expected: StoreVersion) -> StoreVersion | Conflict | Unavailable:
         """Write a key if it has the expected version."""
-        response = await self._call("PUT", key, query={"expected": str(expected)}, content=value)
+        response = await self._call("write", "PUT", key, query={"expected": str(expected)}, content=value)
         if isinstance(response, Unavailable):
             return response
         version = StoreVersion(int(response.headers[VERSION_HEADER]))
@@ -49,6 +51,7 @@
 
     async def _call(
         self,
+        call: str,
         method: str,
         key: str,
         *,
@@ -60,9 +63,12 @@
         try:
             response = await self._client.request(method, url, params=query, content=content, timeout=timeout)
         except httpx.HTTPError as error:
+            self._metrics.store_calls.labels(call, "unavailable").inc()
             return Unavailable(type(error).__name__)
         if response.status_code >= httpx.codes.INTERNAL_SERVER_ERROR or VERSION_HEADER not in response.headers:
+            self._metrics.store_calls.labels(call, "unavailable").inc()
             return Unavailable(f"status {response.status_code}")
+        self._metrics.store_calls.labels(call, "answered").inc()
         return response
 
 
--- a/packages/node/src/vaneturn_node/runtime.py
+++ b/packages/node/src/vaneturn_node/runtime.py
@@ -7,6 +7,7 @@
 import httpx
 
 from vaneturn_core.identifiers import NodeId, RequestId
+from vaneturn_core.ports import KeyValueService
 from vaneturn_core.settings import NodeSettings
 from vaneturn_node.answers.generation import Generation
 from vaneturn_node.answers.moving import Mover
@@ -27,6 +28,7 @@
     settings: NodeSettings
     node: NodeId
     metrics: Metrics
+    store: KeyValueService
     in_force: ConfigurationInForce
     changes: Changes
     claims: ClaimsByKey
--- a/packages/node/src/vaneturn_node/stages/health.py
+++ b/packages/node/src/vaneturn_node/stages/health.py
@@ -126,10 +126,21 @@
         self[vm].leaving.add(source)
         self._notify()
 
+    def unmark_leaving(self, vm: VmId, source: LeavingSource) -> None:
+        """Take back what one source said of a server."""
+        if source not in self[vm].leaving:
+            return
+        self[vm].leaving.discard(source)
+        self._notify()
+
+    def list_said_by(self, source: LeavingSource) -> frozenset[VmId]:
+        """List the servers that one source says are leaving."""
+        return frozenset(vm for vm, health in self._servers.items() if source in health.leaving)
+
     def replace_leaving(self, source: LeavingSource, vms: Iterable[VmId]) -> None:
         """Replace all that one source says is leaving."""
         now_leaving = set(vms)
-        before = {vm for vm, health in self._servers.items() if source in health.leaving}
+        before = self.list_said_by(source)
         for vm in before - now_leaving:
             self[vm].leaving.discard(source)
         for vm in now_leaving - before:
--- a/packages/node/src/vaneturn_node/stages/link.py
+++ b/packages/node/src/vaneturn_node/stages/link.py
@@ -133,6 +133,7 @@
 
     async def _use(self, connection: ClientConnection) -> None:
         self._outgoing.clear()
+        self._healths.unmark_leaving(self.server.vm, LeavingSource.SERVER)  # a leaving server says so again at once
         self._connected.set()
         try:
             async with anyio.create_task_group() as tasks:
