--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,9 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 PACKAGES := packages/core packages/node packages/cli
-SOURCES := packages tests
+SOURCES := packages tests bench
 
-.PHONY: demo test lint unit soak bench capacity clean
+.PHONY: demo test lint unit soak proofs bench capacity clean
 
 $(STAMP): constraints.txt requirements-test.txt $(PACKAGES:%=%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -35,3 +35,6 @@
 
 soak: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python -m rig.soak --seconds $(SECONDS) --seed $(SEED)
+
+proofs: $(STAMP)
+	PYTHONPATH=tests $(BIN)/python -m rig.proofs
--- a/tests/rig/checks.py
+++ b/tests/rig/checks.py
@@ -17,6 +17,7 @@
     """
     faults: list[str] = []
     covered: defaultdict[tuple[str, int], Counter[int]] = defaultdict(Counter)
+    newest: dict[str, int] = {}  # where the newest step of each session starts; it may have been cut
     for server, entries in journals.items():
         next_position: dict[str, int] = {}
         for entry in entries:
@@ -32,7 +33,8 @@
                 case "run":
                     faults.extend(_check_order(server, entry, next_position))
                     _cover(entry, covered)
-    faults.extend(_check_cover(covered, layers))
+                    newest[entry["session"]] = max(newest.get(entry["session"], 0), entry["position"])
+    faults.extend(_check_cover(covered, newest, layers))
     return faults
 
 
@@ -52,13 +54,12 @@
         covered[entry["session"], position].update(range(entry["first"], entry["end"]))
 
 
-def _check_cover(covered: Mapping[tuple[str, int], Counter[int]], layers: int) -> Iterable[str]:
-    """Positions before a session's last must have run through every layer."""
-    last: dict[str, int] = {}
-    for session, position in covered:
-        last[session] = max(last.get(session, 0), position)
+def _check_cover(
+    covered: Mapping[tuple[str, int], Counter[int]], newest: Mapping[str, int], layers: int
+) -> Iterable[str]:
+    """Positions before a session's newest step must have run through every layer."""
     for (session, position), counted in covered.items():
-        if position < last[session] and set(counted) != set(range(layers)):
+        if position < newest[session] and set(counted) != set(range(layers)):
             yield f"{session}: position {position} ran on layers {sorted(counted)} only"
 
 
--- /dev/null
+++ b/tests/rig/measuring.py
@@ -0,0 +1,49 @@
+"""Processor time, memory and counters of a process under measurement."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import httpx
+
+_TICKS = os.sysconf("SC_CLK_TCK")
+_PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+def read_cpu(pid: int) -> float:
+    """Read the seconds of processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS
+
+
+def read_memory(pid: int) -> float:
+    """Read the resident megabytes of a process."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * _PAGE / 1e6
+
+
+def read_metric(url: str, name: str) -> float:
+    """Read the sum of a metric over its labels."""
+    lines = httpx.get(url + "/metrics", timeout=10).text.splitlines()
+    return sum(float(line.rsplit(" ", 1)[1]) for line in lines if line.startswith((name + " ", name + "{")))
+
+
+def fit_line(points: list[tuple[float, float]]) -> tuple[float, float, float]:
+    """Fit y = a + b x by least squares: a, b and the largest relative error over the points."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread if spread else 0.0
+    start = mean_y - slope * mean_x
+    error = max(abs(start + slope * x - y) / y for x, y in points if y)
+    return start, slope, error
+
+
+def take_quantile(values: list[float], share: float) -> float:
+    """Take the value below which the share of the values lies."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+__all__ = ["fit_line", "read_cpu", "read_memory", "read_metric", "take_quantile"]
--- /dev/null
+++ b/tests/rig/proofs.py
@@ -0,0 +1,215 @@
+"""Shows that each proof fails without its mechanism: takes the mechanism out of a copy and runs the proof on it."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]
+PACKAGES = ("core", "node", "cli")
+AT_ONCE = 2
+
+NODE = "node/src/vaneturn_node"
+
+
+@dataclass(frozen=True)
+class Edit:
+    """A piece of a file and what stands there without the mechanism."""
+
+    file: str
+    old: str
+    new: str
+
+
+@dataclass(frozen=True)
+class Proof:
+    """A mechanism and the test that must fail without it."""
+
+    name: str
+    test: str
+    edits: tuple[Edit, ...]
+
+
+PROOFS = (
+    Proof(
+        "a lost stage is replaced",
+        "tests/system/test_stages.py::test_stage_lost_in_the_middle",
+        (
+            Edit(
+                f"{NODE}/answers/generation.py",
+                "            self._replace(result)\n",
+                "            return self._give_up(Reason.CONNECTION_LOST)\n",
+            ),
+        ),
+    ),
+    Proof(
+        "a new stage runs the held positions",
+        "tests/system/test_stages.py::test_two_stages_killed_at_once",
+        (
+            Edit(f"{NODE}/answers/generation.py", "self._lacking = set(route.hops) - held", "self._lacking = set()"),
+            Edit(f"{NODE}/answers/generation.py", "self._lacking.add(hop)", "self._lacking.clear()"),
+        ),
+    ),
+    Proof(
+        "a reply must name the layers of its step",
+        "tests/system/test_stages.py::test_replies_go_wrong",
+        (
+            Edit(
+                f"{NODE}/stages/link.py",
+                "return reply.count == step.count and reply.first == hop.first and reply.end == hop.end",
+                "return reply.count == step.count or hop is None",
+            ),
+            Edit(f"{NODE}/answers/stagerun.py", "assert_tiling(ran, hops[-1].end)", "pass"),
+        ),
+    ),
+    Proof(
+        "a reply must name its step",
+        "tests/system/test_stages.py::test_crossed_replies_never_mix_answers",
+        (
+            Edit(
+                f"{NODE}/stages/link.py",
+                "awaited = self._awaited.get((reply.session, reply.attempt, reply.position, rebuild))",
+                "awaited = next((a for k, a in self._awaited.items() if k[0] == reply.session), None)",
+            ),
+        ),
+    ),
+    Proof(
+        "a claim is won by one node",
+        "tests/system/test_at_most_once.py::test_same_key_at_two_nodes_at_once",
+        (
+            Edit(
+                f"{NODE}/claims/bykey.py",
+                "        if isinstance(result, Conflict):\n            return Unknown(Reason.CLAIMED)\n",
+                "        if isinstance(result, Conflict):\n            return Claim(record.id, key, result.version)\n",
+            ),
+        ),
+    ),
+    Proof(
+        "not run is said only before the first byte",
+        "tests/system/test_at_most_once.py::test_lost_reply_is_told_as_unknown_and_not_tried_again",
+        (
+            Edit(
+                f"{NODE}/http/services.py",
+                "_NOT_SENT: Final = (httpx.ConnectError,",
+                "_NOT_SENT: Final = (httpx.ReadTimeout, httpx.ConnectError,",
+            ),
+        ),
+    ),
+    Proof(
+        "leaving servers are barred",
+        "tests/system/test_leaving.py::test_drained_server_gets_no_new_work_anywhere",
+        (
+            Edit(
+                f"{NODE}/answers/placement.py",
+                "leaving = self._healths.list_leaving()\n",
+                "leaving: frozenset[VmId] = frozenset()\n",
+            ),
+            Edit(
+                f"{NODE}/answers/placement.py",
+                "barred = {*avoided, *self._healths.list_leaving(), *self._pool.list_down()}",
+                "barred = {*avoided, *self._pool.list_down()}",
+            ),
+        ),
+    ),
+    Proof(
+        "a stopping node finishes what it has",
+        "tests/system/test_leaving.py::test_node_stops_without_cutting_a_stream",
+        (Edit(f"{NODE}/daemon.py", "        await runtime.admission.wait_idle()\n", "        pass\n"),),
+    ),
+    Proof(
+        "an older configuration is not taken",
+        "tests/node/test_inforce.py::test_revision_only_grows",
+        (
+            Edit(f"{NODE}/configuration/inforce.py", "if configuration.revision < self.revision:", "if False:"),
+            Edit(f"{NODE}/configuration/inforce.py", "if configuration.revision <= self.revision:", "if False:"),
+        ),
+    ),
+    Proof(
+        "a restored store is put right",
+        "tests/system/test_configuration.py::test_store_restored_to_an_older_state_is_put_right",
+        (Edit(f"{NODE}/configuration/follower.py", "            await self._restore(entry)\n", "            pass\n"),),
+    ),
+    Proof(
+        "peers hand on the configuration",
+        "tests/system/test_configuration.py::test_node_started_during_an_outage_gets_it_from_peers",
+        (Edit(f"{NODE}/peers/sharing.py", "            await self._fetch(newer[1])\n", "            pass\n"),),
+    ),
+    Proof(
+        "a lost answer of a write is settled",
+        "tests/system/test_configuration.py::test_lost_answer_of_a_write_is_settled",
+        (
+            Edit(
+                f"{NODE}/configuration/changes.py",
+                "        if isinstance(result, Unavailable):\n            return await self._settle(proposal.id)\n",
+                "        if isinstance(result, Unavailable):\n            return NotAccepted(result.cause)\n",
+            ),
+        ),
+    ),
+    Proof(
+        "more than the bound carries is refused",
+        "tests/system/test_overload.py::test_flood_is_served_or_refused_and_refused_was_not_run",
+        (
+            Edit(
+                f"{NODE}/limits/admission.py",
+                "return compute_limit(self._read_bound(pipeline.name), pipeline.token_time, self._count_nodes())",
+                "return 10**6",
+            ),
+        ),
+    ),
+)
+
+
+def run_test(test: str, packages: Path) -> subprocess.CompletedProcess[str]:
+    """Run one test over the sources in a folder."""
+    path = os.pathsep.join(str(packages / name / "src") for name in PACKAGES)
+    command = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", test]
+    environment = {**os.environ, "PYTHONPATH": path}
+    return subprocess.run(command, cwd=ROOT, env=environment, capture_output=True, text=True, check=False)
+
+
+def take_out(proof: Proof, folder: Path) -> Path:
+    """Copy the packages and take the mechanism out of the copy."""
+    packages = folder / "packages"
+    shutil.copytree(ROOT / "packages", packages)
+    for edit in proof.edits:
+        path = packages / edit.file
+        text = path.read_text()
+        if edit.old not in text:
+            raise LookupError(f"{proof.name}: {edit.file} does not hold {edit.old!r} any more")
+        path.write_text(text.replace(edit.old, edit.new))
+    return packages
+
+
+def read_closing_line(run: subprocess.CompletedProcess[str]) -> str:
+    return run.stdout.strip().splitlines()[-1]
+
+
+def check_proof(proof: Proof) -> bool:
+    """Run a proof without and with its mechanism and print both closing lines."""
+    with tempfile.TemporaryDirectory() as folder:
+        without = run_test(proof.test, take_out(proof, Path(folder)))
+    present = run_test(proof.test, ROOT / "packages")
+    is_proof = without.returncode == 1 and present.returncode == 0
+    print(f"{'ok  ' if is_proof else 'BAD '} {proof.name}")
+    print(f"       without: {read_closing_line(without)}")
+    print(f"       with:    {read_closing_line(present)}", flush=True)
+    return is_proof
+
+
+def main() -> int:
+    wanted = sys.argv[1] if len(sys.argv) > 1 else ""
+    chosen = [proof for proof in PROOFS if wanted in proof.name]
+    with ThreadPoolExecutor(AT_ONCE) as threads:
+        results = list(threads.map(check_proof, chosen))
+    print(f"{sum(results)} of {len(results)} proofs fail without their mechanism and pass with it")
+    return 0 if all(results) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -235,7 +235,9 @@
             return
         if faults.wrong_ranges:
             faults.wrong_ranges -= 1
-            reply = msgspec.structs.replace(reply, end=reply.end + 1)
+            inverted = bytes(255 - byte for byte in reply.outputs)
+            token = None if reply.token is None else reply.token ^ 1
+            reply = msgspec.structs.replace(reply, end=reply.end + 1, outputs=inverted, token=token)
         if faults.double_replies:
             faults.double_replies -= 1
             peer.send(reply)
