Keep all stages busy: a window of steps for each server

Cause: engines run what has arrived as one batch, so the answers of a node gathered into one batch that went from stage to stage while the other stages idled; with 32 answers over four stages an engine saw batches of 32 and then nothing.

Change: each link lets through as many steps as its answers are expected to have there, an answer over n hops counting as an nth, times 1.5; the rest waits in the node.

--- a/bench/joins.py
+++ b/bench/joins.py
@@ -180,9 +180,7 @@
     base = take_quantile(taken["link"], 0.5)
     for name, values in taken.items():
         median = take_quantile(values, 0.5)
-        print(
-            f"{name:7} median {median:7.1f}, {median / base:5.2f} times the link; {min(values):.1f} to {max(values):.1f}"
-        )
+        print(f"{name:7} {median:7.1f}, {median / base:5.2f} times the link; {min(values):.1f} to {max(values):.1f}")
 
 
 if __name__ == "__main__":
--- a/packages/node/src/vaneturn_node/answers/generation.py
+++ b/packages/node/src/vaneturn_node/answers/generation.py
@@ -206,6 +206,7 @@
         """Go on over another route; hops that the present one does not have lack all held positions."""
         held = set(self._route.hops) - self._lacking if self._route else set()
         self._route = route
+        self._run.follow(route)
         if route is None:
             return
         self._lacking = set(route.hops) - held
--- a/packages/node/src/vaneturn_node/answers/stagerun.py
+++ b/packages/node/src/vaneturn_node/answers/stagerun.py
@@ -7,11 +7,11 @@
 
 from vaneturn_core.engine.messages import Close, Done, Open, Refused, Step
 from vaneturn_core.identifiers import VmId
-from vaneturn_core.routing.hops import Hop, assert_tiling
+from vaneturn_core.routing.hops import Hop, Route, assert_tiling
 from vaneturn_core.routing.recovery import MIN_STEP_TIMEOUT
 from vaneturn_node.answers.request import AnswerRequest
 from vaneturn_node.stages.health import ServerHealths
-from vaneturn_node.stages.link import Lost
+from vaneturn_node.stages.link import Lost, StageLink
 from vaneturn_node.stages.pool import LinkPool
 
 
@@ -33,6 +33,7 @@
         self._call_timeout = call_timeout
         self._opened: set[tuple[VmId, int]] = set()
         self._used: set[VmId] = set()
+        self._expected: list[tuple[StageLink, float]] = []  # links of the route and their shares
         self.attempt = 0
         self.may_have_run = False
 
@@ -82,8 +83,19 @@
             request.priority,
         )
 
+    def follow(self, route: Route | None) -> None:
+        """Tell the links of a route how much of the answer's time to expect, and those of the route before no more."""
+        for expected_link, share in self._expected:
+            expected_link.window.add(-share)
+        hops = route.hops if route else ()
+        links = [self._pool[hop.vm] for hop in hops]
+        self._expected = [(link, 1 / len(hops)) for link in links if link is not None]
+        for expected_link, share in self._expected:
+            expected_link.window.add(share)
+
     def close(self) -> None:
         """Let every server that was used forget the session."""
+        self.follow(None)
         for vm in self._used:
             self.forget(vm)
 
--- a/packages/node/src/vaneturn_node/stages/link.py
+++ b/packages/node/src/vaneturn_node/stages/link.py
@@ -18,6 +18,7 @@
 from vaneturn_core.routing.hops import Hop
 from vaneturn_node.metrics import Metrics
 from vaneturn_node.stages.health import LeavingSource, ServerHealths
+from vaneturn_node.stages.window import StepWindow
 
 CONNECT_TIMEOUT: Final = 1.0  # seconds
 FIRST_BACKOFF: Final = 0.05  # seconds between attempts to connect, doubled up to the last
@@ -62,6 +63,7 @@
         self._wake = anyio.Event()
         self._awaited: dict[_StepKey, _Awaited] = {}
         self._connected = anyio.Event()
+        self.window = StepWindow()
 
     @property
     def is_connected(self) -> bool:
@@ -84,6 +86,13 @@
 
         :param hop: the layers that the reply must name.
         """
+        await self.window.enter()
+        try:
+            return await self._run_in_window(step, hop, timeout)
+        finally:
+            self.window.leave()
+
+    async def _run_in_window(self, step: Step, hop: Hop, timeout: float) -> StepResult:  # noqa: ASYNC109 # see above
         if not self.is_connected:
             return Lost(sent=False)
         key = _name_step(step)
