Go on with a streamed answer at another node after its own was lost

Change: the id of each event is the answer's state, sealed: session, seed, tokens so far and route. A caller that sends its body again with Last-Event-ID goes on at any node; the stages that still hold the session are used as they are, under attempts above all that the lost node can have used, so that a frozen one that thaws is fenced and stops.

Ruled out: a copy of each session's tokens at a second node (a replicated store of our own, and 12 KB a second and node at the planned size against a budget of 3); regenerating from the prompt (every token again, at 58 ms each).

Conclusion: an id costs 4 bytes a token so far, times 4/3; answers over 4,096 tokens cannot be resumed yet.

--- a/packages/core/src/vaneturn_core/outcomes.py
+++ b/packages/core/src/vaneturn_core/outcomes.py
@@ -24,7 +24,8 @@
     CLAIM_STORE_DOWN = "claim_store_down"
     CONNECTION_LOST = "connection_lost"
     SERVER_REFUSED = "server_refused"
-    RECOVERY_FAILED = "recovery_failed"
+    NOT_RESUMABLE = "not_resumable"
+    SUPERSEDED = "superseded"
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/vaneturn_node/answers/generation.py
+++ b/packages/node/src/vaneturn_node/answers/generation.py
@@ -19,6 +19,7 @@
 from vaneturn_node.answers.moving import CHECK_INTERVAL, Mover
 from vaneturn_node.answers.placement import Placement
 from vaneturn_node.answers.request import AnswerRequest, Piece, Yield
+from vaneturn_node.answers.resume import ResumePoint, count_generated, digest_prompt
 from vaneturn_node.answers.stagerun import HopFailure, StageRun
 from vaneturn_node.metrics import Metrics
 from vaneturn_node.stages.link import Lost
@@ -65,6 +66,36 @@
         self._looked_at = time.monotonic()
         self.routes: list[str] = []  # every route taken, for the operators
         self.recoveries = 0
+        self._produced = 0
+        if request.resumed is not None:
+            self._go_on_from(request.resumed)
+
+    def _go_on_from(self, point: ResumePoint) -> None:
+        """Take the answer where another node left it; a stage that lost it says so and is built again."""
+        self._tokens += point.tokens
+        self._produced = count_generated(point)
+        self._held = count_tokens(self._tokens) - 1
+        self._run.attempt = point.first_attempt
+        self._run.may_have_run = True
+        self._take_route(point.make_route(self._request.pipeline.layers))
+        self._lacking.clear()
+
+    def describe_point(self, *, is_finished: bool) -> ResumePoint:
+        """Describe the answer so that another node can go on with it."""
+        request = self._request
+        hops = self._route.hops if self._route else ()
+        return ResumePoint(
+            request.customer,
+            request.pipeline.name,
+            request.pipeline.version,
+            request.session,
+            digest_prompt(request.prompt),
+            request.seed,
+            request.resumed.resumes + 1 if request.resumed else 0,
+            bytes(self._tokens[len(request.prompt) :]),
+            [(hop.vm, hop.first, hop.end) for hop in hops],
+            is_finished,
+        )
 
     def describe(self) -> GenerationState:
         """Describe the answer for the operators."""
@@ -74,25 +105,26 @@
     async def run(self) -> AsyncGenerator[Yield, None]:
         """Yield each token once and in order, or one outcome that says why there are no more."""
         try:
-            for produced in range(1, self._request.max_tokens + 1):
+            while self._produced < self._request.max_tokens:
                 result = await self._advance()
                 if not isinstance(result, Done):
                     yield result
                     return
-                yield self._append(result, produced)
+                yield self._append(result)
                 if result.last:
                     return
         finally:
             self._run.close()
 
-    def _append(self, reply: Done, produced: int) -> Piece:
+    def _append(self, reply: Done) -> Piece:
         if reply.token is None or reply.position + reply.count != count_tokens(self._tokens):
             raise AssertionError(f"token out of order after position {reply.position}")
         position = count_tokens(self._tokens)
         self._tokens += encode_token(reply.token)
+        self._produced += 1
         self._metrics.tokens.inc()
         self._note_recovery()
-        return Piece(position, reply.token, reply.text, last=reply.last or produced == self._request.max_tokens)
+        return Piece(position, reply.token, reply.text, last=reply.last or self._produced == self._request.max_tokens)
 
     async def _advance(self) -> Done | NotRun | Unknown:
         """Run all tokens that no stage holds yet; the last reply carries the next token."""
@@ -105,6 +137,9 @@
             result = await self._rebuild() or await self._run_new()
             if isinstance(result, Done):
                 return result
+            if _is_superseded(result.cause):
+                self._run.leave_to_successor()
+                return Unknown(Reason.SUPERSEDED)
             self._replace(result)
 
     async def _find_route(self) -> bool:
@@ -226,6 +261,11 @@
         return Unknown(reason) if self._run.may_have_run else NotRun(reason)
 
 
+def _is_superseded(cause: Refused | Lost) -> bool:
+    """Tell whether another node has resumed the answer: only it can have opened a newer attempt."""
+    return isinstance(cause, Refused) and cause.refusal is Refusal.ATTEMPT
+
+
 def _is_cache_lost(cause: Refused | Lost) -> bool:
     return isinstance(cause, Refused) and cause.refusal in {Refusal.NO_SESSION, Refusal.POSITION}
 
--- a/packages/node/src/vaneturn_node/answers/request.py
+++ b/packages/node/src/vaneturn_node/answers/request.py
@@ -7,6 +7,7 @@
 from vaneturn_core.configuration.schema import Pipeline
 from vaneturn_core.identifiers import ClassName, CustomerName, RequestId, SessionId
 from vaneturn_core.outcomes import NotRun, Unknown
+from vaneturn_node.answers.resume import ResumePoint
 
 
 @dataclass(frozen=True)
@@ -24,6 +25,7 @@
     max_tokens: int
     affinity: str
     deadline: float  # on the monotonic clock, seconds
+    resumed: ResumePoint | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/vaneturn_node/answers/stagerun.py
+++ b/packages/node/src/vaneturn_node/answers/stagerun.py
@@ -93,6 +93,10 @@
         for expected_link, share in self._expected:
             expected_link.window.add(share)
 
+    def leave_to_successor(self) -> None:
+        """Keep the caches: another node goes on with the session."""
+        self._used.clear()
+
     def close(self) -> None:
         """Let every server that was used forget the session."""
         self.follow(None)
--- /dev/null
+++ b/packages/node/src/vaneturn_node/http/answering.py
@@ -0,0 +1,247 @@
+"""One answer on its way to its caller."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import AsyncGenerator, AsyncIterator
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+import msgspec
+import xxhash
+from starlette.responses import Response, StreamingResponse
+from starlette.types import Receive, Scope, Send
+
+from vaneturn_core.configuration.schema import Pipeline
+from vaneturn_core.engine.tokens import count_tokens
+from vaneturn_core.identifiers import SessionId
+from vaneturn_core.outcomes import NotRun, Reason, Unknown
+from vaneturn_node.answers.generation import Generation
+from vaneturn_node.answers.request import AnswerRequest, Piece
+from vaneturn_node.answers.resume import MAX_RESUMABLE, ResumeCodec, ResumePoint, count_generated
+from vaneturn_node.answers.stagerun import StageRun
+from vaneturn_node.claims.bykey import Claim
+from vaneturn_node.http.accounting import Account
+from vaneturn_node.http.chatformat import (
+    AnswerMessage,
+    ChatCompletion,
+    ChatRequest,
+    Choice,
+    Chunk,
+    ChunkChoice,
+    Delta,
+    Usage,
+)
+from vaneturn_node.http.errors import answer_error, describe_error
+from vaneturn_node.http.reading import Call
+from vaneturn_node.http.rendering import render_prompt
+from vaneturn_node.peers.seal import Sealer
+from vaneturn_node.runtime import Runtime
+
+DEFAULT_MAX_TOKENS: Final = 1024
+PREFIX_CHARACTERS: Final = 512  # of the prompt, which name its affinity when the caller names no session
+ROUTE_HEADER: Final = "Vaneturn-Route"
+REQUEST_HEADER: Final = "Vaneturn-Request"
+_DONE: Final = b"data: [DONE]\n\n"
+
+
+@dataclass(frozen=True)
+class ChatCall:
+    """A request that was read and checked."""
+
+    call: Call
+    body: ChatRequest
+    pipeline: Pipeline
+    prompt: bytes  # tokens
+    resumed: ResumePoint | None
+
+
+class Answer:
+    """One answer on its way to the caller; pulled by the caller's reading, so a slow reader buffers nothing."""
+
+    def __init__(self, runtime: Runtime, chat: ChatCall, account: Account, session_name: str) -> None:
+        self._runtime = runtime
+        self._chat = chat
+        self._account = account
+        self._outcome: NotRun | Unknown | None = Unknown(Reason.CONNECTION_LOST)  # until the end is reached
+        self._created = int(time.time())
+        self._claim: Claim | None = None
+        self._has_place = False
+        self._request = self._describe(session_name)
+        stage_run = StageRun(self._request, runtime.pool, runtime.healths, runtime.settings.call_timeout)
+        self._generation = Generation(self._request, stage_run, runtime.placement, runtime.mover, runtime.metrics)
+        self._pieces: AsyncGenerator[Piece | NotRun | Unknown, None] = self._generation.run()
+        self._closed = False
+        self._codec = ResumeCodec(Sealer(runtime.settings.cluster_key))
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Headers that name the request and the route it started on."""
+        routes = self._generation.routes
+        return {
+            REQUEST_HEADER: self._account.id,
+            ROUTE_HEADER: routes[-1] if routes else "",
+            "Cache-Control": "no-store",
+        }
+
+    def _describe(self, session_name: str) -> AnswerRequest:
+        chat = self._chat
+        text = render_prompt(chat.body.messages)
+        affinity = session_name or chat.body.user or xxhash.xxh3_64_hexdigest(text[:PREFIX_CHARACTERS].encode())
+        work_class = self._runtime.in_force.view.find_class(chat.call.customer)
+        resumed = chat.resumed
+        return AnswerRequest(
+            id=self._account.id,
+            session=resumed.session if resumed else SessionId(self._account.id),
+            customer=chat.call.customer.name,
+            work_class=work_class.name,
+            priority=work_class.priority,
+            pipeline=chat.pipeline,
+            prompt=chat.prompt,
+            seed=resumed.seed if resumed else self._choose_seed(),
+            max_tokens=chat.body.max_completion_tokens or chat.body.max_tokens or DEFAULT_MAX_TOKENS,
+            affinity=f"{chat.call.customer.name} {affinity}",
+            deadline=self._account.started + chat.call.timeout,
+            resumed=resumed,
+        )
+
+    def _choose_seed(self) -> int:
+        if self._chat.body.seed is not None:
+            return self._chat.body.seed
+        return xxhash.xxh3_64_intdigest(self._account.id.encode()) >> 1
+
+    async def start(self) -> Piece | NotRun | Unknown | None:
+        """Wait for a place and the first token; claim a request that must run at most once in between.
+
+        :return: the first token, or why there is none; nothing when a resumed answer was complete already.
+        """
+        self._runtime.generations[self._account.id] = self._generation
+        refusal = await self._enter_pipeline() or await self._claim_once()
+        if refusal is not None:
+            self._outcome = refusal
+            return refusal
+        first = None if self._is_complete else await anext(self._pieces, None)
+        self._outcome = None if first is None else self._outcome
+        if isinstance(first, NotRun | Unknown):
+            self._outcome = first
+        return first
+
+    @property
+    def _is_complete(self) -> bool:
+        return self._chat.resumed is not None and self._chat.resumed.is_finished
+
+    async def _claim_once(self) -> NotRun | Unknown | None:
+        """Claim a request that must run at most once; a resumed one was claimed when it began."""
+        repeat_key = self._chat.call.repeat_key
+        if repeat_key is None or self._chat.resumed is not None:
+            return None
+        claim = await self._runtime.claims.claim(self._chat.call.customer.name, repeat_key)
+        if not isinstance(claim, Claim):
+            return claim
+        self._claim = claim
+        return None
+
+    async def _enter_pipeline(self) -> NotRun | None:
+        customer = self._chat.call.customer
+        work_class = self._runtime.in_force.view.find_class(customer)
+        refusal = await self._runtime.admission.enter_pipeline(self._chat.pipeline, customer, work_class)
+        self._has_place = refusal is None
+        return refusal
+
+    async def _follow(self, first: Piece | None) -> AsyncIterator[Piece | NotRun | Unknown]:
+        if first is None:
+            return
+        self._note(first)
+        yield first
+        async for piece in self._pieces:
+            self._note(piece)
+            yield piece
+
+    def _note(self, piece: Piece | NotRun | Unknown) -> None:
+        if not isinstance(piece, Piece):
+            self._outcome = piece
+            return
+        self._account.note_token()
+        if piece.last:
+            self._outcome = None
+
+    async def collect(self, first: Piece) -> Response:
+        """Answer with the whole text, or with an error if its end was not reached."""
+        texts: list[str] = []
+        async for piece in self._follow(first):
+            if not isinstance(piece, Piece):
+                return answer_error(piece)
+            texts.append(piece.text)
+        prompt_tokens = count_tokens(self._request.prompt)
+        completion = ChatCompletion(
+            id=self._account.id,
+            created=self._created,
+            model=self._chat.body.model,
+            choices=[Choice(AnswerMessage("".join(texts)), self._describe_end())],
+            usage=Usage(prompt_tokens, len(texts), prompt_tokens + len(texts)),
+        )
+        return Response(msgspec.json.encode(completion), headers=self.headers, media_type="application/json")
+
+    async def stream(self, first: Piece | None) -> AsyncIterator[bytes]:
+        """Stream one event a token; only the end mark after the last one makes the answer whole."""
+        async for piece in self._follow(first):
+            if not isinstance(piece, Piece):
+                yield b"data: " + msgspec.json.encode(describe_error(piece)) + b"\n\n"
+                return
+            yield self._encode_event(piece)
+        yield self._encode_finish()
+        yield _DONE
+
+    def _encode_event(self, piece: Piece) -> bytes:
+        chunk = self._make_chunk(Delta(content=piece.text), None)
+        return b"id: %s\ndata: %s\n\n" % (self._name_event(piece).encode(), chunk)
+
+    def _name_event(self, piece: Piece) -> str:
+        point = self._generation.describe_point(is_finished=piece.last)
+        if count_generated(point) > MAX_RESUMABLE:
+            return str(piece.position)
+        return self._codec.encode(point)
+
+    def _encode_finish(self) -> bytes:
+        return b"data: " + self._make_chunk(Delta(), self._describe_end()) + b"\n\n"
+
+    def _make_chunk(self, delta: Delta, finish_reason: str | None) -> bytes:
+        choice = ChunkChoice(delta, finish_reason)
+        return msgspec.json.encode(Chunk(self._account.id, self._created, self._chat.body.model, [choice]))
+
+    def _describe_end(self) -> str:
+        return "length" if self._account.tokens >= self._request.max_tokens else "stop"
+
+    async def close(self) -> None:
+        """Release what the answer holds; safe to call twice."""
+        if self._closed:
+            return
+        self._closed = True
+        self._runtime.generations.pop(self._account.id, None)
+        if self._has_place:
+            self._runtime.admission.leave_pipeline(self._chat.pipeline, time.monotonic() - self._account.started)
+        self._runtime.admission.leave(self._chat.call.customer)
+        self._account.close(self._outcome)
+        with anyio.CancelScope(shield=True):
+            await self._pieces.aclose()
+            if self._claim is not None and isinstance(self._outcome, NotRun):
+                await self._runtime.claims.release(self._claim)
+
+
+class AnswerResponse(StreamingResponse):
+    """A streamed answer that is closed however the connection ends, even before its first event."""
+
+    def __init__(self, answer: Answer, first: Piece | None) -> None:
+        super().__init__(answer.stream(first), headers=answer.headers, media_type="text/event-stream")
+        self._answer = answer
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Send the stream."""
+        try:
+            await super().__call__(scope, receive, send)
+        finally:
+            await self._answer.close()
+
+
+__all__ = ["Answer", "AnswerResponse", "ChatCall"]
--- a/packages/node/src/vaneturn_node/http/errors.py
+++ b/packages/node/src/vaneturn_node/http/errors.py
@@ -19,6 +19,7 @@
     Reason.TOO_LARGE: 413,
     Reason.CUSTOMER_LIMIT: 429,
     Reason.CLAIMED: 409,
+    Reason.NOT_RESUMABLE: 409,
 }
 _DEFAULT_STATUS: Final = 503
 _UNKNOWN_STATUS: Final = 502
--- a/packages/node/src/vaneturn_node/http/reading.py
+++ b/packages/node/src/vaneturn_node/http/reading.py
@@ -16,6 +16,7 @@
 TIMEOUT_HEADER: Final = "Vaneturn-Timeout"  # seconds that the caller waits for the whole answer
 REPEAT_HEADER: Final = "Vaneturn-Repeat"  # "never" marks a request that must run at most once
 SESSION_HEADER: Final = "Vaneturn-Session"  # requests of one working session prefer the same servers
+RESUME_HEADER: Final = "Last-Event-ID"  # the newest event that the caller has of a streamed answer
 KEY_HEADER: Final = "Idempotency-Key"
 DEFAULT_TIMEOUT: Final = 600.0  # seconds
 MAX_TIMEOUT: Final = 3600.0
@@ -110,6 +111,7 @@
 
 
 __all__ = [
+    "RESUME_HEADER",
     "SESSION_HEADER",
     "Call",
     "Malformed",
--- a/tests/rig/installation.py
+++ b/tests/rig/installation.py
@@ -35,6 +35,7 @@
         self.text = ""
         self.is_whole = False
         self.error = ""
+        self.newest_id = ""
         self._lines = response.iter_lines()
 
     @property
@@ -49,6 +50,8 @@
             line = next(self._lines, None)
             if line is None:
                 break
+            if line.startswith("id: "):
+                self.newest_id = line.removeprefix("id: ")
             if not line.startswith("data: "):
                 continue
             taken += 1
@@ -222,13 +225,18 @@
         return self.client.post(url, json={**body, **fields}, headers=caller_headers(key))
 
     @contextmanager
-    def stream(self, text: str, node: str | None = None, **fields: object) -> Iterator[Stream]:
-        """Open a streamed answer that the test reads piece by piece."""
+    def stream(
+        self, text: str, node: str | None = None, resume: Stream | None = None, **fields: object
+    ) -> Iterator[Stream]:
+        """Open a streamed answer that the test reads piece by piece, or go on with one that was cut."""
         body = {"model": PIPELINE, "messages": [{"role": "user", "content": text}], "seed": 7, "max_tokens": 24}
         url = self.url(node or self.nodes[0]) + "/v1/chat/completions"
         body = {**body, "stream": True, **fields}
-        with self.client.stream("POST", url, json=body, headers=caller_headers()) as response:
-            yield Stream(response)
+        others = {"Last-Event-ID": resume.newest_id} if resume else {}
+        with self.client.stream("POST", url, json=body, headers=caller_headers(**others)) as response:
+            stream = Stream(response)
+            stream.text = resume.text if resume else ""
+            yield stream
 
     def read_journal(self, name: str) -> list[dict[str, Any]]:
         return read_journal(self.folder / f"{name}.journal")
