--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,12 @@
 
 proofs: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python -m rig.proofs
+
+bench: $(STAMP)
+	PYTHONPATH=tests $(BIN)/python bench/joins.py
+	PYTHONPATH=tests $(BIN)/python bench/path.py
+	PYTHONPATH=tests $(BIN)/python bench/overload.py
+	PYTHONPATH=tests $(BIN)/python bench/recovery.py
+
+capacity: $(STAMP)
+	PYTHONPATH=tests $(BIN)/python bench/capacity.py
--- a/packages/cli/src/vaneturn_cli/client.py
+++ b/packages/cli/src/vaneturn_cli/client.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from vaneturn_core.configuration.schema import Configuration
-from vaneturn_core.identifiers import ChangeId
-from vaneturn_node.http.operators import ChangeAnswer, NodeState, ProposalBody
+from vaneturn_core.identifiers import ChangeId, RequestId
+from vaneturn_node.http.operators import ChangeAnswer, EndedRequest, NodeState, ProposalBody
 
 TIMEOUT: Final = 15.0  # seconds; longer than a node takes to settle a write with a lost answer
 
@@ -58,6 +58,11 @@
                 break
         return answer
 
+    def find_ended(self, request: RequestId) -> EndedRequest | None:
+        """Ask every node what became of a request that has ended."""
+        answers = (self._call(node, "GET", f"requests/{request}", EndedRequest) for node in self.nodes)
+        return next((answer for answer in answers if isinstance(answer, EndedRequest)), None)
+
     def _call_any(self, method: str, path: str, kind: type[_Body], content: bytes) -> _Body | NoAnswer:
         answer: _Body | NoAnswer = NoAnswer("", "no node given")
         for node in self.nodes:
--- a/packages/cli/src/vaneturn_cli/commands.py
+++ b/packages/cli/src/vaneturn_cli/commands.py
@@ -16,23 +16,16 @@
 from vaneturn_cli.declarations import load_declarations
 from vaneturn_cli.difference import compare_configurations
 from vaneturn_cli.exits import Exit
+from vaneturn_cli.querying import run_prompt, run_statement
+from vaneturn_cli.reporting import report_change, report_no_answer
 from vaneturn_core.configuration.document import describe_schema
 from vaneturn_core.configuration.schema import Configuration
 from vaneturn_core.identifiers import ChangeId
-from vaneturn_node.http.operators import ChangeAnswer, ProposalBody
+from vaneturn_node.http.operators import ProposalBody
 
 NODES_VARIABLE: Final = "VANETURN_NODES"  # HTTP addresses, separated by commas
 KEY_VARIABLE: Final = "VANETURN_OPERATOR_KEY"
 
-_EXITS: Final = {
-    "applied": Exit.DONE,
-    "rejected": Exit.FAULTY,
-    "overtaken": Exit.OVERTAKEN,
-    "not_accepted": Exit.NO_ANSWER,
-    "unsettled": Exit.UNSETTLED,
-    "unknown": Exit.DIFFERENT,
-}
-
 Command = Callable[[argparse.Namespace], Exit]
 
 
@@ -57,6 +50,10 @@
     asking = verbs.add_parser("change", help="tell whether a change took effect")
     asking.add_argument("id")
     asking.set_defaults(command=show_change)
+    querying = verbs.add_parser("query", help="carry out one line of the query and command language")
+    querying.add_argument("line")
+    querying.set_defaults(command=query)
+    verbs.add_parser("prompt", help="carry out lines from standard input").set_defaults(command=prompt)
     verbs.add_parser("schema", help="print the JSON Schema of declarations").set_defaults(command=show_schema)
     return parser
 
@@ -92,7 +89,7 @@
         return Exit.FAULTY
     present = _make_client(options).read_configuration()
     if isinstance(present, NoAnswer):
-        return _report_no_answer(present)
+        return report_no_answer(present)
     differences = compare_configurations(present, declared)
     for difference in differences:
         print(difference)
@@ -107,48 +104,32 @@
     client = _make_client(options)
     present = client.read_configuration()
     if isinstance(present, NoAnswer):
-        return _report_no_answer(present)
+        return report_no_answer(present)
     declared = msgspec.structs.replace(declared, draining=declared.draining or present.draining)
     change = ChangeId(options.change or uuid.uuid4().hex)
-    return _report_change(change, client.propose(ProposalBody(change, options.summary, present.revision, declared)))
+    return report_change(change, client.propose(ProposalBody(change, options.summary, present.revision, declared)))
 
 
 def show_change(options: argparse.Namespace) -> Exit:
     """Tell whether a change took effect."""
     change = ChangeId(options.id)
-    return _report_change(change, _make_client(options).find_change(change))
-
+    return report_change(change, _make_client(options).find_change(change))
 
-def show_schema(_options: argparse.Namespace) -> Exit:
-    """Print the JSON Schema of declarations."""
-    print(msgspec.json.format(msgspec.json.encode(describe_schema())).decode())
-    return Exit.DONE
 
+def query(options: argparse.Namespace) -> Exit:
+    """Carry out one line of the query and command language."""
+    return run_statement(_make_client(options), options.line, as_json=options.json)
 
-def _report_no_answer(answer: NoAnswer) -> Exit:
-    print(f"no answer from {answer.node or 'any node'}: {answer.cause}", file=sys.stderr)
-    return Exit.NO_ANSWER
 
+def prompt(options: argparse.Namespace) -> Exit:
+    """Carry out lines from standard input."""
+    return run_prompt(_make_client(options), as_json=options.json)
 
-def _report_change(change: ChangeId, answer: ChangeAnswer | NoAnswer) -> Exit:
-    if isinstance(answer, NoAnswer):
-        print(f"change {change}: not known whether it took effect", file=sys.stderr)
-        _report_no_answer(answer)
-        return Exit.UNSETTLED
-    print(_describe_change(change, answer))
-    return _EXITS[answer.result]
 
-
-def _describe_change(change: ChangeId, answer: ChangeAnswer) -> str:
-    lines = [f"change {change}: {answer.result}", *answer.faults]
-    if answer.cause:
-        lines.append(answer.cause)
-    if answer.result == "overtaken" and answer.change is not None:
-        winner = answer.change
-        lines.append(f"change {winner.id} of {winner.operator} came first, as revision {winner.revision}")
-    elif answer.change is not None:
-        lines.append(f"revision {answer.change.revision}")
-    return "\n".join(lines)
+def show_schema(_options: argparse.Namespace) -> Exit:
+    """Print the JSON Schema of declarations."""
+    print(msgspec.json.format(msgspec.json.encode(describe_schema())).decode())
+    return Exit.DONE
 
 
 __all__ = ["main"]
--- /dev/null
+++ b/packages/cli/src/vaneturn_cli/reasons.py
@@ -0,0 +1,55 @@
+"""Answers to why something is as it is."""
+
+from __future__ import annotations
+
+from vaneturn_cli.tables import View, describe_standing, describe_work, group_servers
+from vaneturn_core.identifiers import RequestId, VmId
+from vaneturn_node.http.operators import EndedRequest
+
+
+def explain_session(view: View, request: RequestId) -> list[str]:
+    """Say where an answer in progress runs and what it went through."""
+    for state in view.states:
+        for session in state.sessions:
+            if session.request != request:
+                continue
+            lines = [f"session {request} of {session.customer} on {session.pipeline}, held by {state.vm}"]
+            lines += [f"route {number}: {route}" for number, route in enumerate(session.routes, 1)]
+            if session.recoveries:
+                lines.append(f"{session.recoveries} times a hop failed and was replaced; the last route is in use")
+            else:
+                lines.append("no hop failed; servers were chosen in proportion to the flow, by the session's affinity")
+            return lines
+    return [f"no node that answered has a session {request} in progress"]
+
+
+def explain_vm(view: View, vm: VmId) -> list[str]:
+    """Say what a VM is used for and what each node holds against it."""
+    said = group_servers(view).get(vm, [])
+    work = describe_work(view, vm)
+    if not work and not said:
+        return [f"no declared server {vm}"]
+    lines = [f"vm {vm}: {describe_standing(said)}", f"declared for: {work or 'nothing'}"]
+    for state in view.states:
+        for server in state.servers:
+            if server.vm != vm:
+                continue
+            facts = [f"{server.in_progress} steps of at most {server.limit:.0f}", f"{server.latency * 1e3:.1f} ms"]
+            facts += ["not connected"] * (not server.connected) + ["ejected after failures"] * server.ejected
+            facts += [f"leaving, says {source}" for source in server.leaving]
+            lines.append(f"{state.vm}: {', '.join(facts)}")
+    return lines
+
+
+def explain_ended(request: RequestId, ended: EndedRequest | None) -> list[str]:
+    """Say what became of a request that has ended."""
+    if ended is None:
+        return [f"no node that answered remembers a request {request}; each remembers its newest ones only"]
+    reason = f" because of {ended.reason}" if ended.reason else ""
+    return [
+        f"request {request} of {ended.customer} to {ended.target}: {ended.outcome}{reason}",
+        f"after {ended.seconds:.3f} s with {ended.tokens} tokens, on {ended.vm}",
+    ]
+
+
+__all__ = ["explain_ended", "explain_session", "explain_vm"]
--- /dev/null
+++ b/packages/cli/src/vaneturn_cli/reporting.py
@@ -0,0 +1,51 @@
+"""Reports on changes and on nodes that do not answer."""
+
+from __future__ import annotations
+
+import sys
+from typing import Final
+
+from vaneturn_cli.client import NoAnswer
+from vaneturn_cli.exits import Exit
+from vaneturn_core.identifiers import ChangeId
+from vaneturn_node.http.operators import ChangeAnswer
+
+_EXITS: Final = {
+    "applied": Exit.DONE,
+    "rejected": Exit.FAULTY,
+    "overtaken": Exit.OVERTAKEN,
+    "not_accepted": Exit.NO_ANSWER,
+    "unsettled": Exit.UNSETTLED,
+    "unknown": Exit.DIFFERENT,
+}
+
+
+def report_no_answer(answer: NoAnswer) -> Exit:
+    """Report that a node did not answer, so that nothing was changed."""
+    print(f"no answer from {answer.node or 'any node'}: {answer.cause}", file=sys.stderr)
+    return Exit.NO_ANSWER
+
+
+def report_change(change: ChangeId, answer: ChangeAnswer | NoAnswer) -> Exit:
+    """Report what became of a change."""
+    if isinstance(answer, NoAnswer):
+        print(f"change {change}: not known whether it took effect", file=sys.stderr)
+        report_no_answer(answer)
+        return Exit.UNSETTLED
+    print(_describe_change(change, answer))
+    return _EXITS[answer.result]
+
+
+def _describe_change(change: ChangeId, answer: ChangeAnswer) -> str:
+    lines = [f"change {change}: {answer.result}", *answer.faults]
+    if answer.cause:
+        lines.append(answer.cause)
+    if answer.result == "overtaken" and answer.change is not None:
+        winner = answer.change
+        lines.append(f"change {winner.id} of {winner.operator} came first, as revision {winner.revision}")
+    elif answer.change is not None:
+        lines.append(f"revision {answer.change.revision}")
+    return "\n".join(lines)
+
+
+__all__ = ["report_change", "report_no_answer"]
--- /dev/null
+++ b/packages/cli/src/vaneturn_cli/tables.py
@@ -0,0 +1,204 @@
+"""Tables made from what the nodes say."""
+
+from __future__ import annotations
+
+import time
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from vaneturn_cli.client import NoAnswer
+from vaneturn_cli.language import Condition, Operator, Topic
+from vaneturn_core.configuration.schema import Configuration
+from vaneturn_core.identifiers import VmId
+from vaneturn_node.http.operators import NodeState, ServerState
+
+Cell = str | int | float
+
+
+@dataclass(frozen=True)
+class Table:
+    """Rows under named columns."""
+
+    columns: tuple[str, ...]
+    rows: tuple[tuple[Cell, ...], ...]
+
+
+@dataclass(frozen=True)
+class View:
+    """What was learned from the nodes, and when."""
+
+    configuration: Configuration
+    states: tuple[NodeState, ...]
+    missing: tuple[NoAnswer, ...]
+    taken_at: float  # monotonic clock, seconds
+
+    def describe(self) -> str:
+        """Say how old the view is and which nodes did not answer."""
+        age = time.monotonic() - self.taken_at
+        text = f"revision {self.configuration.revision}, {len(self.states)} nodes answered, view {age:.1f} s old"
+        if self.missing:
+            text += "; no answer: " + ", ".join(f"{answer.node} ({answer.cause})" for answer in self.missing)
+        return text
+
+
+def make_table(topic: Topic, view: View, conditions: Sequence[Condition]) -> Table | str:
+    """Make the table of a topic, or name the column that it does not have."""
+    table = _MAKERS[topic](view)
+    unknown = [condition.column for condition in conditions if condition.column not in table.columns]
+    if unknown:
+        return f"no column {unknown[0]!r}; the columns are {', '.join(table.columns)}"
+    rows = [row for row in table.rows if all(_holds(condition, table.columns, row) for condition in conditions)]
+    return Table(table.columns, tuple(rows))
+
+
+def _holds(condition: Condition, columns: Sequence[str], row: Sequence[Cell]) -> bool:
+    cell = row[columns.index(condition.column)]
+    if condition.operator is Operator.CONTAINS:
+        return condition.value in str(cell)
+    if condition.operator is Operator.EQUAL:
+        return str(cell) == condition.value
+    if condition.operator is Operator.UNEQUAL:
+        return str(cell) != condition.value
+    try:
+        difference = float(cell) - float(condition.value)
+    except ValueError:
+        return False
+    return difference < 0 if condition.operator is Operator.LESS else difference > 0
+
+
+def _show_pipelines(view: View) -> Table:
+    bounds: defaultdict[str, float] = defaultdict(float)
+    for state in view.states:
+        for name, bound in state.bounds.items():
+            bounds[name] = max(bounds[name], bound)
+    rows = tuple(
+        (
+            pipeline.name,
+            pipeline.model,
+            pipeline.version,
+            pipeline.adapter or "",
+            pipeline.preference.value,
+            pipeline.layers,
+            len(pipeline.stages),
+            round(bounds[pipeline.name]),
+            sum(session.pipeline == pipeline.name for state in view.states for session in state.sessions),
+        )
+        for pipeline in view.configuration.pipelines
+    )
+    columns = ("name", "model", "version", "adapter", "preference", "layers", "stages", "bound", "sessions")
+    return Table(columns, rows)
+
+
+def group_servers(view: View) -> dict[VmId, list[ServerState]]:
+    """Group what the nodes say of each server."""
+    grouped: defaultdict[VmId, list[ServerState]] = defaultdict(list)
+    for state in view.states:
+        for server in state.servers:
+            grouped[server.vm].append(server)
+    return grouped
+
+
+def describe_work(view: View, vm: VmId) -> str:
+    """Say which layers of which pipelines, or which services, a VM is declared for."""
+    stages = [
+        f"{pipeline.name}[{stage.first},{stage.end})"
+        for pipeline in view.configuration.pipelines
+        for stage in pipeline.stages
+        if stage.vm == vm
+    ]
+    return " ".join([*stages, *(service.name for service in view.configuration.services if vm in service.servers)])
+
+
+def describe_standing(said: Iterable[ServerState]) -> str:
+    """Sum up what the nodes say of a server."""
+    known = list(said)
+    leaving = sorted({source for server in known for source in server.leaving})
+    if leaving:
+        return "leaving: " + ", ".join(leaving)
+    if known and not any(server.connected for server in known):
+        return "down"
+    if any(server.ejected for server in known):
+        return "ejected by some"
+    return "in use"
+
+
+def _show_vms(view: View) -> Table:
+    said = group_servers(view)
+    rows = tuple(
+        (
+            server.vm,
+            server.data_hall,
+            server.accelerator,
+            describe_work(view, server.vm),
+            describe_standing(said.get(server.vm, ())),
+            sum(known.in_progress for known in said.get(server.vm, ())),
+            round(max((known.latency for known in said.get(server.vm, ())), default=0.0) * 1e3, 1),
+        )
+        for server in view.configuration.servers
+    )
+    return Table(("vm", "hall", "accelerator", "work", "standing", "steps", "latency_ms"), rows)
+
+
+def _show_sessions(view: View) -> Table:
+    rows = tuple(
+        (
+            session.request,
+            session.customer,
+            session.pipeline,
+            state.vm,
+            session.recoveries,
+            session.routes[-1] if session.routes else "",
+        )
+        for state in view.states
+        for session in state.sessions
+    )
+    return Table(("session", "customer", "pipeline", "node", "recoveries", "route"), rows)
+
+
+def _show_customers(view: View) -> Table:
+    rows = tuple(
+        (
+            customer.name,
+            customer.work_class,
+            customer.max_in_progress,
+            sum(session.customer == customer.name for state in view.states for session in state.sessions),
+        )
+        for customer in view.configuration.customers
+    )
+    return Table(("name", "class", "max_in_progress", "sessions"), rows)
+
+
+def _show_changes(view: View) -> Table:
+    rows = tuple(
+        (
+            change.revision,
+            change.id,
+            change.operator,
+            time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(change.time)),
+            change.summary,
+        )
+        for change in reversed(view.configuration.changes)
+    )
+    return Table(("revision", "id", "operator", "utc", "summary"), rows)
+
+
+def _show_nodes(view: View) -> Table:
+    rows = tuple(
+        (state.vm, state.node, state.data_hall, state.revision, "stopping" if state.stopping else "serving")
+        for state in view.states
+    )
+    return Table(("vm", "node", "hall", "revision", "state"), rows)
+
+
+_MAKERS: Final[dict[Topic, Callable[[View], Table]]] = {
+    Topic.PIPELINES: _show_pipelines,
+    Topic.VMS: _show_vms,
+    Topic.SESSIONS: _show_sessions,
+    Topic.CUSTOMERS: _show_customers,
+    Topic.CHANGES: _show_changes,
+    Topic.NODES: _show_nodes,
+}
+
+__all__ = ["Table", "View", "describe_standing", "describe_work", "group_servers", "make_table"]
--- a/packages/node/src/vaneturn_node/daemon.py
+++ b/packages/node/src/vaneturn_node/daemon.py
@@ -34,6 +34,7 @@
 from vaneturn_node.configuration.follower import WATCHERS, ConfigurationFollower
 from vaneturn_node.configuration.inforce import ConfigurationInForce
 from vaneturn_node.http.app import make_app
+from vaneturn_node.http.ended import EndedRequests
 from vaneturn_node.limits.admission import Admission
 from vaneturn_node.logs import configure_logs
 from vaneturn_node.metrics import Metrics
@@ -118,6 +119,7 @@
         mover=Mover(healths, caches, in_force.find_server),
         client=client,
         generations={},
+        ended=EndedRequests(),
     )
 
 
--- a/packages/node/src/vaneturn_node/http/accounting.py
+++ b/packages/node/src/vaneturn_node/http/accounting.py
@@ -7,9 +7,12 @@
 import uuid
 from dataclasses import dataclass, field
 
+import msgspec
+
 from vaneturn_core.configuration.schema import Customer
-from vaneturn_core.identifiers import ClassName, RequestId
+from vaneturn_core.identifiers import ClassName, RequestId, VmId
 from vaneturn_core.outcomes import NotRun, Unknown
+from vaneturn_node.http.ended import EndedRequest, EndedRequests
 from vaneturn_node.metrics import Metrics
 
 logger = logging.getLogger(__name__)
@@ -20,6 +23,8 @@
     """Times and outcome of one admitted request."""
 
     metrics: Metrics
+    ended: EndedRequests
+    vm: VmId
     customer: Customer
     target: str  # pipeline or service
     id: RequestId = field(default_factory=lambda: RequestId(uuid.uuid4().hex))
@@ -44,18 +49,11 @@
         reason = "" if outcome is None else outcome.reason.value
         self.metrics.observe(self.metrics.total, work_class, self.customer.name, seconds)
         self.metrics.outcomes.labels(work_class, name, reason).inc()
-        logger.info(
-            "request ended",
-            extra={
-                "request": self.id,
-                "customer": self.customer.name,
-                "target": self.target,
-                "outcome": name,
-                "reason": reason,
-                "seconds": round(seconds, 4),
-                "tokens": self.tokens,
-            },
+        ended = EndedRequest(
+            self.id, self.customer.name, self.target, name, reason, round(seconds, 4), self.tokens, self.vm
         )
+        self.ended.add(ended)
+        logger.info("request ended", extra=msgspec.structs.asdict(ended))
 
 
 __all__ = ["Account"]
--- a/packages/node/src/vaneturn_node/http/answering.py
+++ b/packages/node/src/vaneturn_node/http/answering.py
@@ -15,7 +15,7 @@
 
 from vaneturn_core.configuration.schema import Pipeline
 from vaneturn_core.engine.tokens import count_tokens
-from vaneturn_core.identifiers import SessionId
+from vaneturn_core.identifiers import RequestId, SessionId
 from vaneturn_core.outcomes import NotRun, Reason, Unknown
 from vaneturn_node.answers.generation import Generation
 from vaneturn_node.answers.request import AnswerRequest, Piece
@@ -33,7 +33,7 @@
     Delta,
     Usage,
 )
-from vaneturn_node.http.errors import answer_error, describe_error
+from vaneturn_node.http.errors import REQUEST_HEADER, answer_error, describe_error
 from vaneturn_node.http.reading import Call
 from vaneturn_node.http.rendering import render_prompt
 from vaneturn_node.peers.seal import Sealer
@@ -42,7 +42,6 @@
 DEFAULT_MAX_TOKENS: Final = 1024
 PREFIX_CHARACTERS: Final = 512  # of the prompt, which name its affinity when the caller names no session
 ROUTE_HEADER: Final = "Vaneturn-Route"
-REQUEST_HEADER: Final = "Vaneturn-Request"
 _DONE: Final = b"data: [DONE]\n\n"
 
 
@@ -75,6 +74,11 @@
         self._closed = False
         self._codec = ResumeCodec(Sealer(runtime.settings.cluster_key))
 
+    @property
+    def id(self) -> RequestId:
+        """The request's id."""
+        return self._account.id
+
     @property
     def headers(self) -> dict[str, str]:
         """Headers that name the request and the route it started on."""
@@ -171,7 +175,7 @@
         texts: list[str] = []
         async for piece in self._follow(first):
             if not isinstance(piece, Piece):
-                return answer_error(piece)
+                return answer_error(piece, request=self.id)
             texts.append(piece.text)
         prompt_tokens = count_tokens(self._request.prompt)
         completion = ChatCompletion(
--- a/packages/node/src/vaneturn_node/http/app.py
+++ b/packages/node/src/vaneturn_node/http/app.py
@@ -12,7 +12,7 @@
 from starlette.routing import Route
 
 from vaneturn_node.http.chat import complete_chat, list_models
-from vaneturn_node.http.operators import apply_change, show_change, show_configuration, show_state
+from vaneturn_node.http.operators import apply_change, show_change, show_configuration, show_ended, show_state
 from vaneturn_node.http.services import call_service
 from vaneturn_node.runtime import Runtime
 
@@ -39,6 +39,7 @@
             Route("/operator/v1/configuration", bind(show_configuration), methods=["GET"]),
             Route("/operator/v1/changes", bind(apply_change), methods=["POST"]),
             Route("/operator/v1/changes/{change}", bind(show_change), methods=["GET"]),
+            Route("/operator/v1/requests/{request}", bind(show_ended), methods=["GET"]),
             Route("/metrics", bind(_show_metrics), methods=["GET"]),
             Route("/healthz", bind(_show_health), methods=["GET"]),
             Route("/readyz", bind(_show_readiness), methods=["GET"]),
--- a/packages/node/src/vaneturn_node/http/chat.py
+++ b/packages/node/src/vaneturn_node/http/chat.py
@@ -12,14 +12,13 @@
 from vaneturn_core.identifiers import PipelineName
 from vaneturn_core.outcomes import NotRun, Reason, Unknown
 from vaneturn_node.answers.resume import ResumeCodec, ResumePoint, digest_prompt
-from vaneturn_node.http.accounting import Account
 from vaneturn_node.http.answering import Answer, AnswerResponse, ChatCall
 from vaneturn_node.http.chatformat import ChatRequest, ModelCard, ModelList
 from vaneturn_node.http.errors import answer_error
 from vaneturn_node.http.reading import RESUME_HEADER, SESSION_HEADER, Call, Malformed, find_customer, read_call
 from vaneturn_node.http.rendering import render_prompt
 from vaneturn_node.peers.seal import Sealer
-from vaneturn_node.runtime import Runtime
+from vaneturn_node.runtime import Runtime, open_account
 
 
 async def list_models(request: Request, runtime: Runtime) -> Response:
@@ -36,10 +35,11 @@
     chat = await _read_chat(request, runtime)
     if isinstance(chat, Malformed):
         return answer_error(chat.outcome, chat.message)
+    account = open_account(runtime, chat.call.customer, chat.pipeline.name)
     refusal = runtime.admission.enter(chat.call.customer)
     if refusal is not None:
-        return answer_error(refusal)
-    account = Account(runtime.metrics, chat.call.customer, chat.pipeline.name)
+        account.close(refusal)
+        return answer_error(refusal, request=account.id)
     answer = Answer(runtime, chat, account, request.headers.get(SESSION_HEADER, ""))
     response: Response | None = None
     try:
@@ -53,7 +53,7 @@
 async def _respond(answer: Answer, *, is_stream: bool) -> Response:
     first = await answer.start()
     if isinstance(first, NotRun | Unknown):
-        return answer_error(first)
+        return answer_error(first, request=answer.id)
     if is_stream or first is None:
         return AnswerResponse(answer, first)
     return await answer.collect(first)
--- /dev/null
+++ b/packages/node/src/vaneturn_node/http/ended.py
@@ -0,0 +1,45 @@
+"""The newest requests that have ended on this node, for the operators."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Final
+
+from msgspec import Struct
+
+from vaneturn_core.identifiers import CustomerName, RequestId, VmId
+
+REMEMBERED: Final = 2048  # at most, about 1 MB
+
+
+class EndedRequest(Struct, frozen=True):
+    """What became of a request."""
+
+    request: RequestId
+    customer: CustomerName
+    target: str  # pipeline or service
+    outcome: str  # completed, notrun or unknown
+    reason: str
+    seconds: float
+    tokens: int
+    vm: VmId
+
+
+class EndedRequests:
+    """Remembers so many requests, the newest ones."""
+
+    def __init__(self) -> None:
+        self._requests: OrderedDict[RequestId, EndedRequest] = OrderedDict()
+
+    def add(self, ended: EndedRequest) -> None:
+        """Remember a request."""
+        self._requests[ended.request] = ended
+        if len(self._requests) > REMEMBERED:
+            self._requests.popitem(last=False)
+
+    def find(self, request: RequestId) -> EndedRequest | None:
+        """Find a request that is still remembered."""
+        return self._requests.get(request)
+
+
+__all__ = ["EndedRequest", "EndedRequests"]
--- a/packages/node/src/vaneturn_node/http/errors.py
+++ b/packages/node/src/vaneturn_node/http/errors.py
@@ -8,9 +8,12 @@
 import msgspec
 from starlette.responses import Response
 
+from vaneturn_core.identifiers import RequestId
 from vaneturn_core.outcomes import NotRun, Reason, Unknown
 from vaneturn_node.http.chatformat import ErrorBody, ErrorDetail
 
+REQUEST_HEADER: Final = "Vaneturn-Request"  # the id under which operators find the request
+
 _STATUS: Final = {
     Reason.UNKNOWN_KEY: 401,
     Reason.UNKNOWN_MODEL: 404,
@@ -45,14 +48,14 @@
     return _STATUS.get(outcome.reason, _DEFAULT_STATUS)
 
 
-def answer_error(outcome: NotRun | Unknown, message: str = "") -> Response:
+def answer_error(outcome: NotRun | Unknown, message: str = "", request: RequestId | None = None) -> Response:
     """Answer at once; a refusal that may pass says when to come back."""
     status = find_status(outcome)
-    headers = {}
+    headers: dict[str, str] = {REQUEST_HEADER: request} if request else {}
     if isinstance(outcome, NotRun) and status >= _RETRYABLE_FROM:
         headers["Retry-After"] = str(max(1, math.ceil(outcome.retry_after)))
     body = msgspec.json.encode(describe_error(outcome, message))
     return Response(body, status, headers, "application/json")
 
 
-__all__ = ["answer_error", "describe_error", "find_status"]
+__all__ = ["REQUEST_HEADER", "answer_error", "describe_error", "find_status"]
--- a/packages/node/src/vaneturn_node/http/operators.py
+++ b/packages/node/src/vaneturn_node/http/operators.py
@@ -24,6 +24,7 @@
     Rejected,
     Unsettled,
 )
+from vaneturn_node.http.ended import EndedRequest
 from vaneturn_node.http.reading import read_bearer
 from vaneturn_node.runtime import Runtime
 
@@ -142,6 +143,14 @@
     return _encode(ChangeAnswer("applied", change))
 
 
+async def show_ended(request: Request, runtime: Runtime) -> Response:
+    """Tell what became of a request that has ended on this node."""
+    if find_operator(request, runtime) is None:
+        return refuse_operator()
+    ended = runtime.ended.find(RequestId(request.path_params["request"]))
+    return Response(status_code=404) if ended is None else _encode(ended)
+
+
 def describe_state(runtime: Runtime) -> NodeState:
     """Describe this node as it is now."""
     ejected = runtime.healths.list_ejected()
@@ -194,4 +203,4 @@
     return Response(msgspec.json.encode(body), status, media_type="application/json")
 
 
-__all__ = ["ChangeAnswer", "NodeState", "ProposalBody", "ServerState", "SessionState"]
+__all__ = ["ChangeAnswer", "EndedRequest", "NodeState", "ProposalBody", "ServerState", "SessionState"]
--- a/packages/node/src/vaneturn_node/http/services.py
+++ b/packages/node/src/vaneturn_node/http/services.py
@@ -12,13 +12,13 @@
 from starlette.responses import Response
 
 from vaneturn_core.configuration.schema import Service
-from vaneturn_core.identifiers import RepeatKey, ServiceName, VmId
+from vaneturn_core.identifiers import RepeatKey, RequestId, ServiceName, VmId
 from vaneturn_core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
 from vaneturn_node.claims.bykey import Claim
 from vaneturn_node.http.accounting import Account
 from vaneturn_node.http.errors import answer_error
 from vaneturn_node.http.reading import Call, Malformed, find_customer, read_call
-from vaneturn_node.runtime import Runtime
+from vaneturn_node.runtime import Runtime, open_account
 
 CONNECT_TIMEOUT: Final = 1.0  # seconds
 MAX_TRIES: Final = 3
@@ -40,30 +40,32 @@
     call = await read_call(request, customer, key_required=request.method not in service.repeatable_methods)
     if isinstance(call, Malformed):
         return answer_error(call.outcome, call.message)
+    account = open_account(runtime, customer, service.name)
     refusal = runtime.admission.enter(customer)
     if refusal is not None:
-        return answer_error(refusal)
+        account.close(refusal)
+        return answer_error(refusal, request=account.id)
     try:
-        return _answer(await _ServiceCall(runtime, service, request, call).run())
+        return _answer(await _ServiceCall(runtime, service, request, call, account).run(), account.id)
     finally:
         runtime.admission.leave(customer)
 
 
-def _answer(outcome: Outcome) -> Response:
+def _answer(outcome: Outcome, request: RequestId) -> Response:
     if isinstance(outcome, Completed):
         return Response(outcome.body, outcome.status, media_type=outcome.content_type)
-    return answer_error(outcome)
+    return answer_error(outcome, request=request)
 
 
 class _ServiceCall:
     """One call, with its retries where they are allowed."""
 
-    def __init__(self, runtime: Runtime, service: Service, request: Request, call: Call) -> None:
+    def __init__(self, runtime: Runtime, service: Service, request: Request, call: Call, account: Account) -> None:
         self._runtime = runtime
         self._service = service
         self._request = request
         self._call = call
-        self._account = Account(runtime.metrics, call.customer, service.name)
+        self._account = account
         self._deadline = self._account.started + call.timeout
 
     async def run(self) -> Outcome:
--- a/packages/node/src/vaneturn_node/runtime.py
+++ b/packages/node/src/vaneturn_node/runtime.py
@@ -6,6 +6,7 @@
 
 import httpx
 
+from vaneturn_core.configuration.schema import Customer
 from vaneturn_core.identifiers import NodeId, RequestId
 from vaneturn_core.limits.retrybudget import RetryBudget
 from vaneturn_core.ports import KeyValueService
@@ -16,6 +17,8 @@
 from vaneturn_node.claims.bykey import ClaimsByKey
 from vaneturn_node.configuration.changes import Changes
 from vaneturn_node.configuration.inforce import ConfigurationInForce
+from vaneturn_node.http.accounting import Account
+from vaneturn_node.http.ended import EndedRequests
 from vaneturn_node.limits.admission import Admission
 from vaneturn_node.metrics import Metrics
 from vaneturn_node.stages.health import ServerHealths
@@ -41,6 +44,12 @@
     mover: Mover
     client: httpx.AsyncClient
     generations: dict[RequestId, Generation]
+    ended: EndedRequests
 
 
-__all__ = ["Runtime"]
+def open_account(runtime: Runtime, customer: Customer, target: str) -> Account:
+    """Open the account of a request that was read and checked."""
+    return Account(runtime.metrics, runtime.ended, runtime.settings.vm, customer, target)
+
+
+__all__ = ["Runtime", "open_account"]
--- a/tests/rig/installation.py
+++ b/tests/rig/installation.py
@@ -30,12 +30,14 @@
 class Stream:
     """A streamed answer, read in parts."""
 
-    def __init__(self, response: httpx.Response) -> None:
+    def __init__(self, response: httpx.Response, resumed: Stream | None = None) -> None:
         self.response = response
-        self.text = ""
+        self.text: str = resumed.text if resumed else ""
+        self.resumes: int = resumed.resumes + 1 if resumed else 0
         self.is_whole = False
         self.error = ""
-        self.newest_id = ""
+        self.newest_id: str = resumed.newest_id if resumed else ""
+        self._coming_id = self.newest_id
         self._lines = response.iter_lines()
 
     @property
@@ -51,11 +53,12 @@
             if line is None:
                 break
             if line.startswith("id: "):
-                self.newest_id = line.removeprefix("id: ")
+                self._coming_id = line.removeprefix("id: ")
             if not line.startswith("data: "):
                 continue
             taken += 1
             self._take(line.removeprefix("data: "))
+            self.newest_id = self._coming_id  # as in the standard: an id counts once its event is whole
         return self.text
 
     def _take(self, data: str) -> None:
@@ -234,9 +237,7 @@
         body = {**body, "stream": True, **fields}
         others = {"Last-Event-ID": resume.newest_id} if resume else {}
         with self.client.stream("POST", url, json=body, headers=caller_headers(**others)) as response:
-            stream = Stream(response)
-            stream.text = resume.text if resume else ""
-            yield stream
+            yield Stream(response, resume)
 
     def read_journal(self, name: str) -> list[dict[str, Any]]:
         return read_journal(self.folder / f"{name}.journal")
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -24,7 +24,8 @@
 
 RANGES = ((0, 4), (4, 8), (8, LAYERS))
 CALLERS = 6
-MAX_TOKENS = 40
+MAX_TOKENS = 120
+MAX_CONNECTIONS = 200  # of one answer
 CUT = (httpx.TransportError, httpx.StreamError)
 
 
@@ -86,7 +87,6 @@
 
     def chat(self, rng: random.Random) -> None:
         text = f"case {rng.randrange(1000)} " + "line " * rng.randrange(60)
-        node = rng.choice(self.installation.nodes)
         max_tokens = rng.randint(1, MAX_TOKENS)
         body = {
             "model": "ledgerlm",
@@ -95,27 +95,43 @@
             "max_tokens": max_tokens,
             "stream": True,
         }
-        url = self.installation.url(node) + "/v1/chat/completions"
-        try:
-            with httpx.stream("POST", url, json=body, headers=caller_headers(), timeout=90) as response:
-                self._judge_chat(response, expect_text(text, max_tokens=max_tokens))
-        except CUT:
-            self.findings.counts["chat: node gone"] += 1
-
-    def _judge_chat(self, response: httpx.Response, expected: str) -> None:
-        if not response.is_success:
-            error = msgspec.json.decode(response.read())["error"]
+        stream = self._follow_answer(rng, body)
+        if stream is not None:
+            self._judge_answer(stream, expect_text(text, max_tokens=max_tokens))
+
+    def _follow_answer(self, rng: random.Random, body: dict[str, Any]) -> Stream | None:
+        """Follow an answer over as many nodes as it takes; none when it was refused before its first token."""
+        stream: Stream | None = None
+        for _ in range(MAX_CONNECTIONS):
+            node = rng.choice(self.installation.nodes)
+            url = self.installation.url(node) + "/v1/chat/completions"
+            others = {"Last-Event-ID": stream.newest_id} if stream else {}
+            try:
+                with httpx.stream("POST", url, json=body, headers=caller_headers(**others), timeout=90) as response:
+                    if response.is_success:
+                        stream = Stream(response, stream)
+                        stream.read()
+                        return stream
+                    error = msgspec.json.decode(response.read())["error"]
+            except CUT:
+                self.findings.counts["chat: node gone"] += 1
+                if stream is None or not stream.newest_id:
+                    return None
+                continue
             self.findings.counts[f"chat: {error['code']} {error['run']}"] += 1
-            return
-        stream = Stream(response)
-        text = stream.read()
-        if not expected.startswith(text):
-            self.findings.faults.append(f"wrong answer: {text!r} in place of {expected!r}")
-        if stream.is_whole and text != expected:
+            if stream is None:
+                return None
+            time.sleep(0.1)
+        return stream
+
+    def _judge_answer(self, stream: Stream, expected: str) -> None:
+        if not expected.startswith(stream.text):
+            self.findings.faults.append(f"wrong answer: {stream.text!r} in place of {expected!r}")
+        if stream.is_whole and stream.text != expected:
             self.findings.faults.append("an answer that was not whole was marked as whole")
-        if stream.error:
+        if not stream.is_whole:
             self.findings.faults.append(f"dropped in the middle: {stream.error}")
-        self.findings.counts["chat: whole" if stream.is_whole else "chat: cut"] += 1
+        self.findings.counts["chat: whole, resumed" if stream.resumes else "chat: whole"] += 1
 
     def post(self, rng: random.Random) -> None:
         key = f"key-{rng.randrange(10**9)}"
