--- a/bench/overload.py
+++ b/bench/overload.py
@@ -14,9 +14,14 @@
 
 from rig.installation import LAYERS, Installation, caller_headers
 from rig.measuring import take_quantile
+from vaneturn_core.engine.tokens import count_tokens, encode_prompt
+from vaneturn_node.http.chatformat import ChatMessage
+from vaneturn_node.http.rendering import render_prompt
 
 RATE = 200  # tokens a second of each of two stages
 TOKENS = 20
+PROMPT = "Remind household 12 of its bill"
+POSITIONS = TOKENS + count_tokens(encode_prompt(render_prompt([ChatMessage("user", PROMPT)])))
 GOOD = 5.0  # seconds within which an answer is of use
 
 
@@ -24,7 +29,7 @@
 class Figures:
     """What the callers saw."""
 
-    tokens: int = 0  # of answers in time
+    positions: int = 0  # of prompt and answer, of answers in time
     refusal_seconds: list[float] = field(default_factory=list)
     answer_seconds: list[float] = field(default_factory=list)
     counts: Counter[str] = field(default_factory=Counter)
@@ -45,21 +50,19 @@
 
 def send(url: str, until: float, interval: float, figures: Figures) -> None:
     """Send at a fixed pace, whatever the answers are."""
-    number = 0
     threads: list[threading.Thread] = []
     while time.monotonic() < until:
-        threads.append(threading.Thread(target=ask, args=(url, number, figures)))
+        threads.append(threading.Thread(target=ask, args=(url, figures)))
         threads[-1].start()
-        number += 1
         time.sleep(interval)
     for thread in threads:
         thread.join()
 
 
-def ask(url: str, number: int, figures: Figures) -> None:
+def ask(url: str, figures: Figures) -> None:
     body = {
         "model": "ledgerlm",
-        "messages": [{"role": "user", "content": f"bill {number}"}],
+        "messages": [{"role": "user", "content": PROMPT}],
         "seed": 7,
         "max_tokens": TOKENS,
     }
@@ -73,7 +76,7 @@
         return
     figures.answer_seconds.append(taken)
     if taken <= GOOD:
-        figures.tokens += TOKENS
+        figures.positions += POSITIONS
 
 
 def measure(load: float, seconds: float, *, admission: bool) -> Figures:
@@ -81,7 +84,7 @@
         start(installation, admission=admission)
         url = installation.url("entry-1") + "/v1/chat/completions"
         figures = Figures()
-        send(url, time.monotonic() + seconds, TOKENS / (RATE * load), figures)
+        send(url, time.monotonic() + seconds, POSITIONS / (RATE * load), figures)
     return figures
 
 
@@ -93,7 +96,7 @@
     for load in (1.0, 2.0, 10.0):
         for admission in (True, False):
             got = measure(load, options.seconds, admission=admission)
-            share = got.tokens / (RATE * options.seconds)
+            share = got.positions / (RATE * options.seconds)
             answer = take_quantile(got.answer_seconds or [0.0], 0.5)
             refusal = take_quantile(got.refusal_seconds or [0.0], 0.99)
             word = "yes" if admission else "no"
--- a/tests/standins/plainservice.py
+++ b/tests/standins/plainservice.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import argparse
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import anyio
 import msgspec
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import JSONResponse, Response
+from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
 from standins.serving import Journal, serve_app
@@ -20,6 +21,7 @@
 
     delay: float = 0.0  # seconds before a call runs
     lose_replies: int = 0  # run the call, never answer
+    truncate_replies: int = 0  # promise a longer body than is sent, then close
 
 
 def make_app(journal: Journal, name: str) -> Starlette:
@@ -34,8 +36,14 @@
         if state["faults"].lose_replies:
             state["faults"].lose_replies -= 1
             await anyio.sleep(3600)
+        if state["faults"].truncate_replies:
+            state["faults"].truncate_replies -= 1
+            return StreamingResponse(truncate(), headers={"Content-Length": "1000"})
         return JSONResponse({"server": name, "path": request.url.path, "body": body.decode()})
 
+    async def truncate() -> AsyncIterator[bytes]:
+        yield b"the beginning of an answer"
+
     async def set_faults(request: Request) -> Response:
         state["faults"] = msgspec.json.decode(await request.body(), type=Faults)
         return Response()
