End TLS at the nodes, and prove that settings faults are one line

Cause: callers' keys crossed the network in the clear unless the balancer ended TLS.

Change: a setting names certificate and key; the command line takes https addresses and an authority. Ruled out: TLS between nodes, whose datagrams and requests are sealed under the cluster key but not secret; that is left for later. What a node has seen of servers moved to the core package, as it decides and adapts nothing.

--- a/bench/joins.py
+++ b/bench/joins.py
@@ -34,9 +34,9 @@
 from vaneturn_core.configuration.schema import Server
 from vaneturn_core.engine.messages import ENCODER, ORDERS, REPLIES, Done, Reply, Step
 from vaneturn_core.identifiers import DataHall, SessionId, VmId
+from vaneturn_core.routing.health import ServerHealths
 from vaneturn_core.routing.hops import Hop
 from vaneturn_node.metrics import Metrics
-from vaneturn_node.stages.health import ServerHealths
 from vaneturn_node.stages.link import StageLink
 
 HOP = Hop(VmId("echo"), 0, 8)
--- a/packages/cli/src/vaneturn_cli/client.py
+++ b/packages/cli/src/vaneturn_cli/client.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import ssl
 from collections.abc import Sequence
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Final, TypeVar
 
 import httpx
@@ -29,9 +31,15 @@
 class OperatorClient:
     """Talks to nodes by their HTTP addresses."""
 
-    def __init__(self, nodes: Sequence[str], key: str) -> None:
+    def __init__(self, nodes: Sequence[str], key: str, authority: Path | None = None) -> None:
+        """Make a client.
+
+        :param nodes: addresses as HOST:PORT, or https://HOST:PORT where nodes end TLS.
+        :param authority: PEM file of the authority that signed the nodes' certificates, if it is not a known one.
+        """
         self.nodes = tuple(nodes)
-        self._client = httpx.Client(headers={"Authorization": f"Bearer {key}"}, timeout=TIMEOUT)
+        verify = ssl.create_default_context(cafile=authority) if authority else True
+        self._client = httpx.Client(headers={"Authorization": f"Bearer {key}"}, timeout=TIMEOUT, verify=verify)
 
     def read_state(self, node: str) -> NodeState | NoAnswer:
         """Read what one node does and sees."""
@@ -75,7 +83,7 @@
         self, node: str, method: str, path: str, kind: type[_Body], content: bytes | None = None
     ) -> _Body | NoAnswer:
         try:
-            response = self._client.request(method, f"http://{node}/operator/v1/{path}", content=content)
+            response = self._client.request(method, f"{_make_url(node)}/operator/v1/{path}", content=content)
         except httpx.HTTPError as error:
             return NoAnswer(node, type(error).__name__)
         if response.status_code == httpx.codes.UNAUTHORIZED:
@@ -86,4 +94,8 @@
             return NoAnswer(node, str(error))
 
 
+def _make_url(node: str) -> str:
+    return node if "://" in node else f"http://{node}"
+
+
 __all__ = ["NoAnswer", "OperatorClient"]
--- a/packages/cli/src/vaneturn_cli/commands.py
+++ b/packages/cli/src/vaneturn_cli/commands.py
@@ -38,7 +38,8 @@
 
 def _make_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="vaneturn", description="Ask and command the nodes of a vaneturn router.")
-    parser.add_argument("--nodes", default=os.environ.get(NODES_VARIABLE, ""), help="HTTP addresses of nodes, by comma")
+    parser.add_argument("--nodes", default=os.environ.get(NODES_VARIABLE, ""), help="addresses of nodes, by comma")
+    parser.add_argument("--authority", type=Path, help="PEM file of the authority of the nodes' certificates")
     parser.add_argument("--json", action="store_true", help="print JSON")
     verbs = parser.add_subparsers(required=True, metavar="VERB")
     _add_files(verbs.add_parser("check", help="check declarations"), check)
@@ -65,7 +66,7 @@
 
 def _make_client(options: argparse.Namespace) -> OperatorClient:
     nodes = [node for node in options.nodes.split(",") if node]
-    return OperatorClient(nodes, os.environ.get(KEY_VARIABLE, ""))
+    return OperatorClient(nodes, os.environ.get(KEY_VARIABLE, ""), options.authority)
 
 
 def _load(options: argparse.Namespace) -> Configuration | None:
--- a/packages/core/src/vaneturn_core/settings.py
+++ b/packages/core/src/vaneturn_core/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from pathlib import Path
 from typing import Annotated
 
@@ -16,6 +17,13 @@
 Seconds = Annotated[float, Meta(gt=0)]
 
 
+class TlsSettings(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Files for TLS towards callers and operators."""
+
+    certificate: str  # path of the PEM chain
+    key: str  # path of the PEM private key
+
+
 class NodeSettings(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     """What a node learns from its settings file."""
 
@@ -28,6 +36,7 @@
     seeds: tuple[Address, ...] = ()  # peer addresses to join through when the key-value service is down
     cluster_key: Annotated[str, Meta(min_length=16)]  # signs datagrams between nodes and route tokens
     operator_keys: dict[str, Annotated[str, Meta(min_length=16)]]  # operator's name to bearer key
+    tls: TlsSettings | None = None  # plain HTTP without it, for balancers that end TLS themselves
     stop_timeout: Seconds = 600.0  # longest wait for requests in progress at a planned stop
     call_timeout: Seconds = 10.0  # longest wait for one reply of a backend server
     log_level: Annotated[str, Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
@@ -36,7 +45,8 @@
 def load_settings(path: Path) -> NodeSettings | Fault:
     """Read and check a settings file; the fault names the file and the place in it."""
     try:
-        return msgspec.json.decode(path.read_bytes(), type=NodeSettings)
+        settings = msgspec.json.decode(path.read_bytes(), type=NodeSettings)
+        return _check_files(path, settings) or settings
     except OSError as error:
         return Fault(str(path), f"expected a readable JSON file ({error.strerror})")
     except msgspec.DecodeError as error:
@@ -44,4 +54,14 @@
         return Fault(f"{path}: {fault.path}", fault.expected)
 
 
-__all__ = ["Address", "NodeSettings", "load_settings"]
+def _check_files(path: Path, settings: NodeSettings) -> Fault | None:
+    """Check that the files that the settings name can be read."""
+    if settings.tls is None:
+        return None
+    for field, named in (("certificate", settings.tls.certificate), ("key", settings.tls.key)):
+        if not os.access(named, os.R_OK):
+            return Fault(f"{path}: $.tls.{field}", f"expected a readable file, got {named!r}")
+    return None
+
+
+__all__ = ["Address", "NodeSettings", "TlsSettings", "load_settings"]
--- a/packages/node/src/vaneturn_node/answers/moving.py
+++ b/packages/node/src/vaneturn_node/answers/moving.py
@@ -11,11 +11,11 @@
 
 from vaneturn_core.configuration.schema import Server
 from vaneturn_core.identifiers import VmId
+from vaneturn_core.routing.health import ServerHealths
 from vaneturn_core.routing.hops import Hop, Route
 from vaneturn_core.routing.recovery import Method, Move, choose_method, estimate_import, estimate_rebuild
 from vaneturn_node.answers.request import AnswerRequest
 from vaneturn_node.stages.cachemove import CacheMover
-from vaneturn_node.stages.health import ServerHealths
 
 CHECK_INTERVAL: Final = 0.25  # seconds between looks at the hops of one answer
 SLOW_RATIO: Final = 5.0  # a hop so many times slower than it was at best is moved
--- a/packages/node/src/vaneturn_node/answers/placement.py
+++ b/packages/node/src/vaneturn_node/answers/placement.py
@@ -8,9 +8,9 @@
 from vaneturn_core.identifiers import PipelineName, VmId
 from vaneturn_core.routing.choice import choose_route
 from vaneturn_core.routing.flow import Flow, compute_flow
+from vaneturn_core.routing.health import ServerHealths
 from vaneturn_core.routing.hops import Hop, Route
 from vaneturn_node.metrics import Metrics
-from vaneturn_node.stages.health import ServerHealths
 from vaneturn_node.stages.pool import LinkPool
 
 
--- a/packages/node/src/vaneturn_node/daemon.py
+++ b/packages/node/src/vaneturn_node/daemon.py
@@ -28,6 +28,7 @@
 from vaneturn_core.membership.member import Member
 from vaneturn_core.membership.table import MemberTable
 from vaneturn_core.ports import Unavailable, VmList
+from vaneturn_core.routing.health import LeavingSource, ServerHealths
 from vaneturn_core.settings import NodeSettings, load_settings
 from vaneturn_node.answers.moving import Mover
 from vaneturn_node.answers.placement import Placement
@@ -50,7 +51,6 @@
 from vaneturn_node.platform.vms import HttpVmList
 from vaneturn_node.runtime import Runtime
 from vaneturn_node.stages.cachemove import CacheMover
-from vaneturn_node.stages.health import LeavingSource, ServerHealths
 from vaneturn_node.stages.pool import LinkPool
 
 EXIT_SETTINGS: Final = 2
@@ -145,6 +145,9 @@
     config.bind = [runtime.settings.http_address]
     config.graceful_timeout = 2.0
     config.keep_alive_timeout = 75.0
+    if runtime.settings.tls is not None:
+        config.certfile = runtime.settings.tls.certificate
+        config.keyfile = runtime.settings.tls.key
     config.accesslog = None
     config.errorlog = logging.getLogger("hypercorn.error")
     logger.info("serving", extra={"address": runtime.settings.http_address})
--- a/packages/node/src/vaneturn_node/peers/sharing.py
+++ b/packages/node/src/vaneturn_node/peers/sharing.py
@@ -10,11 +10,11 @@
 
 from vaneturn_core.configuration.schema import Configuration
 from vaneturn_core.identifiers import Revision, VmId
+from vaneturn_core.routing.health import LeavingSource, ServerHealths
 from vaneturn_node.configuration.inforce import ConfigurationInForce
 from vaneturn_node.peers.gossip import Gossip
 from vaneturn_node.peers.messages import ConfigurationDocument, FetchConfiguration
 from vaneturn_node.peers.requests import PeerClient
-from vaneturn_node.stages.health import LeavingSource, ServerHealths
 
 FETCH_TIMEOUT: Final = 2.0  # seconds
 MARK_LIFE: Final = 15.0  # seconds that a peer's leaving mark holds after it was last told
--- a/packages/node/src/vaneturn_node/runtime.py
+++ b/packages/node/src/vaneturn_node/runtime.py
@@ -10,6 +10,7 @@
 from vaneturn_core.identifiers import NodeId, RequestId
 from vaneturn_core.limits.retrybudget import RetryBudget
 from vaneturn_core.ports import KeyValueService
+from vaneturn_core.routing.health import ServerHealths
 from vaneturn_core.settings import NodeSettings
 from vaneturn_node.answers.generation import Generation
 from vaneturn_node.answers.moving import Mover
@@ -23,7 +24,6 @@
 from vaneturn_node.limits.admission import Admission
 from vaneturn_node.metrics import Metrics
 from vaneturn_node.peers.requests import PeerClient
-from vaneturn_node.stages.health import ServerHealths
 from vaneturn_node.stages.pool import LinkPool
 
 
--- a/packages/node/src/vaneturn_node/stages/link.py
+++ b/packages/node/src/vaneturn_node/stages/link.py
@@ -15,9 +15,9 @@
 from vaneturn_core.configuration.schema import Server
 from vaneturn_core.engine.messages import ENCODER, LINK_PATH, REPLIES, Done, Leaving, Order, Refused, Reply, Step
 from vaneturn_core.identifiers import SessionId
+from vaneturn_core.routing.health import LeavingSource, ServerHealths
 from vaneturn_core.routing.hops import Hop
 from vaneturn_node.metrics import Metrics
-from vaneturn_node.stages.health import LeavingSource, ServerHealths
 from vaneturn_node.stages.window import StepWindow
 
 CONNECT_TIMEOUT: Final = 1.0  # seconds
--- a/packages/node/src/vaneturn_node/stages/pool.py
+++ b/packages/node/src/vaneturn_node/stages/pool.py
@@ -7,8 +7,8 @@
 
 from vaneturn_core.configuration.schema import Configuration, Server
 from vaneturn_core.identifiers import VmId
+from vaneturn_core.routing.health import ServerHealths
 from vaneturn_node.metrics import Metrics
-from vaneturn_node.stages.health import ServerHealths
 from vaneturn_node.stages.link import StageLink
 
 
--- /dev/null
+++ b/tests/core/routing/test_health.py
@@ -0,0 +1,89 @@
+"""Servers are ejected after failures within a cap, and their limits and timeouts follow what was seen."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from vaneturn_core.identifiers import VmId
+from vaneturn_core.routing.health import (
+    EJECTION,
+    FAILURES_TO_EJECT,
+    MAX_EJECTED_SHARE,
+    MIN_LIMIT,
+    LeavingSource,
+    ServerHealth,
+    ServerHealths,
+)
+
+SERVERS = [VmId(f"vm-{number}") for number in range(6)]
+
+
+class Clock:
+    """A clock that a test sets."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def make_healths(clock: Clock | None = None) -> ServerHealths:
+    healths = ServerHealths(clock or Clock())
+    for vm in SERVERS:
+        healths.record_reply(vm, 0.01)
+    return healths
+
+
+@given(st.lists(st.sampled_from(SERVERS), max_size=100))
+def test_ejections_never_exceed_the_cap(failing: list[VmId]) -> None:
+    healths = make_healths()
+    for vm in failing:
+        healths.record_failure(vm)
+        assert len(healths.list_ejected()) <= MAX_EJECTED_SHARE * len(SERVERS)
+
+
+def test_ejection_ends_and_grows_while_failures_go_on() -> None:
+    clock = Clock()
+    healths = make_healths(clock)
+    for _ in range(FAILURES_TO_EJECT):
+        healths.record_failure(SERVERS[0])
+    assert healths.list_ejected() == {SERVERS[0]}
+    clock.now = EJECTION + 0.1
+    assert not healths.list_ejected()
+    healths.record_failure(SERVERS[0])
+    clock.now += 1.5 * EJECTION
+    assert healths.list_ejected() == {SERVERS[0]}
+
+
+def test_limit_falls_when_replies_slow_down_and_never_below_the_least() -> None:
+    health = ServerHealth()
+    for _ in range(20):
+        health.record_reply(0.01, 1, 0.0)
+    before = health.limit
+    for _ in range(200):
+        health.record_reply(1.0, 1, 0.0)
+    assert MIN_LIMIT <= health.limit < before
+
+
+def test_slowness_is_forgotten_without_replies() -> None:
+    clock = Clock()
+    healths = make_healths(clock)
+    for _ in range(50):
+        healths.record_reply(SERVERS[0], 1.0)
+    slow = healths.estimate_latency(SERVERS[0])
+    clock.now = 60.0
+    assert healths.estimate_latency(SERVERS[0]) < slow / 10
+
+
+@pytest.mark.parametrize("source", LeavingSource)
+def test_any_source_bars_a_server_until_it_takes_its_word_back(source: LeavingSource) -> None:
+    healths = make_healths()
+    heard: list[frozenset[VmId]] = []
+    healths.on_leaving(lambda: heard.append(healths.list_leaving()))
+    healths.mark_leaving(SERVERS[0], source)
+    healths.mark_leaving(SERVERS[0], source)
+    healths.unmark_leaving(SERVERS[0], source)
+    assert heard == [frozenset({SERVERS[0]}), frozenset()]
--- /dev/null
+++ b/tests/core/test_settings.py
@@ -0,0 +1,59 @@
+"""A wrong or missing setting is one line that names the file, the place and what was expected."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from vaneturn_core.faults import Fault
+from vaneturn_core.settings import load_settings
+from vaneturn_node.daemon import EXIT_SETTINGS, main
+
+GOOD = {
+    "vm": "entry-1",
+    "data_hall": "osborne",
+    "http_address": "127.0.0.1:8080",
+    "peer_address": "127.0.0.1:7946",
+    "key_value_url": "http://127.0.0.1:2400",
+    "cluster_key": "a-key-that-is-long-enough",
+    "operator_keys": {"anna": "a-key-that-is-long-enough"},
+}
+
+
+def write(folder: Path, **changes: object) -> Path:
+    path = folder / "node.json"
+    path.write_text(json.dumps({name: value for name, value in {**GOOD, **changes}.items() if value is not None}))
+    return path
+
+
+def test_good_settings_pass(tmp_path: Path) -> None:
+    assert main(["--settings", str(write(tmp_path)), "--check"]) == 0
+
+
+@pytest.mark.parametrize(
+    ("changes", "place"),
+    [
+        pytest.param({"vm": None}, "vm", id="missing"),
+        pytest.param({"http_address": "localhost:80"}, "$.http_address", id="a name in place of an IP number"),
+        pytest.param({"cluster_key": "short"}, "$.cluster_key", id="short key"),
+        pytest.param({"unknown": 1}, "unknown", id="unknown"),
+        pytest.param({"tls": {"certificate": "/none", "key": "/none"}}, "$.tls.certificate", id="unreadable file"),
+    ],
+)
+def test_fault_is_one_line_with_its_place(
+    tmp_path: Path, changes: dict[str, object], place: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = write(tmp_path, **changes)
+    assert main(["--settings", str(path)]) == EXIT_SETTINGS
+    printed = capsys.readouterr().err
+    assert printed.count("\n") == 1
+    assert str(path) in printed
+    assert place in printed
+
+
+def test_unreadable_file_is_named(tmp_path: Path) -> None:
+    fault = load_settings(tmp_path / "none.json")
+    assert isinstance(fault, Fault)
+    assert "none.json" in str(fault)
