Hand the slots over at a planned stop

Change: a stopping owner takes no claim any more, writes the map without itself, and gives each slot's claims to its next owner, which serves at once. A lost word leaves the next owner with the wait and the refusals of a death.

--- a/packages/core/src/vaneturn_core/claims/ledger.py
+++ b/packages/core/src/vaneturn_core/claims/ledger.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import uuid
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Final
 
+from msgspec import Struct
+
 from vaneturn_core.identifiers import CustomerName, RepeatKey
 
 CLOCK_MARGIN: Final = 2.0  # seconds by which the clocks of callers and nodes may differ
@@ -38,6 +41,14 @@
     return (key.int >> _TIME_SHIFT) / 1000 if key.version == 7 else None  # noqa: PLR2004 # the version with a time
 
 
+class LedgerEntry(Struct, frozen=True, array_like=True):
+    """One claim."""
+
+    customer: CustomerName
+    repeat_key: RepeatKey
+    claim: str
+
+
 @dataclass
 class SlotLedger:
     """The claims of one slot."""
@@ -67,6 +78,16 @@
         if self._claims.get((customer, repeat_key)) == claim:
             del self._claims[customer, repeat_key]
 
+    def list_claims(self) -> list[LedgerEntry]:
+        """List all claims, for the next owner."""
+        return [LedgerEntry(customer, key, claim) for (customer, key), claim in self._claims.items()]
+
+    def take_over(self, taken_at: float, entries: Iterable[LedgerEntry]) -> None:
+        """Go on where an owner stopped that has given all its claims and takes none any more."""
+        self.taken_at = min(self.taken_at, taken_at)
+        for entry in entries:
+            self._claims.setdefault((entry.customer, entry.repeat_key), entry.claim)
+
     def _forget(self, now: float) -> None:
         self._since_forgetting = 0
         for customer, key in list(self._claims):
@@ -78,4 +99,4 @@
         return len(self._claims)
 
 
-__all__ = ["CLOCK_MARGIN", "REMEMBERED", "SlotLedger", "Verdict", "read_key_time"]
+__all__ = ["CLOCK_MARGIN", "REMEMBERED", "LedgerEntry", "SlotLedger", "Verdict", "read_key_time"]
--- a/packages/node/src/vaneturn_node/claims/ownership.py
+++ b/packages/node/src/vaneturn_node/claims/ownership.py
@@ -14,11 +14,14 @@
 from vaneturn_core.claims.slots import SLOTS_KEY, SlotMap, SlotOwner, find_slot, reassign_slots
 from vaneturn_core.identifiers import CustomerName, RepeatKey, StoreVersion
 from vaneturn_core.membership.table import MemberTable
-from vaneturn_core.ports import Entry, KeyValueService, Unavailable
+from vaneturn_core.ports import Conflict, Entry, KeyValueService, Unavailable
+from vaneturn_node.peers.messages import HandOver
+from vaneturn_node.peers.requests import PeerClient
 
 CONFIRM_INTERVAL: Final = 2.0  # seconds; one waiting watch of each owner
 CONFIRM_BOUND: Final = 6.0  # seconds after which an owner that could not confirm its epoch takes nothing
 RETRY: Final = 0.3  # seconds, full jitter
+HAND_OVER_TIMEOUT: Final = 2.0  # seconds
 IDLE: Final = 1.0  # seconds between looks whether this node has a part in the slots
 ASSIGNERS: Final = 2  # nodes of each data hall that look after the map besides the owners
 
@@ -40,6 +43,7 @@
         self._confirmed_at = float("-inf")
         self._accept_from: dict[int, float] = {}  # for each own slot, on the clock of read_clock
         self._ledgers: dict[int, SlotLedger] = {}
+        self._is_stopping = False
         self.map = SlotMap()
 
     async def run(self) -> None:
@@ -91,10 +95,39 @@
     async def _assign(self) -> None:
         """Give the slots of owners that are gone to others."""
         wanted = reassign_slots(self.map, self._table.list_alive())
-        if wanted is None:
+        if wanted is None or self._is_stopping:
             return
+        await self._write(wanted)
+
+    async def hand_over(self, client: PeerClient) -> None:
+        """At a planned stop give each slot with its claims to another node, so that no key has to be refused."""
+        self._is_stopping = True  # from here on no claim is taken, so what is handed over is all there is
+        if not self._ledgers or not await self.refresh(0.0):
+            return
+        staying = [member for member in self._table.list_alive() if member.node != self._table.own.node]
+        wanted = reassign_slots(self.map, staying)
+        if wanted is None or not isinstance(await self._write(wanted), int):
+            return
+        async with anyio.create_task_group() as tasks:
+            for slot, ledger in self._ledgers.items():
+                owner = wanted.find_owner(slot)
+                if owner is not None:
+                    given = HandOver(wanted.epoch, slot, ledger.taken_at, ledger.list_claims())
+                    tasks.start_soon(client.ask, owner.address, given, HAND_OVER_TIMEOUT)
+
+    async def take_over(self, given: HandOver) -> None:
+        """Go on with a slot at once, if this node is its next owner."""
+        if self.map.epoch < given.epoch:
+            await self.refresh(0.0)
+        if self.map.epoch != given.epoch or given.slot not in self._accept_from:
+            return
+        self._ledgers[given.slot].take_over(given.taken_at, given.claims)
+        self._accept_from[given.slot] = read_clock()
+
+    async def _write(self, wanted: SlotMap) -> StoreVersion | Conflict | Unavailable:
         written = await self._store.write(SLOTS_KEY, msgspec.json.encode(wanted), self._version)
         logger.info("slots assigned", extra={"epoch": wanted.epoch, "result": str(written)})
+        return written
 
     def find_owner(self, customer: CustomerName, repeat_key: RepeatKey) -> SlotOwner | None:
         """Find the owner of a key's slot by the newest map known."""
@@ -117,7 +150,7 @@
     def _find_ledger(self, slot: int) -> SlotLedger | None:
         """Find the ledger of an own slot, if this node is sure of it now."""
         clock = read_clock()
-        if clock >= self._confirmed_at + CONFIRM_BOUND:
+        if self._is_stopping or clock >= self._confirmed_at + CONFIRM_BOUND:
             return None
         if clock < self._accept_from.get(slot, float("inf")):
             return None
--- a/packages/node/src/vaneturn_node/peers/messages.py
+++ b/packages/node/src/vaneturn_node/peers/messages.py
@@ -7,7 +7,7 @@
 import msgspec
 from msgspec import Struct
 
-from vaneturn_core.claims.ledger import Verdict
+from vaneturn_core.claims.ledger import LedgerEntry, Verdict
 from vaneturn_core.identifiers import CustomerName, RepeatKey, Revision, VmId
 from vaneturn_core.membership.member import Member
 
@@ -78,11 +78,20 @@
     claim: str
 
 
+class HandOver(Struct, frozen=True, tag=16, array_like=True):
+    """Give a slot's claims to its next owner; the sender takes none any more."""
+
+    epoch: int  # of the map that names the next owner
+    slot: int
+    taken_at: float  # from when on the sender could vouch for keys, seconds since the epoch
+    claims: list[LedgerEntry]
+
+
 class Received(Struct, frozen=True, tag=15, array_like=True):
     """The request was taken and needs no other answer."""
 
 
-Query = FetchConfiguration | ClaimRequest | ReleaseRequest
+Query = FetchConfiguration | ClaimRequest | ReleaseRequest | HandOver
 Answer = ConfigurationDocument | ClaimAnswer | Received
 
 DATAGRAMS: Final = msgspec.msgpack.Decoder(Datagram)
@@ -102,6 +111,7 @@
     "ConfigurationDocument",
     "Datagram",
     "FetchConfiguration",
+    "HandOver",
     "Ping",
     "PingFor",
     "Query",
--- a/packages/node/src/vaneturn_node/peers/wiring.py
+++ b/packages/node/src/vaneturn_node/peers/wiring.py
@@ -17,6 +17,7 @@
     ClaimRequest,
     ConfigurationDocument,
     FetchConfiguration,
+    HandOver,
     Query,
     Received,
     ReleaseRequest,
@@ -46,7 +47,8 @@
             tasks.start_soon(join_meeting, self.runtime.store, self.gossip)
 
     async def stop(self) -> None:
-        """Tell the others that this node stops."""
+        """Give away what others must go on with, and tell them that this node stops."""
+        await self.runtime.ownership.hand_over(self.runtime.peer_client)
         await self.gossip.stop()
 
     async def _own_slots(self) -> None:
@@ -65,6 +67,9 @@
             case ReleaseRequest(customer, repeat_key, claim):
                 self.runtime.ownership.release(customer, repeat_key, claim)
                 return Received()
+            case HandOver():
+                await self.runtime.ownership.take_over(query)
+                return Received()
         return None
 
 
--- a/tests/rig/proofs.py
+++ b/tests/rig/proofs.py
@@ -163,6 +163,17 @@
             ),
         ),
     ),
+    Proof(
+        "a stopping owner hands its slots over",
+        "tests/system/test_slots.py::test_planned_stop_hands_the_slots_over",
+        (
+            Edit(
+                f"{NODE}/peers/wiring.py",
+                "        await self.runtime.ownership.hand_over(self.runtime.peer_client)\n",
+                "",
+            ),
+        ),
+    ),
     Proof(
         "a resumed answer fences the node that lost it",
         "tests/system/test_resume.py::test_frozen_node_that_thaws_does_not_disturb_its_successor",
--- a/tests/system/test_slots.py
+++ b/tests/system/test_slots.py
@@ -93,6 +93,17 @@
         post_until_served(trio, "entry-1")
 
 
+def test_planned_stop_hands_the_slots_over(trio: Installation) -> None:
+    keys = [make_key() for _ in range(40)]
+    assert all(post(trio, "entry-1", key).is_success for key in keys)
+    made_before = [make_key() for _ in range(40)]
+    trio.processes["entry-0"].send(signal.SIGTERM)
+    assert trio.processes["entry-0"].popen.wait(timeout=30) == 0
+    assert not any(post(trio, "entry-1", key).is_success for key in keys)
+    assert all(post(trio, "entry-1", key).is_success for key in made_before)
+    assert all(count_calls(trio, key) == 1 for key in keys + made_before)
+
+
 def test_long_outage_of_the_store_refuses_as_not_run(trio: Installation) -> None:
     trio.set_faults("kv", down=True)
 
