Never turn a resumed answer away, and look a request's class up once

Cause: reading the code as a newcomer would: an answer that is resumed at a busy node could be refused as overload, though it is in progress; and the class of a customer was looked up anew after the body was read, so that a change of configuration in between could end the request with a fault of ours.

Change: a resumed answer enters beyond the limit; the class is taken from the view that the customer came from.

--- a/packages/node/src/vaneturn_node/http/answering.py
+++ b/packages/node/src/vaneturn_node/http/answering.py
@@ -13,7 +13,7 @@
 from starlette.responses import Response, StreamingResponse
 from starlette.types import Receive, Scope, Send
 
-from vaneturn_core.configuration.schema import Pipeline
+from vaneturn_core.configuration.schema import Pipeline, WorkClass
 from vaneturn_core.engine.tokens import count_tokens
 from vaneturn_core.identifiers import RequestId, SessionId
 from vaneturn_core.outcomes import NotRun, Reason, Unknown
@@ -51,6 +51,7 @@
 
     call: Call
     body: ChatRequest
+    work_class: WorkClass
     pipeline: Pipeline
     prompt: bytes  # tokens
     resumed: ResumePoint | None
@@ -93,14 +94,13 @@
         chat = self._chat
         text = render_prompt(chat.body.messages)
         affinity = session_name or chat.body.user or xxhash.xxh3_64_hexdigest(text[:PREFIX_CHARACTERS].encode())
-        work_class = self._runtime.in_force.view.find_class(chat.call.customer)
         resumed = chat.resumed
         return AnswerRequest(
             id=self._account.id,
             session=resumed.session if resumed else SessionId(self._account.id),
             customer=chat.call.customer.name,
-            work_class=work_class.name,
-            priority=work_class.priority,
+            work_class=chat.work_class.name,
+            priority=chat.work_class.priority,
             pipeline=chat.pipeline,
             prompt=chat.prompt,
             seed=resumed.seed if resumed else self._choose_seed(),
@@ -147,9 +147,13 @@
         return None
 
     async def _enter_pipeline(self) -> NotRun | None:
-        customer = self._chat.call.customer
-        work_class = self._runtime.in_force.view.find_class(customer)
-        refusal = await self._runtime.admission.enter_pipeline(self._chat.pipeline, customer, work_class)
+        """Wait for a place; a resumed answer is in progress already and is never turned away."""
+        chat, admission = self._chat, self._runtime.admission
+        if chat.resumed is not None:
+            admission.enter_resumed(chat.pipeline)
+            self._has_place = True
+            return None
+        refusal = await admission.enter_pipeline(chat.pipeline, chat.call.customer, chat.work_class)
         self._has_place = refusal is None
         return refusal
 
--- a/packages/node/src/vaneturn_node/http/chat.py
+++ b/packages/node/src/vaneturn_node/http/chat.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import msgspec
 from starlette.requests import Request
 from starlette.responses import Response
@@ -74,7 +76,8 @@
     pipeline = view.find_pipeline(PipelineName(body.model))
     if pipeline is None:
         return Malformed(NotRun(Reason.UNKNOWN_MODEL), f"unknown model {body.model!r}")
-    return _read_resumption(request, runtime, ChatCall(call, body, pipeline, _encode_messages(body), None))
+    chat = ChatCall(call, body, view.find_class(customer), pipeline, _encode_messages(body), None)
+    return _read_resumption(request, runtime, chat)
 
 
 def _encode_messages(body: ChatRequest) -> bytes:
@@ -90,7 +93,7 @@
     if point is None or not _belongs(point, chat.call, chat.pipeline, chat.prompt):
         return Malformed(NotRun(Reason.NOT_RESUMABLE), f"{RESUME_HEADER} is not the id of an event of this request")
     pipeline = msgspec.structs.replace(chat.pipeline, version=point.version)
-    return ChatCall(chat.call, chat.body, pipeline, chat.prompt, point)
+    return replace(chat, pipeline=pipeline, resumed=point)
 
 
 def _belongs(point: ResumePoint, call: Call, pipeline: Pipeline, prompt: bytes) -> bool:
--- a/packages/node/src/vaneturn_node/limits/admission.py
+++ b/packages/node/src/vaneturn_node/limits/admission.py
@@ -101,6 +101,10 @@
         gate.queue.remove(place)
         return NotRun(Reason.OVERLOAD, retry_after=expected)
 
+    def enter_resumed(self, pipeline: Pipeline) -> None:
+        """Enter a pipeline beyond its limit with an answer that another node had let in."""
+        self._gates.setdefault(pipeline.name, _Gate()).in_progress += 1
+
     def leave_pipeline(self, pipeline: Pipeline, seconds: float) -> None:
         """Give a place back.
 
--- a/tests/rig/proofs.py
+++ b/tests/rig/proofs.py
@@ -187,6 +187,11 @@
             ),
         ),
     ),
+    Proof(
+        "a resumed answer is let in beyond the limit",
+        "tests/system/test_resume.py::test_resumed_answer_is_not_turned_away_when_the_pipeline_is_full",
+        (Edit(f"{NODE}/http/answering.py", "        if chat.resumed is not None:\n", "        if False:\n"),),
+    ),
     Proof(
         "an answer is resumed with its tokens",
         "tests/system/test_resume.py::test_answer_goes_on_at_another_node",
--- a/tests/system/test_resume.py
+++ b/tests/system/test_resume.py
@@ -65,6 +65,21 @@
         assert stream.error == "superseded"
 
 
+def test_resumed_answer_is_not_turned_away_when_the_pipeline_is_full(pair: Installation) -> None:
+    pair.declared["pipelines"][0]["token_time"] = 0.000001  # two answers at a time
+    pair.declared["classes"][0]["max_wait"] = 0
+    pair.apply_everywhere()
+    stream = cut(pair)
+    with (
+        pair.stream("first", node="entry-2", max_tokens=TOKENS) as first,
+        pair.stream("second", node="entry-2", max_tokens=TOKENS) as second,
+    ):
+        assert pair.chat("third", node="entry-2").status_code == httpx.codes.SERVICE_UNAVAILABLE
+        assert go_on(pair, stream).text == expect_text(TEXT, max_tokens=TOKENS)
+        assert first.read() == expect_text("first", max_tokens=TOKENS)
+        assert second.read() == expect_text("second", max_tokens=TOKENS)
+
+
 def test_lost_end_mark_is_given_again(pair: Installation) -> None:
     with pair.stream(TEXT, max_tokens=5) as stream:
         stream.read(5)
