Give each test process its own block of ports; let lost links share a rate of attempts

Cause: a run of make test from a fresh clone beside a measurement ended with 180 passed and 1 error: two processes had picked the same port, and a node could not bind (address already in use).

The longest wait between attempts is 2 s, or a tenth of a second for each link that is down.

--- a/bench/joins.py
+++ b/bench/joins.py
@@ -30,7 +30,8 @@
 from websockets.exceptions import ConnectionClosed
 
 from rig.measuring import take_quantile
-from rig.processes import find_port, wait_until
+from rig.ports import find_port
+from rig.processes import wait_until
 from vaneturn_core.configuration.schema import Server
 from vaneturn_core.engine.messages import ENCODER, ORDERS, REPLIES, Done, Reply, Step
 from vaneturn_core.identifiers import DataHall, SessionId, VmId
@@ -119,7 +120,7 @@
 
 async def measure_link(port: int, sessions: int, steps: int) -> float:
     server = Server(vm=HOP.vm, address=f"127.0.0.1:{port}", data_hall=DataHall("osborne"))
-    link = StageLink(server, ServerHealths(), Metrics())
+    link = StageLink(server, ServerHealths(), Metrics(), lambda: 0)
 
     async def run(session: int, position: int) -> object:
         return await link.run_step(make_step(session, position), HOP, 60)
--- a/packages/node/src/vaneturn_node/stages/link.py
+++ b/packages/node/src/vaneturn_node/stages/link.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -23,7 +24,8 @@
 
 CONNECT_TIMEOUT: Final = 1.0  # seconds
 FIRST_BACKOFF: Final = 0.05  # seconds between attempts to connect, doubled up to the last, with jitter
-LAST_BACKOFF: Final = 10.0
+LAST_BACKOFF: Final = 2.0  # seconds, while few links are down
+DOWN_SHARE: Final = 0.1  # seconds of backoff for each link that is down, so that a lost data hall costs no more
 PING_INTERVAL: Final = 20.0  # seconds; a dead server in use is noticed by its steps, this finds idle ones
 PING_TIMEOUT: Final = 5.0
 MAX_FRAME: Final = 64 << 20  # bytes
@@ -56,8 +58,13 @@
 class StageLink:
     """Sends orders in batches and hands each reply to the step that awaits it."""
 
-    def __init__(self, server: Server, healths: ServerHealths, metrics: Metrics) -> None:
+    def __init__(self, server: Server, healths: ServerHealths, metrics: Metrics, count_down: Callable[[], int]) -> None:
+        """Make a link that is not connected yet.
+
+        :param count_down: counts the links of this node that are down.
+        """
         self.server = server
+        self._count_down = count_down
         self._healths = healths
         self._metrics = metrics
         self._outgoing: list[Order] = []
@@ -139,7 +146,7 @@
             except* (OSError, TimeoutError, WebSocketException, msgspec.DecodeError) as errors:
                 logger.info("stage link down", extra={"server": self.server.vm, "cause": repr(errors.exceptions[0])})
             await anyio.sleep(random.uniform(backoff / 2, backoff))
-            backoff = min(LAST_BACKOFF, backoff * 2)
+            backoff = min(max(LAST_BACKOFF, DOWN_SHARE * self._count_down()), backoff * 2)
 
     async def _use(self, connection: ClientConnection) -> None:
         self._outgoing.clear()
--- a/packages/node/src/vaneturn_node/stages/pool.py
+++ b/packages/node/src/vaneturn_node/stages/pool.py
@@ -41,7 +41,7 @@
                 self._start(server)
 
     def _start(self, server: Server) -> None:
-        link = StageLink(server, self._healths, self._metrics)
+        link = StageLink(server, self._healths, self._metrics, lambda: len(self.list_down()))
         scope = anyio.CancelScope()
         self._links[server.vm] = link
         self._scopes[server.vm] = scope
--- a/tests/rig/installation.py
+++ b/tests/rig/installation.py
@@ -16,7 +16,8 @@
 import httpx
 import msgspec
 
-from rig.processes import Process, answers, find_port, wait_until
+from rig.ports import find_port
+from rig.processes import Process, answers, wait_until
 from standins.model import Sampled, Weights, generate
 from standins.serving import read_journal
 from vaneturn_core.engine.tokens import encode_prompt
--- a/tests/rig/processes.py
+++ b/tests/rig/processes.py
@@ -3,33 +3,19 @@
 from __future__ import annotations
 
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
 from collections.abc import Callable, Sequence
-from contextlib import suppress
 from pathlib import Path
 
 import httpx
 
 TESTS = Path(__file__).parents[1]
-PORTS = (10_000, 32_000)
 START_TIMEOUT = 30.0  # seconds; generous, for busy machines
 
 
-def find_port() -> int:
-    """Find a port below those that the system gives to outgoing connections, which could take it meanwhile."""
-    while True:
-        port = random.randrange(*PORTS)
-        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagrams, suppress(OSError):
-            stream.bind(("127.0.0.1", port))
-            datagrams.bind(("127.0.0.1", port))
-            return port
-
-
 def wait_until(condition: Callable[[], bool], timeout: float = START_TIMEOUT, interval: float = 0.02) -> None:
     until = time.monotonic() + timeout
     while not condition():
@@ -72,4 +58,4 @@
             self.kill()
 
 
-__all__ = ["Process", "answers", "find_port", "wait_until"]
+__all__ = ["Process", "answers", "wait_until"]
