Make the body of a chat request in one place

Cause: six tests and tools wrote the same body out, and a stand-in that never answers slept an hour in place of for ever.

Change: make_chat and CHAT_PATH in the rig; the stand-in sleeps until it is ended. No assertion changed.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -12,7 +12,7 @@
 
 import httpx
 
-from rig.installation import LAYERS, Installation, caller_headers
+from rig.installation import CHAT_PATH, LAYERS, Installation, caller_headers, make_chat
 from rig.measuring import take_quantile
 from vaneturn_core.engine.tokens import count_tokens, encode_prompt
 from vaneturn_node.http.chatformat import ChatMessage
@@ -61,12 +61,7 @@
 
 
 def ask(url: str, figures: Figures) -> None:
-    body = {
-        "model": "ledgerlm",
-        "messages": [{"role": "user", "content": PROMPT}],
-        "seed": 7,
-        "max_tokens": TOKENS,
-    }
+    body = make_chat(PROMPT, max_tokens=TOKENS)
     headers = caller_headers(**{"Vaneturn-Timeout": "30"})
     started = time.monotonic()
     response = CLIENT.post(url, json=body, headers=headers)
@@ -83,7 +78,7 @@
 def measure(load: float, seconds: float, *, admission: bool) -> Figures:
     with tempfile.TemporaryDirectory() as folder, Installation(Path(folder)) as installation:
         start(installation, admission=admission)
-        url = installation.url("entry-1") + "/v1/chat/completions"
+        url = installation.url("entry-1") + CHAT_PATH
         figures = Figures()
         send(url, time.monotonic() + seconds, POSITIONS / (RATE * load), figures)
     return figures
--- a/tests/rig/demo.py
+++ b/tests/rig/demo.py
@@ -10,7 +10,16 @@
 import httpx
 import msgspec
 
-from rig.installation import CUSTOMER_KEY, LAYERS, OPERATOR_KEY, Installation, caller_headers, expect_text
+from rig.installation import (
+    CHAT_PATH,
+    CUSTOMER_KEY,
+    LAYERS,
+    OPERATOR_KEY,
+    Installation,
+    caller_headers,
+    expect_text,
+    make_chat,
+)
 from vaneturn_cli.commands import main as run_command
 from vaneturn_node.http.chatformat import Chunk
 
@@ -32,14 +41,8 @@
 
 def stream_answer(installation: Installation) -> tuple[str, str]:
     """Print the answer as it comes; give it back with its route."""
-    body = {
-        "model": "ledgerlm",
-        "messages": [{"role": "user", "content": PROMPT}],
-        "seed": 7,
-        "max_tokens": 24,
-        "stream": True,
-    }
-    url = installation.url("entry-1") + "/v1/chat/completions"
+    body = make_chat(PROMPT, stream=True)
+    url = installation.url("entry-1") + CHAT_PATH
     text = ""
     with httpx.stream("POST", url, json=body, headers=caller_headers(CUSTOMER_KEY), timeout=30) as response:
         response.raise_for_status()
--- a/tests/rig/installation.py
+++ b/tests/rig/installation.py
@@ -28,6 +28,7 @@
 CUSTOMER_KEY = "customer-key-for-tests"
 PIPELINE = "ledgerlm"
 LAYERS = 12
+CHAT_PATH = "/v1/chat/completions"
 TIMEOUT = 60.0
 
 
@@ -229,18 +230,16 @@
     # callers
 
     def chat(self, text: str, node: str | None = None, key: str = CUSTOMER_KEY, **fields: object) -> httpx.Response:
-        body = {"model": PIPELINE, "messages": [{"role": "user", "content": text}], "seed": 7, "max_tokens": 24}
-        url = self.url(node or self.nodes[0]) + "/v1/chat/completions"
-        return self.client.post(url, json={**body, **fields}, headers=caller_headers(key))
+        url = self.url(node or self.nodes[0]) + CHAT_PATH
+        return self.client.post(url, json=make_chat(text, **fields), headers=caller_headers(key))
 
     @contextmanager
     def stream(
         self, text: str, node: str | None = None, resume: Stream | None = None, **fields: object
     ) -> Iterator[Stream]:
         """Open a streamed answer that the test reads piece by piece, or go on with one that was cut."""
-        body = {"model": PIPELINE, "messages": [{"role": "user", "content": text}], "seed": 7, "max_tokens": 24}
-        url = self.url(node or self.nodes[0]) + "/v1/chat/completions"
-        body = {**body, "stream": True, **fields}
+        url = self.url(node or self.nodes[0]) + CHAT_PATH
+        body = make_chat(text, stream=True, **fields)
         others = {"Last-Event-ID": resume.newest_id} if resume else {}
         with self.client.stream("POST", url, json=body, headers=caller_headers(**others)) as response:
             yield Stream(response, resume)
@@ -249,6 +248,12 @@
         return read_journal(self.folder / f"{name}.journal")
 
 
+def make_chat(text: str, **fields: object) -> dict[str, Any]:
+    """Make the body of a chat request."""
+    body = {"model": PIPELINE, "messages": [{"role": "user", "content": text}], "seed": 7, "max_tokens": 24}
+    return {**body, **fields}
+
+
 def operator_headers() -> dict[str, str]:
     return {"Authorization": f"Bearer {OPERATOR_KEY}"}
 
@@ -277,4 +282,16 @@
     return [f"runner-{index}" for index in range(count)]
 
 
-__all__ = ["CUSTOMER_KEY", "LAYERS", "PIPELINE", "Installation", "caller_headers", "expect_text", "read_text"]
+__all__ = [
+    "CHAT_PATH",
+    "CUSTOMER_KEY",
+    "LAYERS",
+    "OPERATOR_KEY",
+    "PIPELINE",
+    "Installation",
+    "Stream",
+    "caller_headers",
+    "expect_text",
+    "make_chat",
+    "read_text",
+]
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from rig.checks import find_faults
-from rig.installation import LAYERS, Installation, Stream, caller_headers, expect_text
+from rig.installation import CHAT_PATH, LAYERS, Installation, Stream, caller_headers, expect_text, make_chat
 from rig.processes import wait_until
 
 RANGES = ((0, 4), (4, 8), (8, LAYERS))
@@ -88,14 +88,7 @@
     def chat(self, rng: random.Random) -> None:
         text = f"case {rng.randrange(1000)} " + "line " * rng.randrange(60)
         max_tokens = rng.randint(1, MAX_TOKENS)
-        body = {
-            "model": "ledgerlm",
-            "messages": [{"role": "user", "content": text}],
-            "seed": 7,
-            "max_tokens": max_tokens,
-            "stream": True,
-        }
-        stream = self._follow_answer(rng, body)
+        stream = self._follow_answer(rng, make_chat(text, max_tokens=max_tokens, stream=True))
         if stream is not None:
             self._judge_answer(stream, expect_text(text, max_tokens=max_tokens))
 
@@ -104,7 +97,7 @@
         stream: Stream | None = None
         for _ in range(MAX_CONNECTIONS):
             node = rng.choice(self.installation.nodes)
-            url = self.installation.url(node) + "/v1/chat/completions"
+            url = self.installation.url(node) + CHAT_PATH
             others = {"Last-Event-ID": stream.newest_id} if stream else {}
             try:
                 with httpx.stream("POST", url, json=body, headers=caller_headers(**others), timeout=90) as response:
--- a/tests/standins/plainservice.py
+++ b/tests/standins/plainservice.py
@@ -35,7 +35,7 @@
         journal.write(event="call", method=request.method, path=request.url.path, key=key, body=body.decode())
         if state["faults"].lose_replies:
             state["faults"].lose_replies -= 1
-            await anyio.sleep(3600)
+            await anyio.sleep_forever()
         if state["faults"].truncate_replies:
             state["faults"].truncate_replies -= 1
             return StreamingResponse(truncate(), headers={"Content-Length": "1000"})
--- a/tests/system/test_at_most_once.py
+++ b/tests/system/test_at_most_once.py
@@ -9,7 +9,7 @@
 import httpx
 import pytest
 
-from rig.installation import Installation, caller_headers, expect_text, read_text
+from rig.installation import CHAT_PATH, Installation, caller_headers, expect_text, make_chat, read_text
 from rig.processes import wait_until
 
 KEY = "verification-0001"
@@ -155,13 +155,8 @@
 
 
 def test_chat_marked_as_not_repeatable(small: Installation) -> None:
-    url = small.url("entry-1") + "/v1/chat/completions"
-    body = {
-        "model": "ledgerlm",
-        "messages": [{"role": "user", "content": "Reminder for household 9"}],
-        "seed": 7,
-        "max_tokens": 5,
-    }
+    url = small.url("entry-1") + CHAT_PATH
+    body = make_chat("Reminder for household 9", max_tokens=5)
     headers = caller_headers(**{"Idempotency-Key": KEY, "Vaneturn-Repeat": "never"})
     first = httpx.post(url, json=body, headers=headers, timeout=20)
     assert read_text(first) == expect_text("Reminder for household 9", max_tokens=5)
--- a/tests/system/test_overload.py
+++ b/tests/system/test_overload.py
@@ -6,21 +6,15 @@
 
 import httpx
 
-from rig.installation import CUSTOMER_KEY, PIPELINE, Installation, caller_headers, expect_text, read_text
+from rig.installation import CHAT_PATH, CUSTOMER_KEY, Installation, caller_headers, expect_text, make_chat, read_text
 
 FLOOD = 60
 
 
 def flood(installation: Installation, key: str = CUSTOMER_KEY) -> list[httpx.Response]:
     def send(number: int) -> httpx.Response:
-        body = {
-            "model": PIPELINE,
-            "messages": [{"role": "user", "content": f"letter {number}"}],
-            "seed": 7,
-            "max_tokens": 20,
-        }
-        url = installation.url("entry-1") + "/v1/chat/completions"
-        return httpx.post(url, json=body, headers=caller_headers(key), timeout=60)
+        body = make_chat(f"letter {number}", max_tokens=20)
+        return httpx.post(installation.url("entry-1") + CHAT_PATH, json=body, headers=caller_headers(key), timeout=60)
 
     with ThreadPoolExecutor(FLOOD) as threads:
         return list(threads.map(send, range(FLOOD)))
--- a/tests/system/test_whole.py
+++ b/tests/system/test_whole.py
@@ -10,7 +10,7 @@
 import httpx
 import pytest
 
-from rig.installation import Installation, Stream, caller_headers, expect_text, read_text
+from rig.installation import CHAT_PATH, Installation, Stream, caller_headers, expect_text, make_chat, read_text
 from rig.measuring import read_memory, read_metric
 
 SMALL_BUFFER = 4096  # bytes that a slow reader's system takes in
@@ -58,14 +58,8 @@
 def open_slow(installation: Installation, text: str) -> Iterator[Stream]:
     """Open a stream over a connection with a small receive buffer."""
     options = [(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)]
-    body = {
-        "model": "ledgerlm",
-        "messages": [{"role": "user", "content": text}],
-        "seed": 7,
-        "max_tokens": LONG,
-        "stream": True,
-    }
-    url = installation.url("entry-1") + "/v1/chat/completions"
+    body = make_chat(text, max_tokens=LONG, stream=True)
+    url = installation.url("entry-1") + CHAT_PATH
     with (
         httpx.Client(transport=httpx.HTTPTransport(socket_options=options), timeout=120) as client,
         client.stream("POST", url, json=body, headers=caller_headers()) as response,
