--- a/packages/core/src/vaneturn_core/outcomes.py
+++ b/packages/core/src/vaneturn_core/outcomes.py
@@ -27,7 +27,6 @@
     KEY_WITHOUT_TIME = "key_without_time"
     KEY_FROM_THE_FUTURE = "key_from_the_future"
     CONNECTION_LOST = "connection_lost"
-    SERVER_REFUSED = "server_refused"
     NOT_RESUMABLE = "not_resumable"
     SUPERSEDED = "superseded"
 
--- a/packages/node/src/vaneturn_node/http/answering.py
+++ b/packages/node/src/vaneturn_node/http/answering.py
@@ -35,7 +35,6 @@
 )
 from vaneturn_node.http.errors import REQUEST_HEADER, answer_error, describe_error
 from vaneturn_node.http.reading import Call
-from vaneturn_node.http.rendering import render_prompt
 from vaneturn_node.peers.seal import Sealer
 from vaneturn_node.runtime import Runtime
 
@@ -53,7 +52,8 @@
     body: ChatRequest
     work_class: WorkClass
     pipeline: Pipeline
-    prompt: bytes  # tokens
+    text: str  # the rendered messages
+    prompt: bytes  # the text as tokens
     resumed: ResumePoint | None
 
 
@@ -92,8 +92,8 @@
 
     def _describe(self, session_name: str) -> AnswerRequest:
         chat = self._chat
-        text = render_prompt(chat.body.messages)
-        affinity = session_name or chat.body.user or xxhash.xxh3_64_hexdigest(text[:PREFIX_CHARACTERS].encode())
+        prefix = chat.text[:PREFIX_CHARACTERS].encode()
+        affinity = session_name or chat.body.user or xxhash.xxh3_64_hexdigest(prefix)
         resumed = chat.resumed
         return AnswerRequest(
             id=self._account.id,
--- a/packages/node/src/vaneturn_node/http/chat.py
+++ b/packages/node/src/vaneturn_node/http/chat.py
@@ -76,14 +76,11 @@
     pipeline = view.find_pipeline(PipelineName(body.model))
     if pipeline is None:
         return Malformed(NotRun(Reason.UNKNOWN_MODEL), f"unknown model {body.model!r}")
-    chat = ChatCall(call, body, view.find_class(customer), pipeline, _encode_messages(body), None)
+    text = render_prompt(body.messages)
+    chat = ChatCall(call, body, view.find_class(customer), pipeline, text, encode_prompt(text), None)
     return _read_resumption(request, runtime, chat)
 
 
-def _encode_messages(body: ChatRequest) -> bytes:
-    return encode_prompt(render_prompt(body.messages))
-
-
 def _read_resumption(request: Request, runtime: Runtime, chat: ChatCall) -> ChatCall | Malformed:
     """Read where to go on, if the request says so; the answer keeps the version that it began with."""
     text = request.headers.get(RESUME_HEADER)
--- a/tests/rig/installation.py
+++ b/tests/rig/installation.py
@@ -7,7 +7,7 @@
 import sys
 import threading
 import uuid
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from types import TracebackType
@@ -278,10 +278,6 @@
     return text
 
 
-def name_engines(count: int) -> Sequence[str]:
-    return [f"runner-{index}" for index in range(count)]
-
-
 __all__ = [
     "CHAT_PATH",
     "CUSTOMER_KEY",
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -37,7 +37,6 @@
     faults: list[str] = field(default_factory=list)
     refused_keys: set[str] = field(default_factory=set)  # every try of them was told that it was not run
     run_keys: set[str] = field(default_factory=set)  # a try of them was told anything else
-    not_run_sessions: set[str] = field(default_factory=set)
 
 
 class Soak:
