Hand slots over whatever order the store answers in, and tell peers of a planned stop first

The stopping owner writes the map without itself; its own waiting watch may be answered with that map before the write returns, and taking it drops the ledgers that the hand-over is about to give away.

Found beside it, each with a test that failed first: the word to the next owner was sent once (a lost one lost the slot); two owners that stopped at once gave slots to each other; an answer to an older question took the map back and dropped every ledger.

Change: ledgers are kept before the write; the word is repeated until a next owner says that it took the slot, which a stopping one does not; an answer to an older question is passed over; a node marks itself stopping on its membership entry at the signal, so peers share its part out at once (slots, watches, share of the bound).

--- a/packages/core/src/vaneturn_core/membership/member.py
+++ b/packages/core/src/vaneturn_core/membership/member.py
@@ -26,6 +26,7 @@
     data_hall: DataHall
     incarnation: int = 0
     state: MemberState = MemberState.ALIVE
+    is_stopping: bool = False  # it finishes what it has and takes no part in what the nodes share out
 
     def overrides(self, other: Member) -> bool:
         """Tell whether this is newer than the other word on the same node."""
--- a/packages/core/src/vaneturn_core/membership/table.py
+++ b/packages/core/src/vaneturn_core/membership/table.py
@@ -36,6 +36,10 @@
         """List the members that are not dead, this node among them."""
         return [member for member in self._members.values() if member.state is not MemberState.DEAD]
 
+    def list_staying(self) -> list[Member]:
+        """List the members among whom work is shared out: alive and not stopping."""
+        return [member for member in self.list_alive() if not member.is_stopping]
+
     def list_peers(self) -> list[Member]:
         """List the other members that are not dead."""
         return [member for member in self.list_alive() if member.node != self.own.node]
@@ -108,8 +112,13 @@
         """Give the seconds that a suspect has to refute."""
         return SUSPICION_FACTOR * max(1.0, math.log10(len(self.list_alive())))
 
+    def retire(self) -> None:
+        """Tell the others that this node will stop, so that they share its part out."""
+        self.own = msgspec.structs.replace(self.own, incarnation=self.own.incarnation + 1, is_stopping=True)
+        self._set(self.own)
+
     def stop(self) -> None:
-        """Tell the others that this node stops, so that none has to suspect it."""
+        """Tell the others that this node stops now, so that none has to suspect it."""
         self.own = msgspec.structs.replace(self.own, state=MemberState.DEAD)
         self._set(self.own)
 
@@ -148,7 +157,8 @@
 
     def is_chosen(self, role: str, count: int) -> bool:
         """Tell whether this node is among the chosen of a role in its data hall; nodes with one view agree."""
-        hall = [member for member in self.list_alive() if member.data_hall == self.own.data_hall]
+        members = self.list_staying() or self.list_alive()  # the last nodes to stop still have their own part
+        hall = [member for member in members if member.data_hall == self.own.data_hall]
         ranked = sorted(hall, key=lambda member: xxhash.xxh3_64_intdigest(f"{role} {member.node}".encode()))
         return self.own.node in {member.node for member in ranked[:count]}
 
--- a/packages/node/src/vaneturn_node/claims/byslot.py
+++ b/packages/node/src/vaneturn_node/claims/byslot.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import logging
+import random
 import uuid
 from typing import Final
 
+import anyio
+
 from vaneturn_core.claims.ledger import Verdict, read_key_time
 from vaneturn_core.claims.slots import SlotOwner
 from vaneturn_core.identifiers import CustomerName, NodeId, RepeatKey
@@ -16,7 +19,8 @@
 from vaneturn_node.peers.requests import PeerClient
 
 ASK_TIMEOUT: Final = 0.5  # seconds
-TRIES: Final = 3  # with the same claim id, so that a lost answer wins no second claim
+TRIES: Final = 5  # with the same claim id, so that a lost answer wins no second claim
+PAUSE: Final = 0.1  # seconds between two tries, full jitter; slots change hands meanwhile
 
 logger = logging.getLogger(__name__)
 
@@ -47,6 +51,7 @@
                 return claim
             if verdict in _REFUSALS:
                 return _REFUSALS[verdict]
+            await anyio.sleep(random.uniform(0, PAUSE))
             await self._ownership.refresh(0.0)
         # nothing runs here; the owner may hold the claim all the same, and then says so to a later try
         return NotRun(Reason.CLAIM_OWNER_AWAY, retry_after=2.0)
--- a/packages/node/src/vaneturn_node/claims/ownership.py
+++ b/packages/node/src/vaneturn_node/claims/ownership.py
@@ -21,7 +21,9 @@
 CONFIRM_INTERVAL: Final = 2.0  # seconds; one waiting watch of each owner
 CONFIRM_BOUND: Final = 6.0  # seconds after which an owner that could not confirm its epoch takes nothing
 RETRY: Final = 0.3  # seconds, full jitter
-HAND_OVER_TIMEOUT: Final = 2.0  # seconds
+HAND_OVER_TIMEOUT: Final = 1.0  # seconds for one try to give a slot to its next owner
+HAND_OVER_TRIES: Final = 20
+HAND_OVER_PAUSE: Final = 0.2  # seconds between two tries
 IDLE: Final = 1.0  # seconds between looks whether this node has a part in the slots
 ASSIGNERS: Final = 2  # nodes of each data hall that look after the map besides the owners
 
@@ -40,7 +42,7 @@
         self._store = store
         self._table = table
         self._version = StoreVersion(-1)  # no version of a key, so the first watch answers at once
-        self._confirmed_at = float("-inf")
+        self._confirmed_at = float("-inf")  # when the question was asked whose answer confirmed the map last
         self._accept_from: dict[int, float] = {}  # for each own slot, on the clock of read_clock
         self._ledgers: dict[int, SlotLedger] = {}
         self._is_stopping = False
@@ -66,6 +68,8 @@
         entry = await self._store.watch(SLOTS_KEY, self._version, wait)
         if isinstance(entry, Unavailable):
             return False
+        if started < self._confirmed_at:
+            return True  # a later question was answered first; this answer may hold an older map
         if entry is not None:
             self._take(entry)
         self._confirmed_at = started
@@ -94,35 +98,57 @@
 
     async def _assign(self) -> None:
         """Give the slots of owners that are gone to others."""
-        wanted = reassign_slots(self.map, self._table.list_alive())
+        wanted = reassign_slots(self.map, self._table.list_staying())
         if wanted is None or self._is_stopping:
             return
         await self._write(wanted)
 
     async def hand_over(self, client: PeerClient) -> None:
-        """At a planned stop give each slot with its claims to another node, so that no key has to be refused."""
+        """At a planned stop give each slot with its claims to another node, so that no key has to be refused.
+
+        The member table must say already that this node is stopping.
+        """
         self._is_stopping = True  # from here on no claim is taken, so what is handed over is all there is
-        if not self._ledgers or not await self.refresh(0.0):
-            return
-        staying = [member for member in self._table.list_alive() if member.node != self._table.own.node]
-        wanted = reassign_slots(self.map, staying)
-        if wanted is None or not isinstance(await self._write(wanted), int):
+        ledgers = dict(self._ledgers)  # the waiting watch may see the new map, and drop them, before the write returns
+        if not ledgers or not await self._leave_map():
             return
         async with anyio.create_task_group() as tasks:
-            for slot, ledger in self._ledgers.items():
-                owner = wanted.find_owner(slot)
-                if owner is not None:
-                    given = HandOver(wanted.epoch, slot, ledger.taken_at, ledger.list_claims())
-                    tasks.start_soon(client.ask, owner.address, given, HAND_OVER_TIMEOUT)
-
-    async def take_over(self, given: HandOver) -> None:
-        """Go on with a slot at once, if this node is its next owner."""
+            for slot, ledger in ledgers.items():
+                tasks.start_soon(self._give, client, slot, ledger)
+
+    async def _leave_map(self) -> bool:
+        """Write a map without this node; another node that stops or assigns at the same time may come first."""
+        for _ in range(HAND_OVER_TRIES):
+            if await self.refresh(0.0):
+                wanted = reassign_slots(self.map, self._table.list_staying())
+                if wanted is None:
+                    return self.map.epoch > 0 and not self.map.list_slots(self._table.own.node)
+                if isinstance(await self._write(wanted), int):
+                    return await self.refresh(0.0)
+            await anyio.sleep(random.uniform(0, HAND_OVER_PAUSE))
+        return False
+
+    async def _give(self, client: PeerClient, slot: int, ledger: SlotLedger) -> None:
+        """Give a slot to its next owner until one has said that it took it; a repeat changes nothing."""
+        for _ in range(HAND_OVER_TRIES):
+            owner = self.map.find_owner(slot)
+            if owner is not None and owner.node != self._table.own.node:
+                given = HandOver(self.map.epoch, slot, ledger.taken_at, ledger.list_claims())
+                if await client.ask(owner.address, given, HAND_OVER_TIMEOUT) is not None:
+                    return
+            await anyio.sleep(HAND_OVER_PAUSE)
+            await self.refresh(0.0)  # the next owner may stop as well
+        logger.warning("slot not handed over", extra={"slot": slot})
+
+    async def take_over(self, given: HandOver) -> bool:
+        """Go on with a slot at once; false if this node is not its next owner, or stops as well."""
         if self.map.epoch < given.epoch:
             await self.refresh(0.0)
-        if self.map.epoch != given.epoch or given.slot not in self._accept_from:
-            return
+        if self._is_stopping or self.map.epoch != given.epoch or given.slot not in self._accept_from:
+            return False
         self._ledgers[given.slot].take_over(given.taken_at, given.claims)
         self._accept_from[given.slot] = read_clock()
+        return True
 
     async def _write(self, wanted: SlotMap) -> StoreVersion | Conflict | Unavailable:
         written = await self._store.write(SLOTS_KEY, msgspec.json.encode(wanted), self._version)
--- a/packages/node/src/vaneturn_node/daemon.py
+++ b/packages/node/src/vaneturn_node/daemon.py
@@ -128,7 +128,7 @@
         ),
         ownership=ownership,
         peer_client=peer_client,
-        admission=Admission(metrics, placement.read_bound, lambda: len(table.list_alive())),
+        admission=Admission(metrics, placement.read_bound, lambda: len(table.list_staying())),
         retry_budget=RetryBudget(),
         healths=healths,
         pool=pool,
@@ -161,8 +161,10 @@
             logger.info("stopping", extra={"signal": received.name})
             break
     runtime.admission.ready = False
-    await anyio.sleep(UNREADY_TIME)
-    runtime.admission.stopping = True
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(peers.retire)
+        await anyio.sleep(UNREADY_TIME)
+        runtime.admission.stopping = True
     with anyio.move_on_after(runtime.settings.stop_timeout):
         await runtime.admission.wait_idle()
     await peers.stop()
--- a/packages/node/src/vaneturn_node/peers/gossip.py
+++ b/packages/node/src/vaneturn_node/peers/gossip.py
@@ -79,8 +79,13 @@
             tasks.start_soon(self._rejoin)
             await self._probe()
 
+    async def retire(self) -> None:
+        """Tell that this node will stop."""
+        self.table.retire()
+        await self.announce()
+
     async def stop(self) -> None:
-        """Tell that this node stops."""
+        """Tell that this node stops now."""
         self.table.stop()
         await self.announce()
 
--- a/packages/node/src/vaneturn_node/peers/wiring.py
+++ b/packages/node/src/vaneturn_node/peers/wiring.py
@@ -47,9 +47,13 @@
             tasks.start_soon(self._own_slots)
             tasks.start_soon(join_meeting, self.runtime.store, self.gossip)
 
-    async def stop(self) -> None:
-        """Give away what others must go on with, and tell them that this node stops."""
+    async def retire(self) -> None:
+        """Tell the others that this node will stop, and give away what they must go on with."""
+        await self.gossip.retire()
         await self.runtime.ownership.hand_over(self.runtime.peer_client)
+
+    async def stop(self) -> None:
+        """Tell the others that this node stops now."""
         await self.gossip.stop()
 
     async def _own_slots(self) -> None:
@@ -69,8 +73,7 @@
                 self.runtime.ownership.release(customer, repeat_key, claim)
                 return Received()
             case HandOver():
-                await self.runtime.ownership.take_over(query)
-                return Received()
+                return Received() if await self.runtime.ownership.take_over(query) else None
         return None
 
 
--- a/tests/core/membership/test_table.py
+++ b/tests/core/membership/test_table.py
@@ -109,3 +109,23 @@
         table.merge(members)
         chosen += table.is_chosen("watch", 4)
     assert chosen == 4
+
+
+def test_stopping_member_stays_a_peer_but_gets_no_part() -> None:
+    own, other = make_table(), MemberTable(make_member("other"), Random(1), Clock())
+    own.merge([other.own])
+    other.merge([own.own])
+    other.retire()
+    own.merge([other.own])
+    assert other.own.node in {member.node for member in own.list_peers()}
+    assert other.own.node not in {member.node for member in own.list_staying()}
+    assert not other.is_chosen("watch", 4)
+    other.merge([make_member("other", other.own.incarnation, MemberState.SUSPECT)])
+    assert other.own.is_stopping
+    assert other.own.state is MemberState.ALIVE
+
+
+def test_last_node_keeps_its_part_while_it_stops() -> None:
+    table = make_table()
+    table.retire()
+    assert table.is_chosen("watch", 4)
--- /dev/null
+++ b/tests/node/test_ownership.py
@@ -0,0 +1,188 @@
+from __future__ import annotations
+
+import time
+import uuid
+from random import Random
+from typing import cast
+
+import anyio
+import msgspec
+import pytest
+
+from vaneturn_core.claims.ledger import Verdict
+from vaneturn_core.claims.slots import SLOTS_KEY, SlotMap, reassign_slots
+from vaneturn_core.identifiers import CustomerName, DataHall, NodeId, RepeatKey, StoreVersion, VmId
+from vaneturn_core.membership.member import Member
+from vaneturn_core.membership.table import MemberTable
+from vaneturn_core.ports import Conflict, Entry, Unavailable
+from vaneturn_node.claims import ownership as module
+from vaneturn_node.claims.ownership import SlotOwnership
+from vaneturn_node.peers.messages import Answer, HandOver, Query, Received
+from vaneturn_node.peers.requests import PeerClient
+
+CUSTOMER = CustomerName("osborne-finance")
+
+
+class FakeStore:
+    """One key; a write is answered only after every waiting watch, as can happen on a network."""
+
+    def __init__(self) -> None:
+        self.value = b""
+        self.version = StoreVersion(0)
+        self.changed = anyio.Event()
+        self.held_answers: list[anyio.Event] = []  # of watches that were taken and are answered late
+
+    async def read(self, _key: str) -> Entry | Unavailable:
+        return Entry(self.value, self.version)
+
+    async def watch(self, key: str, after: StoreVersion, wait: float) -> Entry | Unavailable | None:
+        assert key == SLOTS_KEY
+        with anyio.move_on_after(wait):
+            while self.version == after:
+                await self.changed.wait()
+        answer = None if self.version == after else Entry(self.value, self.version)
+        if self.held_answers:
+            await self.held_answers.pop().wait()
+        return answer
+
+    async def write(self, _key: str, value: bytes, expected: StoreVersion) -> StoreVersion | Conflict | Unavailable:
+        if expected != self.version:
+            return Conflict(self.version)
+        self.value = value
+        self.version = written = StoreVersion(self.version + 1)
+        self.changed.set()
+        self.changed = anyio.Event()
+        await anyio.wait_all_tasks_blocked()
+        return written
+
+
+class FakeClient:
+    """Hands each query to the ownership behind its address; the first answers may get lost."""
+
+    def __init__(self, owners: dict[str, SlotOwnership], lost: int = 0) -> None:
+        self._owners = owners
+        self._lost = lost
+
+    async def ask(self, address: str, query: Query, _timeout: float) -> Answer | None:
+        if self._lost:
+            self._lost -= 1
+            return None
+        assert isinstance(query, HandOver)
+        return Received() if await self._owners[address].take_over(query) else None
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+def make_member(index: int) -> Member:
+    return Member(NodeId(f"node-{index}"), VmId(f"entry-{index}"), f"127.0.0.1:{index}", DataHall("osborne"))
+
+
+def make_owners(store: FakeStore, count: int = 2) -> dict[str, SlotOwnership]:
+    members = [make_member(index) for index in range(count)]
+    owners = {}
+    for member in members:
+        table = MemberTable(member, Random(7), time.monotonic)
+        table.merge(members)
+        owners[member.address] = SlotOwnership(store, table)
+    slot_map = reassign_slots(SlotMap(), members)
+    store.value, store.version = msgspec.json.encode(slot_map), StoreVersion(1)
+    return owners
+
+
+def make_key() -> RepeatKey:
+    value = (int(time.time() * 1000) << 80) | (7 << 76) | (2 << 62) | (uuid.uuid4().int & ((1 << 62) - 1))
+    return RepeatKey(str(uuid.UUID(int=value)))
+
+
+def claim_anywhere(owners: dict[str, SlotOwnership], key: RepeatKey, claim: str) -> Verdict:
+    verdicts = [owner.claim(CUSTOMER, key, claim) for owner in owners.values()]
+    told = [verdict for verdict in verdicts if verdict is not Verdict.NOT_OWNER]
+    assert len(told) <= 1
+    return told[0] if told else Verdict.NOT_OWNER
+
+
+async def take_slots(owners: dict[str, SlotOwnership], monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let every owner take its slots; from then on a slot that is not handed over takes no claim for a minute."""
+    monkeypatch.setattr(module, "CONFIRM_BOUND", 0.2)
+    monkeypatch.setattr("vaneturn_core.claims.ledger.CLOCK_MARGIN", 0.0)
+    for owner in owners.values():
+        assert await owner.refresh(0.0)
+    await anyio.sleep(module.CONFIRM_BOUND)
+    monkeypatch.setattr(module, "CONFIRM_BOUND", 60.0)
+    for owner in owners.values():
+        assert await owner.refresh(0.0)
+
+
+def retire(owners: dict[str, SlotOwnership], *indexes: int) -> None:
+    """Let owners say that they will stop, and all others hear of it."""
+    for index in indexes:
+        stopping = owners[make_member(index).address]._table
+        stopping.retire()
+        for owner in owners.values():
+            owner._table.merge([stopping.own])
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("lost", [0, 40], ids=["all-heard", "first-word-lost"])
+async def test_hand_over_gives_claims_though_the_watch_answers_before_the_write(
+    monkeypatch: pytest.MonkeyPatch, lost: int
+) -> None:
+    monkeypatch.setattr(module, "HAND_OVER_PAUSE", 0.01, raising=False)
+    store = FakeStore()
+    owners = make_owners(store)
+    await take_slots(owners, monkeypatch)
+    taken = [make_key() for _ in range(60)]
+    assert all(claim_anywhere(owners, key, "first") is Verdict.WON for key in taken)
+    stopping = owners[make_member(0).address]
+    retire(owners, 0)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(stopping.refresh, 5.0)
+        await anyio.wait_all_tasks_blocked()
+        await stopping.hand_over(cast("PeerClient", FakeClient(owners, lost)))
+        tasks.cancel_scope.cancel()
+    assert all(claim_anywhere(owners, key, "second") is Verdict.CLAIMED for key in taken)
+    assert all(claim_anywhere(owners, make_key(), "third") is Verdict.WON for _ in range(60))
+
+
+@pytest.mark.anyio
+async def test_two_owners_that_stop_at_once_lose_no_claim(monkeypatch: pytest.MonkeyPatch) -> None:
+    store = FakeStore()
+    owners = make_owners(store, 3)
+    await take_slots(owners, monkeypatch)
+    taken = [make_key() for _ in range(90)]
+    assert all(claim_anywhere(owners, key, "first") is Verdict.WON for key in taken)
+    client = cast("PeerClient", FakeClient(owners))
+    retire(owners, 0, 1)
+    async with anyio.create_task_group() as tasks:
+        for index in (0, 1):
+            tasks.start_soon(owners[make_member(index).address].hand_over, client)
+    assert all(claim_anywhere(owners, key, "second") is Verdict.CLAIMED for key in taken)
+    assert all(claim_anywhere(owners, make_key(), "third") is Verdict.WON for _ in range(60))
+
+
+@pytest.mark.anyio
+async def test_late_answer_to_an_older_question_does_not_take_the_map_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    store = FakeStore()
+    owners = make_owners(store)
+    await take_slots(owners, monkeypatch)
+    owner = owners[make_member(0).address]
+    taken = [make_key() for _ in range(60)]
+    assert all(claim_anywhere(owners, key, "first") is Verdict.WON for key in taken)
+    before = owner.map
+    async with anyio.create_task_group() as tasks:
+        late = anyio.Event()
+        store.held_answers.append(late)
+        tasks.start_soon(owner.refresh, 5.0)
+        await anyio.wait_all_tasks_blocked()
+        for epoch in (before.epoch + 1, before.epoch + 2):  # the waiting watch gets the first, answered late
+            await store.write(
+                SLOTS_KEY, msgspec.json.encode(msgspec.structs.replace(before, epoch=epoch)), store.version
+            )
+        assert await owner.refresh(0.0)
+        assert owner.map.epoch == before.epoch + 2
+        late.set()
+    assert owner.map.epoch == before.epoch + 2
+    assert all(claim_anywhere(owners, key, "second") is Verdict.CLAIMED for key in taken)
--- a/tests/rig/proofs.py
+++ b/tests/rig/proofs.py
@@ -176,6 +176,16 @@
             ),
         ),
     ),
+    Proof(
+        "slots are handed over though the watch answers before the write",
+        "tests/node/test_ownership.py",
+        (Edit(f"{NODE}/claims/ownership.py", "ledgers = dict(self._ledgers)", "ledgers = self._ledgers"),),
+    ),
+    Proof(
+        "a late answer does not take the slot map back",
+        "tests/node/test_ownership.py",
+        (Edit(f"{NODE}/claims/ownership.py", "        if started < self._confirmed_at:\n", "        if False:\n"),),
+    ),
     Proof(
         "a resumed answer fences the node that lost it",
         "tests/system/test_resume.py::test_frozen_node_that_thaws_does_not_disturb_its_successor",
