--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	PYTHONPATH=tests $(BIN)/python bench/path.py
 	PYTHONPATH=tests $(BIN)/python bench/overload.py
 	PYTHONPATH=tests $(BIN)/python bench/recovery.py
+	PYTHONPATH=tests $(BIN)/python bench/placing.py
 
 capacity: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python bench/capacity.py
--- a/bench/joins.py
+++ b/bench/joins.py
@@ -120,7 +120,7 @@
 
 async def measure_link(port: int, sessions: int, steps: int) -> float:
     server = Server(vm=HOP.vm, address=f"127.0.0.1:{port}", data_hall=DataHall("osborne"))
-    link = StageLink(server, ServerHealths(), Metrics(), lambda: 0)
+    link = StageLink(server, ServerHealths(), Metrics(), lambda: 0, lambda: None)
 
     async def run(session: int, position: int) -> object:
         return await link.run_step(make_step(session, position), HOP, 60)
--- a/packages/cli/src/vaneturn_cli/editing.py
+++ b/packages/cli/src/vaneturn_cli/editing.py
@@ -26,7 +26,7 @@
         case SetPreference(name, preference):
             return _edit_pipeline(configuration, name, preference=preference)
         case RollOut(name, version):
-            return _edit_pipeline(configuration, name, version=version)
+            return _roll_out(configuration, name, version)
 
 
 def _drain(configuration: Configuration, vm: VmId) -> Configuration | str:
@@ -46,6 +46,14 @@
     return replace(configuration, classes=classes) if classes else f"no declared class {name!r}"
 
 
+def _roll_out(configuration: Configuration, name: str, version: str) -> Configuration | str:
+    """Declare a version; the one before serves on until every server has the new one."""
+    present = next((pipeline.version for pipeline in configuration.pipelines if pipeline.name == name), version)
+    if present == version:
+        return _edit_pipeline(configuration, name, version=version)
+    return _edit_pipeline(configuration, name, version=version, previous_version=present)
+
+
 def _edit_pipeline(configuration: Configuration, name: str, **fields: object) -> Configuration | str:
     pipelines = _replace_named(configuration.pipelines, name, **fields)
     return replace(configuration, pipelines=pipelines) if pipelines else f"no declared pipeline {name!r}"
--- a/packages/cli/src/vaneturn_cli/reasons.py
+++ b/packages/cli/src/vaneturn_cli/reasons.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from vaneturn_cli.tables import View, describe_standing, describe_work, group_servers
+from vaneturn_cli.tables import View, describe_parts, describe_standing, describe_work, group_servers
 from vaneturn_core.identifiers import RequestId, VmId
 from vaneturn_core.operators import EndedRequest
 
@@ -30,6 +30,8 @@
     if not work and not said:
         return [f"no declared server {vm}"]
     lines = [f"vm {vm}: {describe_standing(said)}", f"declared for: {work or 'nothing'}"]
+    parts = describe_parts(said)
+    lines += [f"holds: {parts}"] * bool(parts)
     for state in view.states:
         for server in state.servers:
             if server.vm != vm:
--- a/packages/cli/src/vaneturn_cli/tables.py
+++ b/packages/cli/src/vaneturn_cli/tables.py
@@ -124,6 +124,16 @@
     return "in use"
 
 
+def describe_parts(said: Iterable[ServerState]) -> str:
+    """Say what an engine that takes orders holds, by the word of the first node that knows."""
+    for server in said:
+        parts = [*server.held, *(f"loading {part}" for part in server.loading)]
+        parts += [f"ending {part}" for part in server.ending]
+        if parts:
+            return ", ".join(parts)
+    return ""
+
+
 def _show_vms(view: View) -> Table:
     said = group_servers(view)
     rows = tuple(
@@ -132,13 +142,14 @@
             server.data_hall,
             server.accelerator,
             describe_work(view, server.vm),
+            describe_parts(said.get(server.vm, ())),
             describe_standing(said.get(server.vm, ())),
             sum(known.in_progress for known in said.get(server.vm, ())),
             round(max((known.latency for known in said.get(server.vm, ())), default=0.0) * 1e3, 1),
         )
         for server in view.configuration.servers
     )
-    return Table(("vm", "hall", "accelerator", "work", "standing", "steps", "latency_ms"), rows)
+    return Table(("vm", "hall", "accelerator", "work", "holds", "standing", "steps", "latency_ms"), rows)
 
 
 def _show_sessions(view: View) -> Table:
@@ -186,10 +197,17 @@
 
 def _show_nodes(view: View) -> Table:
     rows = tuple(
-        (state.vm, state.node, state.data_hall, state.revision, "stopping" if state.stopping else "serving")
+        (
+            state.vm,
+            state.node,
+            state.data_hall,
+            state.revision,
+            "stopping" if state.stopping else "serving",
+            state.fence,
+        )
         for state in view.states
     )
-    return Table(("vm", "node", "hall", "revision", "state"), rows)
+    return Table(("vm", "node", "hall", "revision", "state", "fence"), rows)
 
 
 _MAKERS: Final[dict[Topic, Callable[[View], Table]]] = {
@@ -201,4 +219,4 @@
     Topic.NODES: _show_nodes,
 }
 
-__all__ = ["Table", "View", "describe_standing", "describe_work", "group_servers", "make_table"]
+__all__ = ["Table", "View", "describe_parts", "describe_standing", "describe_work", "group_servers", "make_table"]
--- a/packages/core/src/vaneturn_core/configuration/check.py
+++ b/packages/core/src/vaneturn_core/configuration/check.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection, Iterable, Iterator
 
 from vaneturn_core.configuration.schema import Configuration, Pipeline
@@ -22,6 +23,7 @@
         *_check_customers(configuration),
         *_check_services(configuration),
         *_check_pipelines(configuration),
+        *_check_memory(configuration),
     ]
 
 
@@ -57,6 +59,16 @@
             yield Fault(f"{path}.stages", f"expected ranges that tile the layers [0, {pipeline.layers})")
 
 
+def _check_memory(configuration: Configuration) -> Iterator[Fault]:
+    needed: Counter[VmId] = Counter()
+    for pipeline in configuration.pipelines:
+        for stage in pipeline.stages:
+            needed[stage.vm] += pipeline.layer_bytes * (stage.end - stage.first)
+    for index, server in enumerate(configuration.servers):
+        if server.memory and needed[server.vm] > server.memory:
+            yield Fault(f"$.servers[{index}].memory", f"expected at least {needed[server.vm]} bytes for its stages")
+
+
 def _check_stages(path: str, pipeline: Pipeline, servers: Collection[VmId]) -> Iterator[Fault]:
     for index, stage in enumerate(pipeline.stages):
         if stage.vm not in servers:
--- a/packages/core/src/vaneturn_core/configuration/schema.py
+++ b/packages/core/src/vaneturn_core/configuration/schema.py
@@ -47,6 +47,7 @@
     data_hall: DataHall
     accelerator: str = ""
     checks_fence: bool = False  # whether it rejects orders with an older fencing number
+    memory: Annotated[int, Meta(ge=0)] = 0  # bytes for weights; 0: never short
 
 
 class Stage(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
@@ -64,8 +65,10 @@
     name: PipelineName
     model: Name
     version: Name
+    previous_version: Name | None = None  # serves on until every server has the version
     adapter: Name | None = None
     layers: Count
+    layer_bytes: Annotated[int, Meta(ge=0)] = 0  # weights of one layer
     stages: tuple[Stage, ...]
     preference: Preference = Preference.THROUGHPUT
     token_time: Rate = 0.058  # seconds wanted between tokens
@@ -128,6 +131,7 @@
     customers: tuple[Customer, ...] = ()
     links: tuple[Link, ...] = ()
     draining: tuple[VmId, ...] = ()
+    loads_at_once: Count = 4  # engines that may load from the weight store at a time
     claims: ClaimMode = ClaimMode.BY_KEY  # once by slot, it stays so: the slots' memory is not in the store
 
 
--- a/packages/core/src/vaneturn_core/engine/messages.py
+++ b/packages/core/src/vaneturn_core/engine/messages.py
@@ -13,6 +13,7 @@
 from msgspec import Struct
 
 from vaneturn_core.identifiers import SessionId
+from vaneturn_core.placing.parts import Holdings, Part
 
 LINK_PATH: Final = "/v1/link"
 CACHE_PATH: Final = "/v1/cache"  # GET exports and PUT imports the KV cache of one session and attempt
@@ -53,6 +54,16 @@
     session: SessionId
 
 
+class Hold(Struct, frozen=True, tag="hold", array_like=True):
+    """Hold exactly these parts; a repeat changes nothing. Answered by Holdings, whether it was taken or not.
+
+    What sessions in progress use stays until the last of them ends, closed to new ones.
+    """
+
+    fence: int  # of the placer that orders; an engine that checks takes none older than the newest it saw
+    parts: tuple[Part, ...]
+
+
 class Done(Struct, frozen=True, tag="done", array_like=True):
     """The layers ran once over the positions."""
 
@@ -98,8 +109,8 @@
     deadline: float  # seconds from now
 
 
-Order = Open | Step | Close
-Reply = Done | Refused | Leaving
+Order = Open | Step | Close | Hold
+Reply = Done | Refused | Leaving | Holdings
 
 ORDERS: Final = msgspec.msgpack.Decoder(list[Order])
 REPLIES: Final = msgspec.msgpack.Decoder(list[Reply])
@@ -116,6 +127,8 @@
     "TOKEN_BYTES",
     "Close",
     "Done",
+    "Hold",
+    "Holdings",
     "Leaving",
     "Open",
     "Order",
--- a/packages/core/src/vaneturn_core/operators.py
+++ b/packages/core/src/vaneturn_core/operators.py
@@ -50,6 +50,9 @@
     limit: float
     ejected: bool
     leaving: list[str]
+    held: list[str] = []  # parts of models that are ready
+    loading: list[str] = []
+    ending: list[str] = []  # kept for the sessions on them
 
 
 class SessionState(Struct, frozen=True):
@@ -74,6 +77,7 @@
     servers: list[ServerState]
     sessions: list[SessionState]
     bounds: dict[PipelineName, float]
+    fence: int = 0  # of its orders to engines; 0 on a node that gives none
 
 
 class EndedRequest(Struct, frozen=True):
--- /dev/null
+++ b/packages/core/src/vaneturn_core/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on what each engine holds."""
--- /dev/null
+++ b/packages/core/src/vaneturn_core/placing/plan.py
@@ -0,0 +1,146 @@
+"""The plan of what each engine should hold, made anew each round from what the engines say."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Collection, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from vaneturn_core.configuration.schema import Configuration, Pipeline, Server
+from vaneturn_core.identifiers import PipelineName, VmId
+from vaneturn_core.placing.parts import Holdings, Part, group_parts, list_lacking, list_versions, size_of
+from vaneturn_core.routing.flow import compute_flow
+
+KEPT_SHARE: Final = 0.5  # of a pipeline's bound with all servers: one is emptied only if so much goes on
+
+
+@dataclass(frozen=True)
+class HoldOrder:
+    """What one engine should hold from now on."""
+
+    vm: VmId
+    parts: tuple[Part, ...]
+
+
+@dataclass(frozen=True)
+class Plan:
+    """The orders of one round, and the servers that cannot change without taking the last way through the layers."""
+
+    orders: tuple[HoldOrder, ...]
+    stuck: tuple[VmId, ...]
+
+
+class Planner:
+    """One round over all servers; loads begun in it count against the budget of the weight store at once."""
+
+    def __init__(self, configuration: Configuration, said: Mapping[VmId, Holdings], unusable: Collection[VmId]) -> None:
+        """Begin a round.
+
+        :param said: what each connected engine said last; engines that say nothing are left alone.
+        :param unusable: servers that leave or are down.
+        """
+        self._configuration = configuration
+        self._unusable = frozenset(unusable)
+        self._targets: dict[VmId, frozenset[Part]] = {vm: holdings.target for vm, holdings in said.items()}
+        self._held: dict[VmId, frozenset[Part]] = {vm: frozenset(holdings.held) for vm, holdings in said.items()}
+        self._said = said
+        self._budget = configuration.loads_at_once - sum(bool(holdings.loading) for holdings in said.values())
+        self._stuck: list[VmId] = []
+        self._carried: dict[PipelineName, float] = {}  # before any server is emptied in this round
+        self._enough: dict[PipelineName, float] = {}
+        self._refused: set[frozenset[Part]] = set()  # what cannot be freed now on any server that serves the same
+        self._holders = Counter(part for held in self._held.values() for part in held)
+        self._rates: Counter[VmId] = Counter()
+        for pipeline in configuration.pipelines:
+            self._rates.update({stage.vm: stage.rate for stage in pipeline.stages})
+        self._wanted = group_parts(configuration.pipelines)
+        self._needed = group_parts(self._list_previous())
+
+    def make(self) -> Plan:
+        """Make the plan: what is wanted least often comes first."""
+        servers = [server for server in self._configuration.servers if self._is_ordered(server.vm)]
+        servers.sort(key=lambda server: (self._count_holders(server.vm), self._rates[server.vm], server.vm))
+        orders = [order for server in servers for order in self._decide(server)]
+        return Plan(tuple(orders), tuple(self._stuck))
+
+    def _is_ordered(self, vm: VmId) -> bool:
+        return vm in self._said and vm not in self._unusable
+
+    def _count_holders(self, vm: VmId) -> int:
+        """Count the servers that hold what this one lacks."""
+        lacking = self._wanted.get(vm, frozenset()) - self._held[vm]
+        return min((self._holders[part] for part in lacking), default=len(self._held))
+
+    def _decide(self, server: Server) -> Iterator[HoldOrder]:
+        """Decide on one server; an order is given only if it changes something."""
+        target = self._targets[server.vm]
+        wanted = self._wanted.get(server.vm, frozenset())
+        kept = self._needed.get(server.vm, frozenset()) & target
+        lacking = wanted - target
+        if not lacking or self._budget <= 0:
+            chosen = (target & wanted) | kept
+        elif self._fits(server, wanted | kept):
+            chosen = wanted | kept
+            self._budget -= 1
+        elif self._can_be_emptied(server.vm):
+            chosen = wanted
+            self._budget -= 1
+        else:
+            chosen = (target & wanted) | kept
+        if chosen != target:
+            self._targets[server.vm] = chosen
+            self._held[server.vm] &= chosen
+            yield HoldOrder(server.vm, tuple(sorted(chosen, key=str)))
+
+    def _list_previous(self) -> list[Pipeline]:
+        """List the previous versions, which stay until every server that takes orders holds the newest."""
+        return [
+            version
+            for pipeline in self._configuration.pipelines
+            for version in list_versions(pipeline)[1:]
+            if any(self._is_ordered(vm) for vm in list_lacking(pipeline, self._held))
+        ]
+
+    def _fits(self, server: Server, parts: frozenset[Part]) -> bool:
+        """Tell whether parts fit beside what the engine keeps for sessions in progress."""
+        ending = self._said[server.vm].ending
+        return not server.memory or size_of(self._configuration, {*parts, *ending}) <= server.memory
+
+    def _can_be_emptied(self, vm: VmId) -> bool:
+        """Tell whether enough goes on without this server, on any version."""
+        parts = self._wanted[vm]
+        if parts in self._refused:
+            return False  # a server with the same parts and no greater rate could not be spared
+        touched = [
+            pipeline for pipeline in self._configuration.pipelines if any(stage.vm == vm for stage in pipeline.stages)
+        ]
+        if all(self._goes_on(pipeline, vm) for pipeline in touched):
+            return True
+        self._refused.add(parts)
+        self._stuck.append(vm)
+        return False
+
+    def _goes_on(self, pipeline: Pipeline, without: VmId) -> bool:
+        if pipeline.name not in self._carried:
+            self._carried[pipeline.name] = self._carry(pipeline, frozenset())
+            self._enough[pipeline.name] = KEPT_SHARE * compute_flow(pipeline, self._unusable).bound
+        least = min(self._enough[pipeline.name], self._carried[pipeline.name])
+        return self._carry(pipeline, {without}) >= least
+
+    def _carry(self, pipeline: Pipeline, without: Collection[VmId]) -> float:
+        """Give what a pipeline can carry now, the sum over its versions, without some servers."""
+        return sum(
+            compute_flow(version, {*list_lacking(version, self._held), *self._unusable, *without}).bound
+            for version in list_versions(pipeline)
+        )
+
+
+def plan_holdings(
+    configuration: Configuration, said: Mapping[VmId, Holdings], unusable: Collection[VmId] = frozenset()
+) -> Plan:
+    """Plan what each engine should hold."""
+    return Planner(configuration, said, unusable).make()
+
+
+__all__ = ["KEPT_SHARE", "HoldOrder", "Plan", "plan_holdings"]
--- a/packages/core/src/vaneturn_core/routing/flow.py
+++ b/packages/core/src/vaneturn_core/routing/flow.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from typing import Any, Final
@@ -10,11 +11,12 @@
 
 from vaneturn_core.configuration.schema import Pipeline
 from vaneturn_core.identifiers import VmId
-from vaneturn_core.routing.hops import Hop, list_hops
+from vaneturn_core.routing.hops import Hop, list_entries, make_hop
 
 MINIMUM_SHARE: Final = 0.01  # of a hop's rate: hops without flow stay usable when others fail
 
-_Vertex = tuple[str, str | int]
+_Range = tuple[int, int]
+_Vertex = tuple[str, int, int]
 
 
 @dataclass(frozen=True)
@@ -28,48 +30,53 @@
 def compute_flow(pipeline: Pipeline, unusable: Collection[VmId]) -> Flow:
     """Compute the maximum flow from the first layer to the last over the usable servers.
 
-    Exact where ranges meet at their ends. A hop that enters a server inside its range is counted at the rate of
-    the whole range, so the bound is then low by at most the layers that it leaves out.
+    Servers of one range are one edge of the graph and share its flow by their rates, so the graph grows with the
+    ranges, not with the servers. Exact where ranges meet at their ends. A hop that enters a server inside its range
+    is counted at the rate of the whole range, so the bound is then low by at most the layers that it leaves out.
     """
-    hops = {
-        boundary: [hop for hop in starting if hop.vm not in unusable]
-        for boundary, starting in list_hops(pipeline).items()
-    }
-    graph = _build_graph(pipeline, hops)
+    entries = [(stage, boundary) for stage, boundary in list_entries(pipeline) if stage.vm not in unusable]
+    rates: defaultdict[_Range, float] = defaultdict(float)
+    for stage in pipeline.stages:
+        if stage.vm not in unusable:
+            rates[stage.first, stage.end] += stage.rate
+    graph = _build_graph(pipeline, rates, {(boundary, stage.first, stage.end) for stage, boundary in entries})
     bound, flow = nx.maximum_flow(graph, _boundary(0), _boundary(pipeline.layers))
-    weights = {
-        boundary: {
-            hop: max(flow[_boundary(boundary)][_entry(hop.vm, hop.end)], MINIMUM_SHARE * hop.rate) for hop in starting
-        }
-        for boundary, starting in hops.items()
-    }
+    weights: defaultdict[int, dict[Hop, float]] = defaultdict(dict)
+    for stage, boundary in entries:
+        hop = make_hop(stage, boundary)
+        entered = flow[_boundary(boundary)][_entry(stage.first, stage.end)]
+        share = entered * stage.rate / rates[stage.first, stage.end]
+        weights[boundary][hop] = max(share, MINIMUM_SHARE * hop.rate)
     return Flow(float(bound), weights)
 
 
-def _build_graph(pipeline: Pipeline, hops: Mapping[int, list[Hop]]) -> nx.DiGraph[Any]:
+def _build_graph(
+    pipeline: Pipeline, rates: Mapping[_Range, float], entries: Collection[tuple[int, int, int]]
+) -> nx.DiGraph[Any]:
+    """Build the graph of layer boundaries and ranges.
+
+    :param entries: a boundary, and the first and end layer of a range that may be entered there.
+    """
     graph: nx.DiGraph[Any] = nx.DiGraph()
     graph.add_nodes_from([_boundary(0), _boundary(pipeline.layers)])
-    usable = {hop.vm for starting in hops.values() for hop in starting}
-    for stage in pipeline.stages:
-        if stage.vm in usable:
-            graph.add_edge(_entry(stage.vm, stage.end), _exit(stage.vm, stage.end), capacity=stage.rate)
-            graph.add_edge(_exit(stage.vm, stage.end), _boundary(stage.end))
-    for boundary, starting in hops.items():
-        for hop in starting:
-            graph.add_edge(_boundary(boundary), _entry(hop.vm, hop.end))
+    for (first, end), rate in rates.items():
+        graph.add_edge(_entry(first, end), _exit(first, end), capacity=rate)
+        graph.add_edge(_exit(first, end), _boundary(end))
+    for boundary, first, end in entries:
+        graph.add_edge(_boundary(boundary), _entry(first, end))
     return graph
 
 
 def _boundary(layer: int) -> _Vertex:
-    return ("boundary", layer)
+    return ("boundary", layer, layer)
 
 
-def _entry(vm: VmId, end: int) -> _Vertex:
-    return ("entry", f"{vm} {end}")
+def _entry(first: int, end: int) -> _Vertex:
+    return ("entry", first, end)
 
 
-def _exit(vm: VmId, end: int) -> _Vertex:
-    return ("exit", f"{vm} {end}")
+def _exit(first: int, end: int) -> _Vertex:
+    return ("exit", first, end)
 
 
 __all__ = ["MINIMUM_SHARE", "Flow", "compute_flow"]
--- a/packages/node/src/vaneturn_node/answers/generation.py
+++ b/packages/node/src/vaneturn_node/answers/generation.py
@@ -5,7 +5,7 @@
 import logging
 import time
 from collections.abc import AsyncGenerator, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 import anyio
@@ -148,6 +148,8 @@
         while time.monotonic() < until:
             if self._route is not None:
                 return True
+            if self._produced == 0:
+                self._settle_version()
             request = self._request
             self._take_route(self._placement.choose(request.pipeline, request.affinity, self._list_avoided()))
             if self._route is None:
@@ -155,6 +157,16 @@
                 await anyio.sleep(ROUTE_RETRY)
         return False
 
+    def _settle_version(self) -> None:
+        """Take the version that serves now; the answer keeps that of its first token to its end.
+
+        Before it the version may go from servers that the answer has not come to yet; what ran on others is left.
+        """
+        pipeline = self._placement.choose_version(self._request.pipeline, self._request.affinity)
+        if pipeline.version != self._request.pipeline.version:
+            self._run.close()
+        self._request = self._run.request = replace(self._request, pipeline=pipeline)
+
     async def _move_if_better(self) -> None:
         """Leave a server that is going away or has become slow; the answer goes on where it is if none is better."""
         route = self._route
--- a/packages/node/src/vaneturn_node/answers/placement.py
+++ b/packages/node/src/vaneturn_node/answers/placement.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Collection, Mapping
+from typing import Final
 
 from vaneturn_core.configuration.schema import Configuration, Pipeline
 from vaneturn_core.identifiers import PipelineName, VmId
+from vaneturn_core.placing.parts import Part, list_lacking, list_versions
+from vaneturn_core.placing.versions import choose_version
 from vaneturn_core.routing.choice import choose_route
 from vaneturn_core.routing.flow import Flow, compute_flow
 from vaneturn_core.routing.health import ServerHealths
@@ -13,6 +17,8 @@
 from vaneturn_node.metrics import Metrics
 from vaneturn_node.stages.pool import LinkPool
 
+REFRESH: Final = 0.2  # seconds at least between two computations for what engines hold
+
 
 class Placement:
     """Holds the flow of each pipeline and chooses routes by it."""
@@ -22,8 +28,11 @@
         self._pool = pool
         self._metrics = metrics
         self._configuration = Configuration()
-        self._flows: dict[PipelineName, tuple[Pipeline, Flow]] = {}
+        self._flows: dict[tuple[PipelineName, str], tuple[Pipeline, Flow]] = {}  # by name and version
         healths.on_leaving(self._compute_flows)
+        pool.on_holdings(self._note_holdings)
+        self._is_stale = False
+        self._computed_at = float("-inf")
 
     def follow(self, configuration: Configuration) -> None:
         """Compute the flows anew after a change of configuration."""
@@ -55,28 +64,59 @@
                 return Route(route.layers, (*route.hops[:index], *moved, *route.hops[index + 1 :]))
         return self.choose(pipeline, affinity, {*avoided, lost.vm})
 
+    def choose_version(self, pipeline: Pipeline, affinity: str) -> Pipeline:
+        """Choose the version that a new answer gets: the declared one, or the one before while that is rolled out."""
+        newest = next((known for known in self._configuration.pipelines if known.name == pipeline.name), pipeline)
+        versions = {version.version: version for version in list_versions(newest)}
+        if len(versions) == 1:
+            return newest
+        bounds = {name: self._find_flow(version).bound for name, version in versions.items()}
+        return versions[choose_version(affinity, newest.version, bounds)]
+
     def read_bound(self, name: PipelineName) -> float:
         """Read the throughput bound of a pipeline in tokens a second; 0 when it has none."""
-        known = self._flows.get(name)
-        return known[1].bound if known else 0.0
+        return self.list_bounds().get(name, 0.0)
 
     def list_bounds(self) -> Mapping[PipelineName, float]:
-        """List the throughput bound of each pipeline in tokens a second."""
-        return {name: flow.bound for name, (_, flow) in self._flows.items()}
+        """List the throughput bound of each pipeline in tokens a second, the greatest of its versions."""
+        self._refresh()
+        bounds: dict[PipelineName, float] = {}
+        for (name, _), (_, flow) in self._flows.items():
+            bounds[name] = max(bounds.get(name, 0.0), flow.bound)
+        return bounds
+
+    def _note_holdings(self) -> None:
+        self._is_stale = True
+
+    def _refresh(self) -> None:
+        """Compute the flows anew if engines hold something else; not for each one of a burst of changes."""
+        if self._is_stale and time.monotonic() >= self._computed_at + REFRESH:
+            self._compute_flows()
 
     def _find_flow(self, pipeline: Pipeline) -> Flow:
-        known = self._flows.get(pipeline.name)
+        self._refresh()
+        known = self._flows.get((pipeline.name, pipeline.version))
         if known is not None and known[0] == pipeline:
             return known[1]
-        return compute_flow(pipeline, self._healths.list_leaving())
+        return self._compute_flow(pipeline, self._list_held())
 
     def _compute_flows(self) -> None:
-        leaving = self._healths.list_leaving()
+        self._is_stale = False
+        self._computed_at = time.monotonic()
+        held = self._list_held()
         self._flows = {
-            pipeline.name: (pipeline, compute_flow(pipeline, leaving)) for pipeline in self._configuration.pipelines
+            (pipeline.name, version.version): (version, self._compute_flow(version, held))
+            for pipeline in self._configuration.pipelines
+            for version in list_versions(pipeline)
         }
-        for name, (_, flow) in self._flows.items():
-            self._metrics.bound.labels(name).set(flow.bound)
+        for name, bound in self.list_bounds().items():
+            self._metrics.bound.labels(name).set(bound)
+
+    def _list_held(self) -> Mapping[VmId, Collection[Part]]:
+        return {vm: holdings.held for vm, holdings in self._pool.list_holdings().items()}
+
+    def _compute_flow(self, pipeline: Pipeline, held: Mapping[VmId, Collection[Part]]) -> Flow:
+        return compute_flow(pipeline, self._healths.list_leaving() | list_lacking(pipeline, held))
 
 
 def _restrict(flow: Flow, first: int, end: int) -> Flow:
--- a/packages/node/src/vaneturn_node/answers/request.py
+++ b/packages/node/src/vaneturn_node/answers/request.py
@@ -19,7 +19,7 @@
     customer: CustomerName
     work_class: ClassName
     priority: int
-    pipeline: Pipeline  # as configured when the request came; the answer keeps this version to its end
+    pipeline: Pipeline  # with the version of the answer, which is settled with its first route
     prompt: bytes  # tokens
     seed: int
     max_tokens: int
--- a/packages/node/src/vaneturn_node/answers/stagerun.py
+++ b/packages/node/src/vaneturn_node/answers/stagerun.py
@@ -27,7 +27,7 @@
     """Sends the steps of one session; an attempt is never used again once a hop has been replaced."""
 
     def __init__(self, request: AnswerRequest, pool: LinkPool, healths: ServerHealths, call_timeout: float) -> None:
-        self._request = request
+        self.request = request
         self._pool = pool
         self._healths = healths
         self._call_timeout = call_timeout
@@ -62,7 +62,7 @@
             self._used.add(hop.vm)
             link.send(self._describe_session(hop))
         own = Step(step.session, self.attempt, step.position, step.count, inputs, step.seed, step.rebuild)
-        shortest = MIN_STEP_TIMEOUT[self._request.pipeline.preference]
+        shortest = MIN_STEP_TIMEOUT[self.request.pipeline.preference]
         timeout = self._healths[hop.vm].compute_timeout(step.count, shortest, self._call_timeout)
         result = await link.run_step(own, hop, timeout)
         if isinstance(result, Done) or (isinstance(result, Lost) and result.sent):
@@ -70,7 +70,7 @@
         return result
 
     def _describe_session(self, hop: Hop) -> Open:
-        request = self._request
+        request = self.request
         pipeline = request.pipeline
         return Open(
             request.session,
@@ -102,12 +102,14 @@
         self.follow(None)
         for vm in self._used:
             self.forget(vm)
+        self._used.clear()
+        self._opened.clear()
 
     def forget(self, vm: VmId) -> None:
         """Let one server forget the session."""
         link = self._pool[vm]
         if link is not None:
-            link.send(Close(self._request.session))
+            link.send(Close(self.request.session))
 
 
 __all__ = ["HopFailure", "StageRun"]
--- a/packages/node/src/vaneturn_node/claims/ownership.py
+++ b/packages/node/src/vaneturn_node/claims/ownership.py
@@ -15,6 +15,7 @@
 from vaneturn_core.identifiers import CustomerName, RepeatKey, StoreVersion
 from vaneturn_core.membership.table import MemberTable
 from vaneturn_core.ports import Conflict, Entry, KeyValueService, Unavailable
+from vaneturn_node.clock import read_clock
 from vaneturn_node.peers.messages import HandOver
 from vaneturn_node.peers.requests import PeerClient
 
@@ -30,11 +31,6 @@
 logger = logging.getLogger(__name__)
 
 
-def read_clock() -> float:
-    """Read a clock that no pause of this process or its VM stops, in seconds."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class SlotOwnership:
     """Confirms the map with the key-value service; takes claims for the own slots while it is sure of them."""
 
@@ -189,4 +185,4 @@
             ledger.release(customer, repeat_key, claim)
 
 
-__all__ = ["CONFIRM_BOUND", "SlotOwnership", "read_clock"]
+__all__ = ["CONFIRM_BOUND", "SlotOwnership"]
--- a/packages/node/src/vaneturn_node/daemon.py
+++ b/packages/node/src/vaneturn_node/daemon.py
@@ -47,6 +47,8 @@
 from vaneturn_node.peers.requests import PeerClient
 from vaneturn_node.peers.seal import Sealer
 from vaneturn_node.peers.wiring import Peers, make_peers
+from vaneturn_node.placing.placer import Placer
+from vaneturn_node.placing.tenure import Tenure
 from vaneturn_node.platform.keyvalue import HttpKeyValueService
 from vaneturn_node.platform.vms import HttpVmList
 from vaneturn_node.runtime import Runtime
@@ -88,7 +90,9 @@
         peers = make_peers(runtime, table)
         follower = ConfigurationFollower(runtime.store, runtime.in_force, lambda: table.is_chosen("watch", WATCHERS))
         tasks.start_soon(peers.run)
+        placer = Placer(runtime.tenure, runtime.in_force, runtime.pool, runtime.healths, runtime.metrics)
         tasks.start_soon(follower.run)
+        tasks.start_soon(placer.run)
         if settings.vm_list_url is not None:
             tasks.start_soon(_follow_vm_list, HttpVmList(client, settings.vm_list_url), runtime.healths)
         stopped = anyio.Event()
@@ -127,6 +131,7 @@
             lambda: in_force.view.configuration.claims,
         ),
         ownership=ownership,
+        tenure=Tenure(store, table),
         peer_client=peer_client,
         admission=Admission(metrics, placement.read_bound, lambda: len(table.list_staying())),
         retry_budget=RetryBudget(),
@@ -163,6 +168,7 @@
     runtime.admission.ready = False
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(peers.retire)
+        tasks.start_soon(runtime.tenure.give_up)
         await anyio.sleep(UNREADY_TIME)
         runtime.admission.stopping = True
     with anyio.move_on_after(runtime.settings.stop_timeout):
--- a/packages/node/src/vaneturn_node/http/operators.py
+++ b/packages/node/src/vaneturn_node/http/operators.py
@@ -100,6 +100,7 @@
     ejected = runtime.healths.list_ejected()
     down = runtime.pool.list_down()
     configuration = runtime.in_force.view.configuration
+    said = runtime.pool.list_holdings()
     servers = [
         ServerState(
             vm=server.vm,
@@ -109,6 +110,9 @@
             limit=health.limit,
             ejected=server.vm in ejected,
             leaving=sorted(source.value for source in health.leaving),
+            held=[str(part) for part in said[server.vm].held] if server.vm in said else [],
+            loading=[str(part) for part in said[server.vm].loading] if server.vm in said else [],
+            ending=[str(part) for part in said[server.vm].ending] if server.vm in said else [],
         )
         for server in configuration.servers
     ]
@@ -126,6 +130,7 @@
             for state in sessions
         ],
         bounds=dict(runtime.placement.list_bounds()),
+        fence=runtime.tenure.fence if runtime.tenure.is_sure(0.0) else 0,
     )
 
 
--- a/packages/node/src/vaneturn_node/metrics.py
+++ b/packages/node/src/vaneturn_node/metrics.py
@@ -54,6 +54,7 @@
         self.bound = Gauge(
             "vaneturn_throughput_bound_tokens", "Maximum flow in tokens a second", ("pipeline",), registry=registry
         )
+        self.orders = Counter("vaneturn_hold_orders", "Orders to engines to hold parts of models", registry=registry)
         self.revision = Gauge("vaneturn_configuration_revision", "Revision in force", registry=registry)
         self.store_calls = Counter(
             "vaneturn_key_value_calls", "Calls on the key-value service", ("call", "result"), registry=registry
--- a/packages/node/src/vaneturn_node/runtime.py
+++ b/packages/node/src/vaneturn_node/runtime.py
@@ -24,6 +24,7 @@
 from vaneturn_node.limits.admission import Admission
 from vaneturn_node.metrics import Metrics
 from vaneturn_node.peers.requests import PeerClient
+from vaneturn_node.placing.tenure import Tenure
 from vaneturn_node.stages.pool import LinkPool
 
 
@@ -39,6 +40,7 @@
     changes: Changes
     claims: Claims
     ownership: SlotOwnership
+    tenure: Tenure
     peer_client: PeerClient
     admission: Admission
     retry_budget: RetryBudget
--- a/packages/node/src/vaneturn_node/stages/link.py
+++ b/packages/node/src/vaneturn_node/stages/link.py
@@ -15,7 +15,19 @@
 from websockets.exceptions import WebSocketException
 
 from vaneturn_core.configuration.schema import Server
-from vaneturn_core.engine.messages import ENCODER, LINK_PATH, REPLIES, Done, Leaving, Order, Refused, Reply, Step
+from vaneturn_core.engine.messages import (
+    ENCODER,
+    LINK_PATH,
+    REPLIES,
+    Done,
+    Hold,
+    Holdings,
+    Leaving,
+    Order,
+    Refused,
+    Reply,
+    Step,
+)
 from vaneturn_core.identifiers import SessionId
 from vaneturn_core.routing.health import LeavingSource, ServerHealths
 from vaneturn_core.routing.hops import Hop
@@ -28,6 +40,7 @@
 DOWN_SHARE: Final = 0.25  # seconds of backoff for each link that is down, so that a lost data hall costs no more
 PING_INTERVAL: Final = 20.0  # seconds; a dead server in use is noticed by its steps, this finds idle ones
 PING_TIMEOUT: Final = 5.0
+HOLD_ANSWER: Final = 5.0  # seconds in which an engine says what it made of an order
 MAX_FRAME: Final = 64 << 20  # bytes
 
 logger = logging.getLogger(__name__)
@@ -55,13 +68,30 @@
     result: StepResult = Lost(sent=False)
 
 
+@dataclass(frozen=True)
+class _HoldOrdered:
+    """An order to hold parts that the engine has not answered yet."""
+
+    order: Hold
+    is_valid: Callable[[], bool]
+    until: float  # on the monotonic clock
+
+
 class StageLink:
     """Sends orders in batches and hands each reply to the step that awaits it."""
 
-    def __init__(self, server: Server, healths: ServerHealths, metrics: Metrics, count_down: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        server: Server,
+        healths: ServerHealths,
+        metrics: Metrics,
+        count_down: Callable[[], int],
+        on_holdings: Callable[[], None],
+    ) -> None:
         """Make a link that is not connected yet.
 
         :param count_down: counts the links of this node that are down.
+        :param on_holdings: called when the engine says that it holds something else.
         """
         self.server = server
         self._count_down = count_down
@@ -71,8 +101,35 @@
         self._wake = anyio.Event()
         self._awaited: dict[_StepKey, _Awaited] = {}
         self._connected = anyio.Event()
+        self._on_holdings = on_holdings
+        self._said: Holdings | None = None
+        self._ordered: _HoldOrdered | None = None
+        self._is_order_due = False
         self.window = StepWindow()
 
+    @property
+    def holdings(self) -> Holdings | None:
+        """What the engine holds, an order that it has not answered yet included; none if it never said."""
+        said, ordered = self._said, self._ordered
+        if said is None or ordered is None or time.monotonic() >= ordered.until:
+            return said
+        parts = ordered.order.parts
+        held = tuple(part for part in said.held if part in parts)
+        loading = tuple(part for part in parts if part not in held)
+        ending = tuple(part for part in said.held if part not in parts)
+        return Holdings(said.fence, held, loading, (*said.ending, *ending))
+
+    def order(self, order: Hold, is_valid: Callable[[], bool]) -> None:
+        """Order the engine to hold parts.
+
+        :param is_valid: asked once more right before the order is written.
+        """
+        if not self.is_connected:
+            return
+        self._ordered = _HoldOrdered(order, is_valid, time.monotonic() + HOLD_ANSWER)
+        self._is_order_due = True
+        self._wake.set()
+
     @property
     def is_connected(self) -> bool:
         """Whether orders can be sent now."""
@@ -150,6 +207,8 @@
 
     async def _use(self, connection: ClientConnection) -> None:
         self._outgoing.clear()
+        self._ordered = None
+        self._is_order_due = False
         self._healths.unmark_leaving(self.server.vm, LeavingSource.SERVER)  # a leaving server says so again at once
         self._connected.set()
         try:
@@ -167,6 +226,7 @@
             await self._wake.wait()
             self._wake = anyio.Event()
             batch, self._outgoing = self._outgoing, []
+            batch += self._take_due_order()
             if not batch:
                 continue
             try:
@@ -174,6 +234,16 @@
             except WebSocketException:
                 return  # the reader sees the same end
 
+    def _take_due_order(self) -> list[Order]:
+        """Take the order to hold parts, unless its sender may not order any more."""
+        if not self._is_order_due or self._ordered is None:
+            return []
+        self._is_order_due = False
+        if self._ordered.is_valid():
+            return [self._ordered.order]
+        self._ordered = None
+        return []
+
     async def _read(self, connection: ClientConnection) -> None:
         async for frame in connection:
             data = frame if isinstance(frame, bytes) else frame.encode()
@@ -186,6 +256,10 @@
         if isinstance(reply, Leaving):
             self._healths.mark_leaving(self.server.vm, LeavingSource.SERVER)
             return True
+        if isinstance(reply, Holdings):
+            self._said, self._ordered = reply, None
+            self._on_holdings()
+            return True
         rebuild = isinstance(reply, Done) and reply.rebuild
         awaited = self._awaited.get((reply.session, reply.attempt, reply.position, rebuild))
         if awaited is None and isinstance(reply, Refused):
--- a/packages/node/src/vaneturn_node/stages/pool.py
+++ b/packages/node/src/vaneturn_node/stages/pool.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
+
 import anyio
 from anyio.abc import TaskGroup
 
 from vaneturn_core.configuration.schema import Configuration, Server
 from vaneturn_core.identifiers import VmId
+from vaneturn_core.placing.parts import Holdings
 from vaneturn_core.routing.health import ServerHealths
 from vaneturn_node.metrics import Metrics
 from vaneturn_node.stages.link import StageLink
@@ -21,6 +24,16 @@
         self._metrics = metrics
         self._links: dict[VmId, StageLink] = {}
         self._scopes: dict[VmId, anyio.CancelScope] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self._has_holdings = anyio.Event()
+
+    def on_holdings(self, listener: Callable[[], None]) -> None:
+        """Call the listener when an engine says that it holds something else."""
+        self._listeners.append(listener)
+
+    def list_holdings(self) -> Mapping[VmId, Holdings]:
+        """List what the engines that take orders said last."""
+        return {vm: link.holdings for vm, link in self._links.items() if link.holdings is not None}
 
     def __getitem__(self, vm: VmId) -> StageLink | None:
         return self._links.get(vm)
@@ -41,12 +54,21 @@
                 self._start(server)
 
     def _start(self, server: Server) -> None:
-        link = StageLink(server, self._healths, self._metrics, lambda: len(self.list_down()))
+        link = StageLink(server, self._healths, self._metrics, lambda: len(self.list_down()), self._notify)
         scope = anyio.CancelScope()
         self._links[server.vm] = link
         self._scopes[server.vm] = scope
         self._tasks.start_soon(_run_in, scope, link)
 
+    async def wait_holdings(self) -> None:
+        """Wait until any engine has said what it holds, and thus takes orders."""
+        await self._has_holdings.wait()
+
+    def _notify(self) -> None:
+        self._has_holdings.set()
+        for listener in self._listeners:
+            listener()
+
 
 async def _run_in(scope: anyio.CancelScope, link: StageLink) -> None:
     with scope:
--- /dev/null
+++ b/tests/core/placing/test_plan.py
@@ -0,0 +1,150 @@
+"""No plan takes the last way through the layers, loads beyond the budget, or leaves a rollout unfinished."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+from random import Random
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from vaneturn_core.configuration.check import check_configuration
+from vaneturn_core.configuration.schema import Configuration, Pipeline, Server, Stage
+from vaneturn_core.identifiers import DataHall, PipelineName, VmId
+from vaneturn_core.placing.parts import Holdings, Part, group_parts, list_lacking, list_versions, size_of
+from vaneturn_core.placing.plan import HoldOrder, plan_holdings
+from vaneturn_core.placing.versions import choose_version
+from vaneturn_core.routing.flow import compute_flow
+
+LAYERS = 12
+MAX_ROUNDS = 200
+
+
+def make_configuration(cuts: list[int], replicas: int, memory: int, loads: int) -> Configuration:
+    """Make a pipeline whose layers are cut into ranges, each with some replicas."""
+    bounds = [0, *cuts, LAYERS]
+    ranges = list(pairwise(bounds))
+    stages = tuple(
+        Stage(vm=VmId(f"runner-{first}-{number}"), first=first, end=end, rate=100.0)
+        for first, end in ranges
+        for number in range(replicas)
+    )
+    widest = max(end - first for first, end in ranges)
+    servers = tuple(
+        Server(vm=stage.vm, address="127.0.0.1:1", data_hall=DataHall("osborne"), memory=memory * widest)
+        for stage in stages
+    )
+    pipeline = Pipeline(
+        name=PipelineName("ledgerlm"), model="ledger", version="1", layers=LAYERS, stages=stages, layer_bytes=1
+    )
+    return Configuration(servers=servers, pipelines=(pipeline,), loads_at_once=loads)
+
+
+def roll_out(configuration: Configuration) -> Configuration:
+    pipeline = configuration.pipelines[0]
+    newer = msgspec.structs.replace(pipeline, version="2", previous_version="1")
+    return msgspec.structs.replace(configuration, pipelines=(newer,))
+
+
+class Engines:
+    """Engines that carry out orders; loads end, and sessions end, at random."""
+
+    def __init__(self, configuration: Configuration, rng: Random) -> None:
+        self.rng = rng
+        self.memory = {server.vm: server.memory for server in configuration.servers}
+        self.configuration = configuration
+        self.said = {server.vm: Holdings(0, (), (), ()) for server in configuration.servers}
+
+    def take(self, order: HoldOrder) -> None:
+        known = self.said[order.vm]
+        held = tuple(part for part in known.held if part in order.parts)
+        dropped = tuple(part for part in known.held if part not in order.parts)
+        loading = tuple(part for part in order.parts if part not in held)
+        self.said[order.vm] = Holdings(1, held, loading, (*known.ending, *dropped))
+
+    def advance(self) -> None:
+        for vm, known in self.said.items():
+            ending = known.ending if self.rng.random() < 0.5 else ()
+            held, loading = known.held, known.loading
+            if loading and self.rng.random() < 0.5 and self._fits(vm, (*held, *ending, loading[0])):
+                held, loading = (*held, loading[0]), loading[1:]
+            self.said[vm] = Holdings(1, held, loading, ending)
+
+    def _fits(self, vm: VmId, parts: tuple[Part, ...]) -> bool:
+        return not self.memory[vm] or size_of(self.configuration, parts) <= self.memory[vm]
+
+    def count_loading(self) -> int:
+        return sum(bool(known.loading) for known in self.said.values())
+
+    def carry(self, pipeline: Pipeline) -> float:
+        total = 0.0
+        for version in list_versions(pipeline):
+            lacking = list_lacking(version, {vm: known.held for vm, known in self.said.items()})
+            total += compute_flow(version, lacking).bound
+        return total
+
+
+def settle(configuration: Configuration, engines: Engines, least: float = 0.0) -> int:
+    """Carry plans out until there is nothing to order or load; give the rounds that it took."""
+    for number in range(MAX_ROUNDS):
+        plan = plan_holdings(configuration, engines.said)
+        for order in plan.orders:
+            engines.take(order)
+        assert engines.count_loading() <= configuration.loads_at_once
+        assert engines.carry(configuration.pipelines[0]) >= least
+        if not plan.orders and not engines.count_loading():
+            return number
+        engines.advance()
+    raise AssertionError("the plan never settles")
+
+
+shapes = st.tuples(st.lists(st.integers(1, LAYERS - 1), max_size=3, unique=True).map(sorted), st.integers(2, 4))
+
+
+@given(shapes, st.integers(1, 2), st.integers(1, 5), st.integers(0, 1000))
+def test_rollout_ends_and_always_leaves_a_way(shape: tuple[list[int], int], memory: int, loads: int, seed: int) -> None:
+    configuration = make_configuration(*shape, memory, loads)
+    assert not check_configuration(configuration)
+    engines = Engines(configuration, Random(seed))
+    settle(configuration, engines)
+    newer = roll_out(configuration)
+    full = engines.carry(configuration.pipelines[0])
+    settle(newer, engines, least=full / 2 - 1e-6)
+    for vm, known in engines.said.items():
+        assert set(known.held) == group_parts(newer.pipelines)[vm]
+
+
+def test_last_replica_is_not_emptied_for_a_version_that_does_not_fit_beside() -> None:
+    configuration = make_configuration([6], 1, 1, 4)
+    engines = Engines(configuration, Random(1))
+    settle(configuration, engines)
+    newer = roll_out(configuration)
+    settle(newer, engines, least=1.0)
+    assert plan_holdings(newer, engines.said).stuck
+    assert all(part.version == "1" for known in engines.said.values() for part in known.held)
+
+
+def test_leaving_servers_get_no_order() -> None:
+    configuration = make_configuration([6], 2, 1, 4)
+    engines = Engines(configuration, Random(1))
+    vms = [server.vm for server in configuration.servers]
+    assert {order.vm for order in plan_holdings(configuration, engines.said, vms[:1]).orders} == set(vms[1:])
+
+
+def test_memory_too_small_for_the_stages_is_a_fault() -> None:
+    configuration = make_configuration([6], 1, 1, 4)
+    small = msgspec.structs.replace(configuration.servers[0], memory=5)
+    faults = check_configuration(msgspec.structs.replace(configuration, servers=(small, *configuration.servers[1:])))
+    assert [fault.path for fault in faults] == ["$.servers[0].memory"]
+
+
+@given(st.text(max_size=9), st.floats(0, 100), st.floats(0, 100), st.floats(0, 50))
+def test_affinity_that_has_the_newest_version_keeps_it(affinity: str, new: float, old: float, more: float) -> None:
+    if choose_version(affinity, "2", {"2": new, "1": old}) == "2":
+        assert choose_version(affinity, "2", {"2": new + more, "1": max(0.0, old - more)}) == "2"
+
+
+def test_version_that_carries_nothing_is_not_chosen() -> None:
+    assert all(choose_version(f"session {number}", "2", {"2": 0.0, "1": 5.0}) == "1" for number in range(50))
+    assert all(choose_version(f"session {number}", "2", {"2": 5.0, "1": 0.0}) == "2" for number in range(50))
--- a/tests/core/routing/test_routes.py
+++ b/tests/core/routing/test_routes.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from typing import Any
 
+import networkx as nx
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -137,3 +139,18 @@
 def test_broken_route_stops_the_process(hops: list[tuple[int, int]]) -> None:
     with pytest.raises(AssertionError):
         Route(LAYERS, tuple(Hop(VmId("vm"), first, end) for first, end in hops))
+
+
+@given(pipelines)
+def test_bound_is_that_of_the_graph_with_an_edge_for_each_server(pipeline: Pipeline) -> None:
+    graph: nx.DiGraph[Any] = nx.DiGraph()
+    graph.add_nodes_from([0, pipeline.layers])
+    for number, stage in enumerate(pipeline.stages):
+        graph.add_edge(f"in {number}", f"out {number}", capacity=stage.rate)
+        graph.add_edge(f"out {number}", stage.end)
+    for number, stage in enumerate(pipeline.stages):
+        for boundary in {0, *(other.end for other in pipeline.stages)}:
+            if stage.first <= boundary < stage.end:
+                graph.add_edge(boundary, f"in {number}")
+    bound, _ = nx.maximum_flow(graph, 0, pipeline.layers)
+    assert compute_flow(pipeline, set()).bound == pytest.approx(bound)
--- a/tests/rig/installation.py
+++ b/tests/rig/installation.py
@@ -126,6 +126,19 @@
         self.start("kv", "standins.keyvalue", *self._journal("kv"))
         self.start("vms", "standins.vmlist", "--lag", str(vm_list_lag))
 
+    def start_weight_store(self, loads_at_once: int, layer_seconds: float = 0.02) -> None:
+        options = ["--loads-at-once", str(loads_at_once), "--layer-seconds", str(layer_seconds)]
+        self.start("weights", "standins.weightstore", *options, *self._journal("weights"), probe="/control/none")
+        self.declared["loads_at_once"] = loads_at_once
+
+    def start_ordered_engine(self, name: str, first: int, end: int, *arguments: str, checks_fence: bool = True) -> None:
+        """Start an engine that begins empty, has memory for just its range, and holds what it is ordered."""
+        options = ["--weight-store", self.url("weights"), "--memory-layers", str(end - first), *arguments]
+        self.start_engine(name, first, end, *options, *([] if checks_fence else ["--no-fence"]))
+        self.declared["pipelines"][0]["layer_bytes"] = 1
+        server = next(server for server in self.declared["servers"] if server["vm"] == name)
+        server.update(memory=end - first, checks_fence=checks_fence)
+
     def start_engine(self, name: str, first: int, end: int, *arguments: str, rate: float = 1000.0) -> None:
         """Start an engine; the first engine of a name also declares it for the pipeline."""
         options = ["--layers", str(LAYERS), "--first", str(first), "--end", str(end)]
--- a/tests/rig/proofs.py
+++ b/tests/rig/proofs.py
@@ -16,6 +16,7 @@
 AT_ONCE = 3
 
 NODE = "node/src/vaneturn_node"
+CORE = "core/src/vaneturn_core"
 
 
 @dataclass(frozen=True)
@@ -186,6 +187,48 @@
         "tests/node/test_ownership.py",
         (Edit(f"{NODE}/claims/ownership.py", "        if started < self._confirmed_at:\n", "        if False:\n"),),
     ),
+    Proof(
+        "a holder that is not sure of its tenure orders nothing",
+        "tests/system/test_placing.py::test_frozen_holder_that_thaws_orders_nothing",
+        (
+            Edit(
+                f"{NODE}/placing/tenure.py",
+                "        return read_clock() + margin < self._sure_until\n",
+                "        return self._is_holder()\n",
+            ),
+        ),
+    ),
+    Proof(
+        "a takeover waits for the whole term",
+        "tests/node/test_tenure.py",
+        (Edit(f"{NODE}/placing/tenure.py", "left = self._seen_at + TERM - read_clock()", "left = 0.0"),),
+    ),
+    Proof(
+        "a server is emptied only if enough goes on",
+        "tests/core/placing/test_plan.py",
+        (Edit(f"{CORE}/placing/plan.py", "KEPT_SHARE: Final = 0.5", "KEPT_SHARE: Final = 0.0"),),
+    ),
+    Proof(
+        "loads stay within the budget of the weight store",
+        "tests/core/placing/test_plan.py",
+        (Edit(f"{CORE}/placing/plan.py", "if not lacking or self._budget <= 0:", "if not lacking:"),),
+    ),
+    Proof(
+        "new answers get a version that is held",
+        "tests/system/test_placing.py::test_rollout_without_room_for_two_versions_cuts_nothing",
+        (Edit(f"{NODE}/answers/generation.py", "                self._settle_version()\n", "                pass\n"),),
+    ),
+    Proof(
+        "an answer may change its version before its first token",
+        "tests/system/test_placing.py::test_version_that_goes_before_the_first_token_is_changed",
+        (
+            Edit(
+                f"{NODE}/answers/generation.py",
+                "            if self._produced == 0:\n",
+                "            if not self._run.may_have_run:\n",
+            ),
+        ),
+    ),
     Proof(
         "a resumed answer fences the node that lost it",
         "tests/system/test_resume.py::test_frozen_node_that_thaws_does_not_disturb_its_successor",
--- /dev/null
+++ b/tests/system/test_placing.py
@@ -0,0 +1,204 @@
+"""Engines are ordered by one node at a time, within the weight store's limit, and no order cuts a session."""
+
+from __future__ import annotations
+
+import signal
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import pytest
+
+from rig.installation import LAYERS, Installation, expect_text, read_text
+from rig.processes import wait_until
+
+TEXT = "Check the verification letter of debtor 8"
+RANGES = ((0, 6), (6, LAYERS))
+LETTERS = "abc"
+LOADS = 2
+SLOW_LAYER = 0.5  # seconds; the first engines with the new version then come later than a request waits for a route
+
+
+@pytest.fixture
+def ordered(installation: Installation) -> Installation:
+    """Three empty engines for each of two ranges, one of which checks no fence, and two nodes."""
+    installation.start_platform()
+    installation.start_weight_store(LOADS)
+    for first, end in RANGES:
+        for letter in LETTERS:
+            name = f"runner-{first}{letter}"
+            options = ["--iteration-seconds", "0.01"]
+            installation.start_ordered_engine(name, first, end, *options, checks_fence=letter != "c")
+    for index in range(2):
+        installation.start_node(f"entry-{index}")
+    installation.apply_everywhere()
+    wait_until(lambda: all(hold(installation, name) for name in list_engines()))
+    return installation
+
+
+def list_engines() -> list[str]:
+    return [f"runner-{first}{letter}" for first, _ in RANGES for letter in LETTERS]
+
+
+def hold(installation: Installation, name: str, version: str = "1") -> bool:
+    """Tell whether the newest part that an engine loaded since its start is of a version."""
+    loaded: list[str] = []
+    for entry in installation.read_journal(name):
+        if entry["event"] == "start":
+            loaded.clear()
+        elif entry["event"] == "loaded":
+            loaded.append(entry["part"])
+    return bool(loaded) and f":{version}[" in loaded[-1]
+
+
+def roll_out(installation: Installation, version: str, node: str) -> None:
+    pipeline = installation.declared["pipelines"][0]
+    pipeline.update(previous_version=pipeline["version"], version=version)
+    assert installation.apply(node).is_success
+
+
+def find_holder(installation: Installation) -> str:
+    """Find the node that gave the newest order."""
+    ordered = {
+        node: [line for line in (installation.folder / f"{node}.log").read_text().splitlines() if "took the pl" in line]
+        for node in installation.nodes
+    }
+    return max((lines[-1], node) for node, lines in ordered.items() if lines)[1]
+
+
+def assert_orders_are_fenced(installation: Installation) -> None:
+    for name in list_engines():
+        fences = [entry["fence"] for entry in installation.read_journal(name) if entry["event"] == "hold"]
+        assert fences
+        assert fences == sorted(fences)
+
+
+def assert_store_was_spared(installation: Installation) -> None:
+    loads = installation.read_journal("weights")
+    assert [entry["event"] for entry in loads] == ["load"] * len(loads)
+    assert max(entry["at_once"] for entry in loads) <= LOADS
+
+
+@contextmanager
+def keep_asking(installation: Installation, node: str) -> Iterator[list[tuple[str, str]]]:
+    """Ask one question after the other meanwhile; gives each question with its answer."""
+    answered: list[tuple[str, str]] = []
+    is_over = threading.Event()
+
+    def ask() -> None:
+        while not is_over.is_set():
+            text = f"case {len(answered)}"
+            answered.append((text, read_text(installation.chat(text, node=node, max_tokens=4))))
+
+    asking = threading.Thread(target=ask)
+    asking.start()
+    try:
+        yield answered
+    finally:
+        is_over.set()
+        asking.join()
+
+
+def test_empty_engines_load_within_the_limit(ordered: Installation) -> None:
+    assert read_text(ordered.chat(TEXT)) == expect_text(TEXT)
+    assert_store_was_spared(ordered)
+    assert_orders_are_fenced(ordered)
+
+
+def test_rollout_without_room_for_two_versions_cuts_nothing(ordered: Installation) -> None:
+    node = ordered.nodes[1]
+    with ordered.stream(TEXT, max_tokens=150) as stream, keep_asking(ordered, node) as answered:
+        stream.read(10)
+        slow_loads = f"/control/{SLOW_LAYER}"
+        ordered.client.post(ordered.url("weights") + slow_loads).raise_for_status()
+        roll_out(ordered, "2", ordered.nodes[0])
+        assert stream.read() == expect_text(TEXT, max_tokens=150, version="1")
+        assert stream.is_whole
+        wait_until(lambda: all(hold(ordered, name, "2") for name in list_engines()))
+        asked = len(answered)
+        wait_until(lambda: len(answered) > asked + 2)
+    for text, answer in answered:
+        assert answer in {expect_text(text, max_tokens=4, version=version) for version in "12"}
+    assert read_text(ordered.chat(TEXT)) == expect_text(TEXT, version="2")
+    assert_store_was_spared(ordered)
+
+
+def test_version_that_goes_before_the_first_token_is_changed(installation: Installation) -> None:
+    """The first stage has run, and the second one drops the version before the answer gets there."""
+    installation.start_platform()
+    installation.start_weight_store(LOADS)
+    for first, end in RANGES:
+        installation.start_ordered_engine(f"runner-{first}", first, end, "--memory-layers", "100")
+    for server in installation.declared["servers"]:
+        server["memory"] = 100
+    installation.start_node("entry")
+    installation.apply_everywhere()
+    wait_until(lambda: all(hold(installation, f"runner-{first}") for first, _ in RANGES))
+    assert read_text(installation.chat(TEXT)) == expect_text(TEXT)
+    text = TEXT * 5  # a longer prompt, whose step may take longer
+    installation.set_faults("runner-0", late_replies=1, late_seconds=2.5)
+    answers: list[str] = []
+    asking = threading.Thread(target=lambda: answers.append(read_text(installation.chat(text))))
+    asking.start()
+    wait_until(lambda: len(list_runs(installation, "runner-0")) > len(list_runs(installation, "runner-6")))
+    roll_out(installation, "2", "entry")
+    wait_until(lambda: installation.read_journal("runner-6")[-1]["event"] == "hold")
+    wait_until(lambda: installation.read_journal("runner-6")[-1].get("parts") == ["ledger:2[6,12)"])
+    asking.join()
+    assert answers == [expect_text(text, version="2")]
+
+
+def list_runs(installation: Installation, name: str) -> list[str]:
+    return [entry["session"] for entry in installation.read_journal(name) if entry["event"] == "run"]
+
+
+def test_frozen_holder_that_thaws_orders_nothing(ordered: Installation) -> None:
+    """The engine that checks no fence would take the order that the frozen holder still wants to repeat."""
+    frozen = find_holder(ordered)
+    other = next(node for node in ordered.nodes if node != frozen)
+    unchecked = "runner-0c"
+    ordered.processes[unchecked].send(signal.SIGSTOP)
+    roll_out(ordered, "2", frozen)
+    wait_until(lambda: all(hold(ordered, name, "2") for name in list_engines() if name != unchecked))
+    wait_until(lambda: is_ordered(ordered, frozen, unchecked, "2"))
+    ordered.processes[frozen].send(signal.SIGSTOP)
+    ordered.processes[unchecked].send(signal.SIGCONT)
+    wait_until(lambda: hold(ordered, unchecked, "2"))
+    roll_out(ordered, "3", other)
+    wait_until(lambda: all(hold(ordered, name, "3") for name in list_engines()), timeout=60)
+    before = {name: len(ordered.read_journal(name)) for name in list_engines()}
+    ordered.processes[frozen].send(signal.SIGCONT)
+    wait_until(lambda: ordered.show_state(frozen)["revision"] == ordered.show_state(other)["revision"])
+    time.sleep(1.5)  # three rounds of a placer
+    for name in list_engines():
+        assert not [entry for entry in ordered.read_journal(name)[before[name] :] if entry["event"] == "hold"]
+    assert_orders_are_fenced(ordered)
+    assert_store_was_spared(ordered)
+
+
+def is_ordered(installation: Installation, node: str, server: str, version: str) -> bool:
+    """Tell whether a node has logged an order of a version to a server."""
+    lines = (installation.folder / f"{node}.log").read_text().splitlines()
+    return any("engine ordered" in line and server in line and f":{version}[" in line for line in lines)
+
+
+def test_planned_stop_of_the_holder_passes_its_part_on(ordered: Installation) -> None:
+    holder = find_holder(ordered)
+    other = next(node for node in ordered.nodes if node != holder)
+    ordered.processes[holder].send(signal.SIGTERM)
+    assert ordered.processes[holder].popen.wait(timeout=30) == 0
+    roll_out(ordered, "2", other)
+    wait_until(lambda: all(hold(ordered, name, "2") for name in list_engines()))
+    assert find_holder(ordered) == other
+    assert_orders_are_fenced(ordered)
+
+
+def test_outage_of_the_store_stops_orders_but_no_answer(ordered: Installation) -> None:
+    ordered.set_faults("kv", down=True)
+    ordered.processes["runner-0a"].kill()
+    ordered.start_ordered_engine("runner-0a", *RANGES[0])
+    assert all(read_text(ordered.chat(TEXT, node=node)) == expect_text(TEXT) for node in ordered.nodes)
+    ordered.set_faults("kv")
+    wait_until(lambda: hold(ordered, "runner-0a"))
+    assert_orders_are_fenced(ordered)
