Prove a node alone cut off from the key-value service, and refuse undecided claims sooner

Cause: cuts were only stood in for by frozen and killed processes. A relay stand-in now carries one node's way to the service and holds every byte up while it is cut.

Ruled out: the retries as such (an owner that answers decides in one), slow post of the test tool.

Change: one bound of 1.5 s on the whole claim, and no further try once the service does not answer.

--- a/packages/node/src/vaneturn_node/claims/byslot.py
+++ b/packages/node/src/vaneturn_node/claims/byslot.py
@@ -20,6 +20,7 @@
 
 ASK_TIMEOUT: Final = 0.5  # seconds
 TRIES: Final = 5  # with the same claim id, so that a lost answer wins no second claim
+CLAIM_TIME: Final = 1.5  # seconds after which a request is refused as not run; it is not held back for longer
 PAUSE: Final = 0.1  # seconds between two tries, full jitter; slots change hands meanwhile
 
 logger = logging.getLogger(__name__)
@@ -44,17 +45,26 @@
         if read_key_time(repeat_key) is None:
             return NotRun(Reason.KEY_WITHOUT_TIME)
         claim = Claim(uuid.uuid4().hex, customer, repeat_key)
+        with anyio.move_on_after(CLAIM_TIME):
+            outcome = await self._find_taker(claim)
+            if outcome is not None:
+                return outcome
+        # nothing runs here; the owner may hold the claim all the same, and then says so to a later try
+        return NotRun(Reason.CLAIM_OWNER_AWAY, retry_after=2.0)
+
+    async def _find_taker(self, claim: Claim) -> Claim | NotRun | Unknown | None:
+        """Ask the owner, and the next one if the slot changes hands meanwhile; none if no owner decides."""
         for _ in range(TRIES):
-            owner = self._ownership.find_owner(customer, repeat_key)
+            owner = self._ownership.find_owner(claim.customer, claim.repeat_key)
             verdict = await self._ask(owner, claim) if owner else Verdict.NOT_OWNER
             if verdict is Verdict.WON:
                 return claim
             if verdict in _REFUSALS:
                 return _REFUSALS[verdict]
             await anyio.sleep(random.uniform(0, PAUSE))
-            await self._ownership.refresh(0.0)
-        # nothing runs here; the owner may hold the claim all the same, and then says so to a later try
-        return NotRun(Reason.CLAIM_OWNER_AWAY, retry_after=2.0)
+            if not await self._ownership.refresh(0.0):
+                return None
+        return None
 
     async def _ask(self, owner: SlotOwner, claim: Claim) -> Verdict | None:
         if owner.node == self._node:
--- a/tests/core/claims/test_claims.py
+++ b/tests/core/claims/test_claims.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from rig.keys import make_key
 from vaneturn_core.claims.ledger import CLOCK_MARGIN, REMEMBERED, SlotLedger, Verdict, read_key_time
 from vaneturn_core.claims.slots import OWNERS, SLOTS, SlotMap, find_slot, reassign_slots
 from vaneturn_core.identifiers import CustomerName, DataHall, NodeId, RepeatKey, VmId
@@ -15,12 +16,6 @@
 CUSTOMER = CustomerName("osborne-finance")
 
 
-def make_key(made_at: float, number: int = 0) -> RepeatKey:
-    """Make a UUID of version 7."""
-    value = (int(made_at * 1000) << 80) | (7 << 76) | (2 << 62) | number
-    return RepeatKey(str(uuid.UUID(int=value)))
-
-
 def make_members(names: set[int]) -> list[Member]:
     return [
         Member(NodeId(f"node-{name}"), VmId(f"vm-{name}"), f"127.0.0.1:{name}", DataHall("h")) for name in sorted(names)
--- a/tests/node/test_ownership.py
+++ b/tests/node/test_ownership.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
 import time
-import uuid
 from random import Random
 from typing import cast
 
@@ -9,6 +8,7 @@
 import msgspec
 import pytest
 
+from rig.keys import make_key
 from vaneturn_core.claims.ledger import Verdict
 from vaneturn_core.claims.slots import SLOTS_KEY, SlotMap, reassign_slots
 from vaneturn_core.identifiers import CustomerName, DataHall, NodeId, RepeatKey, StoreVersion, VmId
@@ -92,11 +92,6 @@
     return owners
 
 
-def make_key() -> RepeatKey:
-    value = (int(time.time() * 1000) << 80) | (7 << 76) | (2 << 62) | (uuid.uuid4().int & ((1 << 62) - 1))
-    return RepeatKey(str(uuid.UUID(int=value)))
-
-
 def claim_anywhere(owners: dict[str, SlotOwnership], key: RepeatKey, claim: str) -> Verdict:
     verdicts = [owner.claim(CUSTOMER, key, claim) for owner in owners.values()]
     told = [verdict for verdict in verdicts if verdict is not Verdict.NOT_OWNER]
--- a/tests/rig/installation.py
+++ b/tests/rig/installation.py
@@ -184,6 +184,20 @@
             self.nodes.append(name)
         self._starting.append(self.url(name) + "/healthz")
 
+    def start_cuttable_node(self, name: str, **settings: object) -> None:
+        """Start a node whose way to the key-value service alone can be cut."""
+        path = f"{name}-path"
+        relayed = self.ports.setdefault(f"{path}-relayed", find_port())
+        options = ["--relay-port", str(relayed), "--target-port", str(self.ports["kv"])]
+        self.start(path, "standins.relay", *options, probe="/control/none")
+        self.start_node(name, key_value_url=f"http://127.0.0.1:{relayed}", **settings)
+
+    def cut(self, name: str) -> None:
+        self.client.post(self.url(f"{name}-path") + "/control/cut").raise_for_status()
+
+    def heal(self, name: str) -> None:
+        self.client.post(self.url(f"{name}-path") + "/control/heal").raise_for_status()
+
     def url(self, name: str) -> str:
         return f"http://127.0.0.1:{self.ports[name]}"
 
@@ -302,5 +316,6 @@
     "caller_headers",
     "expect_text",
     "make_chat",
+    "operator_headers",
     "read_text",
 ]
--- a/tests/rig/proofs.py
+++ b/tests/rig/proofs.py
@@ -229,6 +229,17 @@
             ),
         ),
     ),
+    Proof(
+        "an owner that could not confirm its epoch takes nothing",
+        "tests/system/test_cuts.py::test_owner_of_slots_that_is_cut_off_takes_nothing_that_its_successor_takes",
+        (
+            Edit(
+                f"{NODE}/claims/ownership.py",
+                "        if self._is_stopping or clock >= self._confirmed_at + CONFIRM_BOUND:\n",
+                "        if self._is_stopping:\n",
+            ),
+        ),
+    ),
     Proof(
         "a resumed answer fences the node that lost it",
         "tests/system/test_resume.py::test_frozen_node_that_thaws_does_not_disturb_its_successor",
--- a/tests/system/test_slots.py
+++ b/tests/system/test_slots.py
@@ -5,20 +5,15 @@
 import signal
 import threading
 import time
-import uuid
 
 import httpx
 import pytest
 
 from rig.installation import Installation, caller_headers
+from rig.keys import make_key
 from rig.processes import wait_until
 
 
-def make_key() -> str:
-    value = (int(time.time() * 1000) << 80) | (7 << 76) | (2 << 62) | (uuid.uuid4().int & ((1 << 62) - 1))
-    return str(uuid.UUID(int=value))
-
-
 @pytest.fixture
 def trio(installation: Installation) -> Installation:
     """Three nodes that own slots, and a plain service."""
