Read as a newcomer: split the engine stand-in, the link and the table of proofs, and name things for what they are

Change: `standins/shelf.py` (what an engine holds), `stages/holding.py` (an engine's word and its unanswered order), `rig/mechanisms.py` (the table) apart from the runner; planner fields grouped and named by what they count; the warning comes only when nothing moves any more; tests of the tenure share one set-up. No behaviour but the warning changes.

--- a/packages/core/src/vaneturn_core/placing/parts.py
+++ b/packages/core/src/vaneturn_core/placing/parts.py
@@ -76,10 +76,10 @@
     return all(any(part.covers(one) for part in held) for one in wanted)
 
 
-def size_of(configuration: Configuration, parts: Iterable[Part]) -> int:
+def count_bytes(configuration: Configuration, parts: Iterable[Part]) -> int:
     """Give the bytes of weights of parts; 0 for models that no pipeline names any more."""
     layer_bytes = {pipeline.model: pipeline.layer_bytes for pipeline in configuration.pipelines}
     return sum(layer_bytes.get(part.model, 0) * (part.end - part.first) for part in parts)
 
 
-__all__ = ["Holdings", "Part", "group_parts", "is_holding", "list_lacking", "list_versions", "make_part", "size_of"]
+__all__ = ["Holdings", "Part", "count_bytes", "group_parts", "is_holding", "list_lacking", "list_versions", "make_part"]
--- a/packages/core/src/vaneturn_core/placing/plan.py
+++ b/packages/core/src/vaneturn_core/placing/plan.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Final
 
 from vaneturn_core.configuration.schema import Configuration, Pipeline, Server
 from vaneturn_core.identifiers import PipelineName, VmId
-from vaneturn_core.placing.parts import Holdings, Part, group_parts, list_lacking, list_versions, make_part, size_of
+from vaneturn_core.placing.parts import Holdings, Part, count_bytes, group_parts, list_lacking, list_versions, make_part
 from vaneturn_core.routing.flow import compute_flow
 
 KEPT_SHARE: Final = 0.5  # of a pipeline's bound with all servers: one is emptied only if so much goes on
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True)
 class Plan:
-    """The orders of one round, and the servers that cannot change without taking the last way through the layers."""
+    """The orders of one round; if nothing moves any more, the servers that cannot be spared to change."""
 
     orders: tuple[HoldOrder, ...]
     stuck: tuple[VmId, ...]
@@ -42,29 +42,39 @@
         """
         self._configuration = configuration
         self._unusable = frozenset(unusable)
-        self._targets: dict[VmId, frozenset[Part]] = {vm: holdings.target for vm, holdings in said.items()}
-        self._held: dict[VmId, frozenset[Part]] = {vm: frozenset(holdings.held) for vm, holdings in said.items()}
         self._said = said
+        # what this round leaves on each server: to hold in the end, and ready now
+        self._targets = {vm: holdings.target for vm, holdings in said.items()}
+        self._held = {vm: frozenset(holdings.held) for vm, holdings in said.items()}
         self._budget = configuration.loads_at_once - sum(bool(holdings.loading) for holdings in said.values())
-        self._stuck: list[VmId] = []
-        self._carried: dict[PipelineName, float] = {}  # before any server is emptied in this round
-        self._enough: dict[PipelineName, float] = {}
-        self._refused: set[frozenset[Part]] = set()  # what cannot be freed now on any server that serves the same
+        # how many servers have each part ready, and in any way
         self._holders = Counter(part for held in self._held.values() for part in held)
-        self._rates: Counter[VmId] = Counter()
-        for pipeline in configuration.pipelines:
-            self._rates.update({stage.vm: stage.rate for stage in pipeline.stages})
+        self._places = Counter(part for holdings in said.values() for part in (*holdings.target, *holdings.ending))
+        # what the newest and the previous versions want of each server
         self._wanted = group_parts(configuration.pipelines)
-        self._needed = group_parts(self._list_previous())
-        self._used = Counter(part for holdings in said.values() for part in (*holdings.target, *holdings.ending))
-        self._in_use = self._list_in_use()
+        self._previous = group_parts(self._list_previous())
+        self._previous_in_use = self._list_previous_in_use()
+        self._rates = self._sum_rates()
+        # what each pipeline carries before any server is emptied in this round, and what must go on
+        self._carried: dict[PipelineName, float] = {}
+        self._enough: dict[PipelineName, float] = {}
+        self._refused: set[frozenset[Part]] = set()  # what cannot be freed now on any server that serves the same
+        self._stuck: list[VmId] = []
+
+    def _sum_rates(self) -> Mapping[VmId, float]:
+        rates: defaultdict[VmId, float] = defaultdict(float)
+        for pipeline in self._configuration.pipelines:
+            for stage in pipeline.stages:
+                rates[stage.vm] += stage.rate
+        return rates
 
     def make(self) -> Plan:
         """Make the plan: servers that have room come first, and among them what the fewest hold."""
         servers = [server for server in self._configuration.servers if self._is_ordered(server.vm)]
         servers.sort(key=self._rank)
         orders = [order for server in servers for order in self._decide(server)]
-        return Plan(tuple(orders), tuple(self._stuck))
+        is_moving = orders or any(holdings.loading or holdings.ending for holdings in self._said.values())
+        return Plan(tuple(orders), () if is_moving else tuple(self._stuck))
 
     def _is_ordered(self, vm: VmId) -> bool:
         return vm in self._said and vm not in self._unusable
@@ -94,12 +104,12 @@
         Sessions in progress may keep it from loading for long, and meanwhile it draws nothing from the weight store.
         """
         wanted = self._wanted.get(server.vm, frozenset())
-        kept = (target & wanted) | (target & self._needed.get(server.vm, frozenset()))
+        kept = (target & wanted) | (target & self._previous.get(server.vm, frozenset()))
         stranded = self._list_stranded(server, target)
         if self._budget <= 0:
             return kept
         if stranded:
-            self._used.update(stranded)
+            self._places.update(stranded)
             self._budget -= 1
             return kept | stranded
         if wanted <= target:
@@ -121,7 +131,7 @@
             if any(self._is_ordered(vm) for vm in list_lacking(pipeline, self._held))
         ]
 
-    def _list_in_use(self) -> Mapping[VmId, frozenset[Part]]:
+    def _list_previous_in_use(self) -> Mapping[VmId, frozenset[Part]]:
         """List the parts of previous versions on which sessions go on, by the servers that are declared for them."""
         ending = {part for holdings in self._said.values() for part in holdings.ending}
         previous = [version for pipeline in self._configuration.pipelines for version in list_versions(pipeline)[1:]]
@@ -131,20 +141,20 @@
 
     def _list_stranded(self, server: Server, target: frozenset[Part]) -> frozenset[Part]:
         """List the parts that sessions in progress need and no server has any more, if this one has room for them."""
-        gone = frozenset(part for part in self._in_use.get(server.vm, frozenset()) if not self._used[part])
+        gone = frozenset(part for part in self._previous_in_use.get(server.vm, frozenset()) if not self._places[part])
         if not gone or not self._fits(server, target | gone):
             return frozenset()
         return gone
 
     def _is_last(self, vm: VmId) -> bool:
         """Tell whether sessions in progress have only this server for one of its parts."""
-        parts = self._in_use.get(vm, frozenset()) & self._targets[vm]
-        return any(self._used[part] == 1 for part in parts)
+        parts = self._previous_in_use.get(vm, frozenset()) & self._targets[vm]
+        return any(self._places[part] == 1 for part in parts)
 
     def _fits(self, server: Server, parts: frozenset[Part]) -> bool:
         """Tell whether parts fit beside what the engine keeps for sessions in progress."""
         ending = self._said[server.vm].ending
-        return not server.memory or size_of(self._configuration, {*parts, *ending}) <= server.memory
+        return not server.memory or count_bytes(self._configuration, {*parts, *ending}) <= server.memory
 
     def _can_be_emptied(self, vm: VmId) -> bool:
         """Tell whether enough goes on without this server, on any version."""
--- a/packages/node/src/vaneturn_node/placing/placer.py
+++ b/packages/node/src/vaneturn_node/placing/placer.py
@@ -91,7 +91,7 @@
 
     def _send(self, order: HoldOrder) -> None:
         link = self._pool[order.vm]
-        if link is None or link.is_ordered:
+        if link is None or link.holding.is_ordered:
             return
         link.order(Hold(self._tenure.fence, order.parts), lambda: self._tenure.is_sure(ORDER_TIME))
         self._metrics.orders.inc()
--- a/packages/node/src/vaneturn_node/stages/link.py
+++ b/packages/node/src/vaneturn_node/stages/link.py
@@ -32,6 +32,7 @@
 from vaneturn_core.routing.health import LeavingSource, ServerHealths
 from vaneturn_core.routing.hops import Hop
 from vaneturn_node.metrics import Metrics
+from vaneturn_node.stages.holding import Holding
 from vaneturn_node.stages.window import StepWindow
 
 CONNECT_TIMEOUT: Final = 1.0  # seconds
@@ -40,7 +41,6 @@
 DOWN_SHARE: Final = 0.25  # seconds of backoff for each link that is down, so that a lost data hall costs no more
 PING_INTERVAL: Final = 20.0  # seconds; a dead server in use is noticed by its steps, this finds idle ones
 PING_TIMEOUT: Final = 5.0
-HOLD_ANSWER: Final = 5.0  # seconds in which an engine says what it made of an order
 MAX_FRAME: Final = 64 << 20  # bytes
 
 logger = logging.getLogger(__name__)
@@ -68,15 +68,6 @@
     result: StepResult = Lost(sent=False)
 
 
-@dataclass(frozen=True)
-class _HoldOrdered:
-    """An order to hold parts that the engine has not answered yet."""
-
-    order: Hold
-    is_valid: Callable[[], bool]
-    until: float  # on the monotonic clock
-
-
 class StageLink:
     """Sends orders in batches and hands each reply to the step that awaits it."""
 
@@ -102,27 +93,9 @@
         self._awaited: dict[_StepKey, _Awaited] = {}
         self._connected = anyio.Event()
         self._on_holdings = on_holdings
-        self._said: Holdings | None = None
-        self._ordered: _HoldOrdered | None = None
-        self._is_order_due = False
+        self.holding = Holding()
         self.window = StepWindow()
 
-    @property
-    def holdings(self) -> Holdings | None:
-        """What the engine holds, an order that it has not answered yet included; none if it never said."""
-        said, ordered = self._said, self._ordered
-        if said is None or ordered is None or not self.is_ordered:
-            return said
-        parts = ordered.order.parts
-        held = tuple(part for part in said.held if part in parts)
-        loading = tuple(part for part in parts if part not in held)
-        return Holdings(said.fence, held, loading, said.ending)
-
-    @property
-    def is_ordered(self) -> bool:
-        """Whether the engine has yet to say what it made of an order."""
-        return self._ordered is not None and time.monotonic() < self._ordered.until
-
     def order(self, order: Hold, is_valid: Callable[[], bool]) -> None:
         """Order the engine to hold parts.
 
@@ -130,8 +103,7 @@
         """
         if not self.is_connected:
             return
-        self._ordered = _HoldOrdered(order, is_valid, time.monotonic() + HOLD_ANSWER)
-        self._is_order_due = True
+        self.holding.order(order, is_valid)
         self._wake.set()
 
     @property
@@ -211,8 +183,7 @@
 
     async def _use(self, connection: ClientConnection) -> None:
         self._outgoing.clear()
-        self._ordered = None
-        self._is_order_due = False
+        self.holding.forget_order()
         self._healths.unmark_leaving(self.server.vm, LeavingSource.SERVER)  # a leaving server says so again at once
         self._connected.set()
         try:
@@ -230,7 +201,7 @@
             await self._wake.wait()
             self._wake = anyio.Event()
             batch, self._outgoing = self._outgoing, []
-            batch += self._take_due_order()
+            batch += self.holding.take_due_order()
             if not batch:
                 continue
             try:
@@ -238,16 +209,6 @@
             except WebSocketException:
                 return  # the reader sees the same end
 
-    def _take_due_order(self) -> list[Order]:
-        """Take the order to hold parts, unless its sender may not order any more."""
-        if not self._is_order_due or self._ordered is None:
-            return []
-        self._is_order_due = False
-        if self._ordered.is_valid():
-            return [self._ordered.order]
-        self._ordered = None
-        return []
-
     async def _read(self, connection: ClientConnection) -> None:
         async for frame in connection:
             data = frame if isinstance(frame, bytes) else frame.encode()
@@ -261,7 +222,7 @@
             self._healths.mark_leaving(self.server.vm, LeavingSource.SERVER)
             return True
         if isinstance(reply, Holdings):
-            self._said, self._ordered = reply, None
+            self.holding.note(reply)
             self._on_holdings()
             return True
         rebuild = isinstance(reply, Done) and reply.rebuild
--- a/packages/node/src/vaneturn_node/stages/pool.py
+++ b/packages/node/src/vaneturn_node/stages/pool.py
@@ -33,7 +33,8 @@
 
     def list_holdings(self) -> Mapping[VmId, Holdings]:
         """List what the engines that take orders said last."""
-        return {vm: link.holdings for vm, link in self._links.items() if link.holdings is not None}
+        known = ((vm, link.holding.holdings) for vm, link in self._links.items())
+        return {vm: holdings for vm, holdings in known if holdings is not None}
 
     def __getitem__(self, vm: VmId) -> StageLink | None:
         return self._links.get(vm)
--- a/tests/core/placing/test_plan.py
+++ b/tests/core/placing/test_plan.py
@@ -12,7 +12,7 @@
 from vaneturn_core.configuration.check import check_configuration
 from vaneturn_core.configuration.schema import Configuration, Pipeline, Server, Stage
 from vaneturn_core.identifiers import DataHall, PipelineName, VmId
-from vaneturn_core.placing.parts import Holdings, Part, group_parts, list_lacking, list_versions, size_of
+from vaneturn_core.placing.parts import Holdings, Part, count_bytes, group_parts, list_lacking, list_versions
 from vaneturn_core.placing.plan import HoldOrder, plan_holdings
 from vaneturn_core.placing.versions import choose_version
 from vaneturn_core.routing.flow import compute_flow
@@ -72,7 +72,7 @@
             self.said[vm] = Holdings(1, held, loading, ending)
 
     def _fits(self, vm: VmId, parts: tuple[Part, ...]) -> bool:
-        return not self.memory[vm] or size_of(self.configuration, parts) <= self.memory[vm]
+        return not self.memory[vm] or count_bytes(self.configuration, parts) <= self.memory[vm]
 
     def count_loading(self) -> int:
         return sum(bool(known.loading) for known in self.said.values())
--- a/tests/node/test_tenure.py
+++ b/tests/node/test_tenure.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from random import Random
 
 import anyio
@@ -124,32 +126,33 @@
     assert fences == sorted(set(fences))
 
 
-@pytest.mark.anyio
-async def test_planned_stop_leaves_the_tenure_to_the_next() -> None:
+@asynccontextmanager
+async def run_well(count: int) -> AsyncIterator[list[Tenure]]:
+    """Run some nodes over a service that is well."""
     tenures, stores = make_tenures(1)
-    for store in stores:
-        store.is_well = True
     async with anyio.create_task_group() as tasks:
-        for tenure in tenures:
+        for tenure, store in zip(tenures[:count], stores, strict=False):
+            store.is_well = True
             tasks.start_soon(tenure.run)
+        yield tenures
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_planned_stop_leaves_the_tenure_to_the_next() -> None:
+    async with run_well(NODES) as tenures:
         first = await wait_for_holder(tenures)
         await first.give_up()
         assert not first.is_sure(0.0)
         second = await wait_for_holder(tenures)
         assert second is not first
         assert second.fence > first.fence
-        tasks.cancel_scope.cancel()
 
 
 @pytest.mark.anyio
 async def test_fence_seen_by_an_engine_is_exceeded() -> None:
-    tenures, stores = make_tenures(1)
-    for store in stores:
-        store.is_well = True
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(tenures[0].run)
+    async with run_well(1) as tenures:
         await wait_for_holder(tenures)
         tenures[0].note_fence(41)
         assert not tenures[0].is_sure(0.0)
         assert (await wait_for_holder(tenures)).fence > 41
-        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/rig/mechanisms.py
@@ -0,0 +1,273 @@
+"""The mechanisms that guard promises, each with the test that must fail without it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+NODE = "node/src/vaneturn_node"
+CORE = "core/src/vaneturn_core"
+
+
+@dataclass(frozen=True)
+class Edit:
+    """A piece of a file and what stands there without the mechanism."""
+
+    file: str
+    old: str
+    new: str
+
+
+@dataclass(frozen=True)
+class Proof:
+    """A mechanism and the test that must fail without it."""
+
+    name: str
+    test: str
+    edits: tuple[Edit, ...]
+
+
+PROOFS = (
+    Proof(
+        "a lost stage is replaced",
+        "tests/system/test_stages.py::test_stage_lost_in_the_middle",
+        (
+            Edit(
+                f"{NODE}/answers/generation.py",
+                "            self._replace(result)\n",
+                "            return self._give_up(Reason.CONNECTION_LOST)\n",
+            ),
+        ),
+    ),
+    Proof(
+        "a new stage runs the held positions",
+        "tests/system/test_stages.py::test_two_stages_killed_at_once",
+        (
+            Edit(f"{NODE}/answers/generation.py", "self._lacking = set(route.hops) - held", "self._lacking = set()"),
+            Edit(f"{NODE}/answers/generation.py", "self._lacking.add(hop)", "self._lacking.clear()"),
+        ),
+    ),
+    Proof(
+        "a reply must name the layers of its step",
+        "tests/system/test_stages.py::test_replies_go_wrong",
+        (
+            Edit(
+                f"{NODE}/stages/link.py",
+                "return reply.count == step.count and reply.first == hop.first and reply.end == hop.end",
+                "return reply.count == step.count or hop is None",
+            ),
+            Edit(f"{NODE}/answers/stagerun.py", "assert_tiling(ran, hops[-1].end)", "pass"),
+        ),
+    ),
+    Proof(
+        "a reply must name its step",
+        "tests/node/test_link.py::test_stray_reply_reaches_no_step",
+        (
+            Edit(
+                f"{NODE}/stages/link.py",
+                "awaited = self._awaited.get((reply.session, reply.attempt, reply.position, rebuild))",
+                "awaited = next((a for k, a in self._awaited.items() if k[0] == reply.session), None)",
+            ),
+        ),
+    ),
+    Proof(
+        "a claim is won by one node",
+        "tests/system/test_at_most_once.py::test_same_key_at_two_nodes_at_once",
+        (
+            Edit(
+                f"{NODE}/claims/bykey.py",
+                "        if isinstance(result, Conflict):\n            return Unknown(Reason.CLAIMED)\n",
+                "        if isinstance(result, Conflict):\n"
+                "            return Claim(record.id, customer, repeat_key, result.version)\n",
+            ),
+        ),
+    ),
+    Proof(
+        "not run is said only before the first byte",
+        "tests/system/test_at_most_once.py::test_lost_reply_is_told_as_unknown_and_not_tried_again",
+        (
+            Edit(
+                f"{NODE}/http/services.py",
+                "_NOT_SENT: Final = (httpx.ConnectError,",
+                "_NOT_SENT: Final = (httpx.ReadTimeout, httpx.ConnectError,",
+            ),
+        ),
+    ),
+    Proof(
+        "leaving servers are barred",
+        "tests/system/test_leaving.py::test_drained_server_gets_no_new_work_anywhere",
+        (
+            Edit(
+                f"{NODE}/answers/placement.py",
+                "leaving = self._healths.list_leaving()\n",
+                "leaving: frozenset[VmId] = frozenset()\n",
+            ),
+            Edit(
+                f"{NODE}/answers/placement.py",
+                "barred = {*avoided, *self._healths.list_leaving(), *self._pool.list_down()}",
+                "barred = {*avoided, *self._pool.list_down()}",
+            ),
+        ),
+    ),
+    Proof(
+        "a stopping node finishes what it has",
+        "tests/system/test_leaving.py::test_node_stops_without_cutting_a_stream",
+        (Edit(f"{NODE}/daemon.py", "        await runtime.admission.wait_idle()\n", "        pass\n"),),
+    ),
+    Proof(
+        "an older configuration is not taken",
+        "tests/node/test_inforce.py::test_revision_only_grows",
+        (
+            Edit(f"{NODE}/configuration/inforce.py", "if configuration.revision < self.revision:", "if False:"),
+            Edit(f"{NODE}/configuration/inforce.py", "if configuration.revision <= self.revision:", "if False:"),
+        ),
+    ),
+    Proof(
+        "a restored store is put right",
+        "tests/system/test_configuration.py::test_store_restored_to_an_older_state_is_put_right",
+        (Edit(f"{NODE}/configuration/follower.py", "            await self._restore(entry)\n", "            pass\n"),),
+    ),
+    Proof(
+        "peers hand on the configuration",
+        "tests/system/test_configuration.py::test_node_started_during_an_outage_gets_it_from_peers",
+        (Edit(f"{NODE}/peers/sharing.py", "            await self._fetch(newer[1])\n", "            pass\n"),),
+    ),
+    Proof(
+        "a lost answer of a write is settled",
+        "tests/system/test_configuration.py::test_lost_answer_of_a_write_is_settled",
+        (
+            Edit(
+                f"{NODE}/configuration/changes.py",
+                "        if isinstance(result, Unavailable | Conflict):\n",
+                "        if isinstance(result, Unavailable):\n"
+                "            return NotAccepted(result.cause)\n"
+                "        if isinstance(result, Conflict):\n",
+            ),
+        ),
+    ),
+    Proof(
+        "a new owner refuses keys made before it took over",
+        "tests/system/test_slots.py::test_owners_killed_and_frozen_never_run_a_key_twice",
+        (
+            Edit(
+                "core/src/vaneturn_core/claims/ledger.py",
+                "if made_at <= self.taken_at + CLOCK_MARGIN or made_at < now - REMEMBERED:",
+                "if made_at < now - REMEMBERED:",
+            ),
+        ),
+    ),
+    Proof(
+        "a stopping owner hands its slots over",
+        "tests/system/test_slots.py::test_planned_stop_hands_the_slots_over",
+        (
+            Edit(
+                f"{NODE}/peers/wiring.py",
+                "        await self.runtime.ownership.hand_over(self.runtime.peer_client)\n",
+                "",
+            ),
+        ),
+    ),
+    Proof(
+        "slots are handed over though the watch answers before the write",
+        "tests/node/test_ownership.py",
+        (Edit(f"{NODE}/claims/ownership.py", "ledgers = dict(self._ledgers)", "ledgers = self._ledgers"),),
+    ),
+    Proof(
+        "a late answer does not take the slot map back",
+        "tests/node/test_ownership.py",
+        (Edit(f"{NODE}/claims/ownership.py", "        if started < self._confirmed_at:\n", "        if False:\n"),),
+    ),
+    Proof(
+        "a holder that is not sure of its tenure orders nothing",
+        "tests/system/test_placing.py::test_frozen_holder_that_thaws_orders_nothing",
+        (
+            Edit(
+                f"{NODE}/placing/tenure.py",
+                "        return read_clock() + margin < self._sure_until\n",
+                "        return self._is_holder()\n",
+            ),
+        ),
+    ),
+    Proof(
+        "a takeover waits for the whole term",
+        "tests/node/test_tenure.py",
+        (Edit(f"{NODE}/placing/tenure.py", "left = self._seen_at + TERM - read_clock()", "left = 0.0"),),
+    ),
+    Proof(
+        "a server is emptied only if enough goes on",
+        "tests/core/placing/test_plan.py",
+        (Edit(f"{CORE}/placing/plan.py", "KEPT_SHARE: Final = 0.5", "KEPT_SHARE: Final = 0.0"),),
+    ),
+    Proof(
+        "loads stay within the budget of the weight store",
+        "tests/core/placing/test_plan.py",
+        (Edit(f"{CORE}/placing/plan.py", "        if self._budget <= 0:\n", "        if False:\n"),),
+    ),
+    Proof(
+        "new answers get a version that is held",
+        "tests/system/test_placing.py::test_rollout_without_room_for_two_versions_cuts_nothing",
+        (Edit(f"{NODE}/answers/generation.py", "                self._settle_version()\n", "                pass\n"),),
+    ),
+    Proof(
+        "an answer may change its version before its first token",
+        "tests/system/test_placing.py::test_version_that_goes_before_the_first_token_is_changed",
+        (
+            Edit(
+                f"{NODE}/answers/generation.py",
+                "            if self._produced == 0:\n",
+                "            if not self._run.may_have_run:\n",
+            ),
+        ),
+    ),
+    Proof(
+        "an owner that could not confirm its epoch takes nothing",
+        "tests/system/test_cuts.py::test_owner_of_slots_that_is_cut_off_takes_nothing_that_its_successor_takes",
+        (
+            Edit(
+                f"{NODE}/claims/ownership.py",
+                "        if self._is_stopping or clock >= self._confirmed_at + CONFIRM_BOUND:\n",
+                "        if self._is_stopping:\n",
+            ),
+        ),
+    ),
+    Proof(
+        "a version that answers still need comes back to a server",
+        "tests/system/test_placing.py::test_answer_on_the_previous_version_outlives_its_stage",
+        (Edit(f"{CORE}/placing/plan.py", "        if stranded:\n", "        if False:\n"),),
+    ),
+    Proof(
+        "a resumed answer fences the node that lost it",
+        "tests/system/test_resume.py::test_frozen_node_that_thaws_does_not_disturb_its_successor",
+        (
+            Edit(
+                f"{NODE}/answers/generation.py",
+                "return isinstance(cause, Refused) and cause.refusal is Refusal.ATTEMPT",
+                "return False",
+            ),
+        ),
+    ),
+    Proof(
+        "a resumed answer is let in beyond the limit",
+        "tests/system/test_resume.py::test_resumed_answer_is_not_turned_away_when_the_pipeline_is_full",
+        (Edit(f"{NODE}/http/answering.py", "        if chat.resumed is not None:\n", "        if False:\n"),),
+    ),
+    Proof(
+        "an answer is resumed with its tokens",
+        "tests/system/test_resume.py::test_answer_goes_on_at_another_node",
+        (
+            Edit(
+                f"{NODE}/answers/generation.py", "            self._go_on_from(request.resumed)\n", "            pass\n"
+            ),
+        ),
+    ),
+    Proof(
+        "more than the bound carries is refused",
+        "tests/system/test_overload.py::test_flood_is_served_or_refused_and_refused_was_not_run",
+        (
+            Edit(
+                f"{NODE}/limits/admission.py",
+                "return compute_limit(self._read_bound(pipeline.name), pipeline.token_time, self._count_nodes())",
+                "return 10**6",
+            ),
+        ),
+    ),
+)
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -10,7 +10,6 @@
 from pathlib import Path
 
 import anyio
-import httpx
 import msgspec
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -20,6 +19,7 @@
 
 from standins.model import HIDDEN_BYTES, TOKEN_BYTES, Chain, Layers, Weights, sample
 from standins.serving import Journal, serve_app
+from standins.shelf import Shelf, name_part
 from vaneturn_core.engine.messages import (
     CACHE_PATH,
     ENCODER,
@@ -35,7 +35,7 @@
     Reply,
     Step,
 )
-from vaneturn_core.placing.parts import Holdings, Part
+from vaneturn_core.placing.parts import Part
 
 
 class Faults(msgspec.Struct, forbid_unknown_fields=True):
@@ -84,7 +84,7 @@
         self.leaving = False
         self.peers: list[Peer] = []
         self.caches: OrderedDict[str, SessionCache] = OrderedDict()
-        self.shelf = Shelf(self)
+        self.shelf = Shelf(options, journal, self._list_used, self._tell_holdings)
         self._refused: dict[str, Refusal] = {}  # sessions whose opening was refused
         self._queue: list[tuple[int, int, Peer, Step]] = []
         self._order = itertools.count()
@@ -93,7 +93,8 @@
 
     def take(self, peer: Peer, order: Open | Step | Close | Hold) -> None:
         if isinstance(order, Hold):
-            self.shelf.take(peer, order)
+            if not self.shelf.take(order):
+                peer.send(self.shelf.describe())
             return
         if isinstance(order, Open):
             self._open(order)
@@ -142,6 +143,13 @@
             return self.shelf.covers(name_part(order))
         return options.first <= order.first < order.end <= options.end and order.version in options.versions
 
+    def _list_used(self) -> list[Part]:
+        return [name_part(cache.opened) for cache in self.caches.values()]
+
+    def _tell_holdings(self) -> None:
+        for peer in self.peers:
+            peer.send(self.shelf.describe())
+
     def _find_refusal(self, cache: SessionCache | None, step: Step) -> Refusal | None:
         if cache is None:
             return Refusal.LEAVING if self.leaving else Refusal.NO_SESSION
@@ -310,96 +318,10 @@
         self.journal.write(event="start")
         async with anyio.create_task_group() as self.tasks:
             self.tasks.start_soon(self.batch)
+            self.tasks.start_soon(self.shelf.run)
             await serve_app(make_app(self), self.options.port)
 
 
-def name_part(opened: Open) -> Part:
-    return Part(opened.model, opened.version, opened.adapter, opened.first, opened.end)
-
-
-class Shelf:
-    """The parts that an engine holds, by fenced orders, and their loading from the weight store."""
-
-    def __init__(self, engine: Engine) -> None:
-        self._engine = engine
-        self._held: list[Part] = []
-        self._loading: dict[Part, anyio.CancelScope] = {}
-        self._ending: list[Part] = []
-        self._freed = anyio.Event()
-        self.fence = 0
-
-    def covers(self, part: Part) -> bool:
-        return any(held.covers(part) for held in self._held)
-
-    def describe(self) -> Holdings:
-        return Holdings(self.fence, tuple(self._held), tuple(self._loading), tuple(self._ending))
-
-    def take(self, peer: Peer, order: Hold) -> None:
-        engine = self._engine
-        if order.fence < self.fence and not engine.options.no_fence:
-            engine.journal.write(event="fenced", fence=order.fence, newest=self.fence)
-            peer.send(self.describe())
-            return
-        self.fence = max(self.fence, order.fence)
-        engine.journal.write(event="hold", fence=order.fence, parts=[str(part) for part in order.parts])
-        self._ending += [part for part in self._held if part not in order.parts]
-        self._held = [part for part in self._held if part in order.parts]
-        for part in [part for part in self._loading if part not in order.parts]:
-            self._loading.pop(part).cancel()
-        for part in order.parts:
-            self._want(part)
-        self.drop_ended()
-        self._tell()
-
-    def _want(self, part: Part) -> None:
-        if part in self._held or part in self._loading:
-            return
-        if part in self._ending:
-            self._ending.remove(part)
-            self._held.append(part)
-            return
-        self._loading[part] = anyio.CancelScope()
-        self._engine.tasks.start_soon(self._load, part, self._loading[part])
-
-    async def _load(self, part: Part, scope: anyio.CancelScope) -> None:
-        with scope:
-            while self._count_layers(self._held, self._ending, [part]) > self._engine.options.memory_layers:
-                await self._freed.wait()
-            await self._fetch(part)
-            if self._loading.get(part) is scope:
-                del self._loading[part]
-                self._held.append(part)
-                self._engine.journal.write(event="loaded", part=str(part))
-                self._tell()
-
-    async def _fetch(self, part: Part) -> None:
-        url = f"{self._engine.options.weight_store}/v1/weights/{part.model}/{part.version}/{part.first}/{part.end}"
-        async with httpx.AsyncClient(timeout=60) as client:
-            while True:
-                answer = await client.get(url)
-                if answer.status_code == httpx.codes.OK:
-                    return
-                await anyio.sleep(float(answer.headers.get("Retry-After", "1")))
-
-    @staticmethod
-    def _count_layers(*parts: list[Part]) -> int:
-        return sum(part.end - part.first for some in parts for part in some)
-
-    def drop_ended(self) -> None:
-        """Drop what no session uses any more."""
-        used = [name_part(cache.opened) for cache in self._engine.caches.values()]
-        kept = [part for part in self._ending if any(part.covers(one) for one in used)]
-        if kept != self._ending:
-            self._ending = kept
-            self._freed.set()
-            self._freed = anyio.Event()
-            self._tell()
-
-    def _tell(self) -> None:
-        for peer in self._engine.peers:
-            peer.send(self.describe())
-
-
 def make_app(engine: Engine) -> Starlette:
     async def set_faults(request: Request) -> Response:
         engine.faults = msgspec.json.decode(await request.body(), type=Faults)
--- /dev/null
+++ b/tests/standins/shelf.py
@@ -0,0 +1,109 @@
+"""What a stand-in for a model engine holds, by orders, and its loading from the weight store."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Callable, Sequence
+
+import anyio
+import httpx
+
+from standins.serving import Journal
+from vaneturn_core.engine.messages import Hold, Open
+from vaneturn_core.placing.parts import Holdings, Part
+
+
+def name_part(opened: Open) -> Part:
+    return Part(opened.model, opened.version, opened.adapter, opened.first, opened.end)
+
+
+class Shelf:
+    """The parts that an engine holds, by fenced orders, and their loading from the weight store."""
+
+    def __init__(
+        self,
+        options: argparse.Namespace,
+        journal: Journal,
+        list_used: Callable[[], Sequence[Part]],
+        tell: Callable[[], None],
+    ) -> None:
+        self._options = options
+        self._journal = journal
+        self._list_used = list_used
+        self._tell = tell
+        self._held: list[Part] = []
+        self._loading: dict[Part, anyio.CancelScope] = {}
+        self._ending: list[Part] = []
+        self._freed = anyio.Event()
+        self.fence = 0
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as self._tasks:
+            await anyio.sleep_forever()
+
+    def covers(self, part: Part) -> bool:
+        return any(held.covers(part) for held in self._held)
+
+    def describe(self) -> Holdings:
+        return Holdings(self.fence, tuple(self._held), tuple(self._loading), tuple(self._ending))
+
+    def take(self, order: Hold) -> bool:
+        """Carry an order out; false when its fence is too old."""
+        if order.fence < self.fence and not self._options.no_fence:
+            self._journal.write(event="fenced", fence=order.fence, newest=self.fence)
+            return False
+        self.fence = max(self.fence, order.fence)
+        self._journal.write(event="hold", fence=order.fence, parts=[str(part) for part in order.parts])
+        self._ending += [part for part in self._held if part not in order.parts]
+        self._held = [part for part in self._held if part in order.parts]
+        for part in [part for part in self._loading if part not in order.parts]:
+            self._loading.pop(part).cancel()
+        for part in order.parts:
+            self._want(part)
+        self.drop_ended()
+        self._tell()
+        return True
+
+    def _want(self, part: Part) -> None:
+        if part in self._held or part in self._loading:
+            return
+        if part in self._ending:
+            self._ending.remove(part)
+            self._held.append(part)
+            return
+        self._loading[part] = anyio.CancelScope()
+        self._tasks.start_soon(self._load, part, self._loading[part])
+
+    async def _load(self, part: Part, scope: anyio.CancelScope) -> None:
+        with scope:
+            while self._count_layers(self._held, self._ending, [part]) > self._options.memory_layers:
+                await self._freed.wait()
+            await self._fetch(part)
+            if self._loading.get(part) is scope:
+                del self._loading[part]
+                self._held.append(part)
+                self._journal.write(event="loaded", part=str(part))
+                self._tell()
+
+    async def _fetch(self, part: Part) -> None:
+        url = f"{self._options.weight_store}/v1/weights/{part.model}/{part.version}/{part.first}/{part.end}"
+        async with httpx.AsyncClient(timeout=60) as client:
+            while True:
+                answer = await client.get(url)
+                if answer.status_code == httpx.codes.OK:
+                    return
+                await anyio.sleep(float(answer.headers.get("Retry-After", "1")))
+
+    @staticmethod
+    def _count_layers(*parts: list[Part]) -> int:
+        return sum(part.end - part.first for some in parts for part in some)
+
+    def drop_ended(self) -> None:
+        """Drop what no session uses any more."""
+        used = self._list_used()
+        kept = [part for part in self._ending if any(part.covers(one) for one in used)]
+        if kept != self._ending:
+            self._ending = kept
+            self._freed.set()
+            self._freed = anyio.Event()
+            self._tell()
