--- a/packages/node/src/vaneturn_node/answers/placement.py
+++ b/packages/node/src/vaneturn_node/answers/placement.py
@@ -42,7 +42,7 @@
     def choose(self, pipeline: Pipeline, affinity: str, avoided: Collection[VmId]) -> Route | None:
         """Choose a route over servers that are connected, not leaving and, if possible, not ejected."""
         flow = self._find_flow(pipeline)
-        barred = {*avoided, *self._healths.list_leaving(), *self._pool.list_down()}
+        barred = self._list_barred(avoided)
         careful = barred | self._healths.list_ejected()
         route = choose_route(flow, pipeline.layers, affinity, self._healths, careful)
         return route or choose_route(flow, pipeline.layers, affinity, self._healths, barred)
@@ -56,7 +56,7 @@
         """
         lost = route.hops[index]
         flow = self._find_flow(pipeline)
-        barred = {*avoided, *self._healths.list_leaving(), *self._pool.list_down()}
+        barred = self._list_barred(avoided)
         part = _restrict(flow, lost.first, lost.end)
         for excluded in (barred | self._healths.list_ejected(), barred):
             between = choose_route(part, lost.end - lost.first, affinity, self._healths, excluded)
@@ -96,6 +96,9 @@
         if self._is_stale and time.monotonic() >= self._computed_at + REFRESH:
             self._compute_flows()
 
+    def _list_barred(self, avoided: Collection[VmId]) -> set[VmId]:
+        return {*avoided, *self._healths.list_leaving(), *self._pool.list_down()}
+
     def _find_flow(self, pipeline: Pipeline) -> Flow:
         self._refresh()
         known = self._flows.get((pipeline.name, pipeline.version))
@@ -119,7 +122,8 @@
         return {vm: holdings.held for vm, holdings in self._pool.list_holdings().items()}
 
     def _compute_flow(self, pipeline: Pipeline, held: Mapping[VmId, Collection[Part]]) -> Flow:
-        return compute_flow(pipeline, self._healths.list_leaving() | list_lacking(pipeline, held))
+        unusable = self._healths.list_leaving() | list_lacking(pipeline, held)
+        return compute_flow(pipeline, unusable)
 
 
 def _restrict(flow: Flow, first: int, end: int) -> Flow:
--- a/tests/rig/mechanisms.py
+++ b/tests/rig/mechanisms.py
@@ -98,13 +98,13 @@
         (
             Edit(
                 f"{NODE}/answers/placement.py",
-                "leaving = self._healths.list_leaving()\n",
-                "leaving: frozenset[VmId] = frozenset()\n",
+                "unusable = self._healths.list_leaving() | list_lacking",
+                "unusable = list_lacking",
             ),
             Edit(
                 f"{NODE}/answers/placement.py",
-                "barred = {*avoided, *self._healths.list_leaving(), *self._pool.list_down()}",
-                "barred = {*avoided, *self._pool.list_down()}",
+                "return {*avoided, *self._healths.list_leaving(), *self._pool.list_down()}",
+                "return {*avoided, *self._pool.list_down()}",
             ),
         ),
     ),
