Bound the hand-over of slots, so that a planned stop does not wait for an outage

Found on reading the change again; no test had shown it.

Change: 8 s for all of it; what was not handed over is told in the log and refused as before. The event loop's fixture of two test files stands in conftest.

--- a/packages/node/src/vaneturn_node/claims/ownership.py
+++ b/packages/node/src/vaneturn_node/claims/ownership.py
@@ -24,6 +24,7 @@
 RETRY: Final = 0.3  # seconds, full jitter
 HAND_OVER_TIMEOUT: Final = 1.0  # seconds for one try to give a slot to its next owner
 HAND_OVER_TRIES: Final = 20
+HAND_OVER_TIME: Final = 8.0  # seconds for all of it; a stop does not wait for an outage of the store
 HAND_OVER_PAUSE: Final = 0.2  # seconds between two tries
 IDLE: Final = 1.0  # seconds between looks whether this node has a part in the slots
 ASSIGNERS: Final = 2  # nodes of each data hall that look after the map besides the owners
@@ -106,11 +107,15 @@
         """
         self._is_stopping = True  # from here on no claim is taken, so what is handed over is all there is
         ledgers = dict(self._ledgers)  # the waiting watch may see the new map, and drop them, before the write returns
-        if not ledgers or not await self._leave_map():
+        if not ledgers:
             return
-        async with anyio.create_task_group() as tasks:
-            for slot, ledger in ledgers.items():
-                tasks.start_soon(self._give, client, slot, ledger)
+        with anyio.move_on_after(HAND_OVER_TIME) as scope:
+            if await self._leave_map():
+                async with anyio.create_task_group() as tasks:
+                    for slot, ledger in ledgers.items():
+                        tasks.start_soon(self._give, client, slot, ledger)
+        if scope.cancelled_caught:
+            logger.warning("slots not handed over in time", extra={"slots": len(ledgers)})
 
     async def _leave_map(self) -> bool:
         """Write a map without this node; another node that stops or assigns at the same time may come first."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,12 @@
 settings.load_profile("same-verdict")
 
 
+@pytest.fixture
+def anyio_backend() -> str:
+    """The only event loop that the nodes run on."""
+    return "asyncio"
+
+
 @pytest.fixture
 def installation(tmp_path: Path) -> Iterator[Installation]:
     """An installation without any process yet."""
--- a/tests/node/test_ownership.py
+++ b/tests/node/test_ownership.py
@@ -30,6 +30,7 @@
         self.value = b""
         self.version = StoreVersion(0)
         self.changed = anyio.Event()
+        self.is_silent = False
         self.held_answers: list[anyio.Event] = []  # of watches that were taken and are answered late
 
     async def read(self, _key: str) -> Entry | Unavailable:
@@ -37,6 +38,8 @@
 
     async def watch(self, key: str, after: StoreVersion, wait: float) -> Entry | Unavailable | None:
         assert key == SLOTS_KEY
+        if self.is_silent:
+            await anyio.sleep_forever()
         with anyio.move_on_after(wait):
             while self.version == after:
                 await self.changed.wait()
@@ -71,11 +74,6 @@
         return Received() if await self._owners[address].take_over(query) else None
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    return "asyncio"
-
-
 def make_member(index: int) -> Member:
     return Member(NodeId(f"node-{index}"), VmId(f"entry-{index}"), f"127.0.0.1:{index}", DataHall("osborne"))
 
@@ -158,6 +156,18 @@
     assert all(claim_anywhere(owners, make_key(), "third") is Verdict.WON for _ in range(60))
 
 
+@pytest.mark.anyio
+async def test_stop_does_not_wait_for_a_store_that_is_silent(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "HAND_OVER_TIME", 0.1, raising=False)
+    store = FakeStore()
+    owners = make_owners(store)
+    await take_slots(owners, monkeypatch)
+    retire(owners, 0)
+    store.is_silent = True
+    with anyio.fail_after(10):
+        await owners[make_member(0).address].hand_over(cast("PeerClient", FakeClient(owners)))
+
+
 @pytest.mark.anyio
 async def test_late_answer_to_an_older_question_does_not_take_the_map_back(monkeypatch: pytest.MonkeyPatch) -> None:
     store = FakeStore()
--- a/tests/node/test_tenure.py
+++ b/tests/node/test_tenure.py
@@ -70,11 +70,6 @@
         return StoreVersion(present + 1) if await self._travel() else Unavailable("lost")
 
 
-@pytest.fixture
-def anyio_backend() -> str:
-    return "asyncio"
-
-
 @pytest.fixture(autouse=True)
 def _short_term(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(module, "TERM", 0.15)
