Make in one place what the placer's change wrote twice

Cause: on reading the change again, the planner listed the previous versions in two loops, the state for operators had one expression three times, and the hash to a number between 0 and 1 stood in two modules.

The point of the version choice moves by half of 2^-64; nothing else changes.

Ruled out: the cross-check of memory could call the same count as the planner, but it would then ask for less where two pipelines share a part; a check is not loosened here.

--- a/packages/core/src/vaneturn_core/placing/plan.py
+++ b/packages/core/src/vaneturn_core/placing/plan.py
@@ -49,11 +49,13 @@
         self._budget = configuration.loads_at_once - sum(bool(holdings.loading) for holdings in said.values())
         # how many servers have each part ready, and in any way
         self._holders = Counter(part for held in self._held.values() for part in held)
+        self._ending = {part for holdings in said.values() for part in holdings.ending}
         self._places = Counter(part for holdings in said.values() for part in (*holdings.target, *holdings.ending))
         # what the newest and the previous versions want of each server
         self._wanted = group_parts(configuration.pipelines)
-        self._previous = group_parts(self._list_previous())
-        self._previous_in_use = self._list_previous_in_use()
+        previous = [version for pipeline in configuration.pipelines for version in list_versions(pipeline)[1:]]
+        self._previous = group_parts(version for version in previous if not self._is_replaced(version))
+        self._previous_in_use = group_parts(version for version in previous if self._is_in_use(version))
         self._rates = self._sum_rates()
         # what each pipeline carries before any server is emptied in this round, and what must go on
         self._carried: dict[PipelineName, float] = {}
@@ -122,22 +124,14 @@
             return kept & wanted
         return kept
 
-    def _list_previous(self) -> list[Pipeline]:
-        """List the previous versions, which stay until every server that takes orders holds the newest."""
-        return [
-            version
-            for pipeline in self._configuration.pipelines
-            for version in list_versions(pipeline)[1:]
-            if any(self._is_ordered(vm) for vm in list_lacking(pipeline, self._held))
-        ]
+    def _is_replaced(self, previous: Pipeline) -> bool:
+        """Tell whether every server that takes orders holds the version that came after."""
+        newest = next(pipeline for pipeline in self._configuration.pipelines if pipeline.name == previous.name)
+        return not any(self._is_ordered(vm) for vm in list_lacking(newest, self._held))
 
-    def _list_previous_in_use(self) -> Mapping[VmId, frozenset[Part]]:
-        """List the parts of previous versions on which sessions go on, by the servers that are declared for them."""
-        ending = {part for holdings in self._said.values() for part in holdings.ending}
-        previous = [version for pipeline in self._configuration.pipelines for version in list_versions(pipeline)[1:]]
-        return group_parts(
-            version for version in previous if any(make_part(version, stage) in ending for stage in version.stages)
-        )
+    def _is_in_use(self, previous: Pipeline) -> bool:
+        """Tell whether sessions go on with a version that servers do not offer any more."""
+        return any(make_part(previous, stage) in self._ending for stage in previous.stages)
 
     def _list_stranded(self, server: Server, target: frozenset[Part]) -> frozenset[Part]:
         """List the parts that sessions in progress need and no server has any more, if this one has room for them."""
--- a/packages/core/src/vaneturn_core/placing/versions.py
+++ b/packages/core/src/vaneturn_core/placing/versions.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Final
 
-import xxhash
-
-_HASH_RANGE: Final = float(1 << 64)
+from vaneturn_core.routing.choice import hash_to_unit
 
 
 def choose_version(affinity: str, newest: str, bounds: Mapping[str, float]) -> str:
@@ -20,8 +17,7 @@
     total = sum(bounds.values())
     if total <= 0:
         return newest
-    point = xxhash.xxh3_64_intdigest(f"version {affinity}".encode()) / _HASH_RANGE
-    if point * total < bounds[newest]:
+    if hash_to_unit(f"version {affinity}") * total < bounds[newest]:
         return newest
     return max((version for version in bounds if version != newest), key=lambda version: bounds[version])
 
--- a/packages/core/src/vaneturn_core/routing/choice.py
+++ b/packages/core/src/vaneturn_core/routing/choice.py
@@ -59,8 +59,12 @@
 
 def _score(hop: Hop, weight: float, affinity: str) -> float:
     """Score a hop by weighted rendezvous hashing: it wins in proportion to its weight over all affinities."""
-    digest = xxhash.xxh3_64_intdigest(f"{affinity} {hop.vm} {hop.end}".encode())
-    return -weight / math.log((digest + 0.5) / _HASH_RANGE)
+    return -weight / math.log(hash_to_unit(f"{affinity} {hop.vm} {hop.end}"))
 
 
-__all__ = ["LATENCY_RATIO", "LoadView", "choose_route"]
+def hash_to_unit(text: str) -> float:
+    """Hash a text to a number between 0 and 1, evenly and alike on every node."""
+    return (xxhash.xxh3_64_intdigest(text.encode()) + 0.5) / _HASH_RANGE
+
+
+__all__ = ["LATENCY_RATIO", "LoadView", "choose_route", "hash_to_unit"]
--- a/packages/node/src/vaneturn_node/http/operators.py
+++ b/packages/node/src/vaneturn_node/http/operators.py
@@ -4,6 +4,8 @@
 
 import hmac
 import logging
+from collections.abc import Iterable
+from typing import Final
 
 import msgspec
 from msgspec import Struct
@@ -14,6 +16,7 @@
 from vaneturn_core.faults import describe_decode_error
 from vaneturn_core.identifiers import ChangeId, RequestId
 from vaneturn_core.operators import ChangeAnswer, ChangeStatus, NodeState, ProposalBody, ServerState, SessionState
+from vaneturn_core.placing.parts import Holdings, Part
 from vaneturn_node.configuration.changes import (
     Applied,
     ChangeResult,
@@ -26,6 +29,8 @@
 from vaneturn_node.http.reading import read_bearer
 from vaneturn_node.runtime import Runtime
 
+NOTHING_SAID: Final = Holdings(0, (), (), ())  # of an engine that does not tell what it holds
+
 audit = logging.getLogger("vaneturn.audit")
 
 
@@ -110,9 +115,9 @@
             limit=health.limit,
             ejected=server.vm in ejected,
             leaving=sorted(source.value for source in health.leaving),
-            held=[str(part) for part in said[server.vm].held] if server.vm in said else [],
-            loading=[str(part) for part in said[server.vm].loading] if server.vm in said else [],
-            ending=[str(part) for part in said[server.vm].ending] if server.vm in said else [],
+            held=_name_parts((holdings := said.get(server.vm, NOTHING_SAID)).held),
+            loading=_name_parts(holdings.loading),
+            ending=_name_parts(holdings.ending),
         )
         for server in configuration.servers
     ]
@@ -134,6 +139,10 @@
     )
 
 
+def _name_parts(parts: Iterable[Part]) -> list[str]:
+    return [str(part) for part in parts]
+
+
 def _describe_result(result: ChangeResult) -> ChangeAnswer:
     match result:
         case Applied(change):
