--- /dev/null
+++ b/packages/core/src/vaneturn_core/traffic/retries.py
@@ -0,0 +1,56 @@
+"""The part of the shared retry budget that one node may spend."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Final
+
+KEPT_SHARE: Final = 0.7  # of the budget is spent: nodes see unequal traffic and count each other with a delay
+
+
+class WindowedRetryBudget:
+    """Counts, in a sliding window, the first sends to a service and those after them."""
+
+    def __init__(
+        self, ratio: float, slack: float, window: float, count_nodes: Callable[[], int], clock: Callable[[], float]
+    ) -> None:
+        """Prepare the budget of one service.
+
+        :param ratio: second sends for each first one, over all nodes.
+        :param slack: second sends in a window beyond the ratio, over all nodes.
+        :param window: seconds.
+        """
+        self._ratio = ratio
+        self._slack = slack
+        self._window = window
+        self._count_nodes = count_nodes
+        self._clock = clock
+        self._firsts: deque[float] = deque()
+        self._seconds: deque[float] = deque()
+
+    def record_first(self) -> None:
+        """Count the first send of a request."""
+        self._firsts.append(self._clock())
+        self._forget()
+
+    def spend(self) -> bool:
+        """Take a second send from the budget; false when this node has used up its part."""
+        self._forget()
+        if len(self._seconds) + 1 > self.compute_limit():
+            return False
+        self._seconds.append(self._clock())
+        return True
+
+    def compute_limit(self) -> float:
+        """Compute how many second sends this node may make in the window."""
+        return KEPT_SHARE * (self._ratio * len(self._firsts) + self._slack / max(1, self._count_nodes()))
+
+    def _forget(self) -> None:
+        oldest = self._clock() - self._window
+        for times in (self._firsts, self._seconds):
+            while times and times[0] < oldest:
+                times.popleft()
+
+
+__all__ = ["KEPT_SHARE", "WindowedRetryBudget"]
--- /dev/null
+++ b/packages/core/src/vaneturn_core/traffic/servers.py
@@ -0,0 +1,148 @@
+"""What is known of the backend servers: what they say of themselves and what this node has seen of them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final, NewType
+
+from vaneturn_core.identifiers import ServiceName
+from vaneturn_core.traffic.configuration import EngineProfile
+
+ServerId = NewType("ServerId", str)  # one start of a backend server
+ServerAddress = NewType("ServerAddress", str)  # IP number and port; may pass to another server later
+
+FIRST_REST: Final = 0.7  # seconds without new work after a failure; a process restarts in about that time
+MAX_REST: Final = 8.0  # seconds; a server that is gone leaves the list sooner
+REST_GROWTH: Final = 2.0  # with each failure in a row
+MEMORY_OF_FAILURES: Final = 12.0  # seconds after which a failure counts as the first again
+LATENCY_WEIGHT: Final = 0.25  # of the newest answer in the moving average
+ERROR_WEIGHT: Final = 0.2  # of the newest answer in the share of errors
+MAX_ERRORS: Final = 0.5  # share of errors from which a server rests; sound ones answer up to 14% of requests so
+MAX_RESTING_SHARE: Final = 0.5  # of the servers that could be chosen; beyond it, rest counts for nothing
+
+
+class ServerState(Enum):
+    """What a server says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class LayerRange:
+    """The layers [first, end)."""
+
+    first: int
+    end: int
+
+    def __len__(self) -> int:
+        return self.end - self.first
+
+
+@dataclass(frozen=True, slots=True)
+class BackendServer:
+    """The newest entry of a server in the list."""
+
+    id: ServerId
+    service: ServiceName
+    address: ServerAddress
+    hall: str
+    state: ServerState
+    slots: int
+    kind: str | None  # of its accelerator
+    layers: tuple[LayerRange, ...]  # ready for requests
+    holds_model: bool  # false for servers of plain services and for empty ones
+
+    def compute_room(self, engine: EngineProfile) -> float:
+        """Compute the memory that its layers leave, in tokens times layers."""
+        kind = engine.kinds.get(self.kind or "")
+        if kind is None:
+            return 0.0
+        held = sum(len(layers) for layers in self.layers)
+        return max(0.0, kind.bytes - held * engine.layer_bytes) / engine.cache_bytes
+
+
+@dataclass(slots=True)
+class ServerBelief:
+    """What this node has seen of one server."""
+
+    in_progress: int = 0
+    reserved: float = 0.0  # tokens times layers of the requests in progress from this node
+    latency: float = 0.0  # moving average of whole answers or first events, seconds
+    failures: int = 0  # in a row
+    failed_at: float = float("-inf")
+    resting_until: float = float("-inf")
+    is_replaced: bool = False  # its address answered under another id
+    told_load: int = 0  # requests running and waiting there from all nodes, as the server said last
+    told_at: float = float("-inf")
+    errors: float = 0.0  # share of its newest answers that were failures of its own
+
+    def record_success(self, seconds: float) -> None:
+        """Take an answer into the average; failures before it count no more."""
+        self.failures = 0
+        self.latency = seconds if not self.latency else self.latency + LATENCY_WEIGHT * (seconds - self.latency)
+
+        self.errors *= 1 - ERROR_WEIGHT
+
+    def record_error(self, now: float) -> None:
+        """Take a failure that the server itself reported; a server that reports many of them rests."""
+        self.errors += ERROR_WEIGHT * (1 - self.errors)
+        if self.errors > MAX_ERRORS:
+            self.errors = 0.0
+            self.record_failure(now)
+
+    def take_load(self, load: int, now: float) -> None:
+        """Take what a server said of its load."""
+        self.told_load = load
+        self.told_at = now
+
+    def record_failure(self, now: float) -> float:
+        """Count a failure; gives the seconds for which the server gets no new work."""
+        if now - self.failed_at > MEMORY_OF_FAILURES:
+            self.failures = 0
+        rest = min(MAX_REST, FIRST_REST * REST_GROWTH**self.failures)
+        self.failures += 1
+        self.failed_at = now
+        self.resting_until = max(self.resting_until, now + rest)
+        return rest
+
+
+class ServerBeliefs:
+    """The beliefs about all servers in the list."""
+
+    def __init__(self) -> None:
+        self._beliefs: dict[ServerId, ServerBelief] = {}
+
+    def __getitem__(self, server: ServerId) -> ServerBelief:
+        return self._beliefs.setdefault(server, ServerBelief())
+
+    def forget_absent(self, present: Mapping[ServerId, BackendServer]) -> None:
+        """Forget the servers that have left the list, unless requests are still in progress there."""
+        for server in [one for one, belief in self._beliefs.items() if one not in present and not belief.in_progress]:
+            del self._beliefs[server]
+
+    def list_choosable(
+        self, servers: Iterable[BackendServer], avoided: Iterable[ServerId], now: float
+    ) -> list[BackendServer]:
+        """List the servers that may get new work; if too many of them rest, those that rest as well."""
+        excluded = set(avoided)
+        able = [
+            server
+            for server in servers
+            if server.state is ServerState.READY and server.id not in excluded and not self[server.id].is_replaced
+        ]
+        awake = [server for server in able if self[server.id].resting_until <= now]
+        return awake if len(awake) >= MAX_RESTING_SHARE * len(able) else able
+
+
+__all__ = [
+    "BackendServer",
+    "LayerRange",
+    "ServerAddress",
+    "ServerBelief",
+    "ServerBeliefs",
+    "ServerId",
+    "ServerState",
+]
--- /dev/null
+++ b/packages/core/src/vaneturn_core/traffic/view.py
@@ -0,0 +1,109 @@
+"""What a node believes of the platform, with the age of each belief."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from vaneturn_core.identifiers import ServiceName, VmId
+from vaneturn_core.traffic.configuration import TrafficConfiguration
+from vaneturn_core.traffic.servers import BackendServer, ServerAddress, ServerId
+
+KEYS_MARGIN: Final = 1.25  # seconds; a watch may hear nothing for one second before the store says so
+LAPSE_HOLD: Final = 2.2  # seconds after the store's return in which servers write their entries again
+TROUBLE_MEMORY: Final = 4.0  # seconds after a failed call in which an entry that goes may have lapsed
+
+
+class PlatformView:
+    """The configuration, the servers and the nodes as last heard from the store."""
+
+    def __init__(self, keys_valid: float, clock: Callable[[], float]) -> None:
+        """Begin with nothing known.
+
+        :param keys_valid: seconds from the removal of a key to its last request.
+        """
+        self._keys_valid = keys_valid - KEYS_MARGIN
+        self._clock = clock
+        self.configuration: TrafficConfiguration | None = None
+        self.servers: dict[ServerId, BackendServer] = {}
+        self.nodes: set[VmId] = set()
+        self.has_servers = False  # the list was read once
+        self._confirmed_at = float("-inf")
+        self._failed_at = float("-inf")
+        self._returned_at = float("-inf")
+        self._lapsed: dict[ServerId, float] = {}  # entries that went in trouble, and when they are given up
+
+    @property
+    def age(self) -> float:
+        """Give the seconds since the store confirmed what is believed."""
+        return self._clock() - self._confirmed_at
+
+    def are_keys_valid(self) -> bool:
+        """Tell whether the keys are known well enough to run requests with them."""
+        return self.age < self._keys_valid
+
+    def count_nodes(self) -> int:
+        """Count the nodes that share limits with this one, itself included."""
+        return max(1, len(self.nodes))
+
+    def confirm(self, at: float) -> None:
+        """Take note that everything believed was true at a time or later."""
+        self._confirmed_at = max(self._confirmed_at, at)
+        if self._failed_at > self._returned_at:
+            self._returned_at = self._clock()
+
+    def note_failure(self) -> None:
+        """Take note that a call on the store failed."""
+        self._failed_at = self._clock()
+
+    def take_configuration(self, configuration: TrafficConfiguration) -> bool:
+        """Put a configuration in force; false for one that is not newer."""
+        if self.configuration is not None and configuration.version <= self.configuration.version:
+            return False
+        self.configuration = configuration
+        return True
+
+    def put_server(self, server: BackendServer) -> None:
+        """Take a server's entry."""
+        self._lapsed.pop(server.id, None)
+        self.servers[server.id] = server
+
+    def remove_server(self, server: ServerId) -> bool:
+        """Remove a server whose entry went; false if it is kept for a while, since the entry may have lapsed."""
+        now = self._clock()
+        if server not in self.servers:
+            return False
+        if now - max(self._failed_at, self._returned_at) < TROUBLE_MEMORY:
+            self._lapsed.setdefault(server, max(now, self._returned_at) + LAPSE_HOLD)
+            return False
+        del self.servers[server]
+        return True
+
+    def replace_servers(self, servers: Iterable[BackendServer]) -> list[ServerId]:
+        """Take the whole list; gives the servers that were removed."""
+        listed = {server.id: server for server in servers}
+        self.has_servers = True
+        removed = [one for one in list(self.servers) if one not in listed and self.remove_server(one)]
+        for server in listed.values():
+            self.put_server(server)
+        return removed
+
+    def expire_lapsed(self) -> list[ServerId]:
+        """Remove the servers whose entries have not come back; gives them."""
+        now = self._clock()
+        over = [server for server, until in self._lapsed.items() if until <= now]
+        for server in over:
+            del self._lapsed[server]
+            self.servers.pop(server, None)
+        return over
+
+    def list_servers(self, service: ServiceName) -> list[BackendServer]:
+        """List the servers of a service."""
+        return [server for server in self.servers.values() if server.service == service]
+
+    def find_address(self, address: ServerAddress) -> BackendServer | None:
+        """Find the server at an address."""
+        return next((server for server in self.servers.values() if server.address == address), None)
+
+
+__all__ = ["PlatformView"]
--- a/packages/node/src/vaneturn_node/__main__.py
+++ b/packages/node/src/vaneturn_node/__main__.py
@@ -1,9 +1,46 @@
-"""Run the daemon with python -m vaneturn_node."""
+"""The command vaneturn-node: one program with two faces, chosen by its settings.
+
+Only the modules of the chosen face are imported: memory and start-up are dear on small VMs.
+"""
 
 from __future__ import annotations
 
+import argparse
 import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Final
+
+from vaneturn_core.faults import Fault
+from vaneturn_core.traffic.settings import find_settings_path, load_traffic_settings
+
+EXIT_SETTINGS: Final = 2
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run a node until SIGTERM or SIGINT."""
+    parser = argparse.ArgumentParser(prog="vaneturn-node", description="Daemon of a vaneturn entry VM.")
+    parser.add_argument("--settings", type=Path, help="JSON file with the settings of this VM")
+    parser.add_argument("--check", action="store_true", help="check the settings and exit")
+    parser.add_argument("--platform", action="store_true", help="serve the traffic of the users' platform")
+    options = parser.parse_args(arguments)
+    path = find_settings_path(options.settings)
+    if path is None:
+        parser.error("--settings is needed")
+    if not options.platform:
+        from vaneturn_node.daemon import run_node  # noqa: PLC0415 # the other face must not be imported
+
+        return run_node(path, is_check=options.check)
+    settings = load_traffic_settings(path)
+    if isinstance(settings, Fault):
+        print(settings, file=sys.stderr)  # noqa: T201 # the one line an operator must see
+        return EXIT_SETTINGS
+    if not options.check:
+        from vaneturn_node.traffic.daemon import run_traffic_node  # noqa: PLC0415 # a check needs no traffic
+
+        run_traffic_node(settings, path)
+    return 0
 
-from vaneturn_node.daemon import main
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/node/src/vaneturn_node/daemon.py
+++ b/packages/node/src/vaneturn_node/daemon.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import argparse
 import logging
 import random
 import signal
 import sys
 import time
 import uuid
-from collections.abc import Sequence
 from pathlib import Path
 from typing import Any, Final, cast
 
@@ -49,11 +47,11 @@
 from vaneturn_node.peers.wiring import Peers, make_peers
 from vaneturn_node.placing.placer import Placer
 from vaneturn_node.placing.tenure import Tenure
-from vaneturn_node.platform.keyvalue import HttpKeyValueService
-from vaneturn_node.platform.vms import HttpVmList
 from vaneturn_node.runtime import Runtime
 from vaneturn_node.stages.cachemove import CacheMover
 from vaneturn_node.stages.pool import LinkPool
+from vaneturn_node.standalone.keyvalue import HttpKeyValueService
+from vaneturn_node.standalone.vms import HttpVmList
 
 EXIT_SETTINGS: Final = 2
 UNREADY_TIME: Final = 1.0  # seconds from unready to refusing, for the balancer to notice
@@ -63,17 +61,13 @@
 logger = logging.getLogger(__name__)
 
 
-def main(arguments: Sequence[str] | None = None) -> int:
-    """Run a node until SIGTERM or SIGINT."""
-    parser = argparse.ArgumentParser(prog="vaneturn-node", description="Daemon of a vaneturn entry VM.")
-    parser.add_argument("--settings", type=Path, required=True, help="JSON file with the settings of this VM")
-    parser.add_argument("--check", action="store_true", help="check the settings and exit")
-    options = parser.parse_args(arguments)
-    settings = load_settings(options.settings)
+def run_node(path: Path, *, is_check: bool) -> int:
+    """Run a node with the own interface until SIGTERM or SIGINT; gives the exit code."""
+    settings = load_settings(path)
     if isinstance(settings, Fault):
         print(settings, file=sys.stderr)  # noqa: T201 # the one line an operator must see
         return EXIT_SETTINGS
-    if options.check:
+    if is_check:
         return 0
     node = NodeId(uuid.uuid4().hex[:16])
     configure_logs(settings.log_level, settings.vm, node)
@@ -185,4 +179,4 @@
         await anyio.sleep(VM_LIST_INTERVAL)
 
 
-__all__ = ["main"]
+__all__ = ["EXIT_SETTINGS", "run_node"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/http1/caller.py
@@ -0,0 +1,77 @@
+"""Short calls: a request and its whole answer within a time."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import anyio
+
+from vaneturn_node.http1.link import HttpLink, LinkError
+from vaneturn_node.http1.messages import Headers
+from vaneturn_node.http1.pool import LinkPool
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """No whole answer came."""
+
+    cause: str
+    was_sent: bool  # a byte of the request has left
+
+
+class Caller:
+    """Makes short calls over kept connections."""
+
+    def __init__(self, pool: LinkPool) -> None:
+        self._pool = pool
+
+    async def call(
+        self, address: str, method: str, target: str, limit: float, *, body: bytes = b"", headers: Headers = ()
+    ) -> Reply | Failed:
+        """Call a server; the limit in seconds is for all of it."""
+        link: HttpLink | None = None
+        head = [(b"host", address.encode()), *headers]
+        if body:
+            head.append((b"content-type", b"application/json"))
+        try:
+            with anyio.fail_after(limit):
+                link = await self._pool.take(address)
+                await link.send(method, target, head, body, limit)
+                reply = await _read_reply(link, limit)
+        except TimeoutError:
+            await _abort(link)
+            return Failed("no answer in time", was_sent=link is not None)
+        except LinkError as error:
+            await _abort(link)
+            return Failed(error.cause, was_sent=error.was_sent)
+        except BaseException:
+            await _abort(link)
+            raise
+        await self._pool.put_back(link, address)
+        return reply
+
+
+async def _read_reply(link: HttpLink, limit: float) -> Reply:
+    answer = await link.read_head(limit)
+    parts = []
+    while (data := await link.read_data(limit)) is not None:
+        parts.append(data)
+    return Reply(answer.status, b"".join(parts))
+
+
+async def _abort(link: HttpLink | None) -> None:
+    if link is None:
+        return
+    with anyio.CancelScope(shield=True):
+        await link.abort()
+
+
+__all__ = ["Caller", "Failed", "Reply"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/http1/link.py
@@ -0,0 +1,165 @@
+"""One connection to a server, which says what was sent and how an answer ended."""
+
+from __future__ import annotations
+
+import select
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketStream
+
+from vaneturn_node.http1.messages import Headers, find_header
+
+RECEIVE_BYTES: Final = 65536
+MAX_HEAD_BYTES: Final = 65536
+DEFAULT_IDLE_TIME: Final = 2.0  # seconds a server keeps an idle connection at least, if it tells no time
+IDLE_MARGIN: Final = 0.8  # seconds before the told time, for the way there
+
+
+class LinkError(Exception):
+    """The connection cannot be used any more.
+
+    :ivar was_sent: whether a byte of the request has left.
+    :ivar is_silence: whether nothing came for the time given, as from a server that is cut off.
+    """
+
+    def __init__(self, cause: str, *, was_sent: bool, is_silence: bool = False) -> None:
+        super().__init__(cause)
+        self.cause = cause
+        self.was_sent = was_sent
+        self.is_silence = is_silence
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The head of an answer."""
+
+    status: int
+    headers: Headers
+
+
+class HttpLink:
+    """A connection that carries one exchange at a time."""
+
+    def __init__(self, stream: SocketStream) -> None:
+        self._stream = stream
+        self._socket_number: int = stream.extra(SocketAttribute.raw_socket).fileno()  # noqa: S610 # no query
+        self._protocol = h11.Connection(our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._was_sent = False
+        self._idle_time = DEFAULT_IDLE_TIME
+        self.idle_since = 0.0  # set by the pool
+
+    @classmethod
+    async def open(cls, address: str, limit: float) -> HttpLink:
+        """Connect to IP:PORT.
+
+        :raises LinkError: nobody answered in time.
+        """
+        host, _, port = address.rpartition(":")
+        try:
+            with anyio.fail_after(limit):
+                return cls(await anyio.connect_tcp(host, int(port)))
+        except TimeoutError:
+            raise LinkError("connecting took too long", was_sent=False, is_silence=True) from None
+        except OSError as error:
+            raise LinkError(f"connecting failed: {error}", was_sent=False) from None
+
+    async def send(self, method: str, target: str, headers: Headers, body: bytes, limit: float) -> None:
+        """Send a whole request.
+
+        :raises LinkError: a part of it may have left.
+        """
+        self._was_sent = False
+        framed = [*headers, (b"content-length", str(len(body)).encode())] if body or method != "GET" else list(headers)
+        data = self._protocol.send(h11.Request(method=method, target=target, headers=framed)) or b""
+        if body:
+            data += self._protocol.send(h11.Data(data=body)) or b""
+        data += self._protocol.send(h11.EndOfMessage()) or b""
+        self._was_sent = True
+        try:
+            with anyio.fail_after(limit):
+                await self._stream.send(data)
+        except TimeoutError:
+            raise LinkError("sending took too long", was_sent=True, is_silence=True) from None
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            raise LinkError("connection lost while sending", was_sent=True) from None
+
+    async def read_head(self, limit: float) -> AnswerHead:
+        """Wait for the head of the answer.
+
+        :raises LinkError: none came in time, the connection ended, or the bytes are no answer.
+        """
+        while True:
+            event = await self._read_event(limit)
+            if isinstance(event, h11.Response):
+                self._learn_idle_time(event.headers.raw_items())
+                return AnswerHead(event.status_code, [(name.lower(), value) for name, value in event.headers])
+            if not isinstance(event, h11.InformationalResponse):
+                raise LinkError("connection ended before an answer", was_sent=True)
+
+    async def read_data(self, limit: float) -> bytes | None:
+        """Wait for more of the body; none at its end.
+
+        :raises LinkError: nothing came in time, or the connection ended inside the body.
+        """
+        event = await self._read_event(limit)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise LinkError("connection ended inside an answer", was_sent=True)
+
+    async def _read_event(self, limit: float) -> h11.Event | type[h11.PAUSED | h11.NEED_DATA]:
+        while True:
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                raise LinkError(f"not an answer: {error}", was_sent=True) from None
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                with anyio.fail_after(limit):
+                    data = await self._stream.receive(RECEIVE_BYTES)
+            except TimeoutError:
+                raise LinkError("no bytes in time", was_sent=self._was_sent, is_silence=True) from None
+            except anyio.EndOfStream:
+                data = b""
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                raise LinkError("connection reset", was_sent=self._was_sent) from None
+            self._protocol.receive_data(data)
+
+    def _learn_idle_time(self, headers: Sequence[tuple[bytes, bytes]]) -> None:
+        told = find_header([(name.lower(), value) for name, value in headers], b"keep-alive")
+        if told is None:
+            return
+        for parameter in told.split(b","):
+            name, _, value = parameter.strip().partition(b"=")
+            if name.lower() == b"timeout" and value.strip().isdigit():
+                self._idle_time = max(0.0, int(value) - IDLE_MARGIN)
+
+    def finish(self) -> bool:
+        """Make ready for the next exchange; false when the connection cannot carry one."""
+        if self._protocol.our_state is not h11.DONE or self._protocol.their_state is not h11.DONE:
+            return False
+        if self._protocol.trailing_data[0]:
+            return False
+        self._protocol.start_next_cycle()
+        return True
+
+    def is_fresh(self, now: float, longest: float) -> bool:
+        """Tell whether an idle connection may carry another request: not too long idle, not closed, nothing arrived."""
+        if now - self.idle_since >= min(self._idle_time, longest):
+            return False
+        readable = select.poll()
+        readable.register(self._socket_number, select.POLLIN)
+        return not readable.poll(0)
+
+    async def abort(self) -> None:
+        """Close at once."""
+        await self._stream.aclose()
+
+
+__all__ = ["AnswerHead", "HttpLink", "LinkError"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/http1/pool.py
@@ -0,0 +1,64 @@
+"""Kept connections to servers."""
+
+from __future__ import annotations
+
+import time
+from collections import defaultdict
+from typing import Final
+
+import anyio
+
+from vaneturn_node.http1.link import HttpLink
+
+CONNECT_TIME: Final = 0.3  # seconds; a sound server accepts in a few milliseconds
+SWEEP_INTERVAL: Final = 1.0  # seconds
+MAX_IDLE_EACH: Final = 8  # idle connections kept to one address
+ANY_IDLE_TIME: Final = 60.0  # seconds: what the server tells is the shorter
+
+
+class LinkPool:
+    """Connections by address; each carries one exchange at a time."""
+
+    def __init__(self) -> None:
+        self._idle: defaultdict[str, list[HttpLink]] = defaultdict(list)
+        self.opened = 0
+
+    async def take(self, address: str, longest_idle: float = ANY_IDLE_TIME) -> HttpLink:
+        """Take a kept connection that was idle for less than some seconds, or open one.
+
+        :raises LinkError: no connection could be opened.
+        """
+        now = time.monotonic()
+        idle = self._idle[address]
+        while idle:
+            link = idle.pop()
+            if link.is_fresh(now, longest_idle):
+                return link
+            await link.abort()
+        self.opened += 1
+        return await HttpLink.open(address, CONNECT_TIME)
+
+    async def put_back(self, link: HttpLink, address: str) -> None:
+        """Keep a connection whose exchange has ended, or close it."""
+        idle = self._idle[address]
+        if len(idle) < MAX_IDLE_EACH and link.finish():
+            link.idle_since = time.monotonic()
+            idle.append(link)
+            return
+        await link.abort()
+
+    async def run(self) -> None:
+        """Close connections that were idle for too long, until cancelled."""
+        while True:
+            await anyio.sleep(SWEEP_INTERVAL)
+            now = time.monotonic()
+            for address, idle in list(self._idle.items()):
+                stale = [link for link in idle if not link.is_fresh(now, ANY_IDLE_TIME)]
+                self._idle[address] = [link for link in idle if link not in stale]
+                if not self._idle[address]:
+                    del self._idle[address]
+                for link in stale:
+                    await link.abort()
+
+
+__all__ = ["LinkPool"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/http1/server.py
@@ -0,0 +1,256 @@
+"""One connection of a client: reads requests, writes answers, notices when the client has left."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+import h11
+from anyio.abc import SocketStream
+
+from vaneturn_core.traffic.configuration import ClientLimits
+from vaneturn_node.http1.messages import Headers, find_header
+
+RECEIVE_BYTES: Final = 65536
+MAX_AHEAD_BYTES: Final = 65536  # of later requests that are read while one is answered
+LINGER_TIME: Final = 0.5  # seconds in which a client may read the answer to a request that was not read whole
+NO_BODY_STATUSES: Final = frozenset({204, 304})
+
+logger = logging.getLogger(__name__)
+
+
+class ClientLeftError(Exception):
+    """The client's connection ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClientRequest:
+    """A whole request."""
+
+    method: str
+    target: str
+    path: str
+    headers: Headers  # lower-case names
+    body: bytes
+    arrived: float  # steady clock, seconds
+
+
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """A request that is not let in."""
+
+    status: int
+    reason: str
+
+
+class ClientAnswer:
+    """Writes one answer; what has not ended when the connection closes does not look whole."""
+
+    def __init__(self, stream: SocketStream, protocol: h11.Connection, method: str, *, closes: bool) -> None:
+        self._stream = stream
+        self._protocol = protocol
+        self._method = method
+        self._closes = closes
+        self.is_begun = False
+        self.is_ended = False
+
+    async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send an answer whose body is known."""
+        framed = [*headers, *self._list_own_headers()]
+        if status not in NO_BODY_STATUSES:
+            framed.append((b"content-length", str(len(body)).encode()))
+        data = self._protocol.send(h11.Response(status_code=status, headers=framed)) or b""
+        if body and self._method != "HEAD" and status not in NO_BODY_STATUSES:
+            data += self._protocol.send(h11.Data(data=body)) or b""
+        data += self._protocol.send(h11.EndOfMessage()) or b""
+        self.is_begun = True
+        await self._send(data)
+        self.is_ended = True
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer whose length is not known."""
+        data = self._protocol.send(h11.Response(status_code=status, headers=[*headers, *self._list_own_headers()]))
+        self.is_begun = True
+        await self._send(data or b"")
+
+    async def send_part(self, body: bytes) -> None:
+        """Send a part of the body."""
+        await self._send(self._protocol.send(h11.Data(data=body)) or b"")
+
+    async def end(self) -> None:
+        """Mark the answer as whole."""
+        await self._send(self._protocol.send(h11.EndOfMessage()) or b"")
+        self.is_ended = True
+
+    def _list_own_headers(self) -> list[tuple[bytes, bytes]]:
+        return [(b"connection", b"close")] if self._closes else []
+
+    async def _send(self, data: bytes) -> None:
+        try:
+            await self._stream.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            raise ClientLeftError from None
+
+
+Handler = Callable[[ClientRequest, ClientAnswer], Awaitable[None]]
+
+
+class ClientConnection:
+    """Serves one connection."""
+
+    def __init__(
+        self, stream: SocketStream, handler: Handler, limits: ClientLimits, idle_scopes: set[anyio.CancelScope]
+    ) -> None:
+        """Prepare a connection.
+
+        :param idle_scopes: holds the scope of this connection while no request is on it; cancelling it closes.
+        """
+        self._stream = stream
+        self._handler = handler
+        self._limits = limits
+        self._idle_scopes = idle_scopes
+        self._protocol = h11.Connection(our_role=h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self.closes = False  # after the answer under way
+
+    async def run(self) -> None:
+        """Serve requests until the connection ends."""
+        try:
+            while await self._serve_one():
+                pass
+        except (ClientLeftError, anyio.BrokenResourceError, anyio.ClosedResourceError, h11.LocalProtocolError) as error:
+            logger.debug("connection ended", extra={"cause": repr(error)})
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._stream.aclose()
+
+    async def _serve_one(self) -> bool:
+        try:
+            request = await self._read_request()
+        except h11.RemoteProtocolError as error:
+            request = Rejection(error.error_status_hint, str(error))
+        if request is None:
+            return False
+        if isinstance(request, Rejection):
+            await self._reject(request)
+            return False
+        answer = ClientAnswer(self._stream, self._protocol, request.method, closes=self.closes)
+        await self._answer(request, answer)
+        if not answer.is_ended or self._protocol.our_state is not h11.DONE or self.closes:
+            return False
+        self._protocol.start_next_cycle()
+        return True
+
+    async def _answer(self, request: ClientRequest, answer: ClientAnswer) -> None:
+        """Answer a request; all work on it ends at once when the client leaves."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_client, tasks.cancel_scope)
+            await self._handler(request, answer)
+            tasks.cancel_scope.cancel()
+
+    async def _watch_client(self, scope: anyio.CancelScope) -> None:
+        """Read ahead, so that the end of the connection is seen."""
+        ahead = 0
+        while ahead < MAX_AHEAD_BYTES:
+            data = await self._receive()
+            if not data:
+                break
+            ahead += len(data)
+            self._protocol.receive_data(data)
+        else:
+            await anyio.sleep_forever()
+        self.closes = True
+        scope.cancel()
+
+    async def _receive(self) -> bytes:
+        try:
+            return await self._stream.receive(RECEIVE_BYTES)
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return b""
+
+    async def _read_request(self) -> ClientRequest | Rejection | None:
+        """Read a whole request; none when the client has none any more."""
+        if not self._protocol.trailing_data[0] and not await self._await_first_bytes():
+            return None
+        arrived = time.monotonic()
+        with anyio.move_on_after(self._limits.header_time):
+            head = await self._read_event()
+            if not isinstance(head, h11.Request):
+                return None
+            return await self._read_body(head, arrived)
+        return Rejection(408, "the request took too long to arrive")
+
+    async def _await_first_bytes(self) -> bool:
+        with anyio.CancelScope() as scope:
+            self._idle_scopes.add(scope)
+            try:
+                with anyio.move_on_after(self._limits.idle_time):
+                    data = await self._receive()
+                    self._protocol.receive_data(data)
+                    return bool(data)
+            finally:
+                self._idle_scopes.discard(scope)
+        return False
+
+    async def _read_body(self, head: h11.Request, arrived: float) -> ClientRequest | Rejection:
+        headers = [(name.lower(), value) for name, value in head.headers]
+        rejection = _check_framing(headers, self._limits)
+        if rejection is not None:
+            return rejection
+        body = bytearray()
+        while True:
+            if self._protocol.they_are_waiting_for_100_continue:
+                await self._stream.send(self._protocol.send(h11.InformationalResponse(status_code=100, headers=[])))
+            event = await self._read_event()
+            if isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._limits.body_bytes:
+                    return Rejection(413, "the body is too long")
+                continue
+            if isinstance(event, h11.EndOfMessage):
+                break
+            raise ClientLeftError
+        target = head.target.decode("latin-1")
+        path = target.partition("?")[0]
+        return ClientRequest(head.method.decode("latin-1"), target, path, headers, bytes(body), arrived)
+
+    async def _read_event(self) -> h11.Event | type[h11.PAUSED | h11.NEED_DATA]:
+        while True:
+            event = self._protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self._receive()
+            if not data:
+                raise ClientLeftError
+            self._protocol.receive_data(data)
+
+    async def _reject(self, rejection: Rejection) -> None:
+        """Answer a request that was not let in; the rest of it is not read, so the connection ends."""
+        logger.info("request rejected", extra={"status": rejection.status, "reason": rejection.reason})
+        if self._protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        answer = ClientAnswer(self._stream, self._protocol, "GET", closes=True)
+        body = rejection.reason.encode()
+        await answer.send_whole(rejection.status, [(b"content-type", b"text/plain")], body)
+        await self._stream.send_eof()
+        with anyio.move_on_after(LINGER_TIME):
+            while await self._receive():
+                pass
+
+
+def _check_framing(headers: Headers, limits: ClientLimits) -> Rejection | None:
+    """Check what could make a server see another request than this node does."""
+    length = find_header(headers, b"content-length")
+    if length is not None and find_header(headers, b"transfer-encoding") is not None:
+        return Rejection(400, "a length and a transfer encoding")
+    if sum(name == b"host" for name, _ in headers) != 1:
+        return Rejection(400, "not one host")
+    if length is not None and int(length) > limits.body_bytes:
+        return Rejection(413, "the body is too long")
+    return None
+
+
+__all__ = ["ClientAnswer", "ClientConnection", "ClientLeftError", "ClientRequest", "Handler", "Rejection"]
--- a/packages/node/src/vaneturn_node/platform/__init__.py
+++ b/packages/node/src/vaneturn_node/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Adapters to the platform's services."""
+"""Names, formats and calls of the users' platform; nothing here decides."""
--- /dev/null
+++ b/packages/node/src/vaneturn_node/platform/configuration.py
@@ -0,0 +1,190 @@
+"""The operators' configuration as the platform's store holds it."""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct
+
+from vaneturn_core.faults import Fault, describe_decode_error
+from vaneturn_core.identifiers import CustomerName, DataHall, Revision, ServiceName
+from vaneturn_core.traffic.configuration import (
+    BackendService,
+    ClientLimits,
+    EngineProfile,
+    Repeatability,
+    ServerKind,
+    Target,
+    TrafficConfiguration,
+    TrafficCustomer,
+    TrafficRoute,
+)
+
+CONFIGURATION_KEY = "op/config"
+_MS = 0.001
+_MEGABYTE = 1e6
+
+
+class _Backend(Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(Struct):
+    host: str
+    path_prefix: str
+    route_type: str
+    timeout_ms: float
+    name: str = ""
+    slo_ms: float = 0.0
+    priority: int = 5
+    service: str | None = None
+    backends: list[_Backend] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float | None = None
+
+
+class _Kind(Struct):
+    name: str
+    mb: float
+    pace: float = 1.0
+    read_x: float = 1.0
+
+
+class _Delay(Struct, rename={"one": "from", "other": "target_version"}):  # the far zone, not a version
+    one: str
+    other: str
+    delay_ms: float
+
+
+class _Model(Struct):
+    name: str
+
+
+class _Usual(Struct, frozen=True):
+    prompt: int = 500
+    answer: int = 200
+
+
+class _Engine(Struct):
+    slots: int = 1
+    kv_token_bytes: float = 0.0  # of a token on all layers
+    models: list[_Model] = []
+    step_ms: float = 1.0
+    per_seq_ms: float = 0.0
+    read_per_s: float = 1e5
+    loads_at_once: int = 1
+    delays: list[_Delay] = []
+    usual: _Usual = _Usual()
+    layers: int = 0
+    layer_mb: float = 0.0
+    kinds: list[_Kind] = []
+
+
+class _Service(Struct):
+    name: str
+    health_path: str = "/"
+    max_conns: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(Struct, frozen=True):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Tenant(Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Document(Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
+
+
+def decode_configuration(value: bytes) -> TrafficConfiguration | Fault:
+    """Decode a configuration; the fault names the place that was not understood."""
+    try:
+        document = msgspec.json.decode(value, type=_Document)
+        return TrafficConfiguration(
+            version=Revision(document.version),
+            routes=[_convert_route(route) for route in document.routes],
+            services={ServiceName(service.name): _convert_service(service) for service in document.services},
+            limits=_convert_limits(document.limits),
+            customers={
+                key: TrafficCustomer(CustomerName(tenant.name), tenant.priority)
+                for tenant in document.tenants or []
+                for key in tenant.api_keys
+            },
+            needs_keys=document.tenants is not None,
+        )
+    except msgspec.DecodeError as error:
+        return describe_decode_error(error)
+    except ValueError as error:
+        return Fault("$", str(error))
+
+
+def _convert_route(route: _Route) -> TrafficRoute:
+    backends = [_Backend(route.service)] if route.service is not None else route.backends
+    return TrafficRoute(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.path_prefix,
+        repeatability=Repeatability(route.route_type),
+        timeout=route.timeout_ms * _MS,
+        objective=route.slo_ms * _MS,
+        priority=route.priority,
+        targets=tuple(Target(ServiceName(backend.service), backend.weight) for backend in backends),
+        max_attempts=route.max_attempts,
+        is_public=route.public,
+        is_resumable=route.resumable,
+        pause_objective=None if route.gap_aim_ms is None else route.gap_aim_ms * _MS,
+    )
+
+
+def _convert_service(service: _Service) -> BackendService:
+    engine = service.engine
+    profile = _convert_engine(engine) if engine is not None and engine.models and engine.layers else None
+    return BackendService(ServiceName(service.name), service.health_path, service.max_conns, profile)
+
+
+def _convert_engine(engine: _Engine) -> EngineProfile:
+    delays = {}
+    for delay in engine.delays:
+        delays[DataHall(delay.one), DataHall(delay.other)] = delay.delay_ms * _MS
+        delays[DataHall(delay.other), DataHall(delay.one)] = delay.delay_ms * _MS
+    return EngineProfile(
+        model=engine.models[0].name,
+        slots=engine.slots,
+        layers=engine.layers,
+        layer_bytes=engine.layer_mb * _MEGABYTE,
+        cache_bytes=engine.kv_token_bytes / engine.layers,
+        step=engine.step_ms * _MS,
+        step_each=engine.per_seq_ms * _MS,
+        read=1 / engine.read_per_s,
+        usual_prompt=engine.usual.prompt,
+        usual_answer=engine.usual.answer,
+        loads_at_once=engine.loads_at_once,
+        kinds={kind.name: ServerKind(kind.name, kind.mb * _MEGABYTE, kind.pace, kind.read_x) for kind in engine.kinds},
+        delays=delays,
+    )
+
+
+def _convert_limits(limits: _Limits) -> ClientLimits:
+    return ClientLimits(
+        header_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        header_time=limits.header_timeout_ms * _MS,
+        idle_time=limits.idle_timeout_ms * _MS,
+    )
+
+
+__all__ = ["CONFIGURATION_KEY", "decode_configuration"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/platform/headers.py
@@ -0,0 +1,163 @@
+"""Headers of requests and answers on the users' platform."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from vaneturn_core.identifiers import RequestId
+from vaneturn_core.traffic.chains import Chain, Part
+from vaneturn_core.traffic.servers import ServerAddress, ServerId
+from vaneturn_node.http1.messages import Headers, find_header, list_connection_headers
+
+REQUEST_ID: Final = b"x-request-id"
+DEADLINE: Final = b"x-deadline-ms"
+EXPECTED_SERVER: Final = b"x-expect-instance"
+CUSTOMER: Final = b"x-tenant"
+PRIORITY: Final = b"priority"
+CHAIN: Final = b"path"
+LAST_EVENT: Final = b"last-event-id"
+TOKENS: Final = b"x-token-usage"
+KEY: Final = b"authorization"
+KEY_SCHEME: Final = b"Token "
+SEAL: Final = b"x-response-seal"
+NOT_RUN: Final = b"x-not-executed"
+FAULTY_SERVER: Final = b"at-server"
+LOAD: Final = b"x-instance-load"
+RETRY_AFTER: Final = b"retry-after"
+WRONG_SERVER: Final = 421
+_OWN_TO_SERVERS: Final = frozenset(
+    {KEY, DEADLINE, EXPECTED_SERVER, CUSTOMER, PRIORITY, CHAIN, LAST_EVENT, b"content-length", b"expect"}
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFacts:
+    """What a client says in the head of a request."""
+
+    id: RequestId | None
+    host: str
+    deadline: float | None  # seconds that the client waits
+    key: str | None
+    last_event: str | None  # id of the last event that the client has
+    prompt_tokens: int
+    most_answer_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """What a server says in the head of an answer."""
+
+    id: RequestId | None
+    status: int
+    was_refused: bool  # the server did not and will not run the request
+    is_wrong_server: bool  # another server has the address, or a part of the chain does not hold its layers
+    is_sealed: bool
+    faulty: ServerAddress | None  # part of the chain at fault
+    load: tuple[int, int, int] | None  # requests running, waiting, slots
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """What the router adds to a request for one server."""
+
+    server: ServerId
+    deadline: float | None  # seconds left
+    customer: str | None
+    priority: int
+    chain: Chain | None
+    last_event: str | None
+
+
+def read_request_facts(headers: Headers) -> RequestFacts:
+    """Read what a request says of itself; what cannot be read counts as absent."""
+    request = find_header(headers, REQUEST_ID)
+    deadline = _read_number(find_header(headers, DEADLINE))
+    key = find_header(headers, KEY)
+    prompt, answer = _read_pair(find_header(headers, TOKENS))
+    last_event = find_header(headers, LAST_EVENT)
+    return RequestFacts(
+        id=RequestId(request.decode("latin-1")) if request else None,
+        host=(find_header(headers, b"host") or b"").decode("latin-1").lower(),
+        deadline=None if deadline is None else deadline / 1000,
+        key=key[len(KEY_SCHEME) :].decode("latin-1") if key and key.startswith(KEY_SCHEME) else None,
+        last_event=last_event.decode("latin-1") if last_event is not None else None,
+        prompt_tokens=prompt,
+        most_answer_tokens=answer,
+    )
+
+
+def read_answer_facts(status: int, headers: Headers) -> AnswerFacts:
+    """Read what an answer says of itself."""
+    request = find_header(headers, REQUEST_ID)
+    faulty = find_header(headers, FAULTY_SERVER)
+    return AnswerFacts(
+        id=RequestId(request.decode("latin-1")) if request else None,
+        status=status,
+        was_refused=status == WRONG_SERVER or find_header(headers, NOT_RUN) is not None,
+        is_wrong_server=status == WRONG_SERVER,
+        is_sealed=find_header(headers, SEAL) is not None,
+        faulty=ServerAddress(faulty.decode("latin-1")) if faulty else None,
+        load=_read_load(find_header(headers, LOAD)),
+    )
+
+
+def build_server_headers(headers: Headers, dispatch: Dispatch) -> list[tuple[bytes, bytes]]:
+    """Build the head for a server: what the client sent, less what concerns its connection, plus the dispatch."""
+    dropped = _OWN_TO_SERVERS | list_connection_headers(headers)
+    sent = [(name, value) for name, value in headers if name not in dropped]
+    sent.append((EXPECTED_SERVER, dispatch.server.encode("latin-1")))
+    sent.append((PRIORITY, str(dispatch.priority).encode()))
+    if dispatch.deadline is not None:
+        sent.append((DEADLINE, str(max(1, int(dispatch.deadline * 1000))).encode()))
+    if dispatch.customer is not None:
+        sent.append((CUSTOMER, dispatch.customer.encode("latin-1")))
+    if dispatch.chain is not None:
+        sent.append((CHAIN, format_chain(dispatch.chain.parts).encode("latin-1")))
+    if dispatch.last_event is not None:
+        sent.append((LAST_EVENT, dispatch.last_event.encode("latin-1")))
+    return sent
+
+
+def build_client_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Build the head for the client: what the server sent, less what concerns its connection."""
+    dropped = list_connection_headers(headers) | {b"content-length"}
+    return [(name, value) for name, value in headers if name not in dropped]
+
+
+def format_chain(parts: Sequence[Part]) -> str:
+    """Format a chain as servers with their layers; the second number of a range is exclusive."""
+    return ",".join(f"{part.server.address}={part.first}-{part.end}" for part in parts)
+
+
+def _read_number(value: bytes | None) -> float | None:
+    if value is None or not value.strip().isdigit():
+        return None
+    return float(value)
+
+
+def _read_pair(value: bytes | None) -> tuple[int, int]:
+    numbers = (value or b"").split(b",")
+    if len(numbers) != 2 or not all(number.strip().isdigit() for number in numbers):  # noqa: PLR2004 # a pair
+        return 0, 0
+    return int(numbers[0]), int(numbers[1])
+
+
+def _read_load(value: bytes | None) -> tuple[int, int, int] | None:
+    numbers = (value or b"").split(b",")
+    if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):  # noqa: PLR2004 # running, waiting, slots
+        return None
+    return int(numbers[0]), int(numbers[1]), int(numbers[2])
+
+
+__all__ = [
+    "AnswerFacts",
+    "Dispatch",
+    "RequestFacts",
+    "build_client_headers",
+    "build_server_headers",
+    "format_chain",
+    "read_answer_facts",
+    "read_request_facts",
+]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/platform/store.py
@@ -0,0 +1,214 @@
+"""Calls on the platform's metadata store; each has its own timer and a typed outcome."""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+from msgspec import Struct
+
+from vaneturn_core.traffic.servers import ServerAddress
+from vaneturn_node.http1.caller import Caller, Failed, Reply
+
+CALL_TIME: Final = 1.0  # seconds; the store answers in milliseconds when it is sound
+WATCH_MARGIN: Final = 0.5  # seconds beyond a watch's wait
+_OK: Final = 200
+_NO_LEASE: Final = 404
+_CONFLICT: Final = 412
+_HISTORY_GONE: Final = 410
+_NOTHING_DONE: Final = frozenset({429, 503})
+
+
+@dataclass(frozen=True, slots=True)
+class StoreItem:
+    """A key as it was written; without a value it was removed."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class StorePage:
+    """Items, and the store's revision when it answered."""
+
+    items: tuple[StoreItem, ...]
+    revision: int
+    has_more: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease and the seconds it holds from the arrival of the call."""
+
+    id: int
+    time: float
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The store has forgotten the changes since the given revision."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreConflict:
+    """A key had another revision, so nothing was written."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseOver:
+    """The lease does not exist any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotDone:
+    """Nothing was done."""
+
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class MaybeDone:
+    """No answer: it may have been done, or be done seconds later."""
+
+    cause: str
+
+
+class _Item(Struct):
+    key: str
+    revision: int
+    value: str | None = None
+    gone: bool = False
+
+
+class _Page(Struct):
+    at: int
+    entries: list[_Item] = []
+    events: list[_Item] = []
+    more: bool = False
+
+
+class _Written(Struct):
+    revision: int
+
+
+class _Granted(Struct):
+    ttl_ms: float
+    lease: int = 0
+
+
+class PlatformStore:
+    """The platform's metadata store."""
+
+    def __init__(self, caller: Caller, address: ServerAddress) -> None:
+        self._caller = caller
+        self._address = address
+
+    async def read_range(self, prefix: str, after: str = "", *, may_be_old: bool = False) -> StorePage | NotDone:
+        """Read a page of the items under a prefix, after a key."""
+        query: dict[str, str | int] = {"path_prefix": prefix}
+        if after:
+            query["since_rev"] = after  # a key here, not a revision
+        if may_be_old:
+            query["stale"] = 1
+        reply = await self._call("GET", f"/api/kv-range?{urlencode(query)}")
+        if not isinstance(reply, Reply):
+            return NotDone(reply.cause)
+        page = _decode(reply, _Page)
+        return page if isinstance(page, NotDone) else _convert_page(page, page.entries)
+
+    async def watch(self, prefix: str, revision: int, wait: float) -> StorePage | HistoryGone | NotDone:
+        """Wait for changes after a revision, at most some seconds."""
+        query = urlencode({"path_prefix": prefix, "since_rev": revision, "wait_ms": int(wait * 1000)})
+        reply = await self._call("GET", f"/api/kv-watch?{query}", wait + WATCH_MARGIN)
+        if not isinstance(reply, Reply):
+            return NotDone(reply.cause)
+        if reply.status == _HISTORY_GONE:
+            return HistoryGone()
+        page = _decode(reply, _Page)
+        return page if isinstance(page, NotDone) else _convert_page(page, page.events)
+
+    async def write(
+        self, key: str, value: bytes, expected: int | None, lease: int = 0
+    ) -> int | StoreConflict | LeaseOver | NotDone | MaybeDone:
+        """Write a key, if it has the expected revision (0: absent); gives the revision of the write."""
+        put = [{"key": key, "value": b64encode(value).decode(), "lease": lease}]
+        rows = [] if expected is None else [{"key": key, "revision": expected}]
+        body = msgspec.json.encode({"expected_rev": rows, "put": put, "remove": []})
+        reply = await self._call("POST", "/api/kv-txn", body=body)
+        if not isinstance(reply, Reply):
+            return reply
+        if reply.status == _CONFLICT:
+            return StoreConflict()
+        if reply.status == _NO_LEASE:
+            return LeaseOver()
+        written = _decode(reply, _Written)
+        return written if isinstance(written, NotDone) else written.revision
+
+    async def grant_lease(self, time: float) -> Lease | NotDone | MaybeDone:
+        """Begin a lease of some seconds."""
+        reply = await self._call("POST", "/api/kv-lease", body=msgspec.json.encode({"ttl_ms": int(time * 1000)}))
+        if not isinstance(reply, Reply):
+            return reply
+        granted = _decode(reply, _Granted)
+        return granted if isinstance(granted, NotDone) else Lease(granted.lease, granted.ttl_ms / 1000)
+
+    async def keep_lease(self, lease: int) -> Lease | LeaseOver | NotDone | MaybeDone:
+        """Renew a lease."""
+        reply = await self._call("POST", f"/api/kv-keep/{lease}", body=b"{}")
+        if not isinstance(reply, Reply):
+            return reply
+        if reply.status == _NO_LEASE:
+            return LeaseOver()
+        granted = _decode(reply, _Granted)
+        return granted if isinstance(granted, NotDone) else Lease(lease, granted.ttl_ms / 1000)
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease, at a planned stop; an unanswered call leaves it to run out."""
+        await self._call("DELETE", f"/api/kv-lease-end/{lease}")
+
+    async def _call(
+        self, method: str, target: str, limit: float = CALL_TIME, body: bytes = b""
+    ) -> Reply | NotDone | MaybeDone:
+        reply = await self._caller.call(self._address, method, target, limit, body=body)
+        if isinstance(reply, Failed):
+            return MaybeDone(reply.cause) if reply.was_sent else NotDone(reply.cause)
+        if reply.status in _NOTHING_DONE:
+            return NotDone(f"status {reply.status}")
+        return reply
+
+
+def _convert_page(page: _Page, items: Sequence[_Item]) -> StorePage:
+    converted = tuple(
+        StoreItem(item.key, None if item.gone else b64decode(item.value or ""), item.revision) for item in items
+    )
+    return StorePage(converted, page.at, page.more)
+
+
+T = TypeVar("T")
+
+
+def _decode(reply: Reply, type_: type[T]) -> T | NotDone:
+    if reply.status != _OK:
+        return NotDone(f"status {reply.status}")
+    try:
+        return msgspec.json.decode(reply.body, type=type_)
+    except msgspec.DecodeError as error:
+        return NotDone(f"answer not understood: {error}")
+
+
+__all__ = [
+    "HistoryGone",
+    "Lease",
+    "LeaseOver",
+    "MaybeDone",
+    "NotDone",
+    "PlatformStore",
+    "StoreConflict",
+    "StoreItem",
+    "StorePage",
+]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/daemon.py
@@ -0,0 +1,157 @@
+"""A node on the users' platform: wiring, start, reload and planned stop."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Final
+
+import anyio
+from anyio.abc import SocketStream
+
+from vaneturn_core.faults import Fault
+from vaneturn_core.identifiers import DataHall, NodeId
+from vaneturn_core.traffic.configuration import ClientLimits
+from vaneturn_core.traffic.servers import ServerAddress, ServerBeliefs
+from vaneturn_core.traffic.settings import TrafficSettings, load_traffic_settings
+from vaneturn_core.traffic.view import PlatformView
+from vaneturn_node.http1.caller import Caller
+from vaneturn_node.http1.pool import LinkPool
+from vaneturn_node.http1.server import ClientAnswer, ClientConnection, ClientRequest, Handler
+from vaneturn_node.logs import configure_logs
+from vaneturn_node.platform.servers import ServerCalls
+from vaneturn_node.platform.store import PlatformStore
+from vaneturn_node.traffic.answering import Answerer
+from vaneturn_node.traffic.exchange import TrafficParts
+from vaneturn_node.traffic.following import StoreFollower
+from vaneturn_node.traffic.metrics import TrafficMetrics
+from vaneturn_node.traffic.placing import Placer
+from vaneturn_node.traffic.registration import Registration
+from vaneturn_node.traffic.stopping import Lifecycle
+from vaneturn_node.traffic.tenure import Tenure
+
+READINESS_PATH: Final = "/api/readyz"
+STOP_LOOK: Final = 0.05  # seconds between looks whether the last request has ended
+BACKLOG: Final = 512  # connections that wait to be accepted
+GIVE_UP_TIME: Final = 0.5  # seconds for the last calls on the store at a planned stop
+
+logger = logging.getLogger(__name__)
+
+
+class TrafficNode:
+    """All parts of a node."""
+
+    def __init__(self, settings: TrafficSettings, path: Path) -> None:
+        self._settings = settings
+        self._path = path
+        self.id = NodeId(uuid.uuid4().hex[:16])
+        bounds = settings.bounds
+        self._pool = LinkPool()
+        caller = Caller(self._pool)
+        self._store = PlatformStore(caller, ServerAddress(settings.store_address))
+        self._view = PlatformView(bounds.keys_valid_ms / 1000, time.monotonic)
+        self._beliefs = ServerBeliefs()
+        self._metrics = TrafficMetrics()
+        self._tenure = Tenure(self._store, self.id, settings.vm)
+        self._registration = Registration(self._store, settings.vm)
+        calls = ServerCalls(caller)
+        hall = DataHall(settings.data_hall)
+        parts = TrafficParts(hall, bounds, self._view, self._beliefs, self._pool, calls)
+        self._answerer = Answerer(parts, self._metrics)
+        self._placer = Placer(self._tenure, self._view, calls)
+        self._lifecycle = Lifecycle(bounds.stop_s)
+
+    async def run(self) -> None:
+        """Run until a planned stop has ended."""
+        follower = StoreFollower(self._store, self._view, self._beliefs, self._tenure)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async with anyio.create_task_group() as tasks:
+                for background in (follower.run, self._tenure.run, self._registration.run, self._placer.run):
+                    tasks.start_soon(background)
+                tasks.start_soon(self._pool.run)
+                await self._listen(tasks)
+                logger.info("serving", extra={"address": self._settings.client_address, "node": self.id})
+                tasks.start_soon(self._await_end, tasks.cancel_scope)
+                async for number in signals:
+                    if number == signal.SIGHUP:
+                        self._reload()
+                    elif not self._lifecycle.is_stopping:
+                        logger.info("stopping", extra={"in_progress": self._answerer.in_progress})
+                        self._lifecycle.stop()
+        logger.info("stopped")
+
+    async def _listen(self, tasks: anyio.abc.TaskGroup) -> None:
+        served: list[tuple[str, Callable[[SocketStream], Awaitable[None]]]] = [
+            (self._settings.client_address, self._serve_client),
+            (self._settings.readiness_address, self._serve_readiness),
+            (self._settings.metrics_address, self._serve_metrics),
+        ]
+        for address, serve in served:
+            host, _, port = address.rpartition(":")
+            listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port), backlog=BACKLOG)
+            tasks.start_soon(listener.serve, serve)
+
+    async def _await_end(self, scope: anyio.CancelScope) -> None:
+        while True:
+            await anyio.sleep(STOP_LOOK)
+            if self._lifecycle.is_over(self._answerer.in_progress):
+                break
+        with anyio.move_on_after(GIVE_UP_TIME):
+            await self._tenure.give_up()
+            await self._registration.give_up()
+        scope.cancel()
+
+    def _reload(self) -> None:
+        """Read the settings again; what can change while running is the log level, the rest at the next start."""
+        settings = load_traffic_settings(self._path)
+        if isinstance(settings, Fault):
+            logger.error("settings not reloaded", extra={"fault": str(settings)})
+            return
+        logging.getLogger().setLevel(settings.log_level)
+        changed = [
+            name for name in settings.__struct_fields__ if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        logger.info("settings reloaded", extra={"changed": changed})
+
+    async def _serve_client(self, stream: SocketStream) -> None:
+        await self._serve(stream, self._answerer.answer)
+
+    async def _serve_readiness(self, stream: SocketStream) -> None:
+        await self._serve(stream, self._answer_readiness)
+
+    async def _serve_metrics(self, stream: SocketStream) -> None:
+        await self._serve(stream, self._answer_metrics)
+
+    async def _serve(self, stream: SocketStream, handler: Handler) -> None:
+        configuration = self._view.configuration
+        limits = configuration.limits if configuration is not None else ClientLimits()
+        connection = ClientConnection(stream, handler, limits, self._lifecycle.idle_scopes)
+        connection.closes = self._lifecycle.is_stopping
+        await connection.run()
+
+    async def _answer_readiness(self, request: ClientRequest, answer: ClientAnswer) -> None:
+        is_ready = request.path == READINESS_PATH and self._is_ready()
+        await answer.send_whole(200 if is_ready else 503, [], b"ready" if is_ready else b"not ready")
+
+    def _is_ready(self) -> bool:
+        view = self._view
+        return not self._lifecycle.is_stopping and view.has_servers and view.are_keys_valid()
+
+    async def _answer_metrics(self, _: ClientRequest, answer: ClientAnswer) -> None:
+        self._metrics.age.set(min(self._view.age, 1e9))
+        self._metrics.servers.set(len(self._view.servers))
+        await answer.send_whole(200, [(b"content-type", b"text/plain; version=0.0.4")], self._metrics.render())
+
+
+def run_traffic_node(settings: TrafficSettings, path: Path) -> None:
+    """Run a node on the users' platform until SIGTERM or SIGINT."""
+    node = TrafficNode(settings, path)
+    configure_logs(settings.log_level, settings.vm, node.id)
+    anyio.run(node.run)
+
+
+__all__ = ["run_traffic_node"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/outcomes.py
@@ -0,0 +1,71 @@
+"""Outcomes of one try at one server, and the answers that this node gives itself."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from vaneturn_core.traffic.servers import ServerAddress
+from vaneturn_node.http1.messages import Headers
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The server did not and will not run the request: no byte of it left, or the server said so."""
+
+    cause: str
+    faulty: ServerAddress | None = None  # part of a chain at fault; none: the server itself
+    is_silent: bool = False  # the server did not even take a connection
+
+
+@dataclass(frozen=True, slots=True)
+class MayHaveRun:
+    """A byte left and no whole answer came."""
+
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The server answered in full."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+TryOutcome = NotRun | MayHaveRun | Answered
+
+
+class Reason(Enum):
+    """Why this node answers by itself; the value stands in answers, logs and metrics."""
+
+    NO_CONFIGURATION = "no_configuration"
+    NO_ROUTE = "no_route"
+    NO_KEY = "no_key"
+    UNKNOWN_KEY = "unknown_key"
+    KEYS_TOO_OLD = "keys_too_old"
+    NO_SERVER = "no_server"
+    NO_CHAIN = "no_chain"
+    FULL = "full"
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    TIMEOUT = "timeout"
+
+
+@dataclass(frozen=True, slots=True)
+class OwnAnswer:
+    """An answer of this node; 503 promises that the request has not run and never will."""
+
+    status: int
+    reason: Reason
+    retry_after: float | None = None  # seconds
+    cause: str = ""
+
+
+def refuse(reason: Reason, retry_after: float, cause: str = "") -> OwnAnswer:
+    """Refuse a request that has not run."""
+    return OwnAnswer(503, reason, retry_after, cause)
+
+
+__all__ = ["Answered", "MayHaveRun", "NotRun", "OwnAnswer", "Reason", "TryOutcome", "refuse"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/placing.py
@@ -0,0 +1,142 @@
+"""Orders servers what to hold, while this node has the tenure."""
+
+from __future__ import annotations
+
+import logging
+import time
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+
+from vaneturn_core.traffic.configuration import EngineProfile
+from vaneturn_core.traffic.layout import LayoutPlanner, Placement
+from vaneturn_core.traffic.servers import BackendServer, LayerRange, ServerId
+from vaneturn_core.traffic.view import PlatformView
+from vaneturn_node.http1.caller import Failed
+from vaneturn_node.platform.servers import OrderOutcome, ServerCalls
+from vaneturn_node.traffic.tenure import Tenure
+
+ROUND: Final = 0.3  # seconds between looks
+SETTLE_TIME: Final = 1.0  # seconds without a new server before the first plan: servers appear one after another
+LOAD_WAIT: Final = 20.0  # seconds after which an order that shows no effect is given again
+MOVE_INTERVAL: Final = 4.0  # seconds between moves, for the effect of one to show
+RETRY_AFTER_SILENCE: Final = 0.7  # seconds
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class _Pending:
+    """An order that was taken and has not shown in the list yet."""
+
+    layers: LayerRange
+    until: float
+
+
+class Placer:
+    """One task; it decides anew each round from the list of servers."""
+
+    def __init__(self, tenure: Tenure, view: PlatformView, calls: ServerCalls) -> None:
+        self._tenure = tenure
+        self._view = view
+        self._calls = calls
+        self._pending: dict[ServerId, _Pending] = {}
+        self._known: frozenset[ServerId] = frozenset()
+        self._changed_at = time.monotonic()
+        self._moved_at = float("-inf")
+
+    async def run(self) -> None:
+        """Plan and order until cancelled."""
+        while True:
+            await anyio.sleep(ROUND)
+            if not self._tenure.is_sure() or self._view.configuration is None:
+                self._pending.clear()
+                continue
+            for service in self._view.configuration.services.values():
+                if service.engine is not None:
+                    await self._run_round(service.engine, self._view.list_servers(service.name))
+
+    async def _run_round(self, engine: EngineProfile, servers: list[BackendServer]) -> None:
+        now = time.monotonic()
+        known = frozenset(server.id for server in servers)
+        if known != self._known:
+            self._known = known
+            self._changed_at = now
+        self._drop_settled(servers, now)
+        planned = [self._imagine(server) for server in servers]
+        is_settled = now - self._changed_at >= SETTLE_TIME
+        planner = LayoutPlanner(engine, planned)
+        placements = planner.plan_empty() if is_settled else []
+        if placements:
+            await self._order_all(placements)
+            return
+        if self._pending or now - self._moved_at < MOVE_INTERVAL or not is_settled:
+            return
+        move = planner.plan_move()
+        if move is not None:
+            self._moved_at = now
+            await self._order(move)
+
+    def _drop_settled(self, servers: list[BackendServer], now: float) -> None:
+        """Forget the orders that have shown their effect, or should have long since."""
+        held = {server.id: server.layers for server in servers}
+        for server, pending in list(self._pending.items()):
+            if server not in held or pending.layers in held[server] or pending.until <= now:
+                del self._pending[server]
+
+    def _imagine(self, server: BackendServer) -> BackendServer:
+        """Give a server as it will be when its order has taken effect."""
+        pending = self._pending.get(server.id)
+        if pending is None:
+            return server
+        return BackendServer(
+            id=server.id,
+            service=server.service,
+            address=server.address,
+            hall=server.hall,
+            state=server.state,
+            slots=server.slots,
+            kind=server.kind,
+            layers=(pending.layers,),
+            holds_model=server.holds_model,
+        )
+
+    async def _order_all(self, placements: list[Placement]) -> None:
+        async with anyio.create_task_group() as tasks:
+            for placement in placements:
+                tasks.start_soon(self._order, placement)
+
+    async def _order(self, placement: Placement) -> None:
+        """Order one server, on the number of orders it has begun: one that comes late finds another number."""
+        server = placement.server
+        report = await self._calls.read_report(server)
+        if isinstance(report, Failed):
+            logger.info("server not asked", extra={"server": server.id, "cause": report.cause})
+            self._wait(placement, RETRY_AFTER_SILENCE)
+            return
+        if report.is_loading or placement.layers in report.layers:
+            self._wait(placement, LOAD_WAIT)
+            return
+        if not self._tenure.is_sure():
+            return
+        fence = self._tenure.fence
+        outcome = await self._calls.place(server, placement.layers, fence, report.orders)
+        extra = {
+            "server": server.id,
+            "layers": [placement.layers.first, placement.layers.end],
+            "held": [[layers.first, layers.end] for layers in report.layers],
+            "orders": report.orders,
+            "fence": fence,
+            "outcome": outcome.value,
+        }
+        logger.info("server ordered", extra=extra)
+        if outcome is OrderOutcome.FENCED:
+            self._tenure.note_fenced()
+        self._wait(placement, LOAD_WAIT if outcome is OrderOutcome.TAKEN else RETRY_AFTER_SILENCE)
+
+    def _wait(self, placement: Placement, seconds: float) -> None:
+        self._pending[placement.server.id] = _Pending(placement.layers, time.monotonic() + seconds)
+
+
+__all__ = ["Placer"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/plain.py
@@ -0,0 +1,172 @@
+"""Requests to plain services: one whole answer each."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Final
+
+import anyio
+
+from vaneturn_core.traffic.configuration import Repeatability
+from vaneturn_core.traffic.servers import BackendServer
+from vaneturn_node.http1.link import HttpLink, LinkError
+from vaneturn_node.platform.headers import build_server_headers, read_answer_facts
+from vaneturn_node.traffic.exchange import TrafficParts
+from vaneturn_node.traffic.outcomes import Answered, MayHaveRun, NotRun, OwnAnswer, Reason, TryOutcome, refuse
+from vaneturn_node.traffic.requests import RequestInProgress
+
+MAX_SENDS: Final = 3  # of one request, those that servers turned away included
+FIRST_TRY_SHARE: Final = 0.6  # of the objective, after which a repeatable request goes to a second server
+UNSAFE_IDLE: Final = 1.0  # seconds a kept connection may have been idle to carry what must not run twice
+RETRY_AFTER: Final = 0.15  # seconds, full jitter on top
+SERVER_FAULT: Final = 500
+LOAD_MEMORY: Final = 1.0  # seconds for which a told load counts
+
+
+class PlainForwarder:
+    """Sends a request to one server after another until one has answered."""
+
+    def __init__(self, parts: TrafficParts) -> None:
+        self._parts = parts
+
+    async def forward(self, work: RequestInProgress) -> Answered | OwnAnswer:
+        """Get an answer."""
+        budget = self._parts.find_budget(work.service)
+        last: TryOutcome | None = None
+        failure: Answered | None = None  # a server's own failure, given if nothing better comes
+        while work.sends < MAX_SENDS and work.left > 0:
+            server = self._choose(work)
+            if server is None or not work.may_send():
+                break
+            if work.sends and not budget.spend():
+                work.note("retry budget used up")
+                break
+            if not work.sends:
+                budget.record_first()
+            last = await self._try(work, server)
+            if isinstance(last, Answered):
+                if last.status < SERVER_FAULT or not self._may_run_again(work):
+                    return last
+                failure = last
+            elif isinstance(last, MayHaveRun) and not self._may_run_again(work):
+                break
+            work.avoided.add(server.id)
+        if failure is not None:
+            return failure
+        return self._give_up(work, last)
+
+    def _may_run_again(self, work: RequestInProgress) -> bool:
+        return work.route.may_repeat and work.runs < work.route.max_attempts
+
+    def _give_up(self, work: RequestInProgress, last: TryOutcome | None) -> OwnAnswer:
+        if work.runs:
+            cause = last.cause if isinstance(last, MayHaveRun | NotRun) else ""
+            if work.left <= 0:
+                return OwnAnswer(504, Reason.TIMEOUT, cause=cause)
+            return OwnAnswer(502, Reason.MAY_HAVE_RUN, cause=cause)
+        retry_after = RETRY_AFTER * (1 + random.random())
+        if not work.may_send():
+            return refuse(Reason.KEYS_TOO_OLD, retry_after)
+        if isinstance(last, NotRun):
+            return refuse(Reason.NOT_RUN, retry_after, last.cause)
+        return refuse(Reason.NO_SERVER, retry_after)
+
+    def _choose(self, work: RequestInProgress) -> BackendServer | None:
+        """Choose the server that would answer soonest."""
+        servers = self._parts.view.list_servers(work.service)
+        beliefs = self._parts.beliefs
+        choosable = beliefs.list_choosable(servers, work.avoided, time.monotonic())
+        if not choosable:
+            return None
+        random.shuffle(choosable)
+        return min(choosable, key=self._estimate_wait)
+
+    def _estimate_wait(self, server: BackendServer) -> float:
+        belief = self._parts.beliefs[server.id]
+        others = belief.told_load if time.monotonic() - belief.told_at < LOAD_MEMORY else 0
+        busy = max(belief.in_progress, others)
+        return (belief.latency or 0.05) * (1 + busy / max(1, server.slots))
+
+    async def _try(self, work: RequestInProgress, server: BackendServer) -> TryOutcome:
+        belief = self._parts.beliefs[server.id]
+        started = time.monotonic()
+        limit = self._limit_try(work)
+        work.sends += 1
+        belief.in_progress += 1
+        try:
+            outcome = await self._exchange(work, server, limit)
+        finally:
+            belief.in_progress -= 1
+        seconds = time.monotonic() - started
+        if isinstance(outcome, Answered):
+            work.note(f"{server.id} answered {outcome.status}")
+            if outcome.status >= SERVER_FAULT:
+                belief.record_error(time.monotonic())
+            else:
+                belief.record_success(seconds)
+        else:
+            work.note(f"{server.id} {outcome.cause}")
+            if isinstance(outcome, MayHaveRun) or outcome.is_silent:
+                belief.latency = max(belief.latency, seconds)
+                belief.record_failure(time.monotonic())
+        return outcome
+
+    def _limit_try(self, work: RequestInProgress) -> float:
+        """Give the seconds of a try: a repeatable request leaves time for a second one."""
+        if work.route.repeatability is Repeatability.SAFE and work.runs + 1 < work.route.max_attempts:
+            return min(work.left, max(FIRST_TRY_SHARE * work.route.objective, 0.4 * work.left))
+        return work.left
+
+    async def _exchange(self, work: RequestInProgress, server: BackendServer, limit: float) -> TryOutcome:
+        link: HttpLink | None = None
+        is_whole = False
+        try:
+            with anyio.fail_after(limit):
+                longest = UNSAFE_IDLE if not work.route.may_repeat else 60.0
+                link = await self._parts.pool.take(server.address, longest)
+                if not work.may_send():
+                    return NotRun("keys too old")
+                outcome = await self._converse(work, server, link, limit)
+                is_whole = isinstance(outcome, Answered | NotRun)
+                return outcome
+        except TimeoutError:
+            if link is None:
+                return NotRun("no connection in time", is_silent=True)
+            work.runs += 1
+            return MayHaveRun("no answer in time")
+        except LinkError as error:
+            if not error.was_sent:
+                return NotRun(error.cause, is_silent=True)
+            work.runs += 1
+            return MayHaveRun(error.cause)
+        finally:
+            if link is not None:
+                await self._parts.release(link, server.address, is_whole=is_whole)
+
+    async def _converse(
+        self, work: RequestInProgress, server: BackendServer, link: HttpLink, limit: float
+    ) -> TryOutcome:
+        request = work.request
+        headers = build_server_headers(request.headers, work.make_dispatch(server.id))
+        await link.send(request.method, request.target, headers, request.body, limit)
+        head = await link.read_head(limit)
+        facts = read_answer_facts(head.status, head.headers)
+        parts = []
+        while (data := await link.read_data(limit)) is not None:
+            parts.append(data)
+        belief = self._parts.beliefs[server.id]
+        if facts.load is not None:
+            belief.take_load(facts.load[0] + facts.load[1], time.monotonic())
+        if facts.id is not None and facts.id != work.facts.id:
+            raise LinkError("answer to another request", was_sent=True)
+        if facts.was_refused:
+            belief.is_replaced = belief.is_replaced or facts.is_wrong_server
+            return NotRun(f"refused with {head.status}")
+        work.runs += 1
+        if facts.is_sealed:
+            return Answered(head.status, head.headers, b"".join(parts))
+        return MayHaveRun(f"unsealed answer {head.status}")
+
+
+__all__ = ["PlainForwarder"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/registration.py
@@ -0,0 +1,59 @@
+"""Tells the other nodes that this one is there: a record under a lease."""
+
+from __future__ import annotations
+
+import logging
+from typing import Final
+
+import anyio
+
+from vaneturn_core.identifiers import VmId
+from vaneturn_node.platform.store import Lease, LeaseOver, PlatformStore
+from vaneturn_node.traffic.records import NODES_PREFIX
+
+TERM: Final = 20.0  # seconds; a node too many only makes the others' shares smaller
+BEAT: Final = 6.0  # seconds
+RETRY: Final = 1.0  # seconds
+
+logger = logging.getLogger(__name__)
+
+
+class Registration:
+    """Keeps the record of this node."""
+
+    def __init__(self, store: PlatformStore, vm: VmId) -> None:
+        self._store = store
+        self._vm = vm
+        self._lease: int | None = None
+
+    async def run(self) -> None:
+        """Keep the record until cancelled."""
+        while True:
+            is_kept = await (self._register() if self._lease is None else self._keep(self._lease))
+            await anyio.sleep(BEAT if is_kept else RETRY)
+
+    async def _register(self) -> bool:
+        lease = await self._store.grant_lease(TERM)
+        if not isinstance(lease, Lease):
+            return False
+        written = await self._store.write(NODES_PREFIX + self._vm, b"1", None, lease.id)
+        if not isinstance(written, int):
+            return False
+        self._lease = lease.id
+        return True
+
+    async def _keep(self, lease: int) -> bool:
+        kept = await self._store.keep_lease(lease)
+        if isinstance(kept, LeaseOver):
+            logger.info("registration lapsed", extra={"lease": lease})
+            self._lease = None
+            return False
+        return isinstance(kept, Lease)
+
+    async def give_up(self) -> None:
+        """Remove the record at a planned stop."""
+        if self._lease is not None:
+            await self._store.end_lease(self._lease)
+
+
+__all__ = ["Registration"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/requests.py
@@ -0,0 +1,76 @@
+"""One request on its way: what it asks, how long it may take, what became of it so far."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from vaneturn_core.identifiers import ServiceName
+from vaneturn_core.traffic.chains import Chain
+from vaneturn_core.traffic.configuration import TrafficCustomer, TrafficRoute
+from vaneturn_core.traffic.servers import ServerId
+from vaneturn_node.http1.server import ClientRequest
+from vaneturn_node.platform.headers import Dispatch, RequestFacts
+
+ANSWER_MARGIN: Final = 0.03  # seconds before the end of a request's time at which it is given up, for the way back
+
+
+@dataclass
+class RequestInProgress:
+    """A request that was let in."""
+
+    request: ClientRequest
+    facts: RequestFacts
+    route: TrafficRoute
+    service: ServiceName
+    customer: TrafficCustomer | None
+    may_send: Callable[[], bool]  # asked right before each send: the key may have been taken away meanwhile
+    sends: int = 0
+    runs: int = 0  # sends that may have run
+    avoided: set[ServerId] = field(default_factory=set)
+    steps: list[str] = field(default_factory=list)  # what was decided, for the log
+
+    @property
+    def ends(self) -> float:
+        """Give the steady time at which it must be answered."""
+        allowed = self.route.timeout
+        if self.facts.deadline is not None:
+            allowed = min(allowed, self.facts.deadline)
+        return self.request.arrived + allowed - ANSWER_MARGIN
+
+    @property
+    def left(self) -> float:
+        """Give the seconds until it must be answered."""
+        return self.ends - time.monotonic()
+
+    @property
+    def age(self) -> float:
+        """Give the seconds since it arrived."""
+        return time.monotonic() - self.request.arrived
+
+    @property
+    def priority(self) -> int:
+        """Give its rank: the customer's goes before the route's."""
+        if self.customer is not None and self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
+
+    def make_dispatch(self, server: ServerId, chain: Chain | None = None, last_event: str | None = None) -> Dispatch:
+        """Make what is added to the request for a server."""
+        return Dispatch(
+            server=server,
+            deadline=None if self.facts.deadline is None else max(0.001, self.left),
+            customer=self.customer.name if self.customer is not None else None,
+            priority=min(9, self.priority),
+            chain=chain,
+            last_event=last_event if last_event is not None else self.facts.last_event,
+        )
+
+    def note(self, step: str) -> None:
+        """Take a step into the log line of the request."""
+        self.steps.append(f"{self.age * 1000:.0f}ms {step}")
+
+
+__all__ = ["RequestInProgress"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/streams.py
@@ -0,0 +1,101 @@
+"""Requests to models: a chain of servers, a stream of events, and another chain when one fails."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Final
+
+import anyio
+
+from vaneturn_core.traffic.chains import Chain, ChainChooser
+from vaneturn_core.traffic.configuration import EngineProfile
+from vaneturn_core.traffic.servers import BackendServer
+from vaneturn_node.http1.server import ClientAnswer
+from vaneturn_node.traffic.exchange import TrafficParts
+from vaneturn_node.traffic.outcomes import Answered, MayHaveRun, NotRun, OwnAnswer, Reason, refuse
+from vaneturn_node.traffic.requests import RequestInProgress
+from vaneturn_node.traffic.streamtry import Relay, StreamTry, TryEnd
+
+MAX_SENDS: Final = 5  # of one request, those that servers turned away included
+MAX_REFUSALS: Final = 3  # by servers that have no room, before the request is refused
+CROWDED: Final = 0.97  # of the scarcest memory of the best chain, beyond which a request is refused
+RETRY_AFTER: Final = 0.3  # seconds, full jitter on top: some answers end in that time
+RETURN_WAIT: Final = 0.2  # seconds between looks for a chain to go on with a begun answer
+
+
+class StreamForwarder:
+    """Sends a request over a chain, and goes on over another one when that breaks."""
+
+    def __init__(self, parts: TrafficParts) -> None:
+        self._parts = parts
+
+    async def forward(
+        self, work: RequestInProgress, engine: EngineProfile, answer: ClientAnswer
+    ) -> Answered | OwnAnswer | None:
+        """Relay an answer; none when it was given in full, or broken off after it had begun."""
+        relay = Relay(answer, work.facts.last_event)
+        budget = self._parts.find_budget(work.service)
+        end: TryEnd | None = None
+        refusals = 0
+        while work.sends < MAX_SENDS and refusals < MAX_REFUSALS and work.left > 0 and work.may_send():
+            chooser = self._make_chooser(work, engine)
+            chain = chooser.choose(self._list_choosable(work))
+            if chain is None:
+                if not relay.is_begun:
+                    break
+                work.note("no chain")
+                await anyio.sleep(RETURN_WAIT)
+                continue
+            if not work.sends:
+                if chain.crowding > CROWDED:
+                    work.note(f"crowding {chain.crowding:.2f}")
+                    return refuse(Reason.FULL, RETRY_AFTER * (1 + random.random()))
+                budget.record_first()
+            elif not budget.spend():
+                work.note("retry budget used up")
+                break
+            end = await self._make_try(work, engine, chooser, chain, relay).run()
+            if end is None:
+                return None
+            if isinstance(end, Answered) and not relay.is_begun:
+                return end
+            refusals += isinstance(end, NotRun)
+            if not isinstance(end, NotRun) and not self._may_run_again(work):
+                break
+        return self._give_up(work, relay, end)
+
+    def _make_try(
+        self, work: RequestInProgress, engine: EngineProfile, chooser: ChainChooser, chain: Chain, relay: Relay
+    ) -> StreamTry:
+        return StreamTry(parts=self._parts, work=work, engine=engine, chooser=chooser, chain=chain, relay=relay)
+
+    def _may_run_again(self, work: RequestInProgress) -> bool:
+        return work.route.may_repeat and work.runs < work.route.max_attempts
+
+    def _list_choosable(self, work: RequestInProgress) -> list[BackendServer]:
+        servers = self._parts.view.list_servers(work.service)
+        return self._parts.beliefs.list_choosable(servers, work.avoided, time.monotonic())
+
+    def _make_chooser(self, work: RequestInProgress, engine: EngineProfile) -> ChainChooser:
+        answer = min(work.facts.most_answer_tokens or engine.usual_answer, engine.usual_answer)
+        tokens = (work.facts.prompt_tokens or engine.usual_prompt) + answer
+        nodes = self._parts.view.count_nodes()
+        return ChainChooser(engine, self._parts.beliefs, self._parts.hall, nodes, tokens)
+
+    def _give_up(self, work: RequestInProgress, relay: Relay, end: TryEnd | None) -> OwnAnswer | None:
+        if relay.is_begun:
+            work.note("answer broken off")
+            return None
+        cause = end.cause if isinstance(end, NotRun | MayHaveRun) else ""
+        if work.runs:
+            if work.left <= 0:
+                return OwnAnswer(504, Reason.TIMEOUT, cause=cause)
+            return OwnAnswer(502, Reason.MAY_HAVE_RUN, cause=cause)
+        retry_after = RETRY_AFTER * (1 + random.random())
+        if not work.may_send():
+            return refuse(Reason.KEYS_TOO_OLD, retry_after, cause)
+        return refuse(Reason.NO_CHAIN if end is None else Reason.NOT_RUN, retry_after, cause)
+
+
+__all__ = ["StreamForwarder"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/tenure.py
@@ -0,0 +1,114 @@
+"""The tenure of the one node that orders servers: a record under a lease in the platform's store.
+
+The fence of orders is the revision of the record, which only grows. The holder counts its lease from before the call
+that renewed it was sent, so it is never surer than the store.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from typing import Final
+
+import anyio
+
+from vaneturn_core.identifiers import NodeId, VmId
+from vaneturn_node.platform.store import Lease, LeaseOver, MaybeDone, NotDone, PlatformStore, StoreConflict
+from vaneturn_node.traffic.records import TENURE_KEY, TenureHolder, decode_holder, encode_holder
+
+TERM: Final = 4.0  # seconds of the lease; without orders for so long, a loss stays unrepaired
+BEAT: Final = 1.2  # seconds between renewals: two may fail
+MARGIN: Final = 0.8  # seconds before the end of the lease from which no order is sent, for the order's own time
+CANDIDACY_DELAY: Final = 0.4  # seconds, full jitter, so that not all nodes write at once
+
+logger = logging.getLogger(__name__)
+
+
+class Tenure:
+    """Holds the tenure, or waits for its turn."""
+
+    def __init__(self, store: PlatformStore, node: NodeId, vm: VmId) -> None:
+        self._store = store
+        self._own = TenureHolder(node, vm)
+        self._lease: int | None = None
+        self._sure_until = float("-inf")
+        self._record_revision = 0
+        self._holder: TenureHolder | None = None
+        self._is_known = False  # the record, or its absence, was read once
+        self._is_stopping = False
+
+    @property
+    def fence(self) -> int:
+        """The fence of orders of this node."""
+        return self._record_revision
+
+    def is_sure(self) -> bool:
+        """Tell whether this node is the only one that may order, long enough for an order to arrive."""
+        return self._is_holder() and time.monotonic() < self._sure_until - MARGIN
+
+    def note_holder(self, value: bytes | None, revision: int) -> None:
+        """Take the record as the store holds it; none when there is no holder."""
+        self._is_known = True
+        self._holder = decode_holder(value) if value is not None else None
+        self._record_revision = revision if self._holder is not None else 0
+
+    def note_fenced(self) -> None:
+        """Take note that a server has seen a newer fence: this tenure is over."""
+        logger.warning("a server has seen a newer fence", extra={"fence": self.fence})
+        self._sure_until = float("-inf")
+        self._lease = None
+
+    def _is_holder(self) -> bool:
+        return self._holder is not None and self._holder.node == self._own.node
+
+    async def run(self) -> None:
+        """Keep the tenure, or take it when nobody holds it, until cancelled."""
+        while not self._is_stopping:
+            if self._lease is not None and self._is_holder():
+                await self._keep(self._lease)
+                await anyio.sleep(BEAT)
+                continue
+            await anyio.sleep(random.uniform(0, CANDIDACY_DELAY))
+            if self._is_known and self._holder is None and not self._is_stopping:
+                await self._take()
+
+    async def _keep(self, lease: int) -> None:
+        started = time.monotonic()
+        kept = await self._store.keep_lease(lease)
+        if isinstance(kept, Lease):
+            self._sure_until = started + kept.time
+            return
+        if isinstance(kept, LeaseOver):
+            logger.info("tenure lost", extra={"fence": self.fence})
+            self._sure_until = float("-inf")
+            self._lease = None
+            self._holder = None if self._is_holder() else self._holder
+
+    async def _take(self) -> None:
+        started = time.monotonic()
+        lease = await self._store.grant_lease(TERM)
+        if not isinstance(lease, Lease):
+            return
+        written = await self._store.write(TENURE_KEY, encode_holder(self._own), 0, lease.id)
+        if isinstance(written, StoreConflict | LeaseOver | NotDone):
+            await self._store.end_lease(lease.id)
+            return
+        self._lease = lease.id
+        self._sure_until = started + lease.time
+        if isinstance(written, MaybeDone):
+            return  # the watch tells whether the record is there
+        self._holder = self._own
+        self._record_revision = written
+        logger.info("tenure taken", extra={"fence": written})
+
+    async def give_up(self) -> None:
+        """Leave the tenure at a planned stop, so that the next node need not wait."""
+        self._is_stopping = True
+        lease, self._lease = self._lease, None
+        self._sure_until = float("-inf")
+        if lease is not None:
+            await self._store.end_lease(lease)
+
+
+__all__ = ["Tenure"]
--- a/tests/core/test_settings.py
+++ b/tests/core/test_settings.py
@@ -9,7 +9,7 @@
 
 from vaneturn_core.faults import Fault
 from vaneturn_core.settings import load_settings
-from vaneturn_node.daemon import EXIT_SETTINGS, main
+from vaneturn_node.__main__ import EXIT_SETTINGS, main
 
 GOOD = {
     "vm": "entry-1",
