--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -15,6 +15,8 @@
 CROWDING_TIME: Final = 0.006  # seconds that a half-full server counts as slower
 FULL: Final = 0.97  # of a server's memory; beyond it, requests are put back
 FULL_TIME: Final = 10.0  # seconds that a full server counts as slower: it is taken only if no other is left
+PIPE_SHARE: Final = 0.5  # of the time that a prompt takes a pipe between halls, counted for each token: others wait
+OUTSIDE: Final = ""  # where a request is before the first server
 MAX_PARTS: Final = 32  # that a chain may have
 
 
@@ -81,18 +83,20 @@
     """Chooses by the time of a token and by how full each server is; one instance for each choice."""
 
     def __init__(
-        self, engine: EngineProfile, beliefs: ServerBeliefs, hall: DataHall, nodes: int, tokens: float
+        self, *, engine: EngineProfile, beliefs: ServerBeliefs, hall: DataHall, nodes: int, prompt: float, tokens: float
     ) -> None:
         """Prepare a choice.
 
         :param hall: of this node.
         :param nodes: that send to the same servers; each is taken to send as much as this one.
+        :param prompt: tokens of the request's prompt.
         :param tokens: that the request will hold in the end.
         """
         self._engine = engine
         self._beliefs = beliefs
         self._hall = hall
         self._nodes = nodes
+        self._prompt = prompt
         self.tokens = tokens
 
     def choose(self, servers: Iterable[BackendServer]) -> Chain | None:
@@ -129,7 +133,7 @@
         """
         boundaries = _list_boundaries(holders, first, end)
         ways: defaultdict[int, dict[str, _Way]] = defaultdict(dict)
-        ways[first][self._hall] = start
+        ways[first][OUTSIDE] = start
         for boundary in boundaries[:-1]:
             if not ways[boundary]:
                 continue
@@ -141,13 +145,22 @@
     def _extend(self, ways: Mapping[int, dict[str, _Way]], part: Part) -> None:
         hall = part.server.hall
         own = self._estimate_time(part)
-        before = min(ways[part.first].items(), key=lambda item: item[1].cost + self._estimate_delay(item[0], hall))
-        cost = before[1].cost + self._estimate_delay(before[0], hall) + own
+        before = min(ways[part.first].items(), key=lambda item: item[1].cost + self._estimate_crossing(item[0], hall))
+        cost = before[1].cost + self._estimate_crossing(before[0], hall) + own
         known = ways[part.end].get(hall)
         if known is None or cost < known.cost:
             ways[part.end][hall] = _Way(cost, part, before[1])
 
-    def _estimate_delay(self, one: str, other: str) -> float:
+    def _estimate_crossing(self, one: str, other: str) -> float:
+        """Estimate the time between two servers of a chain, or from this node to the first."""
+        if one == OUTSIDE:
+            return self._find_delay(self._hall, other)
+        if one == other:
+            return 0.0
+        pipe = self._prompt * self._engine.handover_bytes / self._engine.pipe_rate
+        return self._find_delay(one, other) + PIPE_SHARE * pipe
+
+    def _find_delay(self, one: str, other: str) -> float:
         return 0.0 if one == other else self._engine.delays.get((DataHall(one), DataHall(other)), 0.0)
 
     def estimate_crowding(self, part: Part) -> float:
--- a/packages/core/src/vaneturn_core/traffic/configuration.py
+++ b/packages/core/src/vaneturn_core/traffic/configuration.py
@@ -71,6 +71,8 @@
     step: float  # seconds of a token step
     step_each: float  # seconds more for each request that writes
     read: float  # seconds for each prompt token
+    handover_bytes: float  # of a token's activations, from one server of a chain to the next
+    pipe_rate: float  # bytes a second between two data halls, shared by all
     usual_prompt: int  # tokens
     usual_answer: int  # tokens
     loads_at_once: int  # more of them slow each other down
--- a/packages/core/src/vaneturn_core/traffic/view.py
+++ b/packages/core/src/vaneturn_core/traffic/view.py
@@ -11,7 +11,8 @@
 
 KEYS_MARGIN: Final = 1.25  # seconds; a watch may hear nothing for one second before the store says so
 LAPSE_HOLD: Final = 2.2  # seconds after the store's return in which servers write their entries again
-TROUBLE_MEMORY: Final = 4.0  # seconds after a failed call in which an entry that goes may have lapsed
+RETURN_TIME: Final = 0.5  # seconds after the store's return in which its answers tell what lapsed before
+READY_AGE: Final = 2.5  # seconds; a node that hears nothing for longer leaves its clients to other nodes
 
 
 class PlatformView:
@@ -42,6 +43,10 @@
         """Tell whether the keys are known well enough to run requests with them."""
         return self.age < self._keys_valid
 
+    def is_ready(self) -> bool:
+        """Tell whether new clients should come to this node."""
+        return self.has_servers and self.configuration is not None and self.age < min(READY_AGE, self._keys_valid)
+
     def count_nodes(self) -> int:
         """Count the nodes that share limits with this one, itself included."""
         return max(1, len(self.nodes))
@@ -73,8 +78,8 @@
         now = self._clock()
         if server not in self.servers:
             return False
-        if now - max(self._failed_at, self._returned_at) < TROUBLE_MEMORY:
-            self._lapsed.setdefault(server, max(now, self._returned_at) + LAPSE_HOLD)
+        if self._failed_at > self._returned_at or now - self._returned_at < RETURN_TIME:
+            self._lapsed.setdefault(server, now + LAPSE_HOLD)
             return False
         del self.servers[server]
         return True
@@ -99,7 +104,12 @@
 
     def list_servers(self, service: ServiceName) -> list[BackendServer]:
         """List the servers of a service."""
-        return [server for server in self.servers.values() if server.service == service]
+        now = self._clock()
+        return [
+            server
+            for server in self.servers.values()
+            if server.service == service and self._lapsed.get(server.id, now + 1) > now
+        ]
 
     def find_address(self, address: ServerAddress) -> BackendServer | None:
         """Find the server at an address."""
--- a/packages/node/src/vaneturn_node/http1/server.py
+++ b/packages/node/src/vaneturn_node/http1/server.py
@@ -54,7 +54,7 @@
         self._stream = stream
         self._protocol = protocol
         self._method = method
-        self._closes = closes
+        self.closes = closes  # the connection, after this answer
         self.is_begun = False
         self.is_ended = False
 
@@ -87,7 +87,7 @@
         self.is_ended = True
 
     def _list_own_headers(self) -> list[tuple[bytes, bytes]]:
-        return [(b"connection", b"close")] if self._closes else []
+        return [(b"connection", b"close")] if self.closes else []
 
     async def _send(self, data: bytes) -> None:
         try:
@@ -139,7 +139,7 @@
             return False
         answer = ClientAnswer(self._stream, self._protocol, request.method, closes=self.closes)
         await self._answer(request, answer)
-        if not answer.is_ended or self._protocol.our_state is not h11.DONE or self.closes:
+        if not answer.is_ended or self._protocol.our_state is not h11.DONE or self.closes or answer.closes:
             return False
         self._protocol.start_next_cycle()
         return True
--- a/packages/node/src/vaneturn_node/platform/configuration.py
+++ b/packages/node/src/vaneturn_node/platform/configuration.py
@@ -22,6 +22,7 @@
 CONFIGURATION_KEY = "op/config"
 _MS = 0.001
 _MEGABYTE = 1e6
+_MEGABIT_BYTES = 1e6 / 8
 
 
 class _Backend(Struct):
@@ -79,6 +80,8 @@
     usual: _Usual = _Usual()
     layers: int = 0
     layer_mb: float = 0.0
+    act_bytes: float = 0.0  # of a token, from one part of a path to the next
+    pipe_mbps: float = 0.0  # between two zones; 0: without limit
     kinds: list[_Kind] = []
 
 
@@ -170,6 +173,8 @@
         step=engine.step_ms * _MS,
         step_each=engine.per_seq_ms * _MS,
         read=1 / engine.read_per_s,
+        handover_bytes=engine.act_bytes,
+        pipe_rate=engine.pipe_mbps * _MEGABIT_BYTES or float("inf"),
         usual_prompt=engine.usual.prompt,
         usual_answer=engine.usual.answer,
         loads_at_once=engine.loads_at_once,
--- a/packages/node/src/vaneturn_node/traffic/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/answering.py
@@ -118,6 +118,8 @@
         if isinstance(result, Answered):
             await answer.send_whole(result.status, build_client_headers(result.headers), result.body)
             return f"status {result.status}"
+        # an open connection stays with its node: the client's next one goes to a node that is ready
+        answer.closes = answer.closes or not self._parts.view.is_ready()
         headers = [(b"content-type", b"application/json")]
         if result.retry_after is not None:
             headers.append((b"retry-after", f"{result.retry_after:.2f}".encode()))
--- a/packages/node/src/vaneturn_node/traffic/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/daemon.py
@@ -26,7 +26,7 @@
 from vaneturn_node.platform.servers import ServerCalls
 from vaneturn_node.platform.store import PlatformStore
 from vaneturn_node.traffic.answering import Answerer
-from vaneturn_node.traffic.exchange import TrafficParts
+from vaneturn_node.traffic.exchange import ReportBoard, TrafficParts
 from vaneturn_node.traffic.following import StoreFollower
 from vaneturn_node.traffic.metrics import TrafficMetrics
 from vaneturn_node.traffic.placing import Placer
@@ -60,7 +60,7 @@
         self._registration = Registration(self._store, settings.vm)
         calls = ServerCalls(caller)
         hall = DataHall(settings.data_hall)
-        parts = TrafficParts(hall, bounds, self._view, self._beliefs, self._pool, calls)
+        parts = TrafficParts(hall, bounds, self._view, self._beliefs, self._pool, calls, ReportBoard(calls))
         self._answerer = Answerer(parts, self._metrics)
         self._placer = Placer(self._tenure, self._view, calls)
         self._lifecycle = Lifecycle(bounds.stop_s)
@@ -138,8 +138,7 @@
         await answer.send_whole(200 if is_ready else 503, [], b"ready" if is_ready else b"not ready")
 
     def _is_ready(self) -> bool:
-        view = self._view
-        return not self._lifecycle.is_stopping and view.has_servers and view.are_keys_valid()
+        return not self._lifecycle.is_stopping and self._view.is_ready()
 
     async def _answer_metrics(self, _: ClientRequest, answer: ClientAnswer) -> None:
         self._metrics.age.set(min(self._view.age, 1e9))
--- a/packages/node/src/vaneturn_node/traffic/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/exchange.py
@@ -3,18 +3,49 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Container
 from dataclasses import dataclass, field
+from typing import Final
 
 import anyio
 
 from vaneturn_core.identifiers import DataHall, ServiceName
 from vaneturn_core.traffic.retries import WindowedRetryBudget
-from vaneturn_core.traffic.servers import ServerBeliefs
+from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerId
 from vaneturn_core.traffic.settings import Bounds
 from vaneturn_core.traffic.view import PlatformView
+from vaneturn_node.http1.caller import Failed
 from vaneturn_node.http1.link import HttpLink
 from vaneturn_node.http1.pool import LinkPool
-from vaneturn_node.platform.servers import ServerCalls
+from vaneturn_node.platform.servers import ServerCalls, ServerReport
+
+REPORT_AGE: Final = 0.2  # seconds; reports lag by as much
+
+
+class ReportBoard:
+    """Asks servers for their reports, once for all requests that want one at about the same time."""
+
+    def __init__(self, calls: ServerCalls) -> None:
+        self._calls = calls
+        self._newest: dict[ServerId, tuple[float, ServerReport | Failed]] = {}
+        self._locks: dict[ServerId, anyio.Lock] = {}
+
+    async def read(self, server: BackendServer) -> ServerReport | Failed:
+        """Read a report that is hardly older than the call."""
+        lock = self._locks.setdefault(server.id, anyio.Lock())
+        async with lock:
+            known = self._newest.get(server.id)
+            if known is not None and time.monotonic() - known[0] < REPORT_AGE:
+                return known[1]
+            report = await self._calls.read_report(server)
+            self._newest[server.id] = (time.monotonic(), report)
+            return report
+
+    def forget_absent(self, present: Container[ServerId]) -> None:
+        """Forget the servers that have left the list."""
+        for server in [one for one in self._newest if one not in present]:
+            del self._newest[server]
+            self._locks.pop(server, None)
 
 
 @dataclass
@@ -27,6 +58,7 @@
     beliefs: ServerBeliefs
     pool: LinkPool
     calls: ServerCalls
+    reports: ReportBoard
     budgets: dict[ServiceName, WindowedRetryBudget] = field(default_factory=dict)
 
     def find_budget(self, service: ServiceName) -> WindowedRetryBudget:
--- a/packages/node/src/vaneturn_node/traffic/placing.py
+++ b/packages/node/src/vaneturn_node/traffic/placing.py
@@ -74,9 +74,10 @@
         if self._pending or now - self._moved_at < MOVE_INTERVAL or not is_settled:
             return
         move = planner.plan_move()
-        if move is not None:
+        placements = planner.plan_repair() or ([move] if move is not None else [])
+        if placements:
             self._moved_at = now
-            await self._order(move)
+            await self._order_all(placements)
 
     def _drop_settled(self, servers: list[BackendServer], now: float) -> None:
         """Forget the orders that have shown their effect, or should have long since."""
--- a/packages/node/src/vaneturn_node/traffic/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/streams.py
@@ -79,9 +79,15 @@
 
     def _make_chooser(self, work: RequestInProgress, engine: EngineProfile) -> ChainChooser:
         answer = min(work.facts.most_answer_tokens or engine.usual_answer, engine.usual_answer)
-        tokens = (work.facts.prompt_tokens or engine.usual_prompt) + answer
-        nodes = self._parts.view.count_nodes()
-        return ChainChooser(engine, self._parts.beliefs, self._parts.hall, nodes, tokens)
+        prompt = work.facts.prompt_tokens or engine.usual_prompt
+        return ChainChooser(
+            engine=engine,
+            beliefs=self._parts.beliefs,
+            hall=self._parts.hall,
+            nodes=self._parts.view.count_nodes(),
+            prompt=prompt,
+            tokens=prompt + answer,
+        )
 
     def _give_up(self, work: RequestInProgress, relay: Relay, end: TryEnd | None) -> OwnAnswer | None:
         if relay.is_begun:
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -184,7 +184,7 @@
 
     async def _look_for_stall(self, quiet_since: float) -> TryEnd | None:
         """Ask the first server what the request waits for; gives an end when this chain cannot go on."""
-        report = await self._parts.calls.read_report(self._first)
+        report = await self._parts.reports.read(self._first)
         now = time.monotonic()
         if isinstance(report, Failed):
             if now - max(quiet_since, self._heard_at) < GIVE_UP_FIRST:
