End connections and duties at SIGTERM at once; log the longest pause of a stream

Ruled out: the platform sending new connections late (the requests came over kept ones). Change: each answer asks whether the node stops; the listener closes 2.6 s after SIGTERM; duties are given up at once; the last answers are cut 0.8 s before the end.

--- a/packages/node/src/vaneturn_node/http1/server.py
+++ b/packages/node/src/vaneturn_node/http1/server.py
@@ -103,10 +103,16 @@
     """Serves one connection."""
 
     def __init__(
-        self, stream: SocketStream, handler: Handler, limits: ClientLimits, idle_scopes: set[anyio.CancelScope]
+        self,
+        stream: SocketStream,
+        handler: Handler,
+        limits: ClientLimits,
+        idle_scopes: set[anyio.CancelScope],
+        is_stopping: Callable[[], bool],
     ) -> None:
         """Prepare a connection.
 
+        :param is_stopping: asked at each answer: whether the connection ends after it.
         :param idle_scopes: holds the scope of this connection while no request is on it; cancelling it closes.
         """
         self._stream = stream
@@ -114,7 +120,8 @@
         self._limits = limits
         self._idle_scopes = idle_scopes
         self._protocol = h11.Connection(our_role=h11.SERVER, max_incomplete_event_size=limits.header_bytes)
-        self.closes = False  # after the answer under way
+        self._is_stopping = is_stopping
+        self._has_left = False  # the client
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
@@ -137,9 +144,11 @@
         if isinstance(request, Rejection):
             await self._reject(request)
             return False
-        answer = ClientAnswer(self._stream, self._protocol, request.method, closes=self.closes)
+        answer = ClientAnswer(self._stream, self._protocol, request.method, closes=self._is_stopping())
         await self._answer(request, answer)
-        if not answer.is_ended or self._protocol.our_state is not h11.DONE or self.closes or answer.closes:
+        if not answer.is_ended or self._protocol.our_state is not h11.DONE:
+            return False
+        if self._has_left or answer.closes or self._is_stopping():
             return False
         self._protocol.start_next_cycle()
         return True
@@ -162,7 +171,7 @@
             self._protocol.receive_data(data)
         else:
             await anyio.sleep_forever()
-        self.closes = True
+        self._has_left = True
         scope.cancel()
 
     async def _receive(self) -> bytes:
--- a/packages/node/src/vaneturn_node/traffic/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/daemon.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import Listener, SocketStream
 
 from vaneturn_core.faults import Fault
 from vaneturn_core.identifiers import DataHall, NodeId
@@ -37,7 +37,6 @@
 READINESS_PATH: Final = "/api/readyz"
 STOP_LOOK: Final = 0.05  # seconds between looks whether the last request has ended
 BACKLOG: Final = 512  # connections that wait to be accepted
-GIVE_UP_TIME: Final = 0.5  # seconds for the last calls on the store at a planned stop
 
 logger = logging.getLogger(__name__)
 
@@ -64,6 +63,7 @@
         self._answerer = Answerer(parts, self._metrics)
         self._placer = Placer(self._tenure, self._view, calls)
         self._lifecycle = Lifecycle(bounds.stop_s)
+        self._client_listener: Listener[SocketStream] | None = None
 
     async def run(self) -> None:
         """Run until a planned stop has ended."""
@@ -82,6 +82,7 @@
                     elif not self._lifecycle.is_stopping:
                         logger.info("stopping", extra={"in_progress": self._answerer.in_progress})
                         self._lifecycle.stop()
+                        tasks.start_soon(self._give_up_duties)
         logger.info("stopped")
 
     async def _listen(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -94,17 +95,25 @@
             host, _, port = address.rpartition(":")
             listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port), backlog=BACKLOG)
             tasks.start_soon(listener.serve, serve)
+            if address == self._settings.client_address:
+                self._client_listener = listener
 
     async def _await_end(self, scope: anyio.CancelScope) -> None:
         while True:
             await anyio.sleep(STOP_LOOK)
+            if self._client_listener is not None and self._lifecycle.is_closed():
+                logger.info("no more clients", extra={"in_progress": self._answerer.in_progress})
+                await self._client_listener.aclose()
+                self._client_listener = None
             if self._lifecycle.is_over(self._answerer.in_progress):
                 break
-        with anyio.move_on_after(GIVE_UP_TIME):
-            await self._tenure.give_up()
-            await self._registration.give_up()
         scope.cancel()
 
+    async def _give_up_duties(self) -> None:
+        """Leave the duties to other nodes at once; what is under way here goes on without them."""
+        await self._tenure.give_up()
+        await self._registration.give_up()
+
     def _reload(self) -> None:
         """Read the settings again; what can change while running is the log level, the rest at the next start."""
         settings = load_traffic_settings(self._path)
@@ -129,9 +138,8 @@
     async def _serve(self, stream: SocketStream, handler: Handler) -> None:
         configuration = self._view.configuration
         limits = configuration.limits if configuration is not None else ClientLimits()
-        connection = ClientConnection(stream, handler, limits, self._lifecycle.idle_scopes)
-        connection.closes = self._lifecycle.is_stopping
-        await connection.run()
+        lifecycle = self._lifecycle
+        await ClientConnection(stream, handler, limits, lifecycle.idle_scopes, lambda: lifecycle.is_stopping).run()
 
     async def _answer_readiness(self, request: ClientRequest, answer: ClientAnswer) -> None:
         is_ready = request.path == READINESS_PATH and self._is_ready()
--- a/packages/node/src/vaneturn_node/traffic/registration.py
+++ b/packages/node/src/vaneturn_node/traffic/registration.py
@@ -25,10 +25,11 @@
         self._store = store
         self._vm = vm
         self._lease: int | None = None
+        self._is_stopping = False
 
     async def run(self) -> None:
         """Keep the record until cancelled."""
-        while True:
+        while not self._is_stopping:
             is_kept = await (self._register() if self._lease is None else self._keep(self._lease))
             await anyio.sleep(BEAT if is_kept else RETRY)
 
@@ -52,6 +53,7 @@
 
     async def give_up(self) -> None:
         """Remove the record at a planned stop."""
+        self._is_stopping = True
         if self._lease is not None:
             await self._store.end_lease(self._lease)
 
--- a/packages/node/src/vaneturn_node/traffic/stopping.py
+++ b/packages/node/src/vaneturn_node/traffic/stopping.py
@@ -8,7 +8,7 @@
 import anyio
 
 UNREADY_TIME: Final = 2.6  # seconds the platform needs to notice that a node is not ready, and new clients to stop
-CUT_MARGIN: Final = 0.5  # seconds before the platform ends the process at which the last answers are broken off
+CUT_MARGIN: Final = 0.8  # seconds before the platform ends the process at which the last answers are broken off
 
 
 class Lifecycle:
@@ -34,6 +34,10 @@
         for scope in list(self.idle_scopes):
             scope.cancel()
 
+    def is_closed(self) -> bool:
+        """Tell whether no new client is taken: the platform has noticed, and a later one could not be served whole."""
+        return self.stopped_at is not None and time.monotonic() - self.stopped_at >= UNREADY_TIME
+
     def is_over(self, in_progress: int) -> bool:
         """Tell whether the process may end: nothing is under way and no new client comes, or its time is up."""
         if self.stopped_at is None:
--- a/packages/node/src/vaneturn_node/traffic/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/streams.py
@@ -35,6 +35,14 @@
     ) -> Answered | OwnAnswer | None:
         """Relay an answer; none when it was given in full, or broken off after it had begun."""
         relay = Relay(answer, work.facts.last_event)
+        try:
+            return await self._forward(work, engine, relay)
+        finally:
+            work.longest_pause = relay.longest_pause
+
+    async def _forward(
+        self, work: RequestInProgress, engine: EngineProfile, relay: Relay
+    ) -> Answered | OwnAnswer | None:
         budget = self._parts.find_budget(work.service)
         end: TryEnd | None = None
         refusals = 0
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -33,6 +33,8 @@
         self._answer = answer
         self.last_event = last_event
         self.is_begun = False
+        self.longest_pause = 0.0  # seconds between two events
+        self._passed_at: float | None = None
 
     async def begin(self, head: AnswerHead) -> None:
         """Pass the head on, once: what follows belongs to the answer of the first server."""
@@ -45,6 +47,10 @@
         events = splitter.split(data)
         if not events:
             return
+        now = time.monotonic()
+        if self._passed_at is not None:
+            self.longest_pause = max(self.longest_pause, now - self._passed_at)
+        self._passed_at = now
         await self._answer.send_part(b"".join(event.data for event in events))
         for event in events:
             self.last_event = event.id if event.id is not None else self.last_event
