Find lost servers by a sign of life of each part, and move to another hall in place of crossing

Cause: a stream whose chain lost a server paused 0.6 to 1.8 s: reports lag by 0.2 s, and a detour over another hall sends the activations of all tokens so far over the pipe twice, for all streams of the chain at once. Change: after 0.1 s without an event, parts that no other request has heard of are asked; a loss is met by a detour inside the hall, else by a new run in another hall if one is left, else by a detour across.

--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -15,7 +15,7 @@
 CROWDING_TIME: Final = 0.006  # seconds that a half-full server counts as slower
 FULL: Final = 0.97  # of a server's memory; beyond it, requests are put back
 FULL_TIME: Final = 10.0  # seconds that a full server counts as slower: it is taken only if no other is left
-PIPE_SHARE: Final = 0.5  # of the time that a prompt takes a pipe between halls, counted for each token: others wait
+PIPE_SHARE: Final = 1.0  # of the time that a prompt takes a pipe between halls, counted for each token: others wait
 OUTSIDE: Final = ""  # where a request is before the first server
 MAX_PARTS: Final = 32  # that a chain may have
 
--- a/packages/core/src/vaneturn_core/traffic/servers.py
+++ b/packages/core/src/vaneturn_core/traffic/servers.py
@@ -69,6 +69,7 @@
     """What this node has seen of one server."""
 
     in_progress: int = 0
+    heard_at: float = float("-inf")  # when a token last came over a chain with this server
     reserved: float = 0.0  # tokens times layers of the requests in progress from this node
     latency: float = 0.0  # moving average of whole answers or first events, seconds
     failures: int = 0  # in a row
--- a/packages/node/src/vaneturn_node/http1/caller.py
+++ b/packages/node/src/vaneturn_node/http1/caller.py
@@ -25,6 +25,7 @@
 
     cause: str
     was_sent: bool  # a byte of the request has left
+    is_refused: bool = False  # nobody listens there
 
 
 class Caller:
@@ -51,7 +52,7 @@
             return Failed("no answer in time", was_sent=link is not None)
         except LinkError as error:
             await _abort(link)
-            return Failed(error.cause, was_sent=error.was_sent)
+            return Failed(error.cause, was_sent=error.was_sent, is_refused=error.is_refused)
         except BaseException:
             await _abort(link)
             raise
--- a/packages/node/src/vaneturn_node/http1/link.py
+++ b/packages/node/src/vaneturn_node/http1/link.py
@@ -23,14 +23,16 @@
     """The connection cannot be used any more.
 
     :ivar was_sent: whether a byte of the request has left.
+    :ivar is_refused: whether nobody listens at the address.
     :ivar is_silence: whether nothing came for the time given, as from a server that is cut off.
     """
 
-    def __init__(self, cause: str, *, was_sent: bool, is_silence: bool = False) -> None:
+    def __init__(self, cause: str, *, was_sent: bool, is_silence: bool = False, is_refused: bool = False) -> None:
         super().__init__(cause)
         self.cause = cause
         self.was_sent = was_sent
         self.is_silence = is_silence
+        self.is_refused = is_refused
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +67,7 @@
         except TimeoutError:
             raise LinkError("connecting took too long", was_sent=False, is_silence=True) from None
         except OSError as error:
-            raise LinkError(f"connecting failed: {error}", was_sent=False) from None
+            raise LinkError(f"connecting failed: {error}", was_sent=False, is_refused=True) from None
 
     async def send(self, method: str, target: str, headers: Headers, body: bytes, limit: float) -> None:
         """Send a whole request.
--- a/packages/node/src/vaneturn_node/platform/servers.py
+++ b/packages/node/src/vaneturn_node/platform/servers.py
@@ -116,9 +116,9 @@
     def __init__(self, caller: Caller) -> None:
         self._caller = caller
 
-    async def read_report(self, server: BackendServer) -> ServerReport | Failed:
+    async def read_report(self, server: BackendServer, limit: float = REPORT_TIME) -> ServerReport | Failed:
         """Ask a server for its report."""
-        reply = await self._caller.call(server.address, "GET", "/api/report", REPORT_TIME, headers=_expect(server))
+        reply = await self._caller.call(server.address, "GET", "/api/report", limit, headers=_expect(server))
         if isinstance(reply, Failed):
             return reply
         report = _decode(reply, _Report)
--- a/packages/node/src/vaneturn_node/traffic/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/daemon.py
@@ -94,7 +94,7 @@
         for address, serve in served:
             host, _, port = address.rpartition(":")
             listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port), backlog=BACKLOG)
-            tasks.start_soon(listener.serve, serve)
+            tasks.start_soon(_accept, listener, serve, tasks)
             if address == self._settings.client_address:
                 self._client_listener = listener
 
@@ -154,6 +154,16 @@
         await answer.send_whole(200, [(b"content-type", b"text/plain; version=0.0.4")], self._metrics.render())
 
 
+async def _accept(
+    listener: Listener[SocketStream], serve: Callable[[SocketStream], Awaitable[None]], tasks: anyio.abc.TaskGroup
+) -> None:
+    """Accept connections until the listener is closed; connections go on after that."""
+    try:
+        await listener.serve(serve, tasks)
+    except* anyio.ClosedResourceError:
+        logger.debug("listener closed")
+
+
 def run_traffic_node(settings: TrafficSettings, path: Path) -> None:
     """Run a node on the users' platform until SIGTERM or SIGINT."""
     node = TrafficNode(settings, path)
--- a/packages/node/src/vaneturn_node/traffic/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/exchange.py
@@ -19,6 +19,7 @@
 from vaneturn_node.http1.pool import LinkPool
 from vaneturn_node.platform.servers import ServerCalls, ServerReport
 
+SIGN_TIME: Final = 0.06  # seconds for a sign of life; a sound server answers in 2 to 4 ms
 REPORT_AGE: Final = 0.2  # seconds; reports lag by as much
 
 
@@ -37,10 +38,20 @@
             known = self._newest.get(server.id)
             if known is not None and time.monotonic() - known[0] < REPORT_AGE:
                 return known[1]
-            report = await self._calls.read_report(server)
+            report = await self._calls.read_report(server, SIGN_TIME)
             self._newest[server.id] = (time.monotonic(), report)
             return report
 
+    def find(self, server: ServerId) -> ServerReport | None:
+        """Find the newest report of a server; none when it did not answer."""
+        known = self._newest.get(server)
+        return known[1] if known is not None and isinstance(known[1], ServerReport) else None
+
+    def is_refused(self, server: ServerId) -> bool:
+        """Tell whether nobody listens at the server's address."""
+        known = self._newest.get(server)
+        return known is not None and isinstance(known[1], Failed) and known[1].is_refused
+
     def forget_absent(self, present: Container[ServerId]) -> None:
         """Forget the servers that have left the list."""
         for server in [one for one in self._newest if one not in present]:
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/relay.py
@@ -0,0 +1,56 @@
+"""What a client has got of a streamed answer, over all tries."""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+
+from vaneturn_node.http1.link import AnswerHead
+from vaneturn_node.http1.server import ClientAnswer
+from vaneturn_node.platform.headers import build_client_headers
+from vaneturn_node.traffic.events import EventSplitter
+
+PAUSE_WEIGHT: Final = 0.2  # of the newest pause in the moving average
+
+
+class Relay:
+    """Passes whole events on, and knows the last one."""
+
+    def __init__(self, answer: ClientAnswer, last_event: str | None) -> None:
+        self._answer = answer
+        self.last_event = last_event
+        self.is_begun = False
+        self.longest_pause = 0.0  # seconds between two events
+        self.usual_pause = 0.0  # moving average, seconds
+        self._passed_at: float | None = None
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Pass the head on, once: what follows belongs to the answer of the first server."""
+        if not self.is_begun:
+            self.is_begun = True
+            await self._answer.begin(head.status, build_client_headers(head.headers))
+
+    async def pass_on(self, splitter: EventSplitter, data: bytes) -> bool:
+        """Pass whole events on; false when there is none yet."""
+        events = splitter.split(data)
+        if not events:
+            return False
+        now = time.monotonic()
+        if self._passed_at is not None:
+            pause = now - self._passed_at
+            self.longest_pause = max(self.longest_pause, pause)
+            self.usual_pause += PAUSE_WEIGHT * (pause - self.usual_pause)
+        self._passed_at = now
+        await self._answer.send_part(b"".join(event.data for event in events))
+        for event in events:
+            self.last_event = event.id if event.id is not None else self.last_event
+        return True
+
+    async def end(self, splitter: EventSplitter) -> None:
+        """End the answer as whole."""
+        if splitter.rest:
+            await self._answer.send_part(splitter.rest)
+        await self._answer.end()
+
+
+__all__ = ["Relay"]
--- a/packages/node/src/vaneturn_node/traffic/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/streams.py
@@ -14,12 +14,13 @@
 from vaneturn_node.http1.server import ClientAnswer
 from vaneturn_node.traffic.exchange import TrafficParts
 from vaneturn_node.traffic.outcomes import Answered, MayHaveRun, NotRun, OwnAnswer, Reason, refuse
+from vaneturn_node.traffic.relay import Relay
 from vaneturn_node.traffic.requests import RequestInProgress
-from vaneturn_node.traffic.streamtry import Relay, StreamTry, TryEnd
+from vaneturn_node.traffic.streamtry import StreamTry, TryEnd
 
 MAX_SENDS: Final = 5  # of one request, those that servers turned away included
 MAX_REFUSALS: Final = 3  # by servers that have no room, before the request is refused
-CROWDED: Final = 0.97  # of the scarcest memory of the best chain, beyond which a request is refused
+CROWDED: Final = 1.0  # of the scarcest memory, taken by this node alone, beyond which a request is refused
 RETRY_AFTER: Final = 0.3  # seconds, full jitter on top: some answers end in that time
 RETURN_WAIT: Final = 0.2  # seconds between looks for a chain to go on with a begun answer
 
@@ -56,7 +57,7 @@
                 await anyio.sleep(RETURN_WAIT)
                 continue
             if not work.sends:
-                if chain.crowding > CROWDED:
+                if chain.crowding > CROWDED * self._parts.view.count_nodes():
                     work.note(f"crowding {chain.crowding:.2f}")
                     return refuse(Reason.FULL, RETRY_AFTER * (1 + random.random()))
                 budget.record_first()
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -2,64 +2,35 @@
 
 from __future__ import annotations
 
+import itertools
 import time
 from typing import Final
 
+import anyio
+
 from vaneturn_core.traffic.chains import Chain, ChainChooser, Part
 from vaneturn_core.traffic.configuration import EngineProfile
 from vaneturn_core.traffic.servers import BackendServer, ServerAddress
 from vaneturn_node.http1.caller import Failed
 from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
-from vaneturn_node.http1.server import ClientAnswer
-from vaneturn_node.platform.headers import build_client_headers, build_server_headers, read_answer_facts
+from vaneturn_node.platform.headers import build_server_headers, read_answer_facts
 from vaneturn_node.platform.servers import OrderOutcome
 from vaneturn_node.traffic.events import EventSplitter
 from vaneturn_node.traffic.exchange import TrafficParts
 from vaneturn_node.traffic.outcomes import Answered, MayHaveRun, NotRun
+from vaneturn_node.traffic.relay import Relay
 from vaneturn_node.traffic.requests import RequestInProgress
 
 TryEnd = NotRun | MayHaveRun | Answered
 
 SUCCESS: Final = range(200, 300)
-OVERDUE: Final = 0.3  # seconds without an event after which the first server is asked; events come some 60 ms apart
-ASK_AGAIN: Final = 0.25  # seconds between questions while nothing comes; reports lag by 0.2 s
-GIVE_UP_FIRST: Final = 1.2  # seconds without a byte or a report after which the first server counts as lost
-
-
-class Relay:
-    """What the client has got of an answer, over all tries."""
-
-    def __init__(self, answer: ClientAnswer, last_event: str | None) -> None:
-        self._answer = answer
-        self.last_event = last_event
-        self.is_begun = False
-        self.longest_pause = 0.0  # seconds between two events
-        self._passed_at: float | None = None
-
-    async def begin(self, head: AnswerHead) -> None:
-        """Pass the head on, once: what follows belongs to the answer of the first server."""
-        if not self.is_begun:
-            self.is_begun = True
-            await self._answer.begin(head.status, build_client_headers(head.headers))
-
-    async def pass_on(self, splitter: EventSplitter, data: bytes) -> None:
-        """Pass whole events on."""
-        events = splitter.split(data)
-        if not events:
-            return
-        now = time.monotonic()
-        if self._passed_at is not None:
-            self.longest_pause = max(self.longest_pause, now - self._passed_at)
-        self._passed_at = now
-        await self._answer.send_part(b"".join(event.data for event in events))
-        for event in events:
-            self.last_event = event.id if event.id is not None else self.last_event
-
-    async def end(self, splitter: EventSplitter) -> None:
-        """End the answer as whole."""
-        if splitter.rest:
-            await self._answer.send_part(splitter.rest)
-        await self._answer.end()
+OVERDUE: Final = 0.1  # seconds without an event after which the parts are asked; a pause should not exceed 0.2 s
+OVERDUE_PAUSES: Final = 2.5  # the same, in usual pauses of this answer
+HEAD_OVERDUE: Final = 0.2  # seconds without the first event; most come in 0.16 s, and should in 0.5 s
+ASK_AGAIN: Final = 0.1  # seconds between questions while nothing comes
+HEARD_AGE: Final = 0.08  # seconds for which a server that has worked for any request counts as alive
+MAX_SILENCES: Final = 2  # questions without answer after which the first server counts as lost: its answer may be whole
+MAX_DETOURS: Final = 3
 
 
 class StreamTry:
@@ -82,8 +53,7 @@
         self._chain = chain
         self._relay = relay
         self._tokens = chooser.tokens
-        self._asked_at = 0.0
-        self._heard_at = 0.0  # when the server was last known to live
+        self._silences = 0  # questions to the first server without an answer
 
     @property
     def _first(self) -> BackendServer:
@@ -118,6 +88,12 @@
             belief.in_progress += sign
             belief.reserved += sign * self._tokens * (part.end - part.first)
 
+    def _note_heard(self) -> None:
+        """Take note that every part of the chain has just worked."""
+        now = time.monotonic()
+        for part in self._chain.parts:
+            self._parts.beliefs[part.server.id].heard_at = now
+
     def _note_lost(self, error: LinkError) -> TryEnd:
         """Decide what a lost connection says of the first server, and of the request."""
         belief = self._parts.beliefs[self._first.id]
@@ -135,7 +111,6 @@
         dispatch = work.make_dispatch(self._first.id, self._chain, self._relay.last_event)
         headers = build_server_headers(work.request.headers, dispatch)
         await link.send(work.request.method, work.request.target, headers, work.request.body, work.left)
-        self._heard_at = time.monotonic()
         head = await self._await(link, is_head=True)
         if not isinstance(head, AnswerHead):
             return head if isinstance(head, NotRun | MayHaveRun) else MayHaveRun("no head")
@@ -162,15 +137,15 @@
             if not isinstance(data, bytes):
                 work.avoided.add(self._first.id)
                 return data if isinstance(data, NotRun | MayHaveRun) else MayHaveRun("no data")
-            await self._relay.pass_on(splitter, data)
+            if await self._relay.pass_on(splitter, data):
+                self._note_heard()
 
     async def _await(self, link: HttpLink, *, is_head: bool) -> AnswerHead | bytes | TryEnd | None:
-        """Wait for the head or for data; while nothing comes, look for the part that stalls.
+        """Wait for the head or for data; while nothing comes, look for the part that is lost.
 
         :raises LinkError: the connection was lost.
         """
-        wait = OVERDUE
-        quiet_since = time.monotonic()
+        wait = HEAD_OVERDUE if is_head else max(OVERDUE, OVERDUE_PAUSES * self._relay.usual_pause)
         while True:
             try:
                 return await (link.read_head(wait) if is_head else link.read_data(wait))
@@ -181,65 +156,91 @@
                     raise
             if self._work.left <= 0:
                 return MayHaveRun("time is up")
-            end = await self._look_for_stall(quiet_since)
+            end = await self._look_for_loss()
             if end is not None:
                 if is_head:
                     self._work.runs += 1
                 return end
             wait = ASK_AGAIN
 
-    async def _look_for_stall(self, quiet_since: float) -> TryEnd | None:
-        """Ask the first server what the request waits for; gives an end when this chain cannot go on."""
-        report = await self._parts.reports.read(self._first)
-        now = time.monotonic()
-        if isinstance(report, Failed):
-            if now - max(quiet_since, self._heard_at) < GIVE_UP_FIRST:
-                return None
-            self._parts.beliefs[self._first.id].record_failure(now)
-            self._work.avoided.add(self._first.id)
-            return MayHaveRun(f"first server silent: {report.cause}")
-        self._heard_at = now
-        address = report.stalled.get(self._work.facts.id) if self._work.facts.id is not None else None
-        if address is None:
+    async def _look_for_loss(self) -> TryEnd | None:
+        """Ask all parts of the chain for a sign of life; gives an end when this chain cannot go on."""
+        work = self._work
+        lost: list[Part] = []
+        quiet_before = time.monotonic() - HEARD_AGE
+        async with anyio.create_task_group() as tasks:
+            for part in self._chain.parts:
+                if self._parts.beliefs[part.server.id].heard_at < quiet_before:
+                    tasks.start_soon(self._ask, part, lost)
+        first = self._chain.parts[0]
+        if first in lost:
+            self._silences += 1
+            if self._silences >= MAX_SILENCES or self._parts.reports.is_refused(first.server.id):
+                self._parts.beliefs[self._first.id].record_failure(time.monotonic())
+                work.avoided.add(self._first.id)
+                return MayHaveRun("first server lost")
             return None
-        return await self._replace_stalled(address)
+        self._silences = 0
+        report = self._parts.reports.find(self._first.id)
+        stalled = report.stalled.get(work.facts.id) if report is not None and work.facts.id is not None else None
+        lost += [part for part in self._chain.parts if part.server.address == stalled and part not in lost]
+        if first in lost:
+            work.avoided.add(self._first.id)
+            return MayHaveRun("first server stalls")
+        return await self._replace(lost) if lost else None
 
-    async def _replace_stalled(self, address: ServerAddress) -> TryEnd | None:
-        """Take the request over another server in place of the one that stalls it."""
+    async def _ask(self, part: Part, lost: list[Part]) -> None:
+        if isinstance(await self._parts.reports.read(part.server), Failed):
+            lost.append(part)
+
+    async def _replace(self, lost: list[Part]) -> TryEnd | None:
+        """Take the request over other servers in place of the lost ones."""
         work = self._work
-        lost = next((part for part in self._chain.parts if part.server.address == address), None)
-        if lost is None:
-            return None  # replaced already; the report lags
-        self._parts.beliefs[lost.server.id].record_failure(time.monotonic())
-        work.avoided.add(lost.server.id)
-        work.note(f"{lost.server.id} stalls")
-        if lost is self._chain.parts[0]:
-            return MayHaveRun("first server stalls")
-        chain = self._find_detour(lost)
-        if chain is None:
-            return MayHaveRun("no server in place of the stalled one")
-        assert work.facts.id is not None  # noqa: S101 # without an id no report names the request
-        outcome = await self._parts.calls.replace_parts(self._first, work.facts.id, list(chain.parts))
-        work.note(
-            f"detour over {[part.server.id for part in chain.parts if part not in self._chain.parts]} {outcome.value}"
-        )
-        if outcome is not OrderOutcome.TAKEN:
-            return MayHaveRun(f"detour {outcome.value}")
-        self._reserve(self._chain, -1)
-        self._chain = chain
-        self._reserve(self._chain, 1)
-        return None
+        for part in lost:
+            self._parts.beliefs[part.server.id].record_failure(time.monotonic())
+            work.avoided.add(part.server.id)
+        work.note(f"lost {[part.server.id for part in lost]}")
+        for _ in range(MAX_DETOURS):
+            chain = self._find_detour()
+            if chain is None:
+                return MayHaveRun("no server in place of the lost one")
+            if self._may_move() and _count_crossings(chain) > _count_crossings(self._chain):
+                return MayHaveRun("another hall reads the prompt sooner than it crosses the pipe")
+            assert work.facts.id is not None  # noqa: S101 # without an id a request is not let in
+            outcome = await self._parts.calls.replace_parts(self._first, work.facts.id, list(chain.parts))
+            added = [part.server.id for part in chain.parts if part not in self._chain.parts]
+            work.note(f"detour over {added} {outcome.value}")
+            if outcome is OrderOutcome.TAKEN:
+                self._reserve(self._chain, -1)
+                self._chain = chain
+                self._reserve(self._chain, 1)
+                return None
+            if outcome is not OrderOutcome.CONFLICT:
+                break
+            work.avoided.update(added)  # one of them has no room, or does not hold its part any more
+        return MayHaveRun("no detour")
 
-    def _find_detour(self, lost: Part) -> Chain | None:
+    def _may_move(self) -> bool:
+        """Tell whether the request may run on one more server."""
+        work = self._work
+        runs = work.runs + (0 if self._relay.is_begun else 1)
+        return work.route.may_repeat and runs < work.route.max_attempts
+
+    def _find_detour(self) -> Chain | None:
+        """Find a chain with other servers for the parts on avoided ones."""
         servers = self._parts.view.list_servers(self._work.service)
         choosable = self._parts.beliefs.list_choosable(servers, self._work.avoided, time.monotonic())
-        kept = [part for part in self._chain.parts if part is not lost]
-        replacement = self._chooser.choose_replacement(choosable, kept, lost)
-        if not replacement:
-            return None
-        index = self._chain.parts.index(lost)
-        parts = (*self._chain.parts[:index], *replacement, *self._chain.parts[index + 1 :])
-        return Chain(self._chain.layers, parts, self._chain.crowding)
+        kept = [part for part in self._chain.parts if part.server.id not in self._work.avoided]
+        parts: list[Part] = []
+        for part in self._chain.parts:
+            if part in kept:
+                parts.append(part)
+                continue
+            replacement = self._chooser.choose_replacement(choosable, [*kept, *parts], part)
+            if not replacement:
+                return None
+            parts += replacement
+        return Chain(self._chain.layers, tuple(parts), self._chain.crowding)
 
     async def _take_failure(self, link: HttpLink, head: AnswerHead) -> TryEnd:
         """Take an answer that is no success: a refusal names the part of the chain at fault."""
@@ -268,4 +269,9 @@
         return next((part.server for part in self._chain.parts if part.server.address == address), self._first)
 
 
-__all__ = ["Relay", "StreamTry", "TryEnd"]
+def _count_crossings(chain: Chain) -> int:
+    """Count the parts whose tokens come from another hall."""
+    return sum(one.server.hall != other.server.hall for one, other in itertools.pairwise(chain.parts))
+
+
+__all__ = ["StreamTry", "TryEnd"]
