--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -17,6 +17,8 @@
 FULL_TIME: Final = 10.0  # seconds that a full server counts as slower: it is taken only if no other is left
 PIPE_WEIGHT: Final = 4.0  # of the time that a prompt takes a pipe between halls: all who share it wait as well
 OUTSIDE: Final = ""  # where a request is before the first server
+VERY_SLOW: Final = 2.5  # times slower than its kind: streams over such a server pause for too long
+SLOW_TIME: Final = 0.3  # seconds that such a server counts as slower: more than a crossing, less than a full one
 MAX_PARTS: Final = 32  # that a chain may have
 
 
@@ -91,12 +93,14 @@
         share: float,
         prompt: float,
         tokens: float,
+        now: float,
     ) -> None:
         """Prepare a choice.
 
         :param hall: of this node.
         :param share: how many times this node's requests are in progress over all nodes.
         :param prompt: tokens of the request's prompt.
+        :param now: steady time, for what was told a while ago.
         :param tokens: that the request will hold in the end.
         """
         self._engine = engine
@@ -105,6 +109,7 @@
         self._share = share
         self._prompt = prompt
         self.tokens = tokens
+        self._now = now
 
     def choose(self, servers: Iterable[BackendServer]) -> Chain | None:
         """Choose a chain over servers that may get work; none when they do not hold all layers."""
@@ -183,7 +188,9 @@
         share = (part.end - part.first) / self._engine.layers
         crowding = self.estimate_crowding(part)
         crowded = FULL_TIME * crowding if crowding >= FULL else CROWDING_TIME * crowding / (1 - crowding)
-        return self._engine.step * kind.step_factor * share + HOP_TIME + crowded
+        slowness = self._beliefs[part.server.id].read_slowness(self._now)
+        slow = SLOW_TIME if slowness >= VERY_SLOW else 0.0
+        return slowness * (self._engine.step * kind.step_factor * share + HOP_TIME) + crowded + slow
 
 
 def _list_boundaries(holders: Iterable[BackendServer], first: int, end: int) -> list[int]:
@@ -205,4 +212,4 @@
             yield from (Part(server, boundary, end) for end in boundaries if boundary < end < last)
 
 
-__all__ = ["Chain", "ChainChooser", "Part", "assert_tiling"]
+__all__ = ["VERY_SLOW", "Chain", "ChainChooser", "Part", "assert_tiling"]
--- a/packages/core/src/vaneturn_core/traffic/layout.py
+++ b/packages/core/src/vaneturn_core/traffic/layout.py
@@ -45,8 +45,11 @@
             for layers in server.layers:
                 self._add(server, layers, 1)
 
-    def plan_empty(self) -> list[Placement]:
-        """Plan for the servers that hold nothing: halls without any layer are tiled, others filled up."""
+    def plan_empty(self, *, takes_spare: bool = True) -> list[Placement]:
+        """Plan for the servers that hold nothing: halls without any layer are tiled, others filled up.
+
+        :param takes_spare: whether servers get layers that others in the hall hold already.
+        """
         placements: list[Placement] = []
         for hall, servers in sorted(self._halls.items()):
             empty = [server for server in servers if not server.layers]
@@ -55,6 +58,10 @@
                 continue
             for server in sorted(empty, key=lambda one: (-self._count_bytes(one), one.id)):
                 layers = self._find_gap(server, hall)
+                if layers is None and takes_spare:
+                    layers = self._find_weakest(self._count_spare_layers(server))
+                if layers is None:
+                    continue
                 self._add(server, layers, 1)
                 placements.append(Placement(server, layers))
         return placements
@@ -124,12 +131,12 @@
             yield Placement(server, layers)
             first = end
 
-    def _find_gap(self, server: BackendServer, hall: str) -> LayerRange:
-        """Find the layers that an empty server should hold: a gap in its hall, else what the fewest hold."""
+    def _find_gap(self, server: BackendServer, hall: str) -> LayerRange | None:
+        """Find the layers that an empty server should hold first: those that nobody in its hall holds."""
         counts = self._counts.get(hall, [0] * self._engine.layers)
         runs = _list_runs([count == 0 for count in counts])
         if not runs:
-            return self._find_weakest(self._count_spare_layers(server))
+            return None
         gap = max(runs, key=len)
         most = self._count_most_layers(server)
         if len(gap) > most:
--- a/packages/core/src/vaneturn_core/traffic/retries.py
+++ b/packages/core/src/vaneturn_core/traffic/retries.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Final
 
-KEPT_SHARE: Final = 0.7  # of the budget is spent: nodes see unequal traffic and count each other with a delay
+KEPT_SHARE: Final = 0.85  # of the budget is spent: nodes see unequal traffic and count each other with a delay
 
 
 class WindowedRetryBudget:
--- a/packages/core/src/vaneturn_core/traffic/servers.py
+++ b/packages/core/src/vaneturn_core/traffic/servers.py
@@ -20,6 +20,7 @@
 LATENCY_WEIGHT: Final = 0.25  # of the newest answer in the moving average
 ERROR_WEIGHT: Final = 0.2  # of the newest answer in the share of errors
 MAX_ERRORS: Final = 0.5  # share of errors from which a server rests; sound ones answer up to 14% of requests so
+SLOWNESS_MEMORY: Final = 4.0  # seconds
 TOLD_AGE: Final = 1.5  # seconds for which a told load is compared with the own
 MAX_SHARE: Final = 3.0  # of the equal share: what was told may be as old as the time above
 MAX_RESTING_SHARE: Final = 0.5  # of the servers that could be chosen; beyond it, rest counts for nothing
@@ -78,6 +79,8 @@
     failed_at: float = float("-inf")
     resting_until: float = float("-inf")
     is_replaced: bool = False  # its address answered under another id
+    slowness: float = 1.0  # told by the server: over 1, it is slower than its kind
+    slowness_at: float = float("-inf")
     leading: int = 0  # requests from this node that it is the first server of
     told_load: int = 0  # requests running and waiting there from all nodes, as the server said last
     told_at: float = float("-inf")
@@ -102,6 +105,15 @@
         self.told_load = load
         self.told_at = now
 
+    def take_slowness(self, slowness: float, now: float) -> None:
+        """Take what a server said of its speed."""
+        self.slowness = slowness
+        self.slowness_at = now
+
+    def read_slowness(self, now: float) -> float:
+        """Read its slowness; what was said long ago counts for nothing, so that it is tried again."""
+        return self.slowness if now - self.slowness_at < SLOWNESS_MEMORY else 1.0
+
     def record_failure(self, now: float) -> float:
         """Count a failure; gives the seconds for which the server gets no new work."""
         if now - self.failed_at > MEMORY_OF_FAILURES:
--- a/packages/node/src/vaneturn_node/traffic/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/exchange.py
@@ -31,12 +31,12 @@
         self._newest: dict[ServerId, tuple[float, ServerReport | Failed]] = {}
         self._locks: dict[ServerId, anyio.Lock] = {}
 
-    async def read(self, server: BackendServer) -> ServerReport | Failed:
-        """Read a report that is hardly older than the call."""
+    async def read(self, server: BackendServer, age: float = REPORT_AGE) -> ServerReport | Failed:
+        """Read a report of at most some seconds."""
         lock = self._locks.setdefault(server.id, anyio.Lock())
         async with lock:
             known = self._newest.get(server.id)
-            if known is not None and time.monotonic() - known[0] < REPORT_AGE:
+            if known is not None and time.monotonic() - known[0] < age:
                 return known[1]
             report = await self._calls.read_report(server, SIGN_TIME)
             self._newest[server.id] = (time.monotonic(), report)
--- a/packages/node/src/vaneturn_node/traffic/following.py
+++ b/packages/node/src/vaneturn_node/traffic/following.py
@@ -155,8 +155,9 @@
             return
         known = self._view.servers.get(server)
         self._view.put_server(decoded)
-        if known is None or known.state is not decoded.state:
-            extra = {"server": server, "address": decoded.address, "state": decoded.state.value}
+        if known is None or known.state is not decoded.state or known.layers != decoded.layers:
+            layers = [[one.first, one.end] for one in decoded.layers]
+            extra = {"server": server, "address": decoded.address, "state": decoded.state.value, "layers": layers}
             logger.info("server listed", extra=extra)
 
     def _decode_server(self, item: StoreItem) -> BackendServer | None:
--- a/packages/node/src/vaneturn_node/traffic/placing.py
+++ b/packages/node/src/vaneturn_node/traffic/placing.py
@@ -18,7 +18,8 @@
 from vaneturn_node.traffic.tenure import Tenure
 
 ROUND: Final = 0.3  # seconds between looks
-SETTLE_TIME: Final = 1.0  # seconds without a new server before the first plan: servers appear one after another
+SETTLE_TIME: Final = 1.3  # seconds without a new server before the first plan, and before one becomes a spare:
+# servers appear one after another, and in a release each new one comes a second before the old one leaves
 LOAD_WAIT: Final = 20.0  # seconds after which an order that shows no effect is given again
 MOVE_INTERVAL: Final = 4.0  # seconds between moves, for the effect of one to show
 RETRY_AFTER_SILENCE: Final = 0.7  # seconds
@@ -66,8 +67,9 @@
         self._drop_settled(servers, now)
         planned = [self._imagine(server) for server in servers]
         is_settled = now - self._changed_at >= SETTLE_TIME
+        is_begun = any(server.layers for server in planned)
         planner = LayoutPlanner(engine, planned)
-        placements = planner.plan_empty() if is_settled else []
+        placements = planner.plan_empty(takes_spare=is_settled) if is_settled or is_begun else []
         if placements:
             await self._order_all(placements)
             return
--- a/packages/node/src/vaneturn_node/traffic/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/streams.py
@@ -92,6 +92,7 @@
             share=self._parts.beliefs.estimate_share(self._parts.view.count_nodes(), time.monotonic()),
             prompt=prompt,
             tokens=prompt + answer,
+            now=time.monotonic(),
         )
 
     def _give_up(self, work: RequestInProgress, relay: Relay, end: TryEnd | None) -> OwnAnswer | None:
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from vaneturn_core.traffic.chains import Chain, ChainChooser, Part
+from vaneturn_core.traffic.chains import VERY_SLOW, Chain, ChainChooser, Part
 from vaneturn_core.traffic.configuration import EngineProfile
 from vaneturn_core.traffic.servers import BackendServer, ServerAddress
 from vaneturn_node.http1.caller import Failed
@@ -28,6 +28,8 @@
 OVERDUE_PAUSES: Final = 2.5  # the same, in usual pauses of this answer
 HEAD_OVERDUE: Final = 0.2  # seconds without the first event; most come in 0.16 s, and should in 0.5 s
 ASK_AGAIN: Final = 0.1  # seconds between questions while nothing comes
+SLOW_PAUSE: Final = 0.1  # seconds between events on average, above which the parts are asked for their speed
+SPEED_AGE: Final = 1.0  # seconds for which a server's word on its speed serves all requests
 HEARD_AGE: Final = 0.08  # seconds for which a server that has worked for any request counts as alive
 MAX_SILENCES: Final = 2  # questions without answer after which the first server counts as lost: its answer may be whole
 MAX_DETOURS: Final = 3
@@ -53,6 +55,8 @@
         self._chain = chain
         self._relay = relay
         self._tokens = chooser.tokens
+        self._is_counted = False  # as a run
+        self._is_gone = False  # the first server has ended, or is cut off
         self._silences = 0  # questions to the first server without an answer
 
     @property
@@ -89,6 +93,12 @@
             belief.leading += sign * (part is chain.parts[0])
             belief.reserved += sign * self._tokens * (part.end - part.first)
 
+    def _count_run(self) -> None:
+        """Count that the request may have run on the first server, once for each try."""
+        if not self._is_counted:
+            self._is_counted = True
+            self._work.runs += 1
+
     def _note_heard(self) -> None:
         """Take note that every part of the chain has just worked."""
         now = time.monotonic()
@@ -102,7 +112,7 @@
         self._work.avoided.add(self._first.id)
         if not error.was_sent:
             return NotRun(error.cause, is_silent=True)
-        self._work.runs += 1
+        self._count_run()
         return MayHaveRun(error.cause)
 
     async def _converse(self, link: HttpLink, started: float) -> TryEnd | None:
@@ -124,7 +134,7 @@
             return await self._take_failure(link, head)
         if not facts.is_sealed:
             raise LinkError("unsealed answer", was_sent=True)
-        work.runs += 1
+        self._count_run()
         self._parts.beliefs[self._first.id].record_success(time.monotonic() - started)
         return await self._relay_events(link, head)
 
@@ -154,15 +164,13 @@
                 return await (link.read_head(wait) if is_head else link.read_data(wait))
             except LinkError as error:
                 if not error.is_silence:
-                    if not is_head:
-                        self._work.runs -= 1  # counted at the head already
                     raise
             if self._work.left <= 0:
                 return MayHaveRun("time is up")
             end = await self._look_for_loss()
             if end is not None:
-                if is_head:
-                    self._work.runs += 1
+                if not self._is_gone:
+                    self._count_run()
                 return end
             wait = ASK_AGAIN
 
@@ -181,17 +189,40 @@
             if self._silences >= MAX_SILENCES or self._parts.reports.is_refused(first.server.id):
                 self._parts.beliefs[self._first.id].record_failure(time.monotonic())
                 work.avoided.add(self._first.id)
+                self._is_gone = True
+                if self._is_counted:
+                    work.runs -= 1  # runs on servers that have ended do not count
                 return MayHaveRun("first server lost")
             return None
         self._silences = 0
+        lost += [part for part in await self._find_slow() if part not in lost]
         report = self._parts.reports.find(self._first.id)
         stalled = report.stalled.get(work.facts.id) if report is not None and work.facts.id is not None else None
         lost += [part for part in self._chain.parts if part.server.address == stalled and part not in lost]
         if first in lost:
             work.avoided.add(self._first.id)
-            return MayHaveRun("first server stalls")
+            return MayHaveRun("first server stalls") if self._may_move() else None
         return await self._replace(lost) if lost else None
 
+    async def _find_slow(self) -> list[Part]:
+        """Find the parts that say of themselves that they are much slower than their kind."""
+        if self._relay.usual_pause < SLOW_PAUSE:
+            return []
+        slow: list[Part] = []
+
+        async def ask(part: Part) -> None:
+            report = await self._parts.reports.read(part.server, SPEED_AGE)
+            if isinstance(report, Failed):
+                return
+            self._parts.beliefs[part.server.id].take_slowness(report.slowness, time.monotonic())
+            if report.slowness >= VERY_SLOW:
+                slow.append(part)
+
+        async with anyio.create_task_group() as tasks:
+            for part in self._chain.parts:
+                tasks.start_soon(ask, part)
+        return slow
+
     async def _ask(self, part: Part, lost: list[Part]) -> None:
         if isinstance(await self._parts.reports.read(part.server), Failed):
             lost.append(part)
@@ -226,7 +257,7 @@
     def _may_move(self) -> bool:
         """Tell whether the request may run on one more server."""
         work = self._work
-        runs = work.runs + (0 if self._relay.is_begun else 1)
+        runs = work.runs + (not self._is_counted)
         return work.route.may_repeat and runs < work.route.max_attempts
 
     def _find_detour(self) -> Chain | None:
@@ -253,7 +284,7 @@
             body.append(data)
         facts = read_answer_facts(head.status, head.headers)
         if not facts.was_refused:
-            work.runs += 1
+            self._count_run()
             work.avoided.add(self._first.id)
             self._parts.beliefs[self._first.id].record_error(time.monotonic())
             if facts.is_sealed:
--- a/tests/core/traffic/test_chains.py
+++ b/tests/core/traffic/test_chains.py
@@ -17,7 +17,7 @@
 
 def make_chooser(beliefs: ServerBeliefs, hall: str = "osborne") -> ChainChooser:
     return ChainChooser(
-        engine=ENGINE, beliefs=beliefs, hall=DataHall(hall), share=8.0, prompt=774.0, tokens=974.0
+        engine=ENGINE, beliefs=beliefs, hall=DataHall(hall), share=8.0, prompt=774.0, tokens=974.0, now=100.0
     )  # fmt: skip
 
 
