End a connection alone when its client leaves during a write

Ruled out: memory, the store, planned stops (the log shows the traceback; test_connection.py failed first). Change: the connection handles groups of exceptions.

--- a/packages/node/src/vaneturn_node/http1/server.py
+++ b/packages/node/src/vaneturn_node/http1/server.py
@@ -133,8 +133,13 @@
         try:
             while await self._serve_one():
                 pass
-        except (ClientLeftError, anyio.BrokenResourceError, anyio.ClosedResourceError, h11.LocalProtocolError) as error:
-            logger.debug("connection ended", extra={"cause": repr(error)})
+        except* (
+            ClientLeftError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            h11.LocalProtocolError,
+        ) as group:
+            logger.debug("connection ended", extra={"cause": repr(group.exceptions)})
         finally:
             with anyio.CancelScope(shield=True):
                 await self._stream.aclose()
