--- a/packages/cli/src/vaneturn_cli/commands.py
+++ b/packages/cli/src/vaneturn_cli/commands.py
@@ -18,10 +18,12 @@
 from vaneturn_cli.exits import Exit
 from vaneturn_cli.querying import run_prompt, run_statement
 from vaneturn_cli.reporting import report_change, report_no_answer
+from vaneturn_cli.traffic import NotThere, find_request, format_request, format_states, read_state
 from vaneturn_core.configuration.document import describe_schema
 from vaneturn_core.configuration.schema import Configuration
 from vaneturn_core.identifiers import ChangeId
 from vaneturn_core.operators import ProposalBody
+from vaneturn_core.traffic.state import TrafficRequest, TrafficState
 
 NODES_VARIABLE: Final = "VANETURN_NODES"  # HTTP addresses, separated by commas
 KEY_VARIABLE: Final = "VANETURN_OPERATOR_KEY"
@@ -54,6 +56,12 @@
     querying = verbs.add_parser("query", help="carry out one line of the query and command language")
     querying.add_argument("line")
     querying.set_defaults(command=query)
+    verbs.add_parser(
+        "traffic", help="show the nodes and servers of the users' platform; --nodes gives metrics addresses"
+    ).set_defaults(command=show_traffic)
+    explaining = verbs.add_parser("explain", help="tell what became of a request on the users' platform")
+    explaining.add_argument("request")
+    explaining.set_defaults(command=explain)
     verbs.add_parser("prompt", help="carry out lines from standard input").set_defaults(command=prompt)
     verbs.add_parser("schema", help="print the JSON Schema of declarations").set_defaults(command=show_schema)
     return parser
@@ -127,6 +135,32 @@
     return run_prompt(_make_client(options), as_json=options.json)
 
 
+def show_traffic(options: argparse.Namespace) -> Exit:
+    """Show the traffic of nodes on the users' platform, those that do not answer named."""
+    answers = [read_state(node) for node in options.nodes.split(",") if node]
+    states = [answer for answer in answers if isinstance(answer, TrafficState)]
+    print(msgspec.json.encode(states).decode() if options.json else format_states(states))
+    for answer in answers:
+        if isinstance(answer, NoAnswer):
+            report_no_answer(answer)
+    return Exit.DONE if states else Exit.NO_ANSWER
+
+
+def explain(options: argparse.Namespace) -> Exit:
+    """Ask each node for a request until one knows it."""
+    answers = [find_request(node, options.request) for node in options.nodes.split(",") if node]
+    for answer in answers:
+        if isinstance(answer, TrafficRequest):
+            print(msgspec.json.encode(answer).decode() if options.json else format_request(answer))
+            return Exit.DONE
+        if isinstance(answer, NoAnswer):
+            report_no_answer(answer)
+    if any(isinstance(answer, NotThere) for answer in answers):
+        print(f"request {options.request}: not among the newest of these nodes", file=sys.stderr)
+        return Exit.DIFFERENT
+    return Exit.NO_ANSWER
+
+
 def show_schema(_options: argparse.Namespace) -> Exit:
     """Print the JSON Schema of declarations."""
     print(msgspec.json.format(msgspec.json.encode(describe_schema())).decode())
--- /dev/null
+++ b/packages/cli/src/vaneturn_cli/traffic.py
@@ -0,0 +1,88 @@
+"""What nodes on the users' platform tell of their traffic."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final, TypeVar
+
+import httpx
+import msgspec
+from tabulate import tabulate
+
+from vaneturn_cli.client import NoAnswer
+from vaneturn_core.traffic.state import SeenServer, TrafficRequest, TrafficState
+
+TIMEOUT: Final = 3.0  # seconds; a node answers from memory
+STEP_INDENT: Final = "  "
+
+_Body = TypeVar("_Body")
+
+
+@dataclass(frozen=True)
+class NotThere:
+    """The node does not know the request."""
+
+
+def read_state(node: str) -> TrafficState | NoAnswer:
+    """Read what a node believes, at its metrics address."""
+    answer = _get(node, "/state", TrafficState)
+    return NoAnswer(node, "no state there") if isinstance(answer, NotThere) else answer
+
+
+def find_request(node: str, request: str) -> TrafficRequest | NotThere | NoAnswer:
+    """Ask a node what became of a request."""
+    return _get(node, f"/requests/{request}", TrafficRequest)
+
+
+def _get(node: str, path: str, kind: type[_Body]) -> _Body | NotThere | NoAnswer:
+    try:
+        response = httpx.get(f"http://{node}{path}", timeout=TIMEOUT)
+    except httpx.HTTPError as error:
+        return NoAnswer(node, type(error).__name__)
+    if response.status_code == httpx.codes.NOT_FOUND:
+        return NotThere()
+    try:
+        return msgspec.json.decode(response.content, type=kind)
+    except msgspec.DecodeError as error:
+        return NoAnswer(node, str(error))
+
+
+def format_states(states: list[TrafficState]) -> str:
+    """Format the nodes, and the servers as the first of them sees them."""
+    nodes = tabulate(
+        [(s.vm, s.version, s.age, s.is_ready, s.is_stopping, s.has_tenure, s.in_progress) for s in states],
+        headers=("vm", "version", "age s", "ready", "stopping", "tenure", "in progress"),
+    )
+    if not states:
+        return nodes
+    servers = tabulate(
+        [_list_cells(server) for server in sorted(states[0].servers, key=lambda one: (one.service, one.data_hall))],
+        headers=("server", "service", "data hall", "address", "state", "layers", "in progress", "rests s", "slowness"),
+    )
+    return f"{nodes}\n\nservers as {states[0].vm} sees them\n{servers}"
+
+
+def _list_cells(server: SeenServer) -> tuple[str | int | float, ...]:
+    layers = " ".join(f"[{first},{end})" for first, end in server.layers)
+    return (
+        server.id, server.service, server.data_hall, server.address, server.state, layers, server.in_progress,
+        server.resting, server.slowness,
+    )  # fmt: skip
+
+
+def format_request(request: TrafficRequest) -> str:
+    """Format what became of a request, step by step."""
+    lines = [
+        f"request {request.request}: {request.ending} after {request.seconds:.3f} s",
+        f"route {request.route or 'none'}, customer {request.customer or 'none'}",
+        f"configuration {request.version}, confirmed {request.age:.3f} s before",
+        *(STEP_INDENT + step for step in request.steps),
+    ]
+    if request.events:
+        lines.append(f"{request.events} events, longest pause {request.longest_pause:.3f} s")
+    if request.cause:
+        lines.append(f"cause: {request.cause}")
+    return "\n".join(lines)
+
+
+__all__ = ["NotThere", "find_request", "format_request", "format_states", "read_state"]
--- a/packages/node/src/vaneturn_node/traffic/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/answering.py
@@ -12,9 +12,11 @@
 
 from vaneturn_core.identifiers import ServiceName
 from vaneturn_core.traffic.configuration import EngineProfile, TrafficConfiguration, TrafficCustomer, TrafficRoute
+from vaneturn_core.traffic.state import TrafficRequest
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
 from vaneturn_node.platform.headers import RequestFacts, build_client_headers, read_request_facts
 from vaneturn_node.traffic.exchange import TrafficParts
+from vaneturn_node.traffic.inspection import EndedTraffic
 from vaneturn_node.traffic.metrics import TrafficMetrics
 from vaneturn_node.traffic.outcomes import Answered, OwnAnswer, Reason, refuse
 from vaneturn_node.traffic.plain import PlainForwarder
@@ -22,6 +24,7 @@
 from vaneturn_node.traffic.streams import StreamForwarder
 
 NO_CONFIGURATION_RETRY: Final = 0.3  # seconds; a node reads the configuration in its first second
+MAX_AGE: Final = 1e9  # seconds: a node that has heard nothing yet has no finite age
 OLD_KEYS_RETRY: Final = 0.2  # seconds: other nodes may reach the store
 
 logger = logging.getLogger(__name__)
@@ -30,8 +33,9 @@
 class Answerer:
     """Answers the requests of all connections."""
 
-    def __init__(self, parts: TrafficParts, metrics: TrafficMetrics) -> None:
+    def __init__(self, parts: TrafficParts, metrics: TrafficMetrics, ended: EndedTraffic) -> None:
         self._parts = parts
+        self._ended = ended
         self._metrics = metrics
         self._plain = PlainForwarder(parts)
         self._streams = StreamForwarder(parts)
@@ -140,23 +144,22 @@
         customer = work.customer.name if work is not None and work.customer is not None else ""
         self._metrics.observe(route, customer, ending, seconds)
         configuration = self._parts.view.configuration
-        extra = {
-            "request": facts.id,
-            "route": route,
-            "customer": customer,
-            "ending": ending,
-            "seconds": round(seconds, 3),
-            "version": configuration.version if configuration is not None else None,
-            "age": round(self._parts.view.age, 3),
-            "steps": work.steps if work is not None else [],
-        }
-        if work is not None and work.events:
-            extra["events"] = work.events
-            extra["longest_pause"] = round(work.longest_pause, 3)
-        if isinstance(result, OwnAnswer):
-            extra["reason"] = result.reason.value
-            extra["cause"] = result.cause
-        logger.info("request ended", extra=extra)
+        ended = TrafficRequest(
+            request=facts.id,
+            route=route,
+            customer=customer,
+            ending=ending,
+            seconds=round(seconds, 3),
+            version=configuration.version if configuration is not None else None,
+            age=round(min(self._parts.view.age, MAX_AGE), 3),
+            steps=work.steps if work is not None else [],
+            reason=result.reason.value if isinstance(result, OwnAnswer) else "",
+            cause=result.cause if isinstance(result, OwnAnswer) else "",
+            events=work.events if work is not None else 0,
+            longest_pause=round(work.longest_pause, 3) if work is not None else 0.0,
+        )
+        self._ended.add(facts.id, ended)
+        logger.info("request ended", extra=msgspec.structs.asdict(ended))
 
 
 def _choose_service(route: TrafficRoute) -> ServiceName:
--- a/packages/node/src/vaneturn_node/traffic/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/daemon.py
@@ -28,6 +28,7 @@
 from vaneturn_node.traffic.answering import Answerer
 from vaneturn_node.traffic.exchange import ReportBoard, TrafficParts
 from vaneturn_node.traffic.following import StoreFollower
+from vaneturn_node.traffic.inspection import EndedTraffic, Inspection
 from vaneturn_node.traffic.metrics import TrafficMetrics
 from vaneturn_node.traffic.placing import Placer
 from vaneturn_node.traffic.registration import Registration
@@ -54,16 +55,26 @@
         self._store = PlatformStore(caller, ServerAddress(settings.store_address))
         self._view = PlatformView(bounds.keys_valid_ms / 1000, time.monotonic)
         self._beliefs = ServerBeliefs()
-        self._metrics = TrafficMetrics()
+        metrics = TrafficMetrics()
         self._tenure = Tenure(self._store, self.id, settings.vm)
         self._registration = Registration(self._store, settings.vm)
         calls = ServerCalls(caller)
         hall = DataHall(settings.data_hall)
         parts = TrafficParts(hall, bounds, self._view, self._beliefs, self._pool, calls, ReportBoard(calls))
-        self._answerer = Answerer(parts, self._metrics)
+        ended = EndedTraffic()
+        self._answerer = Answerer(parts, metrics, ended)
         self._placer = Placer(self._tenure, self._view, calls)
         self._lifecycle = Lifecycle(bounds.stop_s)
         self._client_listener: Listener[SocketStream] | None = None
+        self._inspection = Inspection(
+            vm=settings.vm,
+            node=self.id,
+            parts=parts,
+            metrics=metrics,
+            ended=ended,
+            tenure=self._tenure,
+            lifecycle=self._lifecycle,
+        )
 
     async def run(self) -> None:
         """Run until a planned stop has ended."""
@@ -133,7 +144,8 @@
         await self._serve(stream, self._answer_readiness)
 
     async def _serve_metrics(self, stream: SocketStream) -> None:
-        await self._serve(stream, self._answer_metrics)
+        self._inspection.in_progress = self._answerer.in_progress
+        await self._serve(stream, self._inspection.answer)
 
     async def _serve(self, stream: SocketStream, handler: Handler) -> None:
         configuration = self._view.configuration
@@ -148,11 +160,6 @@
     def _is_ready(self) -> bool:
         return not self._lifecycle.is_stopping and self._view.is_ready()
 
-    async def _answer_metrics(self, _: ClientRequest, answer: ClientAnswer) -> None:
-        self._metrics.age.set(min(self._view.age, 1e9))
-        self._metrics.servers.set(len(self._view.servers))
-        await answer.send_whole(200, [(b"content-type", b"text/plain; version=0.0.4")], self._metrics.render())
-
 
 async def _accept(
     listener: Listener[SocketStream], serve: Callable[[SocketStream], Awaitable[None]], tasks: anyio.abc.TaskGroup
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/inspection.py
@@ -0,0 +1,114 @@
+"""Answers operators: metrics, the state of the node, and what became of a request."""
+
+from __future__ import annotations
+
+import time
+from collections import OrderedDict
+from typing import Final
+
+import msgspec
+
+from vaneturn_core.identifiers import NodeId, RequestId, VmId
+from vaneturn_core.traffic.servers import BackendServer
+from vaneturn_core.traffic.state import SeenServer, TrafficRequest, TrafficState
+from vaneturn_node.http1.server import ClientAnswer, ClientRequest
+from vaneturn_node.traffic.exchange import TrafficParts
+from vaneturn_node.traffic.metrics import TrafficMetrics
+from vaneturn_node.traffic.stopping import Lifecycle
+from vaneturn_node.traffic.tenure import Tenure
+
+KEPT_REQUESTS: Final = 256  # about 1 KB each
+REQUESTS_PATH: Final = "/requests/"
+_JSON: Final = [(b"content-type", b"application/json")]
+_TEXT: Final = [(b"content-type", b"text/plain; version=0.0.4")]
+
+
+class EndedTraffic:
+    """The newest requests that have ended."""
+
+    def __init__(self) -> None:
+        self._requests: OrderedDict[RequestId, TrafficRequest] = OrderedDict()
+
+    def add(self, request: RequestId | None, ended: TrafficRequest) -> None:
+        """Keep what became of a request."""
+        if request is None:
+            return
+        self._requests[request] = ended
+        if len(self._requests) > KEPT_REQUESTS:
+            self._requests.popitem(last=False)
+
+    def find(self, request: RequestId) -> TrafficRequest | None:
+        """Find a request; none when it has not ended, was not here, or is too long ago."""
+        return self._requests.get(request)
+
+
+class Inspection:
+    """The handler of the metrics address."""
+
+    def __init__(
+        self,
+        *,
+        vm: VmId,
+        node: NodeId,
+        parts: TrafficParts,
+        metrics: TrafficMetrics,
+        ended: EndedTraffic,
+        tenure: Tenure,
+        lifecycle: Lifecycle,
+    ) -> None:
+        self._vm = vm
+        self._node = node
+        self._parts = parts
+        self._metrics = metrics
+        self._ended = ended
+        self._tenure = tenure
+        self._lifecycle = lifecycle
+        self.in_progress = 0  # requests; kept by the answerer
+
+    async def answer(self, request: ClientRequest, answer: ClientAnswer) -> None:
+        """Answer one operator's request."""
+        if request.path == "/metrics":
+            self._metrics.age.set(min(self._parts.view.age, 1e9))
+            self._metrics.servers.set(len(self._parts.view.servers))
+            await answer.send_whole(200, _TEXT, self._metrics.render())
+        elif request.path == "/state":
+            await answer.send_whole(200, _JSON, msgspec.json.encode(self._describe()))
+        elif request.path.startswith(REQUESTS_PATH):
+            ended = self._ended.find(RequestId(request.path.removeprefix(REQUESTS_PATH)))
+            await answer.send_whole(200 if ended else 404, _JSON, msgspec.json.encode(ended))
+        else:
+            await answer.send_whole(404, [], b"")
+
+    def _describe(self) -> TrafficState:
+        view = self._parts.view
+        return TrafficState(
+            vm=self._vm,
+            node=self._node,
+            version=view.configuration.version if view.configuration is not None else None,
+            age=round(min(view.age, 1e9), 3),
+            is_ready=not self._lifecycle.is_stopping and view.is_ready(),
+            is_stopping=self._lifecycle.is_stopping,
+            has_tenure=self._tenure.is_sure(),
+            nodes=sorted(view.nodes),
+            in_progress=self.in_progress,
+            servers=[self._describe_server(server) for server in view.servers.values()],
+        )
+
+    def _describe_server(self, server: BackendServer) -> SeenServer:
+        belief = self._parts.beliefs[server.id]
+        now = time.monotonic()
+        return SeenServer(
+            id=server.id,
+            service=server.service,
+            address=server.address,
+            data_hall=server.hall,
+            state=server.state.value,
+            layers=[(layers.first, layers.end) for layers in server.layers],
+            in_progress=belief.in_progress,
+            failures=belief.failures,
+            resting=round(max(0.0, belief.resting_until - now), 3),
+            slowness=belief.read_slowness(now),
+        )
+
+
+__all__ = ["EndedTraffic", "Inspection"]
--- a/tests/rig/demo.py
+++ b/tests/rig/demo.py
@@ -7,9 +7,11 @@
 import tempfile
 from pathlib import Path
 
+import anyio
 import httpx
 import msgspec
 
+from rig import trafficdemo
 from rig.installation import (
     CHAT_PATH,
     CUSTOMER_KEY,
@@ -84,7 +86,8 @@
 def main() -> int:
     os.environ["VANETURN_OPERATOR_KEY"] = OPERATOR_KEY
     with tempfile.TemporaryDirectory() as folder, Installation(Path(folder)) as installation:
-        return 0 if run_demo(installation) else 1
+        is_right = run_demo(installation)
+    return 0 if anyio.run(trafficdemo.run_demo) and is_right else 1
 
 
 if __name__ == "__main__":
