--- a/packages/core/src/vaneturn_core/routing/hops.py
+++ b/packages/core/src/vaneturn_core/routing/hops.py
@@ -8,6 +8,7 @@
 
 from vaneturn_core.configuration.schema import Pipeline, Stage
 from vaneturn_core.identifiers import VmId
+from vaneturn_core.tiling import assert_tiling
 
 
 @dataclass(frozen=True)
@@ -34,20 +35,6 @@
         return " ".join(f"{hop.vm}[{hop.first},{hop.end})" for hop in self.hops)
 
 
-def assert_tiling(hops: Sequence[Hop], layers: int) -> None:
-    """Stop the process on a route with a gap, an overlap or a missing layer.
-
-    :raises AssertionError: the invariant is broken.
-    """
-    boundary = 0
-    for hop in hops:
-        if hop.first != boundary or hop.end <= hop.first:
-            raise AssertionError(f"route breaks at layer {boundary}: {hops}")
-        boundary = hop.end
-    if boundary != layers:
-        raise AssertionError(f"route ends at layer {boundary} of {layers}: {hops}")
-
-
 def list_entries(pipeline: Pipeline) -> Iterator[tuple[Stage, int]]:
     """List each stage with each layer boundary at which it may be entered: any inside its range."""
     boundaries = {0, *(stage.end for stage in pipeline.stages if stage.end < pipeline.layers)}
@@ -81,4 +68,4 @@
     return reachable
 
 
-__all__ = ["Hop", "Route", "assert_tiling", "find_reachable", "list_entries", "list_hops", "make_hop"]
+__all__ = ["Hop", "Route", "find_reachable", "list_entries", "list_hops", "make_hop"]
--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from vaneturn_core.identifiers import DataHall
+from vaneturn_core.tiling import assert_tiling
 from vaneturn_core.traffic.configuration import EngineProfile
 from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs
 
@@ -40,7 +41,7 @@
     crowding: float  # share of its memory that is taken on the fullest server
 
     def __post_init__(self) -> None:
-        assert_tiling(self.parts, self.layers)
+        assert_chain(self.parts, self.layers)
 
     @property
     def first(self) -> BackendServer:
@@ -48,18 +49,12 @@
         return self.parts[0].server
 
 
-def assert_tiling(parts: Sequence[Part], layers: int) -> None:
-    """Stop the process on a chain with a gap, an overlap, a missing layer or a server twice.
+def assert_chain(parts: Sequence[Part], layers: int) -> None:
+    """Stop the process on parts that do not tile all layers, or name a server twice.
 
     :raises AssertionError: the invariant is broken.
     """
-    boundary = 0
-    for part in parts:
-        if part.first != boundary or part.end <= part.first:
-            raise AssertionError(f"chain breaks at layer {boundary}: {parts}")
-        boundary = part.end
-    if boundary != layers:
-        raise AssertionError(f"chain ends at layer {boundary} of {layers}: {parts}")
+    assert_tiling(parts, layers)
     if len({part.server.address for part in parts}) != len(parts):
         raise AssertionError(f"a server stands twice in a chain: {parts}")
 
@@ -212,4 +207,4 @@
             yield from (Part(server, boundary, end) for end in boundaries if boundary < end < last)
 
 
-__all__ = ["VERY_SLOW", "Chain", "ChainChooser", "Part", "assert_tiling"]
+__all__ = ["VERY_SLOW", "Chain", "ChainChooser", "Part", "assert_chain"]
--- a/packages/node/src/vaneturn_node/answers/stagerun.py
+++ b/packages/node/src/vaneturn_node/answers/stagerun.py
@@ -8,8 +8,9 @@
 from vaneturn_core.engine.messages import Close, Done, Open, Refused, Step
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.routing.health import ServerHealths
-from vaneturn_core.routing.hops import Hop, Route, assert_tiling
+from vaneturn_core.routing.hops import Hop, Route
 from vaneturn_core.routing.recovery import MIN_STEP_TIMEOUT
+from vaneturn_core.tiling import assert_tiling
 from vaneturn_node.answers.request import AnswerRequest
 from vaneturn_node.stages.link import Lost, StageLink
 from vaneturn_node.stages.pool import LinkPool
--- a/packages/node/src/vaneturn_node/logs.py
+++ b/packages/node/src/vaneturn_node/logs.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+import os
+import select
 import sys
 import time
 from collections import Counter
@@ -43,15 +45,43 @@
         return False
 
 
+class DroppingHandler(logging.Handler):
+    """Writes lines to a descriptor that takes them at once, and drops the others: a reader that stalls stops no work.
+
+    A pipe that polls as writable takes a line of 4,096 bytes whole.
+    """
+
+    def __init__(self, number: int) -> None:
+        """Write to an open descriptor."""
+        super().__init__()
+        self._number = number
+        self._writable = select.poll()
+        self._writable.register(number, select.POLLOUT)
+        self._dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line, with the number of those dropped before it."""
+        if not self._writable.poll(0):
+            self._dropped += 1
+            return
+        if self._dropped:
+            record.dropped = self._dropped
+            self._dropped = 0
+        try:
+            os.write(self._number, self.format(record).encode() + b"\n")
+        except OSError:
+            self._dropped += 1  # the reader has gone; there is nowhere to say so
+
+
 def configure_logs(level: str, vm: VmId, node: NodeId) -> None:
-    """Write every record as one JSON object a line to standard error."""
+    """Write every record as one JSON object a line to standard output."""
     formatter = JsonFormatter(
         "{asctime}{levelname}{name}{message}",
         style="{",
         rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
         static_fields={"vm": vm, "node": node},
     )
-    handler = logging.StreamHandler(sys.stderr)
+    handler = DroppingHandler(sys.stdout.fileno())
     handler.setFormatter(formatter)
     handler.addFilter(FloodFilter())
     logging.basicConfig(level=level, handlers=[handler], force=True)
@@ -61,4 +91,4 @@
     logging.getLogger("hypercorn").setLevel(logging.WARNING)
 
 
-__all__ = ["MAX_PER_SECOND", "FloodFilter", "configure_logs"]
+__all__ = ["MAX_PER_SECOND", "DroppingHandler", "FloodFilter", "configure_logs"]
--- a/packages/node/src/vaneturn_node/traffic/following.py
+++ b/packages/node/src/vaneturn_node/traffic/following.py
@@ -21,7 +21,8 @@
 
 WATCH_TIME: Final = 1.6  # seconds; each answer confirms the keys, which are valid for a few seconds
 GATHER_TIME: Final = 0.1  # seconds between an answer with changes and the next watch, so that many come in one
-RETRY_TIME: Final = 0.15  # seconds, full jitter
+RETRY_TIME: Final = 0.1  # seconds, full jitter, doubled with each failure in a row
+MAX_RETRY_TIME: Final = 0.8  # seconds; refused calls have their price, and the rules allow 3 s after an outage
 EVERYTHING: Final = ""
 
 logger = logging.getLogger(__name__)
@@ -37,6 +38,7 @@
         self._tenure = tenure
         self._revision: int | None = None
         self._is_reached = False
+        self._failures = 0  # in a row
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -48,7 +50,10 @@
             self._beliefs.forget_absent(self._view.servers)
             if not is_answered:
                 self._view.note_failure()
-                await anyio.sleep(random.uniform(0, RETRY_TIME))
+                await anyio.sleep(random.uniform(0, min(MAX_RETRY_TIME, RETRY_TIME * 2**self._failures)))
+                self._failures += 1
+            else:
+                self._failures = 0
 
     def _note_reached(self, *, is_answered: bool) -> None:
         if is_answered != self._is_reached:
--- a/packages/node/src/vaneturn_node/traffic/placing.py
+++ b/packages/node/src/vaneturn_node/traffic/placing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 import time
 from dataclasses import dataclass
@@ -93,17 +94,7 @@
         pending = self._pending.get(server.id)
         if pending is None:
             return server
-        return BackendServer(
-            id=server.id,
-            service=server.service,
-            address=server.address,
-            hall=server.hall,
-            state=server.state,
-            slots=server.slots,
-            kind=server.kind,
-            layers=(pending.layers,),
-            holds_model=server.holds_model,
-        )
+        return dataclasses.replace(server, layers=(pending.layers,))
 
     async def _order_all(self, placements: list[Placement]) -> None:
         async with anyio.create_task_group() as tasks:
--- a/tests/core/traffic/test_chains.py
+++ b/tests/core/traffic/test_chains.py
@@ -10,7 +10,7 @@
 
 from core.traffic.samples import ENGINE, make_fleet, make_server
 from vaneturn_core.identifiers import DataHall
-from vaneturn_core.traffic.chains import ChainChooser, Part, assert_tiling
+from vaneturn_core.traffic.chains import ChainChooser, Part, assert_chain
 from vaneturn_core.traffic.layout import LayoutPlanner
 from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs
 
@@ -58,7 +58,7 @@
     kept = [part for part in chain.parts if part is not lost]
     others = [server for server in fleet if server.id != lost.server.id]
     replacement = chooser.choose_replacement(others, kept, lost)
-    assert_tiling([*chain.parts[:3], *replacement, *chain.parts[4:]], ENGINE.layers)
+    assert_chain([*chain.parts[:3], *replacement, *chain.parts[4:]], ENGINE.layers)
 
 
 @pytest.mark.parametrize(
@@ -74,7 +74,7 @@
 def test_broken_tiling_stops_the_process(parts: list[tuple[int, int, int]]) -> None:
     made = [Part(make_server(number, "a100"), first, end) for first, end, number in parts]
     with pytest.raises(AssertionError):
-        assert_tiling(made, ENGINE.layers)
+        assert_chain(made, ENGINE.layers)
 
 
 @given(st.lists(st.tuples(st.integers(0, 79), st.integers(1, 30)), min_size=1, max_size=25), st.data())
@@ -86,7 +86,7 @@
     chain = make_chooser(ServerBeliefs()).choose(fleet)
     if chain is None:
         return
-    assert_tiling(chain.parts, ENGINE.layers)
+    assert_chain(chain.parts, ENGINE.layers)
     for part in chain.parts:
         assert part.server.layers[0].first <= part.first
         assert part.end <= part.server.layers[0].end
--- a/tests/node/test_logs.py
+++ b/tests/node/test_logs.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import logging
+import os
 
-from vaneturn_node.logs import MAX_PER_SECOND, FloodFilter
+from vaneturn_node.logs import MAX_PER_SECOND, DroppingHandler, FloodFilter
 
 
 def make_record(message: str, level: int = logging.INFO) -> logging.LogRecord:
@@ -26,3 +27,18 @@
 def test_warnings_are_never_held_back() -> None:
     flood = FloodFilter(lambda: 0.0)
     assert all(flood.filter(make_record("lost", logging.WARNING)) for _ in range(3 * MAX_PER_SECOND))
+
+
+def test_reader_that_stalls_stops_nobody_and_learns_what_it_missed() -> None:
+    read, write = os.pipe()
+    handler = DroppingHandler(write)
+    record = logging.LogRecord("n", logging.INFO, "p", 1, "x" * 1000, (), None)
+    for _ in range(200):  # more than a pipe holds
+        handler.emit(record)
+    os.read(read, 1 << 20)
+    last = logging.LogRecord("n", logging.INFO, "p", 1, "last", (), None)
+    handler.emit(last)
+    assert os.read(read, 1 << 20) == b"last\n"
+    assert getattr(last, "dropped", 0) > 100
+    os.close(read)
+    os.close(write)
