Let resumed streams in first, and take one silence of many streams as enough

Cause: after a lost server the prompts of all its streams wait among new ones, whose first event has more time. Ruled out: crossing the pipe (measured before), asking all parts (measured before). Change: a request whose client has a part of the answer goes with the most urgent rank; a first server that several quiet streams of the node have not heard of counts as lost after one unanswered question.

--- a/packages/node/src/vaneturn_node/traffic/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/requests.py
@@ -15,6 +15,8 @@
 from vaneturn_node.platform.headers import Dispatch, RequestFacts
 
 ANSWER_MARGIN: Final = 0.03  # seconds before the end of a request's time at which it is given up, for the way back
+MOST_URGENT: Final = 0
+LEAST_URGENT: Final = 9
 
 
 @dataclass
@@ -59,13 +61,23 @@
             return self.customer.priority
         return self.route.priority
 
-    def make_dispatch(self, server: ServerId, chain: Chain | None = None, last_event: str | None = None) -> Dispatch:
-        """Make what is added to the request for a server."""
+    def make_dispatch(
+        self,
+        server: ServerId,
+        chain: Chain | None = None,
+        last_event: str | None = None,
+        *,
+        is_resumed: bool = False,
+    ) -> Dispatch:
+        """Make what is added to the request for a server.
+
+        :param is_resumed: whether the client has a part of the answer already, and waits for the next event.
+        """
         return Dispatch(
             server=server,
             deadline=None if self.facts.deadline is None else max(0.001, self.left),
             customer=self.customer.name if self.customer is not None else None,
-            priority=min(9, self.priority),
+            priority=MOST_URGENT if is_resumed else min(LEAST_URGENT, self.priority),
             chain=chain,
             last_event=last_event if last_event is not None else self.facts.last_event,
         )
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -32,6 +32,7 @@
 SPEED_AGE: Final = 1.0  # seconds for which a server's word on its speed serves all requests
 HEARD_AGE: Final = 0.08  # seconds for which a server that has worked for any request counts as alive
 MAX_SILENCES: Final = 2  # questions without answer after which the first server counts as lost: its answer may be whole
+MANY_QUIET: Final = 3  # requests that are all quiet on a server, as it was not heard of: one silence is enough
 MAX_DETOURS: Final = 3
 
 
@@ -119,7 +120,9 @@
         work = self._work
         if not work.may_send():
             return NotRun("keys too old")
-        dispatch = work.make_dispatch(self._first.id, self._chain, self._relay.last_event)
+        dispatch = work.make_dispatch(
+            self._first.id, self._chain, self._relay.last_event, is_resumed=self._relay.is_begun
+        )
         headers = build_server_headers(work.request.headers, dispatch)
         await link.send(work.request.method, work.request.target, headers, work.request.body, work.left)
         head = await self._await(link, is_head=True)
@@ -186,7 +189,9 @@
         first = self._chain.parts[0]
         if first in lost:
             self._silences += 1
-            if self._silences >= MAX_SILENCES or self._parts.reports.is_refused(first.server.id):
+            busy = self._parts.beliefs[self._first.id].in_progress
+            enough = MAX_SILENCES if busy < MANY_QUIET else 1
+            if self._silences >= enough or self._parts.reports.is_refused(first.server.id):
                 self._parts.beliefs[self._first.id].record_failure(time.monotonic())
                 work.avoided.add(self._first.id)
                 self._is_gone = True
