Never call a request not run because its lost run does not count as an attempt; remove what nothing uses

Cause: read as a newcomer: runs on servers that have ended are taken off the count of attempts, and the same count decided whether 503 (not run) may be said. A stream that must not run twice, whose first server fell silent before its first event, was refused with 503 although it may have run. Ruled out: plain requests (their count is never lowered); streams that may be resumed run again, so no rule showed it. Change: what may have run is a mark of its own; settings, fields and functions that nothing read are gone; reports of servers that have left are forgotten.

--- a/packages/core/src/vaneturn_core/traffic/configuration.py
+++ b/packages/core/src/vaneturn_core/traffic/configuration.py
@@ -56,7 +56,6 @@
     name: str
     bytes: float
     step_factor: float  # on the times of steps and of context
-    read_factor: float  # on the other times
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,13 +68,10 @@
     layer_bytes: float
     cache_bytes: float  # of one token on one layer
     step: float  # seconds of a token step
-    step_each: float  # seconds more for each request that writes
-    read: float  # seconds for each prompt token
     handover_bytes: float  # of a token's activations, from one server of a chain to the next
     pipe_rate: float  # bytes a second between two data halls, shared by all
     usual_prompt: int  # tokens
     usual_answer: int  # tokens
-    loads_at_once: int  # more of them slow each other down
     kinds: Mapping[str, ServerKind]
     delays: Mapping[tuple[DataHall, DataHall], float]  # seconds one way between data halls
 
@@ -85,8 +81,6 @@
     """A service and, for a model, its engines."""
 
     name: ServiceName
-    health_path: str
-    max_connections: int  # of each server, from all callers together
     engine: EngineProfile | None
 
 
--- a/packages/core/src/vaneturn_core/traffic/servers.py
+++ b/packages/core/src/vaneturn_core/traffic/servers.py
@@ -56,7 +56,6 @@
     slots: int
     kind: str | None  # of its accelerator
     layers: tuple[LayerRange, ...]  # ready for requests
-    holds_model: bool  # false for servers of plain services and for empty ones
 
     def compute_room(self, engine: EngineProfile) -> float:
         """Compute the memory that its layers leave, in tokens times layers."""
--- a/packages/core/src/vaneturn_core/traffic/settings.py
+++ b/packages/core/src/vaneturn_core/traffic/settings.py
@@ -21,13 +21,11 @@
 class Bounds(Struct, frozen=True, kw_only=True):
     """Times and shares that the operators hold the system to."""
 
-    drain_ms: Milliseconds = 2000.0  # from a server's leaving to its last new request
     keys_valid_ms: Milliseconds = 5000.0  # from the removal of a key to its last request
     stop_s: PositiveSeconds = 8.0  # from SIGTERM to SIGKILL
     retry_ratio: Annotated[float, Meta(ge=0)] = 0.2  # second sends for each first, over all nodes
     retry_window_s: PositiveSeconds = 10.0
     retry_slack: Annotated[float, Meta(ge=0)] = 100.0  # second sends in a window beyond the ratio
-    stall_ms: Milliseconds = 3000.0  # that a chain stands still before its server ends it
 
 
 class TrafficSettings(Struct, frozen=True, kw_only=True):
--- a/packages/core/src/vaneturn_core/traffic/view.py
+++ b/packages/core/src/vaneturn_core/traffic/view.py
@@ -7,7 +7,7 @@
 
 from vaneturn_core.identifiers import ServiceName, VmId
 from vaneturn_core.traffic.configuration import TrafficConfiguration
-from vaneturn_core.traffic.servers import BackendServer, ServerAddress, ServerId
+from vaneturn_core.traffic.servers import BackendServer, ServerId
 
 KEYS_MARGIN: Final = 0.8  # seconds; a watch may hear nothing for a second before the store says so, and then does
 LAPSE_HOLD: Final = 2.2  # seconds after the store's return in which servers write their entries again
@@ -111,9 +111,5 @@
             if server.service == service and self._lapsed.get(server.id, now + 1) > now
         ]
 
-    def find_address(self, address: ServerAddress) -> BackendServer | None:
-        """Find the server at an address."""
-        return next((server for server in self.servers.values() if server.address == address), None)
-
 
 __all__ = ["PlatformView"]
--- a/packages/node/src/vaneturn_node/platform/configuration.py
+++ b/packages/node/src/vaneturn_node/platform/configuration.py
@@ -50,7 +50,6 @@
     name: str
     mb: float
     pace: float = 1.0
-    read_x: float = 1.0
 
 
 class _Delay(Struct, rename={"one": "from", "other": "target_version"}):  # the far zone, not a version
@@ -73,9 +72,6 @@
     kv_token_bytes: float = 0.0  # of a token on all layers
     models: list[_Model] = []
     step_ms: float = 1.0
-    per_seq_ms: float = 0.0
-    read_per_s: float = 1e5
-    loads_at_once: int = 1
     delays: list[_Delay] = []
     usual: _Usual = _Usual()
     layers: int = 0
@@ -87,8 +83,6 @@
 
 class _Service(Struct):
     name: str
-    health_path: str = "/"
-    max_conns: int = 100
     engine: _Engine | None = None
 
 
@@ -156,7 +150,7 @@
 def _convert_service(service: _Service) -> BackendService:
     engine = service.engine
     profile = _convert_engine(engine) if engine is not None and engine.models and engine.layers else None
-    return BackendService(ServiceName(service.name), service.health_path, service.max_conns, profile)
+    return BackendService(ServiceName(service.name), profile)
 
 
 def _convert_engine(engine: _Engine) -> EngineProfile:
@@ -171,14 +165,11 @@
         layer_bytes=engine.layer_mb * _MEGABYTE,
         cache_bytes=engine.kv_token_bytes / engine.layers,
         step=engine.step_ms * _MS,
-        step_each=engine.per_seq_ms * _MS,
-        read=1 / engine.read_per_s,
         handover_bytes=engine.act_bytes,
         pipe_rate=engine.pipe_mbps * _MEGABIT_BYTES or float("inf"),
         usual_prompt=engine.usual.prompt,
         usual_answer=engine.usual.answer,
-        loads_at_once=engine.loads_at_once,
-        kinds={kind.name: ServerKind(kind.name, kind.mb * _MEGABYTE, kind.pace, kind.read_x) for kind in engine.kinds},
+        kinds={kind.name: ServerKind(kind.name, kind.mb * _MEGABYTE, kind.pace) for kind in engine.kinds},
         delays=delays,
     )
 
--- a/packages/node/src/vaneturn_node/platform/servers.py
+++ b/packages/node/src/vaneturn_node/platform/servers.py
@@ -26,11 +26,6 @@
     end: int
 
 
-class _Model(Struct):
-    name: str
-    layers: list[_Layers] | _Layers | None = None
-
-
 class _Entry(Struct):
     service: str
     addr: str
@@ -38,7 +33,6 @@
     state: str
     slots: int = 1
     route_type: str | None = None  # kind of its accelerator, not of a route
-    models: list[_Model] | None = None
     layers: list[_Layers] | _Layers | None = None
 
 
@@ -50,10 +44,6 @@
 class _Report(Struct):
     seq: int = 0
     utilization: bool = False  # an order is under way
-    queued: int = 0
-    active: int = 0
-    kv_used: float = 0.0
-    kv_total: float = 0.0
     pace: float = 1.0
     layers: list[_Layers] | _Layers | None = None
     stalled: list[_Stalled] = []
@@ -65,8 +55,6 @@
 
     orders: int  # begun since its start
     is_loading: bool
-    cache_used: float  # tokens times layers
-    cache_total: float
     slowness: float  # over 1: slower than its kind
     layers: tuple[LayerRange, ...]
     stalled: dict[RequestId, ServerAddress]  # requests that wait for a part of their chain, and that part
@@ -95,7 +83,6 @@
             slots=entry.slots,
             kind=entry.route_type,
             layers=_convert_layers(entry.layers),
-            holds_model=bool(entry.models),
         )
     except msgspec.DecodeError as error:
         return describe_decode_error(error)
@@ -127,8 +114,6 @@
         return ServerReport(
             orders=report.seq,
             is_loading=report.utilization,
-            cache_used=report.kv_used,
-            cache_total=report.kv_total,
             slowness=report.pace,
             layers=_convert_layers(report.layers),
             stalled={RequestId(one.id): ServerAddress(one.addr) for one in report.stalled},
--- a/packages/node/src/vaneturn_node/traffic/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/exchange.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Container
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -20,6 +19,7 @@
 from vaneturn_node.platform.servers import ServerCalls, ServerReport
 
 SIGN_TIME: Final = 0.06  # seconds for a sign of life; a sound server answers in 2 to 4 ms
+MAX_REPORT_AGE: Final = 30.0  # seconds
 REPORT_AGE: Final = 0.2  # seconds; reports lag by as much
 
 
@@ -40,6 +40,7 @@
                 return known[1]
             report = await self._calls.read_report(server, SIGN_TIME)
             self._newest[server.id] = (time.monotonic(), report)
+            self._forget_old()
             return report
 
     def find(self, server: ServerId) -> ServerReport | None:
@@ -52,9 +53,10 @@
         known = self._newest.get(server)
         return known is not None and isinstance(known[1], Failed) and known[1].is_refused
 
-    def forget_absent(self, present: Container[ServerId]) -> None:
-        """Forget the servers that have left the list."""
-        for server in [one for one in self._newest if one not in present]:
+    def _forget_old(self) -> None:
+        """Forget reports that nobody can want any more, of servers that have left among them."""
+        oldest = time.monotonic() - MAX_REPORT_AGE
+        for server in [one for one, (told_at, _) in self._newest.items() if told_at < oldest]:
             del self._newest[server]
             self._locks.pop(server, None)
 
--- a/packages/node/src/vaneturn_node/traffic/outcomes.py
+++ b/packages/node/src/vaneturn_node/traffic/outcomes.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from vaneturn_core.traffic.servers import ServerAddress
 from vaneturn_node.http1.messages import Headers
 
 
@@ -14,7 +13,6 @@
     """The server did not and will not run the request: no byte of it left, or the server said so."""
 
     cause: str
-    faulty: ServerAddress | None = None  # part of a chain at fault; none: the server itself
     is_silent: bool = False  # the server did not even take a connection
 
 
--- a/packages/node/src/vaneturn_node/traffic/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/plain.py
@@ -60,7 +60,7 @@
         return work.route.may_repeat and work.runs < work.route.max_attempts
 
     def _give_up(self, work: RequestInProgress, last: TryOutcome | None) -> OwnAnswer:
-        if work.runs:
+        if work.may_have_run:
             cause = last.cause if isinstance(last, MayHaveRun | NotRun) else ""
             if work.left <= 0:
                 return OwnAnswer(504, Reason.TIMEOUT, cause=cause)
@@ -98,6 +98,7 @@
             outcome = await self._exchange(work, server, limit)
         finally:
             belief.in_progress -= 1
+        work.may_have_run = work.may_have_run or isinstance(outcome, MayHaveRun)
         seconds = time.monotonic() - started
         if isinstance(outcome, Answered):
             work.note(f"{server.id} answered {outcome.status}")
--- a/packages/node/src/vaneturn_node/traffic/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/requests.py
@@ -30,7 +30,8 @@
     customer: TrafficCustomer | None
     may_send: Callable[[], bool]  # asked right before each send: the key may have been taken away meanwhile
     sends: int = 0
-    runs: int = 0  # sends that may have run
+    runs: int = 0  # sends that count as attempts: those on servers that have ended do not
+    may_have_run: bool = False  # no answer of this node may promise that it has not
     avoided: set[ServerId] = field(default_factory=set)
     events: int = 0  # of a stream, passed on
     longest_pause: float = 0.0  # seconds between two events of a stream
--- a/packages/node/src/vaneturn_node/traffic/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/streams.py
@@ -100,7 +100,7 @@
             work.note("answer broken off")
             return None
         cause = end.cause if isinstance(end, NotRun | MayHaveRun) else ""
-        if work.runs:
+        if work.may_have_run:
             if work.left <= 0:
                 return OwnAnswer(504, Reason.TIMEOUT, cause=cause)
             return OwnAnswer(502, Reason.MAY_HAVE_RUN, cause=cause)
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -83,6 +83,7 @@
             if link is not None:
                 is_whole = end is None or isinstance(end, Answered | NotRun)
                 await self._parts.release(link, self._first.address, is_whole=is_whole)
+        work.may_have_run = work.may_have_run or isinstance(end, MayHaveRun)
         if end is not None and not isinstance(end, Answered):
             work.note(end.cause)
         return end
@@ -302,7 +303,7 @@
             belief.is_replaced = True
         elif facts.is_wrong_server:
             belief.record_failure(time.monotonic())
-        return NotRun(f"refused with {head.status} at {faulty.id}", facts.faulty)
+        return NotRun(f"refused with {head.status} at {faulty.id}")
 
     def _find_part(self, address: ServerAddress) -> BackendServer:
         return next((part.server for part in self._chain.parts if part.server.address == address), self._first)
--- a/tests/core/traffic/samples.py
+++ b/tests/core/traffic/samples.py
@@ -7,9 +7,9 @@
 from vaneturn_core.traffic.servers import BackendServer, LayerRange, ServerAddress, ServerId, ServerState
 
 KINDS = {
-    "a100": ServerKind("a100", 72e9, 2.4, 3.2),
-    "l40s": ServerKind("l40s", 43.2e9, 5.6, 2.7),
-    "l4": ServerKind("l4", 21.6e9, 16.0, 8.2),
+    "a100": ServerKind("a100", 72e9, 2.4),
+    "l40s": ServerKind("l40s", 43.2e9, 5.6),
+    "l4": ServerKind("l4", 21.6e9, 16.0),
 }
 HALLS = {
     "osborne": {"a100": 1, "l40s": 3, "l4": 8},
@@ -23,13 +23,10 @@
     layer_bytes=1750e6,
     cache_bytes=22950.0,
     step=0.00102,
-    step_each=0.000014,
-    read=1 / 105000,
     handover_bytes=91800,
     pipe_rate=26e9 / 8,
     usual_prompt=774,
     usual_answer=200,
-    loads_at_once=5,
     kinds=KINDS,
     delays={(DataHall(one), DataHall(other)): 0.00075 for one in HALLS for other in HALLS if one != other},
 )
@@ -47,7 +44,6 @@
         "slots": 96,
         "kind": kind,
         "layers": (LayerRange(*layers),) if layers else (),
-        "holds_model": layers is not None,
     }
     return BackendServer(**{**fields, **changes})  # type: ignore[arg-type]
 
--- a/tests/standins/platform/operator.py
+++ b/tests/standins/platform/operator.py
@@ -28,6 +28,10 @@
                 **common, "name": "letter", "path_prefix": "/letter/", "route_type": "stream", "timeout_ms": 20000,
                 "service": "llm", "resumable": True, "sticky": True, "gap_aim_ms": 200,
             },
+            {
+                **common, "name": "notice", "path_prefix": "/notice/", "route_type": "stream", "timeout_ms": 3000,
+                "service": "llm", "resumable": False, "max_attempts": 1,
+            },
             {
                 **common, "name": "once", "path_prefix": "/once/", "route_type": "unsafe", "timeout_ms": 800,
                 "service": "desk", "max_attempts": 1,
--- a/tests/system/platform/test_streams.py
+++ b/tests/system/platform/test_streams.py
@@ -108,3 +108,21 @@
     assert answer.status_code == 503
     assert float(answer.headers["retry-after"]) > 0
     assert not traffic.fleet.runs
+
+
+async def test_stream_that_must_not_run_twice_is_not_called_not_run_when_its_server_falls_silent(
+    traffic: Traffic,
+) -> None:
+    """A run on a lost server does not count as an attempt; it was taken for one that never was."""
+    servers = await traffic.add_chains()
+    traffic.fleet.token_time = 1.0  # the first event is not there yet
+    async with anyio.create_task_group() as tasks:
+
+        async def lose() -> None:
+            await wait_for(lambda: bool(traffic.fleet.runs))
+            next(server for server in servers if server.id == traffic.fleet.runs[0].server).is_dark = True
+
+        tasks.start_soon(lose)
+        answer = await traffic.ask("/notice/1")
+    assert answer.status_code in {502, 504}
+    assert len(traffic.fleet.runs) == 1
