--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 	PYTHONPATH=tests $(BIN)/python bench/overload.py
 	PYTHONPATH=tests $(BIN)/python bench/recovery.py
 	PYTHONPATH=tests $(BIN)/python bench/placing.py
+	PYTHONPATH=tests $(BIN)/python bench/chains.py
 
 capacity: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python bench/capacity.py
