--- a/tests/system/platform/test_placing.py
+++ b/tests/system/platform/test_placing.py
@@ -8,7 +8,9 @@
 import anyio
 import pytest
 
+from rig.ports import find_port
 from rig.traffic import Traffic, open_traffic, wait_for
+from standins.platform.servers import Server
 from standins.platform.store import Mode
 
 pytestmark = pytest.mark.anyio
@@ -22,8 +24,6 @@
 
 
 async def test_late_order_changes_nothing_after_a_newer_one(traffic: Traffic) -> None:
-    from rig.ports import find_port  # noqa: PLC0415 # only this test adds servers that answer late
-
     servers = []
     for hall in ("east", "west"):
         server = await traffic.fleet.add(f"127.0.0.1:{find_port()}", "llm", hall, "big")
@@ -49,11 +49,29 @@
 
 
 async def test_no_order_without_the_store(traffic: Traffic) -> None:
-    from rig.ports import find_port  # noqa: PLC0415 # the servers of this test never hold anything
-
     await traffic.add_chains(halls=("east",))
     traffic.fleet.store.set_mode(Mode.SILENT)
     await anyio.sleep(4.5)  # the lease is over
     server = await traffic.fleet.add(f"127.0.0.1:{find_port()}", "llm", "west", "big")
     await anyio.sleep(1.5)
     assert server.orders == 0
+
+
+async def test_gap_is_filled_while_servers_keep_appearing(traffic: Traffic) -> None:
+    """Orders waited until no server had appeared for a second; in a release one came each second."""
+    servers = await traffic.add_chains()
+    leaving = next(server for server in servers if server.hall == "east" and server.held == (0, 4))
+    added: list[Server] = []
+    async with anyio.create_task_group() as tasks:
+
+        async def keep_adding() -> None:
+            while True:
+                added.append(await traffic.fleet.add(f"127.0.0.1:{find_port()}", "llm", "east", "big"))
+                await anyio.sleep(0.6)
+
+        tasks.start_soon(keep_adding)
+        await anyio.sleep(0.3)
+        leaving.state = "draining"
+        leaving.announce()
+        await wait_for(lambda: any(server.held and server.held[0] == 0 for server in added), 2.5)
+        tasks.cancel_scope.cancel()
