Keep what does not depend on load between choices of a chain, and search inside halls first

A detour round a lost server began its search at the hall of the node in place of the hall of the chain, so that it could leave the chain's hall although that had a spare.

Ruled out: sampling chains at random without a search (a hall's only holder of some layers would be missed).

Change: LayerMap keeps the options of a list of servers until the list changes. Inner ends are only where another server's range begins. Chains inside one hall are searched first; a chain over halls costs a pipe at least, so it is searched only when no hall offers one for less. At most six holders of a boundary are looked at, picked at random. Detours count the crossings to the parts beside the lost one.

--- a/bench/chains.py
+++ b/bench/chains.py
@@ -10,6 +10,7 @@
 from core.traffic.samples import ENGINE, make_fleet
 from vaneturn_core.identifiers import DataHall
 from vaneturn_core.traffic.chains import ChainChooser
+from vaneturn_core.traffic.layermap import LayerMap
 from vaneturn_core.traffic.layout import LayoutPlanner
 from vaneturn_core.traffic.servers import BackendServer, ServerAddress, ServerBeliefs, ServerId
 
@@ -41,10 +42,16 @@
         planner_time = measure(lambda fleet=fleet: LayoutPlanner(ENGINE, fleet).plan_empty())  # type: ignore[misc]
         held = {one.server.id: (one.layers,) for one in LayoutPlanner(ENGINE, fleet).plan_empty()}
         placed = [dataclasses.replace(server, layers=held.get(server.id, ())) for server in fleet]
+        layer_map = LayerMap(ENGINE, placed)
         chooser = ChainChooser(
-            engine=ENGINE, beliefs=ServerBeliefs(), hall=DataHall("osborne"), share=8.0, prompt=774.0, tokens=974.0,
+            layer_map=layer_map,
+            beliefs=ServerBeliefs(),
+            hall=DataHall("osborne"),
+            share=8.0,
+            prompt=774.0,
+            tokens=974.0,
             now=0.0,
-        )  # fmt: skip
+        )
         choice_time = measure(lambda chooser=chooser, placed=placed: chooser.choose(placed))  # type: ignore[misc]
         first = first or (choice_time, planner_time)
         print(
--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+import random
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
@@ -10,9 +12,9 @@
 from vaneturn_core.identifiers import DataHall
 from vaneturn_core.tiling import assert_tiling
 from vaneturn_core.traffic.configuration import EngineProfile
-from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs
+from vaneturn_core.traffic.layermap import Boundaries, HolderOptions, LayerMap, Option, Part, index_options
+from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerId
 
-HOP_TIME: Final = 0.0008  # seconds a token waits at each server for the pass under way, from the published steps
 CROWDING_TIME: Final = 0.006  # seconds that a half-full server counts as slower
 FULL: Final = 0.97  # of a server's memory; beyond it, requests are put back
 FULL_TIME: Final = 10.0  # seconds that a full server counts as slower: it is taken only if no other is left
@@ -21,15 +23,9 @@
 VERY_SLOW: Final = 2.5  # times slower than its kind: streams over such a server pause for too long
 SLOW_TIME: Final = 0.3  # seconds that such a server counts as slower: more than a crossing, less than a full one
 MAX_PARTS: Final = 32  # that a chain may have
-
-
-@dataclass(frozen=True, slots=True)
-class Part:
-    """The layers [first, end) run on one server."""
-
-    server: BackendServer
-    first: int
-    end: int
+MAX_HOLDERS: Final = (
+    6  # looked at for each boundary, picked at random: the time of a choice stays the same in big fleets
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +34,6 @@
 
     layers: int
     parts: tuple[Part, ...]
-    crowding: float  # share of its memory that is taken on the fullest server
 
     def __post_init__(self) -> None:
         assert_chain(self.parts, self.layers)
@@ -48,6 +43,10 @@
         """The server that takes the request and answers it."""
         return self.parts[0].server
 
+    def count_crossings(self) -> int:
+        """Count the parts whose tokens come from another hall."""
+        return sum(one.server.hall != other.server.hall for one, other in itertools.pairwise(self.parts))
+
 
 def assert_chain(parts: Sequence[Part], layers: int) -> None:
     """Stop the process on parts that do not tile all layers, or name a server twice.
@@ -76,13 +75,21 @@
         return parts[::-1]
 
 
+@dataclass(frozen=True, slots=True)
+class _Load:
+    """What a server's load does to the time of a part."""
+
+    taken: float  # tokens times layers of the requests in progress, from all nodes
+    slowness: float
+
+
 class ChainChooser:
     """Chooses by the time of a token and by how full each server is; one instance for each choice."""
 
     def __init__(
         self,
         *,
-        engine: EngineProfile,
+        layer_map: LayerMap,
         beliefs: ServerBeliefs,
         hall: DataHall,
         share: float,
@@ -92,119 +99,130 @@
     ) -> None:
         """Prepare a choice.
 
+        :param layer_map: of the servers in the list.
         :param hall: of this node.
         :param share: how many times this node's requests are in progress over all nodes.
         :param prompt: tokens of the request's prompt.
-        :param now: steady time, for what was told a while ago.
         :param tokens: that the request will hold in the end.
+        :param now: steady time, for what was told a while ago.
         """
-        self._engine = engine
+        self._layer_map = layer_map
+        self._engine: EngineProfile = layer_map.engine
         self._beliefs = beliefs
         self._hall = hall
         self._share = share
-        self._prompt = prompt
         self.tokens = tokens
         self._now = now
+        self._pipe_time = PIPE_WEIGHT * prompt * self._engine.handover_bytes / self._engine.pipe_rate
 
-    def choose(self, servers: Iterable[BackendServer]) -> Chain | None:
-        """Choose a chain over servers that may get work; none when they do not hold all layers."""
-        holders = [server for server in servers if server.layers and server.kind in self._engine.kinds]
-        chain = self._search(holders, inner_ends=True)
-        return chain or self._search(holders, inner_ends=False)
+    def choose(self, able: Iterable[BackendServer]) -> Chain | None:
+        """Choose a chain over servers that may get work; none when they do not hold all layers.
 
-    def choose_replacement(self, servers: Iterable[BackendServer], kept: Sequence[Part], lost: Part) -> list[Part]:
-        """Choose servers for the layers of a lost part; empty when none are free beside the kept ones."""
+        Chains inside one hall are searched first. A chain over more halls costs a pipe at least, so it is searched only
+        when no hall offers one for less than that.
+        """
+        loads = self._read_loads(able)
+        found = [self._find_whole_way(boundaries, loads) for boundaries in self._layer_map.halls.values()]
+        best = min((way for way in found if way is not None), key=lambda way: way.cost, default=None)
+        if best is None or best.cost > self._pipe_time:
+            over_halls = self._find_whole_way(self._layer_map.everywhere, loads)
+            if best is None or (over_halls is not None and over_halls.cost < best.cost):
+                best = over_halls
+        return Chain(self._engine.layers, tuple(best.list_parts())) if best is not None else None
+
+    def choose_replacement(self, able: Iterable[BackendServer], parts: Sequence[Part], lost: Part) -> list[Part]:
+        """Choose servers for the layers of a lost part of a chain; empty when none are free beside the other parts."""
+        kept = [part for part in parts if part is not lost]
         taken = {part.server.address for part in kept}
-        holders = [server for server in servers if server.layers and server.address not in taken]
-        start = _Way(0.0, None, None)
-        best = self._find_way(holders, lost.first, lost.end, start, inner_ends=False)
-        parts = best.list_parts() if best is not None else []
-        return parts if len({part.server.address for part in parts}) == len(parts) else []
-
-    def _search(self, holders: Sequence[BackendServer], *, inner_ends: bool) -> Chain | None:
-        best = self._find_way(holders, 0, self._engine.layers, _Way(0.0, None, None), inner_ends=inner_ends)
+        holders = [
+            server
+            for server in able
+            if server.layers and server.kind in self._engine.kinds and server.address not in taken
+        ]
+        before = next((part.server.hall for part in kept if part.end == lost.first), OUTSIDE)
+        after = next((part.server.hall for part in kept if part.first == lost.end), None)
+        boundaries = index_options(self._engine, holders, lost.first, lost.end)
+        ways = self._find_ways(boundaries, self._read_loads(holders), before, lost.end)
+        best = min(
+            ways.items(),
+            key=lambda item: item[1].cost + (self._estimate_crossing(item[0], after) if after is not None else 0.0),
+            default=None,
+        )
+        found = best[1].list_parts() if best is not None else []
+        return found if _names_each_once(found) else []
+
+    def _read_loads(self, able: Iterable[BackendServer]) -> dict[ServerId, _Load]:
+        loads = {}
+        for server in able:
+            belief = self._beliefs[server.id]
+            loads[server.id] = _Load(belief.reserved * self._share, belief.read_slowness(self._now))
+        return loads
+
+    def _find_whole_way(self, boundaries: Boundaries, loads: Mapping[ServerId, _Load]) -> _Way | None:
+        """Find the cheapest way through all layers that can be a chain."""
+        ways = self._find_ways(boundaries, loads, OUTSIDE, self._engine.layers)
+        best = min(ways.values(), key=lambda way: way.cost, default=None)
         if best is None:
             return None
         parts = best.list_parts()
-        if len(parts) > MAX_PARTS or len({part.server.address for part in parts}) != len(parts):
-            return None
-        crowding = max(self.estimate_crowding(part) for part in parts)
-        return Chain(self._engine.layers, tuple(parts), crowding)
+        return best if len(parts) <= MAX_PARTS and _names_each_once(parts) else None
 
-    def _find_way(
-        self, holders: Sequence[BackendServer], first: int, end: int, start: _Way, *, inner_ends: bool
-    ) -> _Way | None:
-        """Find the cheapest way from one boundary to another.
+    def _find_ways(
+        self, boundaries: Boundaries, loads: Mapping[ServerId, _Load], before: str, end: int
+    ) -> dict[str, _Way]:
+        """Find the cheapest way from the first boundary to the end, for each hall that it may end in.
 
         Only the best way into each data hall is kept at a boundary: what follows costs the same after any of them.
         """
-        boundaries = _list_boundaries(holders, first, end)
         ways: defaultdict[int, dict[str, _Way]] = defaultdict(dict)
-        ways[first][OUTSIDE] = start
-        for boundary in boundaries[:-1]:
+        ways[min(boundaries, default=0)][before] = _Way(0.0, None, None)
+        for boundary, holders in boundaries.items():
             if not ways[boundary]:
                 continue
-            for server in holders:
-                for part in _list_parts(server, boundary, boundaries, inner_ends=inner_ends):
-                    self._extend(ways, part)
-        return min(ways[end].values(), key=lambda way: way.cost, default=None)
+            for options in _pick_holders(holders, loads):
+                self._extend(ways, options, loads[options[0].part.server.id])
+        return ways[end]
 
-    def _extend(self, ways: Mapping[int, dict[str, _Way]], part: Part) -> None:
+    def _extend(self, ways: Mapping[int, dict[str, _Way]], options: HolderOptions, load: _Load) -> None:
+        """Go on over one server, to each boundary that it may end at."""
+        part = options[0].part
         hall = part.server.hall
-        own = self._estimate_time(part)
-        before = min(ways[part.first].items(), key=lambda item: item[1].cost + self._estimate_crossing(item[0], hall))
-        cost = before[1].cost + self._estimate_crossing(before[0], hall) + own
-        known = ways[part.end].get(hall)
-        if known is None or cost < known.cost:
-            ways[part.end][hall] = _Way(cost, part, before[1])
+        cost, before = min(
+            ((way.cost + self._estimate_crossing(one, hall), way) for one, way in ways[part.first].items()),
+            key=lambda pair: pair[0],
+        )
+        for option in options:
+            whole = cost + self._estimate_time(option, load)
+            known = ways[option.part.end].get(hall)
+            if known is None or whole < known.cost:
+                ways[option.part.end][hall] = _Way(whole, option.part, before)
 
     def _estimate_crossing(self, one: str, other: str) -> float:
         """Estimate the time between two servers of a chain, or from this node to the first."""
-        if one == OUTSIDE:
-            return self._find_delay(self._hall, other)
         if one == other:
             return 0.0
-        pipe = self._prompt * self._engine.handover_bytes / self._engine.pipe_rate
-        return self._find_delay(one, other) + PIPE_WEIGHT * pipe
+        if one == OUTSIDE:
+            return self._find_delay(self._hall, other)
+        return self._find_delay(one, other) + self._pipe_time
 
     def _find_delay(self, one: str, other: str) -> float:
         return 0.0 if one == other else self._engine.delays.get((DataHall(one), DataHall(other)), 0.0)
 
-    def estimate_crowding(self, part: Part) -> float:
-        """Estimate the share of a server's memory that is taken once the request is there."""
-        room = part.server.compute_room(self._engine)
-        if room <= 0:
-            return 1.0
-        taken = self._beliefs[part.server.id].reserved * self._share
-        return (taken + self.tokens * (part.end - part.first)) / room
-
-    def _estimate_time(self, part: Part) -> float:
-        kind = self._engine.kinds[part.server.kind or ""]
-        share = (part.end - part.first) / self._engine.layers
-        crowding = self.estimate_crowding(part)
+    def _estimate_time(self, option: Option, load: _Load) -> float:
+        crowding = (load.taken + self.tokens * option.length) / option.room if option.room > 0 else 1.0
         crowded = FULL_TIME * crowding if crowding >= FULL else CROWDING_TIME * crowding / (1 - crowding)
-        slowness = self._beliefs[part.server.id].read_slowness(self._now)
-        slow = SLOW_TIME if slowness >= VERY_SLOW else 0.0
-        return slowness * (self._engine.step * kind.step_factor * share + HOP_TIME) + crowded + slow
-
-
-def _list_boundaries(holders: Iterable[BackendServer], first: int, end: int) -> list[int]:
-    edges = {first, end}
-    for server in holders:
-        for layers in server.layers:
-            edges.update(edge for edge in (layers.first, layers.end) if first < edge < end)
-    return sorted(edges)
-
-
-def _list_parts(server: BackendServer, boundary: int, boundaries: Sequence[int], *, inner_ends: bool) -> Iterable[Part]:
-    """List what a server can run from a boundary on: to the end of its range, and to boundaries inside it."""
-    for layers in server.layers:
-        if not layers.first <= boundary < layers.end:
-            continue
-        last = min(layers.end, boundaries[-1])
-        yield Part(server, boundary, last)
-        if inner_ends:
-            yield from (Part(server, boundary, end) for end in boundaries if boundary < end < last)
+        slow = SLOW_TIME if load.slowness >= VERY_SLOW else 0.0
+        return load.slowness * option.time + crowded + slow
+
+
+def _pick_holders(holders: Sequence[HolderOptions], loads: Mapping[ServerId, _Load]) -> Sequence[HolderOptions]:
+    """Pick the holders to look at, among those that may get work."""
+    able = [options for options in holders if options[0].part.server.id in loads]
+    return able if len(able) <= MAX_HOLDERS else random.sample(able, MAX_HOLDERS)
+
+
+def _names_each_once(parts: Sequence[Part]) -> bool:
+    return len({part.server.address for part in parts}) == len(parts)
 
 
 __all__ = ["VERY_SLOW", "Chain", "ChainChooser", "Part", "assert_chain"]
--- /dev/null
+++ b/packages/core/src/vaneturn_core/traffic/layermap.py
@@ -0,0 +1,92 @@
+"""Who can run which layers from which boundary on: what does not depend on load, built once for a list of servers."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from vaneturn_core.traffic.configuration import EngineProfile
+from vaneturn_core.traffic.servers import BackendServer
+
+HOP_TIME: Final = 0.0008  # seconds a token waits at each server for the pass under way, from the published steps
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """The layers [first, end) run on one server."""
+
+    server: BackendServer
+    first: int
+    end: int
+
+
+@dataclass(frozen=True, slots=True)
+class Option:
+    """A part that a chain may have, and what it costs without load."""
+
+    part: Part
+    room: float  # memory beside the layers, in tokens times layers
+    time: float  # seconds of a token step, at the usual speed of the server's kind
+
+    @property
+    def length(self) -> int:
+        """Give the number of layers."""
+        return self.part.end - self.part.first
+
+
+HolderOptions = Sequence[Option]  # of one server from one boundary on; none is empty
+Boundaries = Mapping[int, Sequence[HolderOptions]]  # in rising order
+
+
+class LayerMap:
+    """The options of a list of servers, by data hall and over all halls."""
+
+    def __init__(self, engine: EngineProfile, servers: Sequence[BackendServer]) -> None:
+        self.engine = engine
+        self.servers = servers
+        holders = [server for server in servers if server.layers and server.kind in engine.kinds]
+        by_hall: defaultdict[str, list[BackendServer]] = defaultdict(list)
+        for server in holders:
+            by_hall[server.hall].append(server)
+        self.halls = {hall: index_options(engine, inside, 0, engine.layers) for hall, inside in by_hall.items()}
+        self.everywhere = index_options(engine, holders, 0, engine.layers)
+
+    def is_of(self, engine: EngineProfile, servers: Sequence[BackendServer]) -> bool:
+        """Tell whether it was built for such servers."""
+        return self.engine is engine and self.servers == servers
+
+
+def index_options(engine: EngineProfile, holders: Sequence[BackendServer], first: int, end: int) -> Boundaries:
+    """Index what each holder can run inside the layers [first, end), by the boundary where it begins.
+
+    A part ends with its server's range, or where another server's range begins; from there that one may go on.
+    """
+    begins = {layers.first for server in holders for layers in server.layers if first < layers.first < end}
+    ends = {layers.end for server in holders for layers in server.layers if first < layers.end < end}
+    boundaries: dict[int, list[HolderOptions]] = {}
+    for boundary in sorted(begins | ends | {first}):
+        found = [_list_options(engine, server, boundary, begins, end) for server in holders]
+        boundaries[boundary] = [options for options in found if options]
+    return boundaries
+
+
+def _list_options(
+    engine: EngineProfile, server: BackendServer, boundary: int, begins: Iterable[int], end: int
+) -> list[Option]:
+    room = server.compute_room(engine)
+    step = engine.step * engine.kinds[server.kind or ""].step_factor / engine.layers
+    options: list[Option] = []
+    for layers in server.layers:
+        if layers.first <= boundary < layers.end:
+            last = min(layers.end, end)
+            stops = [begin for begin in begins if boundary < begin < last]
+            options += [
+                Option(Part(server, boundary, stop), room, step * (stop - boundary) + HOP_TIME)
+                for stop in (*stops, last)
+            ]
+    return options
+
+
+__all__ = ["HOP_TIME", "Boundaries", "HolderOptions", "LayerMap", "Option", "Part", "index_options"]
--- a/packages/node/src/vaneturn_node/traffic/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/exchange.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
 import anyio
 
 from vaneturn_core.identifiers import DataHall, ServiceName
+from vaneturn_core.traffic.configuration import EngineProfile
+from vaneturn_core.traffic.layermap import LayerMap
 from vaneturn_core.traffic.retries import WindowedRetryBudget
 from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerId
 from vaneturn_core.traffic.settings import Bounds
@@ -73,6 +76,7 @@
     calls: ServerCalls
     reports: ReportBoard
     budgets: dict[ServiceName, WindowedRetryBudget] = field(default_factory=dict)
+    layer_maps: dict[ServiceName, LayerMap] = field(default_factory=dict)
 
     def find_budget(self, service: ServiceName) -> WindowedRetryBudget:
         """Find the retry budget of a service."""
@@ -87,6 +91,18 @@
             )
         return budget
 
+    def find_layer_map(self, service: ServiceName, engine: EngineProfile) -> LayerMap:
+        """Find who holds which layers now; built anew only when the list of servers has changed."""
+        servers = self.view.list_servers(service)
+        known = self.layer_maps.get(service)
+        if known is None or not known.is_of(engine, servers):
+            known = self.layer_maps[service] = LayerMap(engine, servers)
+        return known
+
+    def list_choosable(self, service: ServiceName, avoided: Iterable[ServerId]) -> list[BackendServer]:
+        """List the servers of a service that may get new work."""
+        return self.beliefs.list_choosable(self.view.list_servers(service), avoided, time.monotonic())
+
     async def release(self, link: HttpLink, address: str, *, is_whole: bool) -> None:
         """Keep a connection whose exchange ended as it should, and close any other at once."""
         with anyio.CancelScope(shield=True):
--- a/packages/node/src/vaneturn_node/traffic/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/plain.py
@@ -74,9 +74,7 @@
 
     def _choose(self, work: RequestInProgress) -> BackendServer | None:
         """Choose the server that would answer soonest."""
-        servers = self._parts.view.list_servers(work.service)
-        beliefs = self._parts.beliefs
-        choosable = beliefs.list_choosable(servers, work.avoided, time.monotonic())
+        choosable = self._parts.list_choosable(work.service, work.avoided)
         if not choosable:
             return None
         random.shuffle(choosable)
--- a/packages/node/src/vaneturn_node/traffic/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/streams.py
@@ -8,9 +8,8 @@
 
 import anyio
 
-from vaneturn_core.traffic.chains import Chain, ChainChooser
+from vaneturn_core.traffic.chains import ChainChooser
 from vaneturn_core.traffic.configuration import EngineProfile
-from vaneturn_core.traffic.servers import BackendServer
 from vaneturn_node.http1.server import ClientAnswer
 from vaneturn_node.traffic.exchange import TrafficParts
 from vaneturn_node.traffic.outcomes import Answered, MayHaveRun, NotRun, OwnAnswer, Reason, refuse
@@ -48,7 +47,7 @@
         refusals = 0
         while work.sends < MAX_SENDS and refusals < MAX_REFUSALS and work.left > 0 and work.may_send():
             chooser = self._make_chooser(work, engine)
-            chain = chooser.choose(self._list_choosable(work))
+            chain = chooser.choose(self._parts.list_choosable(work.service, work.avoided))
             if chain is None:
                 if not relay.is_begun:
                     break
@@ -60,7 +59,8 @@
             elif not budget.spend():
                 work.note("retry budget used up")
                 break
-            end = await self._make_try(work, engine, chooser, chain, relay).run()
+            made = StreamTry(parts=self._parts, work=work, chooser=chooser, chain=chain, relay=relay)
+            end = await made.run()
             if end is None:
                 return None
             if isinstance(end, Answered) and not relay.is_begun:
@@ -70,23 +70,14 @@
                 break
         return self._give_up(work, relay, end)
 
-    def _make_try(
-        self, work: RequestInProgress, engine: EngineProfile, chooser: ChainChooser, chain: Chain, relay: Relay
-    ) -> StreamTry:
-        return StreamTry(parts=self._parts, work=work, engine=engine, chooser=chooser, chain=chain, relay=relay)
-
     def _may_run_again(self, work: RequestInProgress) -> bool:
         return work.route.may_repeat and work.runs < work.route.max_attempts
 
-    def _list_choosable(self, work: RequestInProgress) -> list[BackendServer]:
-        servers = self._parts.view.list_servers(work.service)
-        return self._parts.beliefs.list_choosable(servers, work.avoided, time.monotonic())
-
     def _make_chooser(self, work: RequestInProgress, engine: EngineProfile) -> ChainChooser:
         answer = min(work.facts.most_answer_tokens or engine.usual_answer, engine.usual_answer)
         prompt = work.facts.prompt_tokens or engine.usual_prompt
         return ChainChooser(
-            engine=engine,
+            layer_map=self._parts.find_layer_map(work.service, engine),
             beliefs=self._parts.beliefs,
             hall=self._parts.hall,
             share=self._parts.beliefs.estimate_share(self._parts.view.count_nodes(), time.monotonic()),
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import itertools
 import time
 from typing import Final
 
 import anyio
 
 from vaneturn_core.traffic.chains import VERY_SLOW, Chain, ChainChooser, Part
-from vaneturn_core.traffic.configuration import EngineProfile
 from vaneturn_core.traffic.servers import BackendServer, ServerAddress
 from vaneturn_node.http1.caller import Failed
 from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
@@ -44,14 +42,12 @@
         *,
         parts: TrafficParts,
         work: RequestInProgress,
-        engine: EngineProfile,
         chooser: ChainChooser,
         chain: Chain,
         relay: Relay,
     ) -> None:
         self._parts = parts
         self._work = work
-        self._engine = engine
         self._chooser = chooser
         self._chain = chain
         self._relay = relay
@@ -244,7 +240,7 @@
             chain = self._find_detour()
             if chain is None:
                 return MayHaveRun("no server in place of the lost one")
-            if self._may_move() and _count_crossings(chain) > _count_crossings(self._chain):
+            if self._may_move() and chain.count_crossings() > self._chain.count_crossings():
                 return MayHaveRun("another hall reads the prompt sooner than it crosses the pipe")
             assert work.facts.id is not None  # noqa: S101 # without an id a request is not let in
             outcome = await self._parts.calls.replace_parts(self._first, work.facts.id, list(chain.parts))
@@ -268,19 +264,19 @@
 
     def _find_detour(self) -> Chain | None:
         """Find a chain with other servers for the parts on avoided ones."""
-        servers = self._parts.view.list_servers(self._work.service)
-        choosable = self._parts.beliefs.list_choosable(servers, self._work.avoided, time.monotonic())
+        choosable = self._parts.list_choosable(self._work.service, self._work.avoided)
         kept = [part for part in self._chain.parts if part.server.id not in self._work.avoided]
         parts: list[Part] = []
         for part in self._chain.parts:
             if part in kept:
                 parts.append(part)
                 continue
-            replacement = self._chooser.choose_replacement(choosable, [*kept, *parts], part)
+            others = [*kept, *(one for one in parts if one not in kept)]
+            replacement = self._chooser.choose_replacement(choosable, others, part)
             if not replacement:
                 return None
             parts += replacement
-        return Chain(self._chain.layers, tuple(parts), self._chain.crowding)
+        return Chain(self._chain.layers, tuple(parts))
 
     async def _take_failure(self, link: HttpLink, head: AnswerHead) -> TryEnd:
         """Take an answer that is no success: a refusal names the part of the chain at fault."""
@@ -309,9 +305,4 @@
         return next((part.server for part in self._chain.parts if part.server.address == address), self._first)
 
 
-def _count_crossings(chain: Chain) -> int:
-    """Count the parts whose tokens come from another hall."""
-    return sum(one.server.hall != other.server.hall for one, other in itertools.pairwise(chain.parts))
-
-
 __all__ = ["StreamTry", "TryEnd"]
--- a/tests/core/traffic/test_chains.py
+++ b/tests/core/traffic/test_chains.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Sequence
 
 import pytest
 from hypothesis import given
@@ -10,15 +11,28 @@
 
 from core.traffic.samples import ENGINE, make_fleet, make_server
 from vaneturn_core.identifiers import DataHall
-from vaneturn_core.traffic.chains import ChainChooser, Part, assert_chain
+from vaneturn_core.traffic.chains import MAX_HOLDERS, Chain, ChainChooser, Part, assert_chain
+from vaneturn_core.traffic.layermap import LayerMap
 from vaneturn_core.traffic.layout import LayoutPlanner
 from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs
 
 
-def make_chooser(beliefs: ServerBeliefs, hall: str = "osborne") -> ChainChooser:
+def make_chooser(
+    fleet: Sequence[BackendServer], beliefs: ServerBeliefs | None = None, hall: str = "osborne"
+) -> ChainChooser:
     return ChainChooser(
-        engine=ENGINE, beliefs=beliefs, hall=DataHall(hall), share=8.0, prompt=774.0, tokens=974.0, now=100.0
-    )  # fmt: skip
+        layer_map=LayerMap(ENGINE, fleet),
+        beliefs=beliefs or ServerBeliefs(),
+        hall=DataHall(hall),
+        share=8.0,
+        prompt=774.0,
+        tokens=974.0,
+        now=100.0,
+    )
+
+
+def choose(fleet: Sequence[BackendServer], beliefs: ServerBeliefs | None = None, hall: str = "osborne") -> Chain | None:
+    return make_chooser(fleet, beliefs, hall).choose(fleet)
 
 
 def place_fleet() -> list[BackendServer]:
@@ -29,7 +43,7 @@
 
 @pytest.mark.parametrize("hall", ["osborne", "welshpool", "malaga"])
 def test_chain_stays_in_one_hall(hall: str) -> None:
-    chain = make_chooser(ServerBeliefs(), hall).choose(place_fleet())
+    chain = choose(place_fleet(), hall=hall)
     assert chain is not None
     assert len({part.server.hall for part in chain.parts}) == 1
 
@@ -39,28 +53,60 @@
     beliefs = ServerBeliefs()
     full = next(server for server in fleet if server.hall == "osborne")
     beliefs[full.id].reserved = full.compute_room(ENGINE) / 8
-    chain = make_chooser(beliefs).choose(fleet)
+    chain = choose(fleet, beliefs)
     assert chain is not None
     assert full not in [part.server for part in chain.parts]
 
 
 def test_no_chain_without_a_holder_of_some_layer() -> None:
     fleet = [server for server in place_fleet() if server.layers[0].first != 0]
-    assert make_chooser(ServerBeliefs()).choose(fleet) is None
+    assert choose(fleet) is None
 
 
 def test_replacement_keeps_off_the_servers_that_stay() -> None:
     fleet = place_fleet()
-    chooser = make_chooser(ServerBeliefs())
+    chooser = make_chooser(fleet)
     chain = chooser.choose(fleet)
     assert chain is not None
     lost = chain.parts[3]
-    kept = [part for part in chain.parts if part is not lost]
     others = [server for server in fleet if server.id != lost.server.id]
-    replacement = chooser.choose_replacement(others, kept, lost)
+    replacement = chooser.choose_replacement(others, chain.parts, lost)
     assert_chain([*chain.parts[:3], *replacement, *chain.parts[4:]], ENGINE.layers)
 
 
+def test_replacement_stays_in_the_hall_of_its_chain_whatever_the_hall_of_the_node() -> None:
+    chain = [(1, "a100", (0, 40)), (2, "a100", (40, 60)), (3, "a100", (60, 80))]
+    fleet = [make_server(number, kind, "malaga", layers) for number, kind, layers in chain]
+    spares = [make_server(4, "a100", "osborne", (40, 60)), make_server(5, "l40s", "malaga", (40, 60))]
+    chosen = choose(fleet)
+    assert chosen is not None
+    replacement = make_chooser([*fleet, *spares]).choose_replacement(
+        [fleet[0], fleet[2], *spares], chosen.parts, chosen.parts[1]
+    )
+    assert [part.server for part in replacement] == [spares[1]]
+
+
+def test_chain_uses_a_server_whose_layers_begin_inside_a_crowded_one() -> None:
+    fleet = [
+        make_server(1, "l40s", layers=(0, 20)),
+        make_server(2, "l40s", layers=(10, 30)),
+        make_server(3, "a100", layers=(20, 80)),
+    ]
+    beliefs = ServerBeliefs()
+    beliefs[fleet[0].id].reserved = 0.9 * fleet[0].compute_room(ENGINE) / 8
+    chain = choose(fleet, beliefs)
+    assert chain is not None
+    assert chain.parts[0] == Part(fleet[0], 0, 10)
+    assert chain.parts[1].server is fleet[1]
+
+
+def test_choice_looks_at_few_holders_of_each_boundary() -> None:
+    fleet = [make_server(number, "a100", layers=(0, 80)) for number in range(1, 200)]
+    beliefs = ServerBeliefs()
+    chosen = {choose(fleet, beliefs) for _ in range(5 * MAX_HOLDERS)}
+    assert len(chosen) > MAX_HOLDERS  # not the same few each time
+
+
 @pytest.mark.parametrize(
     "parts",
     [
@@ -83,7 +129,7 @@
         make_server(number, "a100", data.draw(st.sampled_from(["osborne", "malaga"])), (first, min(80, first + size)))
         for number, (first, size) in enumerate(ranges, 1)
     ]
-    chain = make_chooser(ServerBeliefs()).choose(fleet)
+    chain = choose(fleet)
     if chain is None:
         return
     assert_chain(chain.parts, ENGINE.layers)
