Let a few nodes ask the store for all, and pass changes on with their ages

Ruled out: longer watches alone (keys must be closed 5 s after the last word; a lost watch must be noticed within 2 s); the own interface's gossip (rounds of a second, tables in memory); relays that pass long values on (28 times a configuration over a link of 10 Mbit/s takes longer than it may).

Change: relays found by a hash of the registered names, 2 of 8 nodes, one for 16 of more. They answer a question as soon as they have heard of the store again; ages are counted on the asker's clock. A relay that is silent or out of touch for 1.2 s is left for 4 s and the store is asked. What a relay says of the store's troubles replaces what the asker knows, so that a node that the store turns away removes a server at once. Values over 4 KB are read from the store. following.py is split: viewkeeping.py applies items, however they came.

Tests: system/platform/test_relays.py with five processes (calls counted; a server leaves while the relay is killed, frozen or turned away by the store; a long configuration; taken keys; an outage), node/traffic/test_peers.py and test_changelog.py, core/traffic/test_relays.py. The stand-in store takes calls at one address for each node.

--- a/packages/cli/src/vaneturn_cli/traffic.py
+++ b/packages/cli/src/vaneturn_cli/traffic.py
@@ -50,8 +50,11 @@
 def format_states(states: list[TrafficState]) -> str:
     """Format the nodes, and the servers as the first of them sees them."""
     nodes = tabulate(
-        [(s.vm, s.version, s.age, s.is_ready, s.is_stopping, s.has_tenure, s.in_progress) for s in states],
-        headers=("vm", "version", "age s", "ready", "stopping", "tenure", "in progress"),
+        [
+            (s.vm, s.version, s.age, s.is_ready, s.is_stopping, s.has_tenure, s.relay or "store", s.in_progress)
+            for s in states
+        ],
+        headers=("vm", "version", "age s", "ready", "stopping", "tenure", "asks", "in progress"),
     )
     if not states:
         return nodes
--- a/packages/core/src/vaneturn_core/traffic/settings.py
+++ b/packages/core/src/vaneturn_core/traffic/settings.py
@@ -36,6 +36,7 @@
     client_address: Address
     readiness_address: Address
     metrics_address: Address
+    peer_address: Address  # where it tells other nodes of changes
     store_address: Address
     bounds: Bounds = Bounds()
     log_level: Annotated[str, Meta(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
--- a/packages/core/src/vaneturn_core/traffic/state.py
+++ b/packages/core/src/vaneturn_core/traffic/state.py
@@ -31,6 +31,7 @@
     is_stopping: bool
     has_tenure: bool
     nodes: list[str]
+    relay: str | None  # the node that tells it of changes; none when it asks the store
     in_progress: int
     servers: list[SeenServer]
 
--- a/packages/core/src/vaneturn_core/traffic/view.py
+++ b/packages/core/src/vaneturn_core/traffic/view.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Final
 
 from vaneturn_core.identifiers import ServiceName, VmId
@@ -15,6 +17,20 @@
 READY_AGE: Final = 2.5  # seconds; a node that hears nothing for longer leaves its clients to other nodes
 
 
+@dataclass(frozen=True, slots=True)
+class StoreContact:
+    """When the store was last heard of, as steady times."""
+
+    confirmed_at: float = float("-inf")  # everything believed was true then or later
+    failed_at: float = float("-inf")
+    returned_at: float = float("-inf")  # answered again after a failure
+
+    @property
+    def is_in_trouble(self) -> bool:
+        """Tell whether it has not answered since it failed."""
+        return self.failed_at > self.returned_at
+
+
 class PlatformView:
     """The configuration, the servers and the nodes as last heard from the store."""
 
@@ -27,17 +43,15 @@
         self._clock = clock
         self.configuration: TrafficConfiguration | None = None
         self.servers: dict[ServerId, BackendServer] = {}
-        self.nodes: set[VmId] = set()
+        self.nodes: dict[VmId, str | None] = {}  # and the address where a node tells others of changes
         self.has_servers = False  # the list was read once
-        self._confirmed_at = float("-inf")
-        self._failed_at = float("-inf")
-        self._returned_at = float("-inf")
+        self.contact = StoreContact()
         self._lapsed: dict[ServerId, float] = {}  # entries that went in trouble, and when they are given up
 
     @property
     def age(self) -> float:
         """Give the seconds since the store confirmed what is believed."""
-        return self._clock() - self._confirmed_at
+        return self._clock() - self.contact.confirmed_at
 
     def are_keys_valid(self) -> bool:
         """Tell whether the keys are known well enough to run requests with them."""
@@ -52,14 +66,19 @@
         return max(1, len(self.nodes))
 
     def confirm(self, at: float) -> None:
-        """Take note that everything believed was true at a time or later."""
-        self._confirmed_at = max(self._confirmed_at, at)
-        if self._failed_at > self._returned_at:
-            self._returned_at = self._clock()
+        """Take note that the store has answered, and that everything believed was true at a time or later."""
+        returned_at = self._clock() if self.contact.is_in_trouble else self.contact.returned_at
+        confirmed_at = max(self.contact.confirmed_at, at)
+        self.contact = StoreContact(confirmed_at, self.contact.failed_at, returned_at)
 
     def note_failure(self) -> None:
         """Take note that a call on the store failed."""
-        self._failed_at = self._clock()
+        self.contact = dataclasses.replace(self.contact, failed_at=self._clock())
+
+    def adopt_contact(self, contact: StoreContact) -> None:
+        """Take over when another node has heard of the store, in place of what this node knows of its troubles."""
+        confirmed_at = max(self.contact.confirmed_at, contact.confirmed_at)
+        self.contact = dataclasses.replace(contact, confirmed_at=confirmed_at)
 
     def take_configuration(self, configuration: TrafficConfiguration) -> bool:
         """Put a configuration in force; false for one that is not newer."""
@@ -78,7 +97,7 @@
         now = self._clock()
         if server not in self.servers:
             return False
-        if self._failed_at > self._returned_at or now - self._returned_at < RETURN_TIME:
+        if self.contact.is_in_trouble or now - self.contact.returned_at < RETURN_TIME:
             self._lapsed.setdefault(server, now + LAPSE_HOLD)
             return False
         del self.servers[server]
@@ -112,4 +131,4 @@
         ]
 
 
-__all__ = ["PlatformView"]
+__all__ = ["PlatformView", "StoreContact"]
--- a/packages/node/src/vaneturn_node/platform/store.py
+++ b/packages/node/src/vaneturn_node/platform/store.py
@@ -18,6 +18,7 @@
 WATCH_MARGIN: Final = 0.5  # seconds beyond a watch's wait
 _OK: Final = 200
 _NO_LEASE: Final = 404
+_NO_KEY: Final = 404
 _CONFLICT: Final = 412
 _HISTORY_GONE: Final = 410
 _NOTHING_DONE: Final = frozenset({429, 503})
@@ -121,6 +122,16 @@
         page = _decode(reply, _Page)
         return page if isinstance(page, NotDone) else _convert_page(page, page.entries)
 
+    async def read_key(self, key: str) -> StoreItem | NotDone:
+        """Read one key; a key that is not there has no value."""
+        reply = await self._call("GET", f"/api/kv-key?{urlencode({'key': key})}")
+        if not isinstance(reply, Reply):
+            return NotDone(reply.cause)
+        if reply.status == _NO_KEY:
+            return StoreItem(key, None, 0)
+        item = _decode(reply, _Item)
+        return item if isinstance(item, NotDone) else _convert_item(item)
+
     async def watch(self, prefix: str, revision: int, wait: float) -> StorePage | HistoryGone | NotDone:
         """Wait for changes after a revision, at most some seconds."""
         query = urlencode({"path_prefix": prefix, "since_rev": revision, "wait_ms": int(wait * 1000)})
@@ -183,10 +194,11 @@
 
 
 def _convert_page(page: _Page, items: Sequence[_Item]) -> StorePage:
-    converted = tuple(
-        StoreItem(item.key, None if item.gone else b64decode(item.value or ""), item.revision) for item in items
-    )
-    return StorePage(converted, page.at, page.more)
+    return StorePage(tuple(_convert_item(item) for item in items), page.at, page.more)
+
+
+def _convert_item(item: _Item) -> StoreItem:
+    return StoreItem(item.key, None if item.gone else b64decode(item.value or ""), item.revision)
 
 
 T = TypeVar("T")
--- a/packages/node/src/vaneturn_node/traffic/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/daemon.py
@@ -26,14 +26,17 @@
 from vaneturn_node.platform.servers import ServerCalls
 from vaneturn_node.platform.store import PlatformStore
 from vaneturn_node.traffic.answering import Answerer
+from vaneturn_node.traffic.changelog import ChangeLog
 from vaneturn_node.traffic.exchange import ReportBoard, TrafficParts
 from vaneturn_node.traffic.following import StoreFollower
 from vaneturn_node.traffic.inspection import EndedTraffic, Inspection
 from vaneturn_node.traffic.metrics import TrafficMetrics
+from vaneturn_node.traffic.peers import ChangeClient, ChangeServer
 from vaneturn_node.traffic.placing import Placer
 from vaneturn_node.traffic.registration import Registration
 from vaneturn_node.traffic.stopping import Lifecycle
 from vaneturn_node.traffic.tenure import Tenure
+from vaneturn_node.traffic.viewkeeping import ViewKeeper
 
 READINESS_PATH: Final = "/api/readyz"
 STOP_LOOK: Final = 0.05  # seconds between looks whether the last request has ended
@@ -57,7 +60,7 @@
         self._beliefs = ServerBeliefs()
         metrics = TrafficMetrics()
         self._tenure = Tenure(self._store, self.id, settings.vm)
-        self._registration = Registration(self._store, settings.vm)
+        self._registration = Registration(self._store, settings.vm, settings.peer_address)
         calls = ServerCalls(caller)
         hall = DataHall(settings.data_hall)
         parts = TrafficParts(hall, bounds, self._view, self._beliefs, self._pool, calls, ReportBoard(calls))
@@ -65,6 +68,17 @@
         self._answerer = Answerer(parts, metrics, ended)
         self._placer = Placer(self._tenure, self._view, calls)
         self._lifecycle = Lifecycle(bounds.stop_s)
+        log = ChangeLog()
+        self._changes = ChangeServer(log, self._view)
+        self._follower = StoreFollower(
+            vm=settings.vm,
+            store=self._store,
+            view=self._view,
+            keeper=ViewKeeper(self._view, self._beliefs, self._tenure),
+            log=log,
+            peers=ChangeClient(caller),
+            server=self._changes,
+        )
         self._client_listener: Listener[SocketStream] | None = None
         self._inspection = Inspection(
             vm=settings.vm,
@@ -73,15 +87,15 @@
             metrics=metrics,
             ended=ended,
             tenure=self._tenure,
+            follower=self._follower,
             lifecycle=self._lifecycle,
         )
 
     async def run(self) -> None:
         """Run until a planned stop has ended."""
-        follower = StoreFollower(self._store, self._view, self._beliefs, self._tenure)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with anyio.create_task_group() as tasks:
-                for background in (follower.run, self._tenure.run, self._registration.run, self._placer.run):
+                for background in (self._follower.run, self._tenure.run, self._registration.run, self._placer.run):
                     tasks.start_soon(background)
                 tasks.start_soon(self._pool.run)
                 await self._listen(tasks)
@@ -101,6 +115,7 @@
             (self._settings.client_address, self._serve_client),
             (self._settings.readiness_address, self._serve_readiness),
             (self._settings.metrics_address, self._serve_metrics),
+            (self._settings.peer_address, self._serve_peer),
         ]
         for address, serve in served:
             host, _, port = address.rpartition(":")
@@ -147,6 +162,9 @@
         self._inspection.in_progress = self._answerer.in_progress
         await self._serve(stream, self._inspection.answer)
 
+    async def _serve_peer(self, stream: SocketStream) -> None:
+        await self._serve(stream, self._changes.answer)
+
     async def _serve(self, stream: SocketStream, handler: Handler) -> None:
         configuration = self._view.configuration
         limits = configuration.limits if configuration is not None else ClientLimits()
--- a/packages/node/src/vaneturn_node/traffic/inspection.py
+++ b/packages/node/src/vaneturn_node/traffic/inspection.py
@@ -13,6 +13,7 @@
 from vaneturn_core.traffic.state import SeenServer, TrafficRequest, TrafficState
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
 from vaneturn_node.traffic.exchange import TrafficParts
+from vaneturn_node.traffic.following import StoreFollower
 from vaneturn_node.traffic.metrics import TrafficMetrics
 from vaneturn_node.traffic.stopping import Lifecycle
 from vaneturn_node.traffic.tenure import Tenure
@@ -54,6 +55,7 @@
         metrics: TrafficMetrics,
         ended: EndedTraffic,
         tenure: Tenure,
+        follower: StoreFollower,
         lifecycle: Lifecycle,
     ) -> None:
         self._vm = vm
@@ -62,6 +64,7 @@
         self._metrics = metrics
         self._ended = ended
         self._tenure = tenure
+        self._follower = follower
         self._lifecycle = lifecycle
         self.in_progress = 0  # requests; kept by the answerer
 
@@ -90,6 +93,7 @@
             is_stopping=self._lifecycle.is_stopping,
             has_tenure=self._tenure.is_sure(),
             nodes=sorted(view.nodes),
+            relay=self._follower.followed,
             in_progress=self.in_progress,
             servers=[self._describe_server(server) for server in view.servers.values()],
         )
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/peers.py
@@ -0,0 +1,130 @@
+"""Changes of the store from node to node: a relay answers as soon as it has heard of the store again.
+
+Times travel as ages. The asker counts them from when it began to ask, plus the time that the relay held the question by
+its own clock, so that what is believed is never younger than it is.
+"""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import Final
+from urllib.parse import parse_qs
+
+import anyio
+import msgspec
+from msgspec import Struct
+
+from vaneturn_core.traffic.view import PlatformView, StoreContact
+from vaneturn_node.http1.caller import Caller, Reply
+from vaneturn_node.http1.server import ClientAnswer, ClientRequest
+from vaneturn_node.traffic.changelog import Change, ChangeLog
+
+CHANGES_PATH: Final = "/changes"
+HOLD_TIME: Final = 0.9  # seconds a relay holds a question; it hears of the store every 0.8 s
+ASK_TIME: Final = (
+    1.2  # seconds for an answer; then the store is asked, within the 2 s that a leaving server may get work
+)
+MAX_RELAYED_AGE: Final = 1.2  # seconds since the store's word at which a relay is out of touch, for the same reason
+_OK: Final = 200
+_GONE: Final = 410
+_JSON: Final = [(b"content-type", b"application/json")]
+
+
+class _Word(Struct):
+    """An answer of a relay; ages in seconds, none for what never was."""
+
+    revision: int
+    changes: list[Change]
+    held: float
+    confirmed_age: float | None
+    failed_age: float | None
+    returned_age: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedChanges:
+    """What a relay knows after a revision."""
+
+    revision: int
+    changes: list[Change]
+    contact: StoreContact
+
+
+class ChangeServer:
+    """Answers the nodes that ask this one for changes."""
+
+    def __init__(self, log: ChangeLog, view: PlatformView) -> None:
+        self._log = log
+        self._view = view
+        self._asked_at = float("-inf")
+
+    def is_asked(self) -> bool:
+        """Tell whether nodes ask this one."""
+        return time.monotonic() - self._asked_at < 2 * HOLD_TIME
+
+    async def answer(self, request: ClientRequest, answer: ClientAnswer) -> None:
+        """Answer with the changes after a revision, or with a newer confirmation that there are none."""
+        since = parse_qs(request.target.partition("?")[2]).get("since", [""])[0]
+        if request.path != CHANGES_PATH or not since.isdigit():
+            await answer.send_whole(404, [], b"")
+            return
+        self._asked_at = time.monotonic()
+        confirmed_at = self._view.contact.confirmed_at
+        changes = self._log.list_since(int(since))
+        with anyio.move_on_after(HOLD_TIME):
+            while changes == [] and self._view.contact.confirmed_at == confirmed_at:
+                await self._log.wait()
+                changes = self._log.list_since(int(since))
+        if changes is None:
+            await answer.send_whole(_GONE, [], b"")
+            return
+        now = time.monotonic()
+        contact = self._view.contact
+        word = _Word(
+            revision=self._log.revision,
+            changes=changes,
+            held=now - request.arrived,
+            confirmed_age=_compute_age(now, contact.confirmed_at),
+            failed_age=_compute_age(now, contact.failed_at),
+            returned_age=_compute_age(now, contact.returned_at),
+        )
+        await answer.send_whole(_OK, _JSON, msgspec.json.encode(word))
+
+
+class ChangeClient:
+    """Asks relays for changes."""
+
+    def __init__(self, caller: Caller) -> None:
+        self._caller = caller
+
+    async def ask(self, address: str, since: int) -> RelayedChanges | None:
+        """Wait for changes after a revision; none when the relay is out of touch or does not keep them any more."""
+        started = time.monotonic()
+        reply = await self._caller.call(address, "GET", f"{CHANGES_PATH}?since={since}", ASK_TIME)
+        if not isinstance(reply, Reply) or reply.status != _OK:
+            return None
+        try:
+            word = msgspec.json.decode(reply.body, type=_Word)
+        except msgspec.DecodeError:
+            return None
+        told_at = started + max(0.0, word.held)
+        contact = StoreContact(
+            _compute_time(told_at, word.confirmed_age),
+            _compute_time(told_at, word.failed_age),
+            _compute_time(told_at, word.returned_age),
+        )
+        if time.monotonic() - contact.confirmed_at > MAX_RELAYED_AGE:
+            return None
+        return RelayedChanges(word.revision, word.changes, contact)
+
+
+def _compute_age(now: float, at: float) -> float | None:
+    return None if at == float("-inf") else now - at
+
+
+def _compute_time(now: float, age: float | None) -> float:
+    return float("-inf") if age is None else now - age
+
+
+__all__ = ["ASK_TIME", "CHANGES_PATH", "HOLD_TIME", "ChangeClient", "ChangeServer", "RelayedChanges"]
--- a/packages/node/src/vaneturn_node/traffic/records.py
+++ b/packages/node/src/vaneturn_node/traffic/records.py
@@ -9,11 +9,16 @@
 
 from vaneturn_core.identifiers import NodeId, VmId
 
-OWN_PREFIX: Final = "vaneturn/"
 NODES_PREFIX: Final = "vaneturn/nodes/"
 TENURE_KEY: Final = "vaneturn/placer"
 
 
+class NodeRecord(Struct, frozen=True):
+    """A node that shares limits with the others."""
+
+    peer_address: str  # where it tells others of changes
+
+
 class TenureHolder(Struct, frozen=True):
     """The node that gives orders; the fence of its orders is the revision of the record."""
 
@@ -21,6 +26,19 @@
     vm: VmId
 
 
+def encode_node(record: NodeRecord) -> bytes:
+    """Encode the record of a node."""
+    return msgspec.json.encode(record)
+
+
+def decode_node(value: bytes) -> NodeRecord | None:
+    """Decode the record of a node; none if it is not understood."""
+    try:
+        return msgspec.json.decode(value, type=NodeRecord)
+    except msgspec.DecodeError:
+        return None
+
+
 def encode_holder(holder: TenureHolder) -> bytes:
     """Encode the record of the holder."""
     return msgspec.json.encode(holder)
@@ -34,4 +52,13 @@
         return None
 
 
-__all__ = ["NODES_PREFIX", "OWN_PREFIX", "TENURE_KEY", "TenureHolder", "decode_holder", "encode_holder"]
+__all__ = [
+    "NODES_PREFIX",
+    "TENURE_KEY",
+    "NodeRecord",
+    "TenureHolder",
+    "decode_holder",
+    "decode_node",
+    "encode_holder",
+    "encode_node",
+]
--- a/packages/node/src/vaneturn_node/traffic/registration.py
+++ b/packages/node/src/vaneturn_node/traffic/registration.py
@@ -9,7 +9,7 @@
 
 from vaneturn_core.identifiers import VmId
 from vaneturn_node.platform.store import Lease, LeaseOver, PlatformStore
-from vaneturn_node.traffic.records import NODES_PREFIX
+from vaneturn_node.traffic.records import NODES_PREFIX, NodeRecord, encode_node
 
 TERM: Final = 20.0  # seconds; a node too many only makes the others' shares smaller
 BEAT: Final = 6.0  # seconds
@@ -21,9 +21,10 @@
 class Registration:
     """Keeps the record of this node."""
 
-    def __init__(self, store: PlatformStore, vm: VmId) -> None:
+    def __init__(self, store: PlatformStore, vm: VmId, peer_address: str) -> None:
         self._store = store
         self._vm = vm
+        self._record = NodeRecord(peer_address)
         self._lease: int | None = None
         self._is_stopping = False
 
@@ -37,7 +38,7 @@
         lease = await self._store.grant_lease(TERM)
         if not isinstance(lease, Lease):
             return False
-        written = await self._store.write(NODES_PREFIX + self._vm, b"1", None, lease.id)
+        written = await self._store.write(NODES_PREFIX + self._vm, encode_node(self._record), None, lease.id)
         if not isinstance(written, int):
             return False
         self._lease = lease.id
--- /dev/null
+++ b/tests/core/traffic/test_relays.py
@@ -0,0 +1,40 @@
+"""Which nodes ask the store for the others: the same ones in every node's eyes, never only one, and in turn."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from vaneturn_core.identifiers import VmId
+from vaneturn_core.traffic.relays import DIRECT_NODES, NODES_EACH, count_relays, list_relays, rank_relays
+
+
+def make_nodes(count: int) -> list[VmId]:
+    return [VmId(f"entry-{number}") for number in range(count)]
+
+
+@pytest.mark.parametrize(("nodes", "relays"), [(1, 1), (DIRECT_NODES, DIRECT_NODES), (8, 2), (85, 6), (390, 25)])
+def test_relays_grow_much_more_slowly_than_nodes(nodes: int, relays: int) -> None:
+    assert count_relays(nodes) == relays
+
+
+def test_all_nodes_find_the_same_relays() -> None:
+    nodes = make_nodes(40)
+    assert list_relays(nodes) == list_relays(nodes[::-1])
+
+
+def test_relays_and_nodes_of_a_small_installation_ask_the_store() -> None:
+    nodes = make_nodes(40)
+    assert all(not rank_relays(relay, nodes) for relay in list_relays(nodes))
+    assert all(not rank_relays(node, nodes[:DIRECT_NODES]) for node in nodes[:DIRECT_NODES])
+
+
+def test_every_other_node_may_ask_each_relay_and_first_choices_are_spread() -> None:
+    nodes = make_nodes(390)
+    relays = list_relays(nodes)
+    ranked = {node: rank_relays(node, nodes) for node in nodes if node not in relays}
+    assert all(sorted(order) == sorted(relays) for order in ranked.values())
+    first = Counter(order[0] for order in ranked.values())
+    assert set(first) == set(relays)
+    assert max(first.values()) < 3 * NODES_EACH
--- a/tests/core/traffic/test_view.py
+++ b/tests/core/traffic/test_view.py
@@ -5,7 +5,7 @@
 from core.traffic.samples import make_server
 from vaneturn_core.identifiers import Revision, ServiceName
 from vaneturn_core.traffic.configuration import ClientLimits, TrafficConfiguration
-from vaneturn_core.traffic.view import KEYS_MARGIN, LAPSE_HOLD, RETURN_TIME, PlatformView
+from vaneturn_core.traffic.view import KEYS_MARGIN, LAPSE_HOLD, RETURN_TIME, PlatformView, StoreContact
 
 LLM = ServiceName("llm")
 
@@ -92,3 +92,23 @@
     clock.now += 10.0
     assert not view.expire_lapsed()
     assert view.list_servers(LLM) == [server]
+
+
+def test_word_of_another_node_replaces_what_is_known_of_the_stores_troubles() -> None:
+    """The store turned this node away, and served the other one all the time: what goes there is gone at once."""
+    clock = Clock()
+    view = PlatformView(5.0, clock)
+    server = make_server(1, "l4")
+    view.put_server(server)
+    view.note_failure()
+    view.adopt_contact(StoreContact(confirmed_at=clock.now))
+    assert view.are_keys_valid()
+    assert view.remove_server(server.id)
+
+
+def test_word_of_another_node_never_makes_the_view_older() -> None:
+    clock = Clock()
+    view = PlatformView(5.0, clock)
+    view.confirm(clock.now)
+    view.adopt_contact(StoreContact(confirmed_at=clock.now - 1.0))
+    assert view.age == 0.0
--- /dev/null
+++ b/tests/node/traffic/test_peers.py
@@ -0,0 +1,138 @@
+"""Changes from node to node: times are never taken for younger than they are."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import msgspec
+import pytest
+
+from vaneturn_core.traffic.view import PlatformView
+from vaneturn_node.http1.caller import Caller, Failed, Reply
+from vaneturn_node.http1.pool import LinkPool
+from vaneturn_node.http1.server import ClientAnswer, ClientRequest
+from vaneturn_node.platform.store import StoreItem
+from vaneturn_node.traffic.changelog import ChangeLog
+from vaneturn_node.traffic.peers import CHANGES_PATH, HOLD_TIME, MAX_RELAYED_AGE, ChangeClient, ChangeServer
+
+pytestmark = pytest.mark.anyio
+
+
+class Wire(Caller):
+    """Carries a question to a server in this process; the way back takes some seconds."""
+
+    def __init__(self, server: ChangeServer, delay: float = 0.0) -> None:
+        super().__init__(LinkPool())
+        self._server = server
+        self._delay = delay
+
+    async def call(self, address: str, method: str, target: str, limit: float, **_: object) -> Reply | Failed:
+        assert limit > 0
+        assert address == "relay"
+        answer = Answer()
+        request = ClientRequest(method, target, target.partition("?")[0], [], b"", time.monotonic())
+        await self._server.answer(request, answer)
+        await anyio.sleep(self._delay)
+        return Reply(answer.status, answer.body)
+
+
+class Answer(ClientAnswer):
+    """Keeps what was answered."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b""
+
+    async def send_whole(self, status: int, headers: object, body: bytes) -> None:
+        assert headers is not None
+        self.status = status
+        self.body = body
+
+
+class Relay:
+    """A node that has read the store at revision 5."""
+
+    def __init__(self) -> None:
+        self.view = PlatformView(5.0, time.monotonic)
+        self.log = ChangeLog()
+        self.log.reset(5)
+        self.view.confirm(time.monotonic())
+        self.server = ChangeServer(self.log, self.view)
+
+    def hear(self, *items: StoreItem, revision: int) -> None:
+        self.view.confirm(time.monotonic())
+        self.log.append(items, revision)
+
+
+async def test_changes_are_told_at_once() -> None:
+    relay = Relay()
+    relay.hear(StoreItem("servers/i-1", b"entry", 6), revision=6)
+    told = await ChangeClient(Wire(relay.server)).ask("relay", 5)
+    assert told is not None
+    assert told.revision == 6
+    assert [(change.key, change.value) for change in told.changes] == [("servers/i-1", b"entry")]
+
+
+async def test_question_waits_for_the_next_word_of_the_store() -> None:
+    relay = Relay()
+    told = []
+
+    async def ask() -> None:
+        told.append(await ChangeClient(Wire(relay.server)).ask("relay", 5))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        await anyio.sleep(0.1)
+        assert not told
+        relay.hear(revision=5)
+    assert told[0] is not None
+    assert told[0].changes == []
+
+
+async def test_time_of_the_word_is_never_taken_for_later_than_it_was() -> None:
+    relay = Relay()
+    confirmed_at = relay.view.contact.confirmed_at
+    relay.log.append([StoreItem("servers/i-1", b"entry", 6)], 6)
+    await anyio.sleep(0.1)
+    told = await ChangeClient(Wire(relay.server, delay=0.2)).ask("relay", 5)
+    assert told is not None
+    assert confirmed_at - 0.05 <= told.contact.confirmed_at <= confirmed_at
+
+
+async def test_relay_that_has_long_not_heard_of_the_store_counts_for_nothing() -> None:
+    relay = Relay()
+    await anyio.sleep(MAX_RELAYED_AGE - HOLD_TIME + 0.05)
+    with anyio.fail_after(HOLD_TIME + 0.5):
+        assert await ChangeClient(Wire(relay.server)).ask("relay", 5) is None
+
+
+async def test_troubles_of_the_store_are_told_with_their_times() -> None:
+    relay = Relay()
+    relay.view.note_failure()
+    relay.hear(StoreItem("servers/i-1", None, 6), revision=6)
+    told = await ChangeClient(Wire(relay.server)).ask("relay", 5)
+    assert told is not None
+    assert not told.contact.is_in_trouble
+    assert told.contact.returned_at == pytest.approx(relay.view.contact.returned_at, abs=0.05)
+
+
+@pytest.mark.parametrize(
+    "target", [f"{CHANGES_PATH}?since=4", f"{CHANGES_PATH}?since=x", CHANGES_PATH, "/other?since=5"]
+)
+async def test_question_that_cannot_be_answered_is_refused(target: str) -> None:
+    answer = Answer()
+    request = ClientRequest("GET", target, target.partition("?")[0], [], b"", time.monotonic())
+    await Relay().server.answer(request, answer)
+    assert answer.status in {404, 410}
+
+
+async def test_answer_that_is_not_understood_counts_for_nothing() -> None:
+    class Garbling(Caller):
+        def __init__(self) -> None:
+            super().__init__(LinkPool())
+
+        async def call(self, address: str, *_: object, **__: object) -> Reply | Failed:
+            return Reply(200, msgspec.json.encode({"address": address}))
+
+    assert await ChangeClient(Garbling()).ask("relay", 5) is None
--- a/tests/rig/traffic.py
+++ b/tests/rig/traffic.py
@@ -37,6 +37,8 @@
     client_port: int
     readiness_port: int
     metrics_port: int
+    peer_port: int
+    store_address: str  # one for each node, so that a test can treat their calls apart
 
     async def is_ready(self, client: httpx.AsyncClient) -> bool:
         try:
@@ -59,28 +61,31 @@
 
     fleet: Fleet
     folder: Path
-    store_address: str
     client: httpx.AsyncClient
     bounds: dict[str, float]
     nodes: list[Node] = field(default_factory=list)
     _numbers: Any = field(default_factory=lambda: count(1))
 
     async def start_node(self) -> Node:
-        ports = [find_port() for _ in range(3)]
+        client_port, readiness_port, metrics_port, peer_port = (find_port() for _ in range(4))
+        store_address = f"127.0.0.1:{find_port()}"
+        await self.fleet.store.listen(store_address, self.fleet.tasks)
         name = f"entry-{len(self.nodes) + 1}"
         settings = {
             "vm": name,
             "data_hall": "east",
-            "client_address": f"127.0.0.1:{ports[0]}",
-            "readiness_address": f"127.0.0.1:{ports[1]}",
-            "metrics_address": f"127.0.0.1:{ports[2]}",
-            "store_address": self.store_address,
+            "client_address": f"127.0.0.1:{client_port}",
+            "readiness_address": f"127.0.0.1:{readiness_port}",
+            "metrics_address": f"127.0.0.1:{metrics_port}",
+            "peer_address": f"127.0.0.1:{peer_port}",
+            "store_address": store_address,
             "bounds": self.bounds,
         }
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         arguments = ["--platform", "--settings", str(path)]
-        node = Node(Process("vaneturn_node", arguments, self.folder / f"{name}.log"), *ports)
+        process = Process("vaneturn_node", arguments, self.folder / f"{name}.log")
+        node = Node(process, client_port, readiness_port, metrics_port, peer_port, store_address)
         self.nodes.append(node)
         with anyio.fail_after(START_TIME):
             while True:
@@ -123,7 +128,7 @@
     """Run a platform with a configuration, and nodes that are ready."""
     address = f"127.0.0.1:{find_port()}"
     async with open_fleet(address) as fleet, httpx.AsyncClient(timeout=10.0) as client:
-        traffic = Traffic(fleet, folder, address, client, bounds)
+        traffic = Traffic(fleet, folder, client, bounds)
         configure(fleet.store, make_configuration(1))
         try:
             for _ in range(nodes):
--- a/tests/standins/platform/store.py
+++ b/tests/standins/platform/store.py
@@ -65,9 +65,13 @@
         self._wake()
 
     async def start(self, address: str, tasks: TaskGroup) -> None:
-        await serve(address, self._answer, tasks)
+        await self.listen(address, tasks)
         tasks.start_soon(self._expire)
 
+    async def listen(self, address: str, tasks: TaskGroup) -> None:
+        """Take calls at one more address, so that a test can tell callers apart."""
+        await serve(address, self._answer, tasks)
+
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         self.revision += 1
         made = self.items[key].made if key in self.items else self.revision
@@ -135,6 +139,9 @@
             prefix = call.query.get("path_prefix", "")
             entries = [item.encode() for key, item in sorted(self.items.items()) if key.startswith(prefix)]
             return 200, {"entries": entries, "more": False, "at": self.revision}
+        if call.path == "/api/kv-key":
+            found = self.items.get(call.query["key"])
+            return (200, found.encode()) if found else (404, {})
         if call.path == "/api/kv-watch":
             return await self._watch(call.query)
         if call.path == "/api/kv-txn":
--- /dev/null
+++ b/tests/system/platform/test_relays.py
@@ -0,0 +1,148 @@
+"""A few nodes ask the store for all: fewer calls, and no bound is missed when a relay is lost, frozen or cut off."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import anyio
+import httpx
+import pytest
+
+from rig.ports import find_port
+from rig.traffic import Node, Traffic, open_traffic
+from standins.platform.operator import HOST, KEY, configure, make_configuration
+from standins.platform.store import Mode
+from standins.platform.wire import Exchange
+
+pytestmark = pytest.mark.anyio
+
+NODES = 5
+WATCH = ("GET", "/api/kv-watch")
+DRAIN_TIME = 2.0  # seconds after which no node may send to a server that leaves
+LONG_ROUTES = 60  # make a configuration longer than what is passed on
+
+
+@pytest.fixture
+async def traffic(tmp_path: Path) -> AsyncIterator[Traffic]:
+    async with open_traffic(tmp_path, nodes=NODES) as made:
+        await made.add_desk()
+        await wait_for_relays(made)
+        yield made
+
+
+async def read_relays(traffic: Traffic) -> list[str | None]:
+    """Read the relay of each node that answers."""
+    relays = []
+    for node in traffic.nodes:
+        if node.process.popen.poll() is None:
+            state = await traffic.client.get(f"http://127.0.0.1:{node.metrics_port}/state", timeout=5.0)
+            relays.append(state.json()["relay"])
+    return relays
+
+
+async def wait_for_relays(traffic: Traffic) -> None:
+    with anyio.fail_after(20):
+        while True:
+            if sum(relay is not None for relay in await read_relays(traffic)) == NODES - 2:
+                return
+            await anyio.sleep(0.1)
+
+
+async def find_relay(traffic: Traffic) -> Node:
+    """Find the relay that most nodes ask."""
+    relays = [relay for relay in await read_relays(traffic) if relay is not None]
+    return traffic.nodes[int(max(set(relays), key=relays.count).removeprefix("entry-")) - 1]
+
+
+async def ask_all(traffic: Traffic, left_out: Node | None = None) -> list[httpx.Response]:
+    numbers = [number for number, node in enumerate(traffic.nodes) if node is not left_out]
+    return [await traffic.ask("/check/1", method="GET", node=number) for number in numbers]
+
+
+async def leave(traffic: Traffic) -> None:
+    """Let the one plain server leave without a word, and add another."""
+    old = next(server for server in traffic.fleet.servers.values() if server.service == "desk")
+    await traffic.fleet.add(f"127.0.0.1:{find_port()}", "desk", "east", None)
+    traffic.fleet.store.remove(f"servers/{old.id}")
+
+
+async def assert_all_use_the_new_server(traffic: Traffic, left_out: Node | None = None) -> None:
+    for answer in await ask_all(traffic, left_out):
+        assert answer.status_code == httpx.codes.OK
+    newest = list(traffic.fleet.servers.values())[-1]
+    asked = NODES - (left_out is not None)
+    assert [run.server for run in traffic.fleet.runs[-asked:]] == [newest.id] * asked
+
+
+async def test_two_nodes_ask_the_store_for_all(traffic: Traffic) -> None:
+    calls = traffic.fleet.store.calls
+    calls.clear()
+    await anyio.sleep(4.0)
+    assert 0 < calls.count(WATCH) <= 2 * 4.0 / 0.8 + 2
+
+
+async def test_leaving_server_is_known_everywhere_at_once(traffic: Traffic) -> None:
+    await leave(traffic)
+    await anyio.sleep(0.5)
+    await assert_all_use_the_new_server(traffic)
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP], ids=["killed", "frozen"])
+async def test_leaving_server_is_known_in_time_though_the_relay_is_lost(
+    traffic: Traffic, number: signal.Signals
+) -> None:
+    relay = await find_relay(traffic)
+    relay.process.send(number)
+    await leave(traffic)
+    await anyio.sleep(DRAIN_TIME - 0.3)
+    await assert_all_use_the_new_server(traffic, left_out=relay)
+    relay.process.send(signal.SIGCONT)
+
+
+async def test_relay_that_the_store_turns_away_is_left(traffic: Traffic) -> None:
+    """A server leaves right after the relay was cut from the store; the other nodes reach it."""
+    relay = await find_relay(traffic)
+
+    def treat(exchange: Exchange) -> Mode | None:
+        return Mode.SILENT if exchange.call.headers["host"] == relay.store_address else None
+
+    traffic.fleet.store.treats = treat
+    await leave(traffic)
+    await anyio.sleep(DRAIN_TIME - 0.3)
+    await assert_all_use_the_new_server(traffic, left_out=relay)
+
+
+async def test_long_configuration_reaches_all_nodes(traffic: Traffic) -> None:
+    routes = make_configuration(1)["routes"]
+    added = [
+        {**routes[3], "name": f"check-{number}", "path_prefix": f"/more-{number}/"} for number in range(LONG_ROUTES)
+    ]
+    configure(traffic.fleet.store, make_configuration(2, routes=[*routes, *added]))
+    await anyio.sleep(1.0)
+    for number in range(NODES):
+        answer = await traffic.ask("/more-7/1", method="GET", node=number)
+        assert answer.status_code == httpx.codes.OK
+
+
+async def test_taken_key_is_refused_by_all_nodes(traffic: Traffic) -> None:
+    configure(traffic.fleet.store, make_configuration(2, tenants=[{"name": "broker", "api_keys": ["other"]}]))
+    await anyio.sleep(1.0)
+    assert [answer.status_code for answer in await ask_all(traffic)] == [httpx.codes.UNAUTHORIZED] * NODES
+
+
+async def test_outage_of_the_store_closes_keys_in_time_on_all_nodes(traffic: Traffic) -> None:
+    traffic.fleet.store.set_mode(Mode.SILENT)
+    await anyio.sleep(5.0)
+    answers = await ask_all(traffic)
+    assert [answer.status_code for answer in answers] == [httpx.codes.SERVICE_UNAVAILABLE] * NODES
+    traffic.fleet.store.set_mode(Mode.SOUND)
+    await wait_for_relays(traffic)
+    assert [answer.status_code for answer in await ask_all(traffic)] == [httpx.codes.OK] * NODES
+
+
+async def test_unknown_host_is_no_peer(traffic: Traffic) -> None:
+    answer = await traffic.client.get(f"http://127.0.0.1:{traffic.nodes[0].peer_port}/other", headers={"Host": HOST})
+    assert answer.status_code == httpx.codes.NOT_FOUND
+    assert KEY not in answer.text
