Say once whether a request may run again, and name the bare figures of plain.py

Change: RequestInProgress.may_run_again and give_up_run, PlatformView.told_age, RETRY_AFTER, FIRST_LATENCY, FIRST_TRY_LEFT, ANY_IDLE_TIME. Behaviour stays as it is.

--- a/packages/core/src/vaneturn_core/traffic/view.py
+++ b/packages/core/src/vaneturn_core/traffic/view.py
@@ -14,6 +14,7 @@
 KEYS_MARGIN: Final = 0.8  # seconds; a watch may hear nothing for a second before the store says so, and then does
 LAPSE_HOLD: Final = 2.2  # seconds after the store's return in which servers write their entries again
 RETURN_TIME: Final = 0.5  # seconds after the store's return in which its answers tell what lapsed before
+MAX_TOLD_AGE: Final = 1e9  # seconds; told by a node that has heard nothing yet
 READY_AGE: Final = 2.5  # seconds; a node that hears nothing for longer leaves its clients to other nodes
 
 
@@ -53,6 +54,11 @@
         """Give the seconds since the store confirmed what is believed."""
         return self._clock() - self.contact.confirmed_at
 
+    @property
+    def told_age(self) -> float:
+        """Give the age for logs and operators, which take no infinite number."""
+        return min(self.age, MAX_TOLD_AGE)
+
     def are_keys_valid(self) -> bool:
         """Tell whether the keys are known well enough to run requests with them."""
         return self.age < self._keys_valid
--- a/packages/node/src/vaneturn_node/traffic/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/answering.py
@@ -14,7 +14,7 @@
 from vaneturn_core.traffic.configuration import EngineProfile, TrafficConfiguration, TrafficCustomer, TrafficRoute
 from vaneturn_core.traffic.state import TrafficRequest
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
-from vaneturn_node.platform.headers import RequestFacts, build_client_headers, read_request_facts
+from vaneturn_node.platform.headers import RETRY_AFTER, RequestFacts, build_client_headers, read_request_facts
 from vaneturn_node.traffic.exchange import TrafficParts
 from vaneturn_node.traffic.inspection import EndedTraffic
 from vaneturn_node.traffic.metrics import TrafficMetrics
@@ -24,7 +24,6 @@
 from vaneturn_node.traffic.streams import StreamForwarder
 
 NO_CONFIGURATION_RETRY: Final = 0.3  # seconds; a node reads the configuration in its first second
-MAX_AGE: Final = 1e9  # seconds: a node that has heard nothing yet has no finite age
 OLD_KEYS_RETRY: Final = 0.2  # seconds: other nodes may reach the store
 
 logger = logging.getLogger(__name__)
@@ -126,7 +125,7 @@
         answer.closes = answer.closes or not self._parts.view.is_ready()
         headers = [(b"content-type", b"application/json")]
         if result.retry_after is not None:
-            headers.append((b"retry-after", f"{result.retry_after:.2f}".encode()))
+            headers.append((RETRY_AFTER, f"{result.retry_after:.2f}".encode()))
         body = msgspec.json.encode({"error": result.reason.value, "cause": result.cause})
         await answer.send_whole(result.status, headers, body)
         return f"own {result.status} {result.reason.value}"
@@ -151,7 +150,7 @@
             ending=ending,
             seconds=round(seconds, 3),
             version=configuration.version if configuration is not None else None,
-            age=round(min(self._parts.view.age, MAX_AGE), 3),
+            age=round(self._parts.view.told_age, 3),
             steps=work.steps if work is not None else [],
             reason=result.reason.value if isinstance(result, OwnAnswer) else "",
             cause=result.cause if isinstance(result, OwnAnswer) else "",
--- a/packages/node/src/vaneturn_node/traffic/inspection.py
+++ b/packages/node/src/vaneturn_node/traffic/inspection.py
@@ -71,7 +71,7 @@
     async def answer(self, request: ClientRequest, answer: ClientAnswer) -> None:
         """Answer one operator's request."""
         if request.path == "/metrics":
-            self._metrics.age.set(min(self._parts.view.age, 1e9))
+            self._metrics.age.set(self._parts.view.told_age)
             self._metrics.servers.set(len(self._parts.view.servers))
             await answer.send_whole(200, _TEXT, self._metrics.render())
         elif request.path == "/state":
@@ -88,7 +88,7 @@
             vm=self._vm,
             node=self._node,
             version=view.configuration.version if view.configuration is not None else None,
-            age=round(min(view.age, 1e9), 3),
+            age=round(view.told_age, 3),
             is_ready=not self._lifecycle.is_stopping and view.is_ready(),
             is_stopping=self._lifecycle.is_stopping,
             has_tenure=self._tenure.is_sure(),
--- a/packages/node/src/vaneturn_node/traffic/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/plain.py
@@ -11,6 +11,7 @@
 from vaneturn_core.traffic.configuration import Repeatability
 from vaneturn_core.traffic.servers import BackendServer
 from vaneturn_node.http1.link import HttpLink, LinkError
+from vaneturn_node.http1.pool import ANY_IDLE_TIME
 from vaneturn_node.platform.headers import build_server_headers, read_answer_facts
 from vaneturn_node.traffic.exchange import TrafficParts
 from vaneturn_node.traffic.outcomes import Answered, MayHaveRun, NotRun, OwnAnswer, Reason, TryOutcome, refuse
@@ -18,6 +19,8 @@
 
 MAX_SENDS: Final = 3  # of one request, those that servers turned away included
 FIRST_TRY_SHARE: Final = 0.6  # of the objective, after which a repeatable request goes to a second server
+FIRST_TRY_LEFT: Final = 0.4  # of the time left, if that is longer
+FIRST_LATENCY: Final = 0.05  # seconds of a server that has not answered yet; most answer in 0.05 to 0.1 s
 UNSAFE_IDLE: Final = 1.0  # seconds a kept connection may have been idle to carry what must not run twice
 RETRY_AFTER: Final = 0.15  # seconds, full jitter on top
 SERVER_FAULT: Final = 500
@@ -46,25 +49,19 @@
                 budget.record_first()
             last = await self._try(work, server)
             if isinstance(last, Answered):
-                if last.status < SERVER_FAULT or not self._may_run_again(work):
+                if last.status < SERVER_FAULT or not work.may_run_again:
                     return last
                 failure = last
-            elif isinstance(last, MayHaveRun) and not self._may_run_again(work):
+            elif isinstance(last, MayHaveRun) and not work.may_run_again:
                 break
             work.avoided.add(server.id)
         if failure is not None:
             return failure
         return self._give_up(work, last)
 
-    def _may_run_again(self, work: RequestInProgress) -> bool:
-        return work.route.may_repeat and work.runs < work.route.max_attempts
-
     def _give_up(self, work: RequestInProgress, last: TryOutcome | None) -> OwnAnswer:
         if work.may_have_run:
-            cause = last.cause if isinstance(last, MayHaveRun | NotRun) else ""
-            if work.left <= 0:
-                return OwnAnswer(504, Reason.TIMEOUT, cause=cause)
-            return OwnAnswer(502, Reason.MAY_HAVE_RUN, cause=cause)
+            return work.give_up_run(last.cause if isinstance(last, MayHaveRun | NotRun) else "")
         retry_after = RETRY_AFTER * (1 + random.random())
         if not work.may_send():
             return refuse(Reason.KEYS_TOO_OLD, retry_after)
@@ -84,7 +81,7 @@
         belief = self._parts.beliefs[server.id]
         others = belief.told_load if time.monotonic() - belief.told_at < LOAD_MEMORY else 0
         busy = max(belief.in_progress, others)
-        return (belief.latency or 0.05) * (1 + busy / max(1, server.slots))
+        return (belief.latency or FIRST_LATENCY) * (1 + busy / max(1, server.slots))
 
     async def _try(self, work: RequestInProgress, server: BackendServer) -> TryOutcome:
         belief = self._parts.beliefs[server.id]
@@ -114,7 +111,7 @@
     def _limit_try(self, work: RequestInProgress) -> float:
         """Give the seconds of a try: a repeatable request leaves time for a second one."""
         if work.route.repeatability is Repeatability.SAFE and work.runs + 1 < work.route.max_attempts:
-            return min(work.left, max(FIRST_TRY_SHARE * work.route.objective, 0.4 * work.left))
+            return min(work.left, max(FIRST_TRY_SHARE * work.route.objective, FIRST_TRY_LEFT * work.left))
         return work.left
 
     async def _exchange(self, work: RequestInProgress, server: BackendServer, limit: float) -> TryOutcome:
@@ -122,7 +119,7 @@
         is_whole = False
         try:
             with anyio.fail_after(limit):
-                longest = UNSAFE_IDLE if not work.route.may_repeat else 60.0
+                longest = ANY_IDLE_TIME if work.route.may_repeat else UNSAFE_IDLE
                 link = await self._parts.pool.take(server.address, longest)
                 if not work.may_send():
                     return NotRun("keys too old")
--- a/packages/node/src/vaneturn_node/traffic/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/requests.py
@@ -13,6 +13,7 @@
 from vaneturn_core.traffic.servers import ServerId
 from vaneturn_node.http1.server import ClientRequest
 from vaneturn_node.platform.headers import Dispatch, RequestFacts
+from vaneturn_node.traffic.outcomes import OwnAnswer, Reason
 
 ANSWER_MARGIN: Final = 0.03  # seconds before the end of a request's time at which it is given up, for the way back
 MOST_URGENT: Final = 0
@@ -50,6 +51,11 @@
         """Give the seconds until it must be answered."""
         return self.ends - time.monotonic()
 
+    @property
+    def may_run_again(self) -> bool:
+        """Tell whether it may run on one more server."""
+        return self.route.may_repeat and self.runs < self.route.max_attempts
+
     @property
     def age(self) -> float:
         """Give the seconds since it arrived."""
@@ -83,6 +89,12 @@
             last_event=last_event if last_event is not None else self.facts.last_event,
         )
 
+    def give_up_run(self, cause: str) -> OwnAnswer:
+        """Make the final answer to a request that may have run."""
+        if self.left <= 0:
+            return OwnAnswer(504, Reason.TIMEOUT, cause=cause)
+        return OwnAnswer(502, Reason.MAY_HAVE_RUN, cause=cause)
+
     def note(self, step: str) -> None:
         """Take a step into the log line of the request."""
         self.steps.append(f"{self.age * 1000:.0f}ms {step}")
--- a/packages/node/src/vaneturn_node/traffic/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/streams.py
@@ -66,13 +66,10 @@
             if isinstance(end, Answered) and not relay.is_begun:
                 return end
             refusals += isinstance(end, NotRun)
-            if not isinstance(end, NotRun) and not self._may_run_again(work):
+            if not isinstance(end, NotRun) and not work.may_run_again:
                 break
         return self._give_up(work, relay, end)
 
-    def _may_run_again(self, work: RequestInProgress) -> bool:
-        return work.route.may_repeat and work.runs < work.route.max_attempts
-
     def _make_chooser(self, work: RequestInProgress, engine: EngineProfile) -> ChainChooser:
         answer = min(work.facts.most_answer_tokens or engine.usual_answer, engine.usual_answer)
         prompt = work.facts.prompt_tokens or engine.usual_prompt
@@ -92,9 +89,7 @@
             return None
         cause = end.cause if isinstance(end, NotRun | MayHaveRun) else ""
         if work.may_have_run:
-            if work.left <= 0:
-                return OwnAnswer(504, Reason.TIMEOUT, cause=cause)
-            return OwnAnswer(502, Reason.MAY_HAVE_RUN, cause=cause)
+            return work.give_up_run(cause)
         retry_after = RETRY_AFTER * (1 + random.random())
         if not work.may_send():
             return refuse(Reason.KEYS_TOO_OLD, retry_after, cause)
