Let a part rest that a server named in a refusal

Cause: a first server that answers "not run" names the part at fault: dead, draining, without its layers, or full. Only wrong layers made that part rest; a dead one was named again for each next request.

Ruled out: a fixed short rest (a dead server stays in the list for three of its heartbeats).

Change: a named part rests like a lost one, longer with each refusal in a row; a token that comes over it ends the row.

Test: test_part_that_was_refused_is_left_alone_by_the_next_requests; failed before.

--- a/packages/core/src/vaneturn_core/traffic/servers.py
+++ b/packages/core/src/vaneturn_core/traffic/servers.py
@@ -92,6 +92,11 @@
 
         self.errors *= 1 - ERROR_WEIGHT
 
+    def record_token(self, now: float) -> None:
+        """Take a token that came over a chain with this server; failures before it count no more."""
+        self.heard_at = now
+        self.failures = 0
+
     def record_error(self, now: float) -> None:
         """Take a failure that the server itself reported; a server that reports many of them rests."""
         self.errors += ERROR_WEIGHT * (1 - self.errors)
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -101,7 +101,7 @@
         """Take note that every part of the chain has just worked."""
         now = time.monotonic()
         for part in self._chain.parts:
-            self._parts.beliefs[part.server.id].heard_at = now
+            self._parts.beliefs[part.server.id].record_token(now)
 
     def _note_lost(self, error: LinkError) -> TryEnd:
         """Decide what a lost connection says of the first server, and of the request."""
@@ -297,7 +297,7 @@
         belief = self._parts.beliefs[faulty.id]
         if facts.is_wrong_server and facts.faulty is None:
             belief.is_replaced = True
-        elif facts.is_wrong_server:
+        elif facts.faulty is not None:  # dead, without the layers, or full: the next requests need not find out again
             belief.record_failure(time.monotonic())
         return NotRun(f"refused with {head.status} at {faulty.id}")
 
--- a/tests/system/platform/test_streams.py
+++ b/tests/system/platform/test_streams.py
@@ -103,6 +103,17 @@
     assert len(traffic.fleet.runs) == 1
 
 
+async def test_part_that_was_refused_is_left_alone_by_the_next_requests(traffic: Traffic) -> None:
+    """Each request found out for itself, and each refusal spent the retry budget."""
+    servers = await traffic.add_chains()
+    gone = next(server for server in servers if server.hall == "east" and server.held and server.held[0] > 0)
+    gone.held = (0, 1)  # the list still says what it held before
+    for _ in range(3):
+        assert list_ids((await traffic.ask("/letter/1")).text) == list(range(1, 11))
+    refused = [line for line in traffic.nodes[0].read_log() if any("refused" in step for step in line.get("steps", []))]
+    assert len(refused) == 1
+
+
 async def test_without_any_chain_the_refusal_is_true_and_tells_when_to_come_back(traffic: Traffic) -> None:
     answer = await traffic.ask("/letter/1")
     assert answer.status_code == 503
