Take a value of the store that is no base64 for an answer that was not understood

Cause: found by the new property tests of everything that parses bytes from clients, servers, the store and other nodes. The value of an item was decoded after the check of the answer, and its error ended the task that follows the store, and the process with it.

Ruled out: catching the error around the follower (other errors there are faults of ours and should end the process).

Change: the value is declared as bytes, so that the decoder checks it with the rest of the answer; writes likewise.

Test: test_value_of_the_store_that_is_no_base64, three cases, failed before; tests/node/traffic/test_parsing.py covers heads, entries, configurations, records, answers of the store and words of relays.

--- a/packages/node/src/vaneturn_node/platform/store.py
+++ b/packages/node/src/vaneturn_node/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from base64 import b64decode, b64encode
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final, TypeVar
@@ -82,7 +81,7 @@
 class _Item(Struct):
     key: str
     revision: int
-    value: str | None = None
+    value: bytes | None = None  # standard base64 on the wire
     gone: bool = False
 
 
@@ -147,7 +146,7 @@
         self, key: str, value: bytes, expected: int | None, lease: int = 0
     ) -> int | StoreConflict | LeaseOver | NotDone | MaybeDone:
         """Write a key, if it has the expected revision (0: absent); gives the revision of the write."""
-        put = [{"key": key, "value": b64encode(value).decode(), "lease": lease}]
+        put = [{"key": key, "value": value, "lease": lease}]
         rows = [] if expected is None else [{"key": key, "revision": expected}]
         body = msgspec.json.encode({"expected_rev": rows, "put": put, "remove": []})
         reply = await self._call("POST", "/api/kv-txn", body=body)
@@ -198,7 +197,7 @@
 
 
 def _convert_item(item: _Item) -> StoreItem:
-    return StoreItem(item.key, None if item.gone else b64decode(item.value or ""), item.revision)
+    return StoreItem(item.key, None if item.gone else item.value or b"", item.revision)
 
 
 T = TypeVar("T")
--- /dev/null
+++ b/tests/node/traffic/test_parsing.py
@@ -0,0 +1,132 @@
+"""Whatever bytes come from clients, servers, the store or other nodes: they are understood, or told to be not."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import anyio
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from vaneturn_core.faults import Fault
+from vaneturn_core.traffic.configuration import TrafficConfiguration
+from vaneturn_core.traffic.servers import BackendServer, ServerAddress, ServerId
+from vaneturn_node.http1.caller import Caller, Failed, Reply
+from vaneturn_node.http1.pool import LinkPool
+from vaneturn_node.platform.configuration import decode_configuration
+from vaneturn_node.platform.headers import AnswerFacts, RequestFacts, read_answer_facts, read_request_facts
+from vaneturn_node.platform.servers import decode_server
+from vaneturn_node.platform.store import HistoryGone, NotDone, PlatformStore, StorePage
+from vaneturn_node.traffic.peers import ChangeClient, RelayedChanges
+from vaneturn_node.traffic.records import decode_holder, decode_node
+
+NAMES = [
+    "service", "addr", "zone", "state", "slots", "route_type", "layers", "from", "target_version", "version", "routes",
+    "services", "limits", "tenants", "engine", "models", "kinds", "entries", "events", "at", "key", "value", "revision",
+    "gone", "host", "path_prefix", "changes", "held", "confirmed_age",
+]  # fmt: skip
+SCALARS = st.none() | st.booleans() | st.integers(-5, 10**9) | st.floats(allow_nan=False) | st.text(max_size=8)
+DOCUMENTS = st.recursive(
+    SCALARS,
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.sampled_from(NAMES), inner, max_size=8),
+    max_leaves=25,
+).map(lambda value: json.dumps(value).encode())
+BYTES = st.binary(max_size=200) | DOCUMENTS
+HEADERS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            [
+                b"x-request-id",
+                b"x-deadline-ms",
+                b"authorization",
+                b"x-token-usage",
+                b"host",
+                b"at-server",
+                b"x-instance-load",
+                b"x-not-executed",
+                b"x-response-seal",
+                b"last-event-id",
+                b"connection",
+            ]
+        ),
+        st.binary(max_size=40),
+    ),
+    max_size=8,
+)
+
+
+class Fixed(Caller):
+    """Answers every call in the same way."""
+
+    def __init__(self, status: int, body: bytes) -> None:
+        super().__init__(LinkPool())
+        self._reply = Reply(status, body)
+
+    async def call(self, *_: Any, **__: Any) -> Reply | Failed:
+        return self._reply
+
+
+@given(HEADERS)
+def test_heads_of_requests(headers: list[tuple[bytes, bytes]]) -> None:
+    assert isinstance(read_request_facts(headers), RequestFacts)
+
+
+@given(st.integers(200, 599), HEADERS)
+def test_heads_of_answers(status: int, headers: list[tuple[bytes, bytes]]) -> None:
+    assert isinstance(read_answer_facts(status, headers), AnswerFacts)
+
+
+@given(BYTES)
+def test_entries_of_servers(data: bytes) -> None:
+    assert isinstance(decode_server(ServerId("i-1"), data), BackendServer | Fault)
+
+
+@given(BYTES)
+def test_configurations(data: bytes) -> None:
+    assert isinstance(decode_configuration(data), TrafficConfiguration | Fault)
+
+
+@given(BYTES)
+def test_records_of_nodes(data: bytes) -> None:
+    decode_node(data)
+    decode_holder(data)
+
+
+@given(st.sampled_from([200, 404, 410, 429, 500, 503]), BYTES)
+@settings(max_examples=60)
+def test_answers_of_the_store(status: int, body: bytes) -> None:
+    async def call() -> None:
+        store = PlatformStore(Fixed(status, body), ServerAddress("store"))
+        assert isinstance(await store.watch("", 1, 1.0), StorePage | HistoryGone | NotDone)
+        assert isinstance(await store.read_range(""), StorePage | NotDone)
+        await store.read_key("key")
+        await store.write("key", b"value", 0)
+        await store.grant_lease(1.0)
+        await store.keep_lease(1)
+
+    anyio.run(call)
+
+
+@given(st.sampled_from([200, 410, 503]), BYTES)
+@settings(max_examples=60)
+def test_words_of_relays(status: int, body: bytes) -> None:
+    async def ask() -> None:
+        client = ChangeClient(Fixed(status, body))
+        assert isinstance(await client.ask("relay", 1), RelayedChanges | None)
+        await client.ask_long("relay", "key")
+
+    anyio.run(ask)
+
+
+@pytest.mark.parametrize("value", ["###", "YQ", "a\u00e9"])
+def test_value_of_the_store_that_is_no_base64(value: str) -> None:
+    """It ended the task that follows the store, and the process with it."""
+    body = json.dumps({"at": 3, "events": [{"key": "op/config", "revision": 2, "value": value}]}).encode()
+
+    async def call() -> None:
+        page = await PlatformStore(Fixed(200, body), ServerAddress("store")).watch("", 1, 1.0)
+        assert isinstance(page, NotDone)
+
+    anyio.run(call)
