--- a/packages/cli/src/vaneturn_cli/traffic.py
+++ b/packages/cli/src/vaneturn_cli/traffic.py
@@ -82,7 +82,8 @@
         *(STEP_INDENT + step for step in request.steps),
     ]
     if request.events:
-        lines.append(f"{request.events} events, longest pause {request.longest_pause:.3f} s")
+        pauses = f"the first after {request.first_event:.3f} s, longest pause {request.longest_pause:.3f} s"
+        lines.append(f"{request.events} events, {pauses}")
     if request.cause:
         lines.append(f"cause: {request.cause}")
     return "\n".join(lines)
--- a/packages/core/src/vaneturn_core/traffic/state.py
+++ b/packages/core/src/vaneturn_core/traffic/state.py
@@ -50,6 +50,7 @@
     reason: str = ""
     cause: str = ""
     events: int = 0  # of a stream, passed on
+    first_event: float = 0.0  # seconds from its arrival
     longest_pause: float = 0.0  # seconds between two of them
 
 
--- a/packages/node/src/vaneturn_node/traffic/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/answering.py
@@ -155,6 +155,7 @@
             reason=result.reason.value if isinstance(result, OwnAnswer) else "",
             cause=result.cause if isinstance(result, OwnAnswer) else "",
             events=work.events if work is not None else 0,
+            first_event=round(work.first_event, 3) if work is not None else 0.0,
             longest_pause=round(work.longest_pause, 3) if work is not None else 0.0,
         )
         self._ended.add(facts.id, ended)
--- a/packages/node/src/vaneturn_node/traffic/relay.py
+++ b/packages/node/src/vaneturn_node/traffic/relay.py
@@ -20,6 +20,7 @@
         self._answer = answer
         self.last_event = last_event
         self.is_begun = False
+        self.first_at: float | None = None  # when the first event was passed on, steady time
         self.longest_pause = 0.0  # seconds between two events
         self.events = 0
         self.usual_pause = 0.0  # moving average, seconds
@@ -41,6 +42,8 @@
             pause = now - self._passed_at
             self.longest_pause = max(self.longest_pause, pause)
             self.usual_pause += PAUSE_WEIGHT * (pause - self.usual_pause)
+        else:
+            self.first_at = now
         self._passed_at = now
         self.events += len(events)
         await self._answer.send_part(b"".join(event.data for event in events))
--- a/packages/node/src/vaneturn_node/traffic/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/requests.py
@@ -35,6 +35,7 @@
     may_have_run: bool = False  # no answer of this node may promise that it has not
     avoided: set[ServerId] = field(default_factory=set)
     events: int = 0  # of a stream, passed on
+    first_event: float = 0.0  # seconds from its arrival to the first event of a stream
     longest_pause: float = 0.0  # seconds between two events of a stream
     steps: list[str] = field(default_factory=list)  # what was decided, for the log
 
--- a/packages/node/src/vaneturn_node/traffic/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/streams.py
@@ -38,6 +38,8 @@
             return await self._forward(work, engine, relay)
         finally:
             work.events, work.longest_pause = relay.events, relay.longest_pause
+            if relay.first_at is not None:
+                work.first_event = relay.first_at - work.request.arrived
 
     async def _forward(
         self, work: RequestInProgress, engine: EngineProfile, relay: Relay
