Let a stream without a further run wait for a detour, and find losses in a module of its own

Ruled out: moving it to another hall (that is a second run, which its route does not allow).

Change: without a further run the look for a detour is repeated while the first server waits. lossfinding.py asks the parts; its words for what was found (silent, stalled, too slow) are unchanged.

Test: test_stream_that_must_not_run_twice_waits_for_a_server_in_place_of_a_lost_one; failed before.

--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -5,16 +5,14 @@
 import time
 from typing import Final
 
-import anyio
-
-from vaneturn_core.traffic.chains import VERY_SLOW, Chain, ChainChooser, Part
+from vaneturn_core.traffic.chains import Chain, ChainChooser, Part
 from vaneturn_core.traffic.servers import BackendServer, ServerAddress
-from vaneturn_node.http1.caller import Failed
 from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
 from vaneturn_node.platform.headers import build_server_headers, read_answer_facts
 from vaneturn_node.platform.servers import OrderOutcome
 from vaneturn_node.traffic.events import EventSplitter
 from vaneturn_node.traffic.exchange import TrafficParts
+from vaneturn_node.traffic.lossfinding import LossFinder
 from vaneturn_node.traffic.outcomes import Answered, MayHaveRun, NotRun
 from vaneturn_node.traffic.relay import Relay
 from vaneturn_node.traffic.requests import RequestInProgress
@@ -26,11 +24,6 @@
 OVERDUE_PAUSES: Final = 2.5  # the same, in usual pauses of this answer
 HEAD_OVERDUE: Final = 0.2  # seconds without the first event; most come in 0.16 s, and should in 0.5 s
 ASK_AGAIN: Final = 0.1  # seconds between questions while nothing comes
-SLOW_PAUSE: Final = 0.1  # seconds between events on average, above which the parts are asked for their speed
-SPEED_AGE: Final = 1.0  # seconds for which a server's word on its speed serves all requests
-HEARD_AGE: Final = 0.08  # seconds for which a server that has worked for any request counts as alive
-MAX_SILENCES: Final = 2  # questions without answer after which the first server counts as lost: its answer may be whole
-MANY_QUIET: Final = 3  # requests that are all quiet on a server, as it was not heard of: one silence is enough
 MAX_DETOURS: Final = 3
 
 
@@ -54,7 +47,7 @@
         self._tokens = chooser.tokens
         self._is_counted = False  # as a run
         self._is_gone = False  # the first server has ended, or is cut off
-        self._silences = 0  # questions to the first server without an answer
+        self._finder = LossFinder(parts, work)
 
     @property
     def _first(self) -> BackendServer:
@@ -175,59 +168,20 @@
             wait = ASK_AGAIN
 
     async def _look_for_loss(self) -> TryEnd | None:
-        """Ask all parts of the chain for a sign of life; gives an end when this chain cannot go on."""
+        """Look for lost parts, and go round them; gives an end when this chain cannot go on."""
         work = self._work
-        lost: list[Part] = []
-        quiet_before = time.monotonic() - HEARD_AGE
-        async with anyio.create_task_group() as tasks:
-            for part in self._chain.parts:
-                if self._parts.beliefs[part.server.id].heard_at < quiet_before:
-                    tasks.start_soon(self._ask, part, lost)
-        first = self._chain.parts[0]
-        if first in lost:
-            self._silences += 1
-            busy = self._parts.beliefs[self._first.id].in_progress
-            enough = MAX_SILENCES if busy < MANY_QUIET else 1
-            if self._silences >= enough or self._parts.reports.is_refused(first.server.id):
-                self._parts.beliefs[self._first.id].record_failure(time.monotonic())
-                work.avoided.add(self._first.id)
-                self._is_gone = True
-                if self._is_counted:
-                    work.runs -= 1  # runs on servers that have ended do not count
-                return MayHaveRun("first server lost")
-            return None
-        self._silences = 0
-        lost += [part for part in await self._find_slow() if part not in lost]
-        report = self._parts.reports.find(self._first.id)
-        stalled = report.stalled.get(work.facts.id) if report is not None and work.facts.id is not None else None
-        lost += [part for part in self._chain.parts if part.server.address == stalled and part not in lost]
-        if first in lost:
+        losses = await self._finder.find(self._chain, usual_pause=self._relay.usual_pause)
+        if losses.is_first_gone:
+            self._parts.beliefs[self._first.id].record_failure(time.monotonic())
+            work.avoided.add(self._first.id)
+            self._is_gone = True
+            if self._is_counted:
+                work.runs -= 1  # runs on servers that have ended do not count
+            return MayHaveRun("first server lost")
+        if self._chain.parts[0] in losses.parts:
             work.avoided.add(self._first.id)
             return MayHaveRun("first server stalls") if self._may_move() else None
-        return await self._replace(lost) if lost else None
-
-    async def _find_slow(self) -> list[Part]:
-        """Find the parts that say of themselves that they are much slower than their kind."""
-        if self._relay.usual_pause < SLOW_PAUSE:
-            return []
-        slow: list[Part] = []
-
-        async def ask(part: Part) -> None:
-            report = await self._parts.reports.read(part.server, SPEED_AGE)
-            if isinstance(report, Failed):
-                return
-            self._parts.beliefs[part.server.id].take_slowness(report.slowness, time.monotonic())
-            if report.slowness >= VERY_SLOW:
-                slow.append(part)
-
-        async with anyio.create_task_group() as tasks:
-            for part in self._chain.parts:
-                tasks.start_soon(ask, part)
-        return slow
-
-    async def _ask(self, part: Part, lost: list[Part]) -> None:
-        if isinstance(await self._parts.reports.read(part.server), Failed):
-            lost.append(part)
+        return await self._replace(losses.parts) if losses.parts else None
 
     async def _replace(self, lost: list[Part]) -> TryEnd | None:
         """Take the request over other servers in place of the lost ones."""
@@ -239,7 +193,7 @@
         for _ in range(MAX_DETOURS):
             chain = self._find_detour()
             if chain is None:
-                return MayHaveRun("no server in place of the lost one")
+                return self._end_or_wait("no server in place of the lost one")
             if self._may_move() and chain.count_crossings() > self._chain.count_crossings():
                 return MayHaveRun("another hall reads the prompt sooner than it crosses the pipe")
             assert work.facts.id is not None  # noqa: S101 # without an id a request is not let in
@@ -254,7 +208,14 @@
             if outcome is not OrderOutcome.CONFLICT:
                 break
             work.avoided.update(added)  # one of them has no room, or does not hold its part any more
-        return MayHaveRun("no detour")
+        return self._end_or_wait("no detour")
+
+    def _end_or_wait(self, cause: str) -> TryEnd | None:
+        """End the try if the request may run elsewhere; else the first server still waits a while for a detour."""
+        if self._may_move():
+            return MayHaveRun(cause)
+        self._work.note(f"{cause}; waits")
+        return None
 
     def _may_move(self) -> bool:
         """Tell whether the request may run on one more server."""
--- a/tests/system/platform/test_streams.py
+++ b/tests/system/platform/test_streams.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 
+from rig.ports import find_port
 from rig.traffic import Traffic, wait_for
 from standins.platform.servers import Fleet, Run
 from standins.platform.wire import Exchange
@@ -86,9 +87,11 @@
     assert traffic.fleet.runs[1].headers["last-event-id"] == "1"
 
 
-async def test_work_ends_when_the_client_leaves(traffic: Traffic) -> None:
+@pytest.mark.parametrize("token_time", [0.01, 3.0], ids=["in the answer", "before the first event"])
+async def test_work_ends_when_the_client_leaves(traffic: Traffic, token_time: float) -> None:
     await traffic.add_chains()
     traffic.fleet.answer_tokens = 1000
+    traffic.fleet.token_time = token_time
     with anyio.move_on_after(0.5):
         await traffic.ask("/letter/1")
     await wait_for(lambda: traffic.fleet.runs[0].was_cut, 2.0)
@@ -114,6 +117,26 @@
     assert len(refused) == 1
 
 
+async def test_stream_that_must_not_run_twice_waits_for_a_server_in_place_of_a_lost_one(traffic: Traffic) -> None:
+    """It was broken off at once, though its first server still waited and another took the layers soon after."""
+    servers = await traffic.add_chains(halls=("east",))
+    traffic.fleet.answer_tokens = 40
+    traffic.fleet.token_time = 0.03
+    async with anyio.create_task_group() as tasks:
+
+        async def lose() -> None:
+            await wait_for(lambda: any(len(run.tokens) > 3 for run in traffic.fleet.runs))
+            lost = next(server for server in servers if server.held and server.held[0] > 0)
+            await lost.crash(is_listed=False)
+            await traffic.fleet.add(f"127.0.0.1:{find_port()}", "llm", "east", "big")
+
+        tasks.start_soon(lose)
+        answer = await traffic.ask("/notice/1")
+    assert list_ids(answer.text) == list(range(1, 41))
+    assert len(traffic.fleet.runs) == 1
+    assert_layers_once_in_order(traffic.fleet)
+
+
 async def test_without_any_chain_the_refusal_is_true_and_tells_when_to_come_back(traffic: Traffic) -> None:
     answer = await traffic.ask("/letter/1")
     assert answer.status_code == 503
