--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := packages/core packages/node packages/cli
 SOURCES := packages tests bench
 
-.PHONY: demo test lint unit soak proofs bench capacity clean
+.PHONY: demo test lint unit soak traffic-soak proofs bench capacity clean
 
 $(STAMP): constraints.txt requirements-test.txt $(PACKAGES:%=%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -36,6 +36,11 @@
 soak: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python -m rig.soak --seconds $(SECONDS) --seed $(SEED)
 
+SEEDS ?= 1 2 3
+
+traffic-soak: $(STAMP)
+	PYTHONPATH=tests $(BIN)/python -m rig.trafficsoak --seconds $(SECONDS) --seeds $(SEEDS)
+
 proofs: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python -m rig.proofs
 
--- a/tests/rig/traffic.py
+++ b/tests/rig/traffic.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -17,10 +18,22 @@
 from rig.processes import Process
 from standins.platform.operator import HOST, KEY, configure, make_configuration
 from standins.platform.servers import Fleet, Server, open_fleet
+from standins.relay import Path as NetworkPath
 
 START_TIME = 20.0  # seconds; generous, for busy machines
 
 
+def list_ids(text: str) -> list[int]:
+    return [int(found) for found in re.findall(r"^id: (\d+)$", text, re.MULTILINE)]
+
+
+def assert_layers_once_in_order(fleet: Fleet) -> None:
+    for run in fleet.runs:
+        for chain in run.tokens:
+            layers = [layer for part in chain for layer in range(part.first, part.end)]
+            assert layers == list(range(fleet.layers)), f"token of {run.request} over {chain}"
+
+
 async def wait_for(condition: Any, limit: float = START_TIME) -> None:
     with anyio.fail_after(limit):
         while True:
@@ -38,8 +51,15 @@
     readiness_port: int
     metrics_port: int
     peer_port: int
+    arguments: list[str]
+    store_path: NetworkPath  # may be cut and healed
     store_address: str  # one for each node, so that a test can treat their calls apart
 
+    def restart(self) -> None:
+        """Start the process anew, as the platform does after its end."""
+        self.process.end()
+        self.process = Process("vaneturn_node", self.arguments, self.process.output)
+
     async def is_ready(self, client: httpx.AsyncClient) -> bool:
         try:
             answer = await client.get(f"http://127.0.0.1:{self.readiness_port}/api/readyz", timeout=1.0)
@@ -68,8 +88,12 @@
 
     async def start_node(self) -> Node:
         client_port, readiness_port, metrics_port, peer_port = (find_port() for _ in range(4))
-        store_address = f"127.0.0.1:{find_port()}"
-        await self.fleet.store.listen(store_address, self.fleet.tasks)
+        door = find_port()
+        await self.fleet.store.listen(f"127.0.0.1:{door}", self.fleet.tasks)
+        store_path, way_port = NetworkPath(door), find_port()
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=way_port)
+        self.fleet.tasks.start_soon(listener.serve, store_path.carry)
+        store_address = f"127.0.0.1:{way_port}"
         name = f"entry-{len(self.nodes) + 1}"
         settings = {
             "vm": name,
@@ -85,7 +109,8 @@
         path.write_text(json.dumps(settings))
         arguments = ["--platform", "--settings", str(path)]
         process = Process("vaneturn_node", arguments, self.folder / f"{name}.log")
-        node = Node(process, client_port, readiness_port, metrics_port, peer_port, store_address)
+        ports = (client_port, readiness_port, metrics_port, peer_port)
+        node = Node(process, *ports, arguments, store_path, store_address)
         self.nodes.append(node)
         with anyio.fail_after(START_TIME):
             while True:
@@ -139,4 +164,4 @@
                 node.process.end()
 
 
-__all__ = ["Node", "Traffic", "open_traffic", "wait_for"]
+__all__ = ["Node", "Traffic", "assert_layers_once_in_order", "list_ids", "open_traffic", "wait_for"]
--- a/tests/standins/platform/servers.py
+++ b/tests/standins/platform/servers.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import re
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -40,6 +41,7 @@
     body: bytes
     tokens: list[list[Part]] = field(default_factory=list)  # the chain of each token that was made
     was_cut: bool = False
+    started: float = field(default_factory=time.monotonic)
 
 
 @dataclass
--- a/tests/system/platform/test_streams.py
+++ b/tests/system/platform/test_streams.py
@@ -2,30 +2,17 @@
 
 from __future__ import annotations
 
-import re
-
 import anyio
 import pytest
 
 from rig.ports import find_port
-from rig.traffic import Traffic, wait_for
-from standins.platform.servers import Fleet, Run
+from rig.traffic import Traffic, assert_layers_once_in_order, list_ids, wait_for
+from standins.platform.servers import Run
 from standins.platform.wire import Exchange
 
 pytestmark = pytest.mark.anyio
 
 
-def list_ids(text: str) -> list[int]:
-    return [int(found) for found in re.findall(r"^id: (\d+)$", text, re.MULTILINE)]
-
-
-def assert_layers_once_in_order(fleet: Fleet) -> None:
-    for run in fleet.runs:
-        for chain in run.tokens:
-            layers = [layer for part in chain for layer in range(part.first, part.end)]
-            assert layers == list(range(fleet.layers)), f"token of {run.request} over {chain}"
-
-
 async def test_stream_is_whole_and_runs_each_layer_once(traffic: Traffic) -> None:
     await traffic.add_chains()
     answer = await traffic.ask("/letter/1")
