--- a/tests/rig/trafficsoak.py
+++ b/tests/rig/trafficsoak.py
@@ -73,7 +73,7 @@
         traffic.fleet.answer_tokens, traffic.fleet.token_time = TOKENS, 0.02
         await traffic.add_chains(each=3)
         for _ in range(3):
-            await traffic.add_desk()
+            (await traffic.add_desk()).work_time = 0.1  # so that some are lost at work
         clients = [self._ask_stream] * 6 + [self._ask_plain] * 4
         faults = [self._fail_node, self._fail_store, self._fail_server, self._change, self._stop_node]
         async with anyio.create_task_group() as tasks:
