Judge a missing entry by the store's own trouble, and leave a lost relay in two thirds of the bound

Ruled out: the hold of lapsed entries itself (right when the store is down), the watch of the node that asked the store itself (it removed the entry 0.03 s after it went).

Change: trouble counts as the store's only if this node and the one that tells failed at about the same time; a relay in trouble says so at once, and an answer after the whole hold counts for nothing, so that the asker goes to the store. Times of relays are derived from the settings' bounds (leaving_ms, change_ms): lost relays are left after 1.3 s of 2.0 s, before 1.91 s.

Before and after: the unit tests of view and peers fail on the old code; test_relay_that_the_store_turns_away_is_left[refused] failed in 1 of 3 runs on it, and passes now. Proof edits follow the code.

--- a/packages/core/src/vaneturn_core/traffic/relays.py
+++ b/packages/core/src/vaneturn_core/traffic/relays.py
@@ -4,6 +4,7 @@
 
 import hashlib
 from collections.abc import Collection
+from dataclasses import dataclass
 from typing import Final
 
 from vaneturn_core.identifiers import VmId
@@ -12,6 +13,32 @@
 NODES_EACH: Final = 16  # that share a relay; one poll takes about half a millisecond of its processor time
 MIN_RELAYS: Final = 2  # so that the loss of one leaves another
 
+WATCH_SHARE: Final = 0.4  # of the shortest bound: a relay hears of the store in that time
+MAX_RELAY_WATCH: Final = 1.0  # seconds; keys are closed a few seconds after the last word of the store
+GATHER_SHARE: Final = 0.05  # of the shortest bound, from an answer to the next question: many changes come in one
+HOLD_MARGIN: Final = 0.05  # of the shortest bound, for the way to the store and back
+ANSWER_MARGIN: Final = 0.15  # of the shortest bound, for the way to a relay and back on a crowded link
+
+
+@dataclass(frozen=True, slots=True)
+class RelayTimes:
+    """How long nodes wait for a relay: one that is lost is left after at most two thirds of the shortest bound."""
+
+    gather: float  # seconds between an answer with changes and the next question
+    watch: float  # seconds that a relay's question to the store waits
+    hold: float  # seconds that a relay holds a question without any word of the store; then it is out of touch
+    ask: float  # seconds that a node waits for a relay's answer, and age of the word from which it counts for nothing
+
+    @classmethod
+    def derive(cls, shortest_bound: float) -> RelayTimes:
+        """Derive the times.
+
+        :param shortest_bound: seconds from a change in the store to the last request that may not know of it.
+        """
+        watch = min(WATCH_SHARE * shortest_bound, MAX_RELAY_WATCH)
+        hold = watch + HOLD_MARGIN * shortest_bound
+        return cls(GATHER_SHARE * shortest_bound, watch, hold, hold + ANSWER_MARGIN * shortest_bound)
+
 
 def count_relays(nodes: int) -> int:
     """Count the relays among so many nodes."""
@@ -35,4 +62,4 @@
     return hashlib.blake2b(text.encode(), digest_size=8).digest()
 
 
-__all__ = ["count_relays", "list_relays", "rank_relays"]
+__all__ = ["RelayTimes", "count_relays", "list_relays", "rank_relays"]
--- a/packages/core/src/vaneturn_core/traffic/settings.py
+++ b/packages/core/src/vaneturn_core/traffic/settings.py
@@ -15,6 +15,7 @@
 
 SETTINGS_VARIABLE: Final = "VANETURN_NODE_FILE"  # names the settings file when no option does
 Milliseconds = Annotated[float, Meta(ge=0)]
+PositiveMilliseconds = Annotated[float, Meta(gt=0)]
 PositiveSeconds = Annotated[float, Meta(gt=0)]
 
 
@@ -22,6 +23,8 @@
     """Times and shares that the operators hold the system to."""
 
     keys_valid_ms: Milliseconds = 5000.0  # from the removal of a key to its last request
+    leaving_ms: PositiveMilliseconds = 2000.0  # from a server's word that it leaves to the last request sent to it
+    change_ms: PositiveMilliseconds = 2000.0  # from a new configuration to the last request by the one before
     stop_s: PositiveSeconds = 8.0  # from SIGTERM to SIGKILL
     retry_ratio: Annotated[float, Meta(ge=0)] = 0.2  # second sends for each first, over all nodes
     retry_window_s: PositiveSeconds = 10.0
--- a/packages/core/src/vaneturn_core/traffic/view.py
+++ b/packages/core/src/vaneturn_core/traffic/view.py
@@ -14,6 +14,7 @@
 KEYS_MARGIN: Final = 0.8  # seconds; a watch may hear nothing for a second before the store says so, and then does
 LAPSE_HOLD: Final = 2.2  # seconds after the store's return in which servers write their entries again
 RETURN_TIME: Final = 0.5  # seconds after the store's return in which its answers tell what lapsed before
+SAME_TROUBLE: Final = 3.0  # seconds between the newest failures of two nodes in one outage; a lost call takes 2 s
 MAX_TOLD_AGE: Final = 1e9  # seconds; told by a node that has heard nothing yet
 READY_AGE: Final = 2.5  # seconds; a node that hears nothing for longer leaves its clients to other nodes
 
@@ -31,6 +32,11 @@
         """Tell whether it has not answered since it failed."""
         return self.failed_at > self.returned_at
 
+    def shares_trouble(self, other: StoreContact) -> bool:
+        """Tell whether both nodes failed to reach the store at about the same time."""
+        have_failed = min(self.failed_at, other.failed_at) > float("-inf")
+        return have_failed and abs(self.failed_at - other.failed_at) <= SAME_TROUBLE
+
 
 class PlatformView:
     """The configuration, the servers and the nodes as last heard from the store."""
@@ -82,9 +88,17 @@
         self.contact = dataclasses.replace(self.contact, failed_at=self._clock())
 
     def adopt_contact(self, contact: StoreContact) -> None:
-        """Take over when another node has heard of the store, in place of what this node knows of its troubles."""
+        """Take over when another node has heard of the store.
+
+        Troubles of one node alone say nothing of the store: the node may be cut off by itself, and the entry of a
+        server that leaves meanwhile has not lapsed. Only what neither node could reach was in trouble.
+        """
         confirmed_at = max(self.contact.confirmed_at, contact.confirmed_at)
-        self.contact = dataclasses.replace(contact, confirmed_at=confirmed_at)
+        if not self.contact.shares_trouble(contact):
+            self.contact = StoreContact(confirmed_at)
+            return
+        returned_at = max(self.contact.returned_at, contact.returned_at)
+        self.contact = StoreContact(confirmed_at, self.contact.failed_at, returned_at)
 
     def take_configuration(self, configuration: TrafficConfiguration) -> bool:
         """Put a configuration in force; false for one that is not newer."""
--- a/packages/node/src/vaneturn_node/traffic/changelog.py
+++ b/packages/node/src/vaneturn_node/traffic/changelog.py
@@ -41,7 +41,7 @@
         self._changes.clear()
         self._long = {item.key: item for item in items if _is_long(item)}
         self._complete_after = self.revision = revision
-        self._wake()
+        self.wake()
 
     def append(self, items: Iterable[StoreItem], revision: int) -> None:
         """Take the changes up to a revision; none when the store has only confirmed that nothing has changed."""
@@ -55,7 +55,7 @@
         while len(self._changes) > KEPT_CHANGES:
             self._complete_after = self._changes.popleft().revision
         self.revision = max(self.revision, revision)
-        self._wake()
+        self.wake()
 
     def list_since(self, revision: int) -> list[Change] | None:
         """List the changes after a revision; none when some of them are not kept any more."""
@@ -71,7 +71,8 @@
         """Wait until the store was heard of again."""
         await self._heard.wait()
 
-    def _wake(self) -> None:
+    def wake(self) -> None:
+        """Wake those who wait: the store was heard of, or could not be reached."""
         self._heard.set()
         self._heard = anyio.Event()
 
--- a/packages/node/src/vaneturn_node/traffic/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/daemon.py
@@ -16,6 +16,7 @@
 from vaneturn_core.faults import Fault
 from vaneturn_core.identifiers import DataHall, NodeId
 from vaneturn_core.traffic.configuration import ClientLimits
+from vaneturn_core.traffic.relays import RelayTimes
 from vaneturn_core.traffic.servers import ServerAddress, ServerBeliefs
 from vaneturn_core.traffic.settings import TrafficSettings, load_traffic_settings
 from vaneturn_core.traffic.view import PlatformView
@@ -69,15 +70,17 @@
         self._placer = Placer(self._tenure, self._view, calls)
         self._lifecycle = Lifecycle(bounds.stop_s)
         log = ChangeLog()
-        self._changes = ChangeServer(log, self._view)
+        times = RelayTimes.derive(min(bounds.leaving_ms, bounds.change_ms) / 1000)
+        self._changes = ChangeServer(log, self._view, times)
         self._follower = StoreFollower(
             vm=settings.vm,
             store=self._store,
             view=self._view,
             keeper=ViewKeeper(self._view, self._beliefs, self._tenure),
             log=log,
-            peers=ChangeClient(caller),
+            peers=ChangeClient(caller, times),
             server=self._changes,
+            times=times,
         )
         self._client_listener: Listener[SocketStream] | None = None
         self._inspection = Inspection(
--- a/packages/node/src/vaneturn_node/traffic/following.py
+++ b/packages/node/src/vaneturn_node/traffic/following.py
@@ -11,7 +11,7 @@
 import anyio
 
 from vaneturn_core.identifiers import VmId
-from vaneturn_core.traffic.relays import rank_relays
+from vaneturn_core.traffic.relays import RelayTimes, rank_relays
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.platform.store import HistoryGone, NotDone, PlatformStore, StoreItem
 from vaneturn_node.traffic.changelog import Change, ChangeLog
@@ -19,8 +19,6 @@
 from vaneturn_node.traffic.viewkeeping import ViewKeeper
 
 WATCH_TIME: Final = 1.6  # seconds; each answer confirms the keys, which are valid for a few seconds
-RELAY_WATCH_TIME: Final = 0.8  # seconds, of a node that others ask: their own wait comes on top
-GATHER_TIME: Final = 0.1  # seconds between an answer with changes and the next question, so that many come in one
 RETRY_TIME: Final = 0.1  # seconds, full jitter, doubled with each failure in a row
 MAX_RETRY_TIME: Final = 0.8  # seconds; refused calls have their price, and the rules allow 3 s after an outage
 RELAY_REST: Final = 4.0  # seconds for which a relay that failed is not asked
@@ -42,6 +40,7 @@
         log: ChangeLog,
         peers: ChangeClient,
         server: ChangeServer,
+        times: RelayTimes,
     ) -> None:
         self._vm = vm
         self._store = store
@@ -50,6 +49,7 @@
         self._log = log
         self._peers = peers
         self._server = server
+        self._times = times
         self._revision: int | None = None
         self._is_reached = False
         self._failures = 0  # in a row
@@ -64,6 +64,7 @@
             self._keeper.forget_lapsed()
             if not is_answered:
                 self._view.note_failure()
+                self._log.wake()  # those who ask this node go to the store before its word is out of date
                 await anyio.sleep(random.uniform(0, min(MAX_RETRY_TIME, RETRY_TIME * 2**self._failures)))
                 self._failures += 1
             else:
@@ -102,7 +103,7 @@
         self._view.adopt_contact(told.contact)
         self._take(items, told.revision)
         if items:
-            await anyio.sleep(GATHER_TIME)
+            await anyio.sleep(self._times.gather)
         return True
 
     async def _complete(self, changes: list[Change], address: str) -> list[StoreItem] | None:
@@ -148,7 +149,7 @@
         return True
 
     async def _watch(self, revision: int) -> bool:
-        wait = RELAY_WATCH_TIME if self._server.is_asked() else WATCH_TIME
+        wait = self._times.watch if self._server.is_asked() else WATCH_TIME
         started = time.monotonic()
         page = await self._store.watch(EVERYTHING, revision, wait)
         if isinstance(page, HistoryGone):
@@ -162,7 +163,7 @@
         self._view.confirm(started + wait if has_waited else started)
         self._take(page.items, page.revision)
         if page.items:
-            await anyio.sleep(GATHER_TIME)
+            await anyio.sleep(self._times.gather)
         return True
 
     def _take(self, items: Sequence[StoreItem], revision: int) -> None:
--- a/packages/node/src/vaneturn_node/traffic/peers.py
+++ b/packages/node/src/vaneturn_node/traffic/peers.py
@@ -15,6 +15,7 @@
 import msgspec
 from msgspec import Struct
 
+from vaneturn_core.traffic.relays import RelayTimes
 from vaneturn_core.traffic.view import PlatformView, StoreContact
 from vaneturn_node.http1.caller import Caller, Reply
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
@@ -23,12 +24,10 @@
 
 CHANGES_PATH: Final = "/changes"
 VALUE_PATH: Final = "/value"
-HOLD_TIME: Final = 0.9  # seconds a relay holds a question; it hears of the store every 0.8 s
-ASK_TIME: Final = 1.2  # seconds for an answer; then the store is asked: a server that leaves may get work for 2 s
-MAX_RELAYED_AGE: Final = 1.2  # seconds since the store's word at which a relay is out of touch, for the same reason
 VALUE_TIME: Final = 2.0  # seconds for a long value; 250 KB take 0.2 s over a link of 10 Mbit/s
 _OK: Final = 200
 _GONE: Final = 410
+_OUT_OF_TOUCH: Final = 503
 _JSON: Final = [(b"content-type", b"application/json")]
 
 
@@ -60,14 +59,15 @@
 class ChangeServer:
     """Answers the nodes that ask this one for changes."""
 
-    def __init__(self, log: ChangeLog, view: PlatformView) -> None:
+    def __init__(self, log: ChangeLog, view: PlatformView, times: RelayTimes) -> None:
         self._log = log
         self._view = view
+        self._times = times
         self._asked_at = float("-inf")
 
     def is_asked(self) -> bool:
         """Tell whether nodes ask this one."""
-        return time.monotonic() - self._asked_at < 2 * HOLD_TIME
+        return time.monotonic() - self._asked_at < 2 * self._times.hold
 
     async def answer(self, request: ClientRequest, answer: ClientAnswer) -> None:
         """Answer with the changes after a revision, or with a long value."""
@@ -89,17 +89,20 @@
         await answer.send_whole(_OK, _JSON, msgspec.json.encode(_Value(item.revision, item.value)))
 
     async def _answer_changes(self, since: int, arrived: float, answer: ClientAnswer) -> None:
-        """Answer as soon as there are changes, or a newer confirmation that there are none."""
+        """Answer as soon as there are changes, a newer confirmation that there are none, or trouble."""
         self._asked_at = time.monotonic()
         confirmed_at = self._view.contact.confirmed_at
         changes = self._log.list_since(since)
-        with anyio.move_on_after(HOLD_TIME):
-            while changes == [] and self._view.contact.confirmed_at == confirmed_at:
+        with anyio.move_on_after(self._times.hold) as waiting:
+            while changes == [] and self._view.contact.confirmed_at == confirmed_at and not self._is_in_trouble():
                 await self._log.wait()
                 changes = self._log.list_since(since)
         if changes is None:
             await answer.send_whole(_GONE, [], b"")
             return
+        if waiting.cancelled_caught or self._is_in_trouble():
+            await answer.send_whole(_OUT_OF_TOUCH, [], b"")
+            return
         now = time.monotonic()
         contact = self._view.contact
         word = _Word(
@@ -112,17 +115,21 @@
         )
         await answer.send_whole(_OK, _JSON, msgspec.json.encode(word))
 
+    def _is_in_trouble(self) -> bool:
+        return self._view.contact.is_in_trouble
+
 
 class ChangeClient:
     """Asks relays for changes."""
 
-    def __init__(self, caller: Caller) -> None:
+    def __init__(self, caller: Caller, times: RelayTimes) -> None:
         self._caller = caller
+        self._times = times
 
     async def ask(self, address: str, since: int) -> RelayedChanges | None:
         """Wait for changes after a revision; none when the relay is out of touch or does not keep them any more."""
         started = time.monotonic()
-        reply = await self._caller.call(address, "GET", f"{CHANGES_PATH}?since={since}", ASK_TIME)
+        reply = await self._caller.call(address, "GET", f"{CHANGES_PATH}?since={since}", self._times.ask)
         if not isinstance(reply, Reply) or reply.status != _OK:
             return None
         try:
@@ -135,7 +142,7 @@
             _compute_time(told_at, word.failed_age),
             _compute_time(told_at, word.returned_age),
         )
-        if time.monotonic() - contact.confirmed_at > MAX_RELAYED_AGE:
+        if time.monotonic() - contact.confirmed_at > self._times.ask:
             return None
         return RelayedChanges(word.revision, word.changes, contact)
 
@@ -159,4 +166,4 @@
     return float("-inf") if age is None else now - age
 
 
-__all__ = ["ASK_TIME", "CHANGES_PATH", "HOLD_TIME", "ChangeClient", "ChangeServer", "RelayedChanges"]
+__all__ = ["CHANGES_PATH", "ChangeClient", "ChangeServer", "RelayedChanges"]
--- a/tests/core/traffic/test_relays.py
+++ b/tests/core/traffic/test_relays.py
@@ -7,7 +7,7 @@
 import pytest
 
 from vaneturn_core.identifiers import VmId
-from vaneturn_core.traffic.relays import DIRECT_NODES, NODES_EACH, count_relays, list_relays, rank_relays
+from vaneturn_core.traffic.relays import DIRECT_NODES, NODES_EACH, RelayTimes, count_relays, list_relays, rank_relays
 
 
 def make_nodes(count: int) -> list[VmId]:
@@ -38,3 +38,10 @@
     first = Counter(order[0] for order in ranked.values())
     assert set(first) == set(relays)
     assert max(first.values()) < 3 * NODES_EACH
+
+
+@pytest.mark.parametrize("bound", [0.5, 2.0, 3.0, 10.0])
+def test_lost_relay_is_left_before_the_bound(bound: float) -> None:
+    times = RelayTimes.derive(bound)
+    assert times.watch < times.hold < times.ask
+    assert times.gather + times.ask <= 2 / 3 * bound
--- a/tests/core/traffic/test_view.py
+++ b/tests/core/traffic/test_view.py
@@ -106,6 +106,28 @@
     assert view.remove_server(server.id)
 
 
+def test_trouble_of_another_node_alone_is_no_outage_of_the_store() -> None:
+    """A relay was cut off, the store was not: a server that left got work for 2.2 s more."""
+    clock = Clock()
+    view = PlatformView(5.0, clock)
+    server = make_server(1, "l4")
+    view.put_server(server)
+    view.confirm(clock.now)
+    view.adopt_contact(StoreContact(clock.now, failed_at=clock.now, returned_at=clock.now))
+    assert view.remove_server(server.id)
+
+
+def test_outage_that_another_node_saw_as_well_excuses_a_missing_entry() -> None:
+    clock = Clock()
+    view = PlatformView(5.0, clock)
+    server = make_server(1, "l4")
+    view.put_server(server)
+    view.note_failure()
+    clock.now += 2.0
+    view.adopt_contact(StoreContact(clock.now, failed_at=clock.now - 0.5, returned_at=clock.now))
+    assert not view.remove_server(server.id)
+
+
 def test_word_of_another_node_never_makes_the_view_older() -> None:
     clock = Clock()
     view = PlatformView(5.0, clock)
--- a/tests/node/traffic/test_parsing.py
+++ b/tests/node/traffic/test_parsing.py
@@ -12,6 +12,7 @@
 
 from vaneturn_core.faults import Fault
 from vaneturn_core.traffic.configuration import TrafficConfiguration
+from vaneturn_core.traffic.relays import RelayTimes
 from vaneturn_core.traffic.servers import BackendServer, ServerAddress, ServerId
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
@@ -113,7 +114,7 @@
 @settings(max_examples=60)
 def test_words_of_relays(status: int, body: bytes) -> None:
     async def ask() -> None:
-        client = ChangeClient(Fixed(status, body))
+        client = ChangeClient(Fixed(status, body), RelayTimes.derive(2.0))
         assert isinstance(await client.ask("relay", 1), RelayedChanges | None)
         await client.ask_long("relay", "key")
 
--- a/tests/node/traffic/test_peers.py
+++ b/tests/node/traffic/test_peers.py
@@ -8,16 +8,19 @@
 import msgspec
 import pytest
 
+from vaneturn_core.traffic.relays import RelayTimes
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
 from vaneturn_node.platform.store import StoreItem
 from vaneturn_node.traffic.changelog import ChangeLog
-from vaneturn_node.traffic.peers import CHANGES_PATH, HOLD_TIME, MAX_RELAYED_AGE, ChangeClient, ChangeServer
+from vaneturn_node.traffic.peers import CHANGES_PATH, ChangeClient, ChangeServer, RelayedChanges
 
 pytestmark = pytest.mark.anyio
 
+TIMES = RelayTimes.derive(2.0)
+
 
 class Wire(Caller):
     """Carries a question to a server in this process; the way back takes some seconds."""
@@ -58,17 +61,21 @@
         self.log = ChangeLog()
         self.log.reset([], 5)
         self.view.confirm(time.monotonic())
-        self.server = ChangeServer(self.log, self.view)
+        self.server = ChangeServer(self.log, self.view, TIMES)
 
     def hear(self, *items: StoreItem, revision: int) -> None:
         self.view.confirm(time.monotonic())
         self.log.append(items, revision)
 
 
+async def ask(caller: Caller) -> RelayedChanges | None:
+    return await ChangeClient(caller, TIMES).ask("relay", 5)
+
+
 async def test_changes_are_told_at_once() -> None:
     relay = Relay()
     relay.hear(StoreItem("servers/i-1", b"entry", 6), revision=6)
-    told = await ChangeClient(Wire(relay.server)).ask("relay", 5)
+    told = await ask(Wire(relay.server))
     assert told is not None
     assert told.revision == 6
     assert [(change.key, change.value) for change in told.changes] == [("servers/i-1", b"entry")]
@@ -78,11 +85,11 @@
     relay = Relay()
     told = []
 
-    async def ask() -> None:
-        told.append(await ChangeClient(Wire(relay.server)).ask("relay", 5))
+    async def wait() -> None:
+        told.append(await ask(Wire(relay.server)))
 
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(ask)
+        tasks.start_soon(wait)
         await anyio.sleep(0.1)
         assert not told
         relay.hear(revision=5)
@@ -95,23 +102,44 @@
     confirmed_at = relay.view.contact.confirmed_at
     relay.log.append([StoreItem("servers/i-1", b"entry", 6)], 6)
     await anyio.sleep(0.1)
-    told = await ChangeClient(Wire(relay.server, delay=0.2)).ask("relay", 5)
+    told = await ask(Wire(relay.server, delay=0.2))
     assert told is not None
     assert confirmed_at - 0.05 <= told.contact.confirmed_at <= confirmed_at
 
 
 async def test_relay_that_has_long_not_heard_of_the_store_counts_for_nothing() -> None:
     relay = Relay()
-    await anyio.sleep(MAX_RELAYED_AGE - HOLD_TIME + 0.05)
-    with anyio.fail_after(HOLD_TIME + 0.5):
-        assert await ChangeClient(Wire(relay.server)).ask("relay", 5) is None
+    await anyio.sleep(TIMES.ask - TIMES.hold + 0.05)
+    with anyio.fail_after(TIMES.hold + 0.5):
+        assert await ask(Wire(relay.server)) is None
+
+
+async def test_answer_after_the_whole_hold_counts_for_nothing() -> None:
+    """A relay that was cut without a word was left 1.91 s after its last word, of 2 s allowed."""
+    relay = Relay()
+    with anyio.fail_after(TIMES.hold + 0.1):
+        assert await ask(Wire(relay.server)) is None
+
+
+async def test_relay_that_cannot_reach_the_store_says_so_at_once() -> None:
+    relay = Relay()
+
+    async def fail() -> None:
+        await anyio.sleep(0.1)
+        relay.view.note_failure()
+        relay.log.wake()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(fail)
+        with anyio.fail_after(0.3):
+            assert await ask(Wire(relay.server)) is None
 
 
 async def test_troubles_of_the_store_are_told_with_their_times() -> None:
     relay = Relay()
     relay.view.note_failure()
     relay.hear(StoreItem("servers/i-1", None, 6), revision=6)
-    told = await ChangeClient(Wire(relay.server)).ask("relay", 5)
+    told = await ask(Wire(relay.server))
     assert told is not None
     assert not told.contact.is_in_trouble
     assert told.contact.returned_at == pytest.approx(relay.view.contact.returned_at, abs=0.05)
@@ -135,4 +163,4 @@
         async def call(self, address: str, *_: object, **__: object) -> Reply | Failed:
             return Reply(200, msgspec.json.encode({"address": address}))
 
-    assert await ChangeClient(Garbling()).ask("relay", 5) is None
+    assert await ask(Garbling()) is None
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -115,12 +115,15 @@
     Proof(
         "a silent relay is left in time",
         f"{SYSTEM}/test_relays.py::test_leaving_server_is_known_in_time_though_the_relay_is_lost",
-        (Edit(f"{TRAFFIC}/peers.py", "ASK_TIME: Final = 1.2", "ASK_TIME: Final = 8.0"),),
+        (Edit(f"{TRAFFIC}/peers.py", 'since={since}", self._times.ask)', 'since={since}", 8.0)'),),
     ),
     Proof(
         "a relay that the store turns away is left in time",
         f"{SYSTEM}/test_relays.py::test_relay_that_the_store_turns_away_is_left",
-        (Edit(f"{TRAFFIC}/peers.py", "MAX_RELAYED_AGE: Final = 1.2", "MAX_RELAYED_AGE: Final = 8.0"),),
+        (
+            Edit(f"{TRAFFIC}/peers.py", "waiting.cancelled_caught or self._is_in_trouble()", "False"),
+            Edit(f"{TRAFFIC}/peers.py", "confirmed_at > self._times.ask", "confirmed_at > 8.0"),
+        ),
     ),
     Proof(
         "a relay gives long values to who cannot read them",
--- a/tests/system/platform/test_relays.py
+++ b/tests/system/platform/test_relays.py
@@ -110,12 +110,13 @@
     relay.process.send(signal.SIGCONT)
 
 
-async def test_relay_that_the_store_turns_away_is_left(traffic: Traffic) -> None:
+@pytest.mark.parametrize("mode", [Mode.SILENT, Mode.BUSY], ids=["silent", "refused"])
+async def test_relay_that_the_store_turns_away_is_left(traffic: Traffic, mode: Mode) -> None:
     """A server leaves right after the relay was cut from the store; the other nodes reach it."""
     relay = await find_relay(traffic)
 
     def treat(exchange: Exchange) -> Mode | None:
-        return Mode.SILENT if exchange.call.headers["host"] == relay.store_address else None
+        return mode if exchange.call.headers["host"] == relay.store_address else None
 
     traffic.fleet.store.treats = treat
     await anyio.sleep(1.0)  # the watch under way was taken before
