Count the places of a chain's first server in the choice of a chain

Ruled out: memory (half free), prompts (15% of its time), the pipe (a third). Its 96 places were taken; the choice looked at memory alone.

Change: requests under way that a server is the first of, from all nodes by this node's own, count like memory does.

--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -80,6 +80,7 @@
     """What a server's load does to the time of a part."""
 
     taken: float  # tokens times layers of the requests in progress, from all nodes
+    leading: float  # requests in progress that it is the first server of, from all nodes
     slowness: float
 
 
@@ -155,7 +156,9 @@
         loads = {}
         for server in able:
             belief = self._beliefs[server.id]
-            loads[server.id] = _Load(belief.reserved * self._share, belief.read_slowness(self._now))
+            loads[server.id] = _Load(
+                belief.reserved * self._share, belief.leading * self._share, belief.read_slowness(self._now)
+            )
         return loads
 
     def _find_whole_way(self, boundaries: Boundaries, loads: Mapping[ServerId, _Load]) -> _Way | None:
@@ -191,6 +194,8 @@
             ((way.cost + self._estimate_crossing(one, hall), way) for one, way in ways[part.first].items()),
             key=lambda pair: pair[0],
         )
+        if before.part is None and part.first == 0:
+            cost += _estimate_crowding((load.leading + 1) / max(1, part.server.slots))
         for option in options:
             whole = cost + self._estimate_time(option, load)
             known = ways[option.part.end].get(hall)
@@ -210,11 +215,16 @@
 
     def _estimate_time(self, option: Option, load: _Load) -> float:
         crowding = (load.taken + self.tokens * option.length) / option.room if option.room > 0 else 1.0
-        crowded = FULL_TIME * crowding if crowding >= FULL else CROWDING_TIME * crowding / (1 - crowding)
+        crowded = _estimate_crowding(crowding)
         slow = SLOW_TIME if load.slowness >= VERY_SLOW else 0.0
         return load.slowness * option.time + crowded + slow
 
 
+def _estimate_crowding(share: float) -> float:
+    """Estimate the seconds that a server counts as slower when so much of its memory, or of its places, is taken."""
+    return FULL_TIME * share if share >= FULL else CROWDING_TIME * share / (1 - share)
+
+
 def _pick_holders(holders: Sequence[HolderOptions], loads: Mapping[ServerId, _Load]) -> Sequence[HolderOptions]:
     """Pick the holders to look at, among those that may get work."""
     able = [options for options in holders if options[0].part.server.id in loads]
--- a/tests/core/traffic/test_chains.py
+++ b/tests/core/traffic/test_chains.py
@@ -136,3 +136,13 @@
     for part in chain.parts:
         assert part.server.layers[0].first <= part.first
         assert part.end <= part.server.layers[0].end
+
+
+def test_first_server_with_all_places_taken_is_left() -> None:
+    """30 requests a second waited 1 to 2 s for a place at one first server while others had room."""
+    fleet = [make_server(1, "a100", "osborne", (0, 80)), make_server(2, "l4", "malaga", (0, 80))]
+    beliefs = ServerBeliefs()
+    beliefs[fleet[0].id].leading = fleet[0].slots // 8
+    chain = choose(fleet, beliefs)
+    assert chain is not None
+    assert chain.first is fleet[1]
