--- a/tests/standins/platform/operator.py
+++ b/tests/standins/platform/operator.py
@@ -19,7 +19,7 @@
         "step_ms": 1.02, "per_seq_ms": 0.014, "read_per_s": 105000.0, "loads_at_once": 5,
         "delays": [{"from": "east", "target_version": "west", "delay_ms": 0.75}],
         "usual": {"prompt": 774, "answer": 200}, "layers": layers, "layer_mb": 1750.0, "act_bytes": 91800,
-        "pipe_mbps": 26000.0, "kinds": [{"name": "big", "mb": 2 * layers * 1750.0, "pace": 2.4, "read_x": 3.2}],
+        "pipe_mbps": 26000.0, "kinds": [{"name": "big", "mb": 0.9 * layers * 1750.0, "pace": 2.4, "read_x": 3.2}],
     }  # fmt: skip
     configuration = {
         "version": version,
