Revert "Wake all requests over a lost server as soon as one has found the loss"

Conclusion: streams over one server find its loss at about the same time anyway; the queue of prompts that are read again makes the pause.

--- a/packages/node/src/vaneturn_node/traffic/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/exchange.py
@@ -20,7 +20,6 @@
 from vaneturn_node.http1.link import HttpLink
 from vaneturn_node.http1.pool import LinkPool
 from vaneturn_node.platform.servers import ServerCalls, ServerReport
-from vaneturn_node.traffic.alarms import LossAlarm
 
 SIGN_TIME: Final = 0.06  # seconds for a sign of life; a sound server answers in 2 to 4 ms
 MAX_REPORT_AGE: Final = 30.0  # seconds
@@ -76,7 +75,6 @@
     pool: LinkPool
     calls: ServerCalls
     reports: ReportBoard
-    alarm: LossAlarm = field(default_factory=LossAlarm)
     budgets: dict[ServiceName, WindowedRetryBudget] = field(default_factory=dict)
     layer_maps: dict[ServiceName, LayerMap] = field(default_factory=dict)
 
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -10,7 +10,6 @@
 from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
 from vaneturn_node.platform.headers import build_server_headers, read_answer_facts
 from vaneturn_node.platform.servers import OrderOutcome
-from vaneturn_node.traffic.alarms import Listener
 from vaneturn_node.traffic.events import EventSplitter
 from vaneturn_node.traffic.exchange import TrafficParts
 from vaneturn_node.traffic.lossfinding import LossFinder
@@ -49,7 +48,6 @@
         self._is_counted = False  # as a run
         self._is_gone = False  # the first server has ended, or is cut off
         self._finder = LossFinder(parts, work)
-        self._listener = Listener()
 
     @property
     def _first(self) -> BackendServer:
@@ -80,11 +78,6 @@
         return end
 
     def _reserve(self, chain: Chain, sign: int) -> None:
-        servers = [part.server.id for part in chain.parts]
-        if sign > 0:
-            self._parts.alarm.add(self._listener, servers)
-        else:
-            self._parts.alarm.remove(self._listener, servers)
         for part in chain.parts:
             belief = self._parts.beliefs[part.server.id]
             belief.in_progress += sign
@@ -161,8 +154,7 @@
         wait = HEAD_OVERDUE if is_head else max(OVERDUE, OVERDUE_PAUSES * self._relay.usual_pause)
         while True:
             try:
-                with self._listener.listen():
-                    return await (link.read_head(wait) if is_head else link.read_data(wait))
+                return await (link.read_head(wait) if is_head else link.read_data(wait))
             except LinkError as error:
                 if not error.is_silence:
                     raise
@@ -179,10 +171,7 @@
         """Look for lost parts, and go round them; gives an end when this chain cannot go on."""
         work = self._work
         losses = await self._finder.find(self._chain, usual_pause=self._relay.usual_pause)
-        for part in losses.parts:
-            self._parts.alarm.sound(part.server.id)
         if losses.is_first_gone:
-            self._parts.alarm.sound(self._first.id)
             self._parts.beliefs[self._first.id].record_failure(time.monotonic())
             work.avoided.add(self._first.id)
             self._is_gone = True
