Let a server that refuses for want of room rest for 0.25 s, not up to 8 s

It was short of memory after a hall had lost its chain, and each refusal counted as a failure in a row. Ruled out: gaps in the layout (none in the list), lost servers (its tokens went on). Change: a server that gave a token within 0.5 s is full, not lost; its refusals do not add up.

--- a/packages/core/src/vaneturn_core/traffic/servers.py
+++ b/packages/core/src/vaneturn_core/traffic/servers.py
@@ -16,6 +16,8 @@
 FIRST_REST: Final = 0.7  # seconds without new work after a failure; a process restarts in about that time
 MAX_REST: Final = 8.0  # seconds; a server that is gone leaves the list sooner
 REST_GROWTH: Final = 2.0  # with each failure in a row
+FULL_REST: Final = 0.25  # seconds without new work after a refusal for want of room; some requests end in that time
+ALIVE_AGE: Final = 0.5  # seconds since a token for which a server that refuses is taken to be full, not lost
 MEMORY_OF_FAILURES: Final = 12.0  # seconds after which a failure counts as the first again
 LATENCY_WEIGHT: Final = 0.25  # of the newest answer in the moving average
 ERROR_WEIGHT: Final = 0.2  # of the newest answer in the share of errors
@@ -118,6 +120,16 @@
         """Read its slowness; what was said long ago counts for nothing, so that it is tried again."""
         return self.slowness if now - self.slowness_at < SLOWNESS_MEMORY else 1.0
 
+    def record_refusal(self, now: float) -> None:
+        """Take a refusal; a server that has worked a moment ago lacks room, and has some again soon.
+
+        With the rest of a lost server, up to 8 s, two full servers left no chain and 180 requests of a day were refused.
+        """
+        if now - self.heard_at > ALIVE_AGE:
+            self.record_failure(now)
+            return
+        self.resting_until = max(self.resting_until, now + FULL_REST)
+
     def record_failure(self, now: float) -> float:
         """Count a failure; gives the seconds for which the server gets no new work."""
         if now - self.failed_at > MEMORY_OF_FAILURES:
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -259,7 +259,7 @@
         if facts.is_wrong_server and facts.faulty is None:
             belief.is_replaced = True
         elif facts.faulty is not None:  # dead, without the layers, or full: the next requests need not find out again
-            belief.record_failure(time.monotonic())
+            belief.record_refusal(time.monotonic())
         return NotRun(f"refused with {head.status} at {faulty.id}")
 
     def _find_part(self, address: ServerAddress) -> BackendServer:
--- a/tests/core/traffic/test_servers.py
+++ b/tests/core/traffic/test_servers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from core.traffic.samples import make_server
-from vaneturn_core.traffic.servers import FIRST_REST, MAX_REST, MAX_SHARE, ServerBeliefs
+from vaneturn_core.traffic.servers import ALIVE_AGE, FIRST_REST, FULL_REST, MAX_REST, MAX_SHARE, ServerBeliefs
 
 
 def test_rest_grows_with_failures_in_a_row_up_to_a_limit() -> None:
@@ -32,6 +32,19 @@
     assert len(beliefs.list_choosable(servers, [], 100.1)) == 3
 
 
+def test_full_server_rests_for_a_moment_and_a_lost_one_for_longer() -> None:
+    """Two full servers rested for up to 8 s and left no chain; both had room again within a second."""
+    beliefs = ServerBeliefs()
+    full, lost = beliefs[make_server(1, "l4").id], beliefs[make_server(2, "l4").id]
+    full.record_token(100.0)
+    lost.record_token(100.0 - ALIVE_AGE - 0.1)
+    for _ in range(5):
+        full.record_refusal(100.0)
+        lost.record_refusal(100.0)
+    assert full.resting_until == 100.0 + FULL_REST
+    assert lost.resting_until == 100.0 + MAX_REST
+
+
 def test_server_whose_address_has_another_id_gets_no_work() -> None:
     beliefs = ServerBeliefs()
     server = make_server(1, "l4")
