--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -131,6 +131,12 @@
                 best = over_halls
         return Chain(self._engine.layers, tuple(best.list_parts())) if best is not None else None
 
+    def estimate_fullness(self, chain: Chain) -> float:
+        """Estimate how much of the memory, or of the places, of the fullest server is taken, without this request."""
+        loads = self._read_loads(part.server for part in chain.parts)
+        shares = [_compute_taken(part.server, loads[part.server.id], self._engine) for part in chain.parts]
+        return max([loads[chain.first.id].leading / max(1, chain.first.slots), *shares])
+
     def choose_replacement(self, able: Iterable[BackendServer], parts: Sequence[Part], lost: Part) -> list[Part]:
         """Choose servers for the layers of a lost part of a chain; empty when none are free beside the other parts."""
         kept = [part for part in parts if part is not lost]
@@ -220,6 +226,12 @@
         return load.slowness * option.time + crowded + slow
 
 
+def _compute_taken(server: BackendServer, load: _Load, engine: EngineProfile) -> float:
+    """Compute the share of a server's memory that is taken."""
+    room = server.compute_room(engine)
+    return load.taken / room if room > 0 else 1.0
+
+
 def _estimate_crowding(share: float) -> float:
     """Estimate the seconds that a server counts as slower when so much of its memory, or of its places, is taken."""
     return FULL_TIME * share if share >= FULL else CROWDING_TIME * share / (1 - share)
--- a/packages/core/src/vaneturn_core/traffic/servers.py
+++ b/packages/core/src/vaneturn_core/traffic/servers.py
@@ -123,7 +123,7 @@
     def record_refusal(self, now: float) -> None:
         """Take a refusal; a server that has worked a moment ago lacks room, and has some again soon.
 
-        With the rest of a lost server, up to 8 s, two full servers left no chain and 180 requests of a day were refused.
+        With the rest of a lost server, up to 8 s, two full servers left no chain: 180 requests of a day were refused.
         """
         if now - self.heard_at > ALIVE_AGE:
             self.record_failure(now)
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -57,7 +57,8 @@
         """Get the answer over the chain; none when it has ended in full."""
         work = self._work
         work.sends += 1
-        work.note("over " + " ".join(f"{part.server.id}[{part.first},{part.end})" for part in self._chain.parts))
+        over = " ".join(f"{part.server.id}[{part.first},{part.end})" for part in self._chain.parts)
+        work.note(f"over {over}, fullest {self._chooser.estimate_fullness(self._chain):.2f}")
         self._reserve(self._chain, 1)
         started = time.monotonic()
         link: HttpLink | None = None
