Let nodes tell each other what they have in progress on each server, along the way of the relays

Cause: a node took the others to be like itself and multiplied its own load by the nodes. No further call on the store.

--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -13,6 +13,7 @@
 from vaneturn_core.tiling import assert_tiling
 from vaneturn_core.traffic.configuration import EngineProfile
 from vaneturn_core.traffic.layermap import Boundaries, HolderOptions, LayerMap, Option, Part, index_options
+from vaneturn_core.traffic.loads import LoadBoard
 from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerId
 
 CROWDING_TIME: Final = 0.006  # seconds that a half-full server counts as slower
@@ -97,15 +98,17 @@
         prompt: float,
         tokens: float,
         now: float,
+        board: LoadBoard | None = None,
     ) -> None:
         """Prepare a choice.
 
         :param layer_map: of the servers in the list.
         :param hall: of this node.
-        :param share: how many times this node's requests are in progress over all nodes.
+        :param share: how many times this node's requests are in progress over all nodes, where nothing better is told.
         :param prompt: tokens of the request's prompt.
         :param tokens: that the request will hold in the end.
         :param now: steady time, for what was told a while ago.
+        :param board: what the other nodes have in progress.
         """
         self._layer_map = layer_map
         self._engine: EngineProfile = layer_map.engine
@@ -114,6 +117,7 @@
         self._share = share
         self.tokens = tokens
         self._now = now
+        self._board = board
         self._pipe_time = PIPE_WEIGHT * prompt * self._engine.handover_bytes / self._engine.pipe_rate
 
     def choose(self, able: Iterable[BackendServer]) -> Chain | None:
@@ -162,9 +166,12 @@
         loads = {}
         for server in able:
             belief = self._beliefs[server.id]
-            loads[server.id] = _Load(
-                belief.reserved * self._share, belief.leading * self._share, belief.read_slowness(self._now)
-            )
+            others = self._board.find_others(server.id) if self._board is not None else None
+            if others is None:
+                taken, leading = belief.reserved * self._share, belief.leading * self._share
+            else:
+                taken, leading = belief.reserved + others.reserved, belief.leading + others.leading
+            loads[server.id] = _Load(taken, leading, belief.read_slowness(self._now))
         return loads
 
     def _find_whole_way(self, boundaries: Boundaries, loads: Mapping[ServerId, _Load]) -> _Way | None:
--- /dev/null
+++ b/packages/core/src/vaneturn_core/traffic/loads.py
@@ -0,0 +1,88 @@
+"""What all nodes have in progress on each server: each tells a relay, relays tell each other, and pass the sum on."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final
+
+from vaneturn_core.identifiers import VmId
+from vaneturn_core.traffic.servers import ServerId, ServerLoad
+
+LOAD_AGE: Final = 3.0  # seconds for which the word of a node counts; nodes tell their load about once a second
+
+
+Loads = Mapping[ServerId, ServerLoad]
+
+
+class LoadBoard:
+    """What other nodes told of their loads."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._followers: dict[VmId, tuple[float, Loads]] = {}
+        self._relays: dict[VmId, tuple[float, Loads]] = {}
+        self._others: Loads | None = None  # the sum over the other nodes
+        self._others_until = float("-inf")
+
+    def take_follower(self, vm: VmId, loads: Loads) -> None:
+        """Take the load of a node that asks this one."""
+        self._followers[vm] = (self._clock(), loads)
+        self._sum_others()
+
+    def take_relay(self, vm: VmId, loads: Loads) -> None:
+        """Take the load of a relay and of the nodes that ask it."""
+        self._relays[vm] = (self._clock(), loads)
+        self._sum_others()
+
+    def take_total(self, total: Loads, told: Loads) -> None:
+        """Take the load of all nodes from a relay, which counts what this node had told it."""
+        self._followers.clear()
+        self._relays.clear()
+        self._set_others({server: _subtract(load, told.get(server)) for server, load in total.items()})
+
+    def sum_followers(self, own: Loads) -> Loads:
+        """Sum the load of this node and of those that ask it."""
+        return _sum([own, *self._list_fresh(self._followers)])
+
+    def sum_all(self, own: Loads) -> Loads:
+        """Sum the load of all nodes."""
+        return _sum([own, *self._list_fresh(self._followers), *self._list_fresh(self._relays)])
+
+    def find_others(self, server: ServerId) -> ServerLoad | None:
+        """Find what the other nodes have in progress on a server; none when nothing was told lately."""
+        if self._others is None or self._clock() > self._others_until:
+            return None
+        return self._others.get(server, _NOTHING)
+
+    def _sum_others(self) -> None:
+        self._set_others(_sum([*self._list_fresh(self._followers), *self._list_fresh(self._relays)]))
+
+    def _set_others(self, others: Loads) -> None:
+        self._others = others
+        self._others_until = self._clock() + LOAD_AGE
+
+    def _list_fresh(self, told: Mapping[VmId, tuple[float, Loads]]) -> list[Loads]:
+        oldest = self._clock() - LOAD_AGE
+        return [loads for at, loads in told.values() if at >= oldest]
+
+
+def _sum(parts: Iterable[Loads]) -> Loads:
+    leading: defaultdict[ServerId, int] = defaultdict(int)
+    reserved: defaultdict[ServerId, float] = defaultdict(float)
+    for loads in parts:
+        for server, load in loads.items():
+            leading[server] += load.leading
+            reserved[server] += load.reserved
+    return {server: ServerLoad(leading[server], reserved[server]) for server in leading}
+
+
+def _subtract(load: ServerLoad, told: ServerLoad | None) -> ServerLoad:
+    if told is None:
+        return load
+    return ServerLoad(max(0, load.leading - told.leading), max(0.0, load.reserved - told.reserved))
+
+
+_NOTHING: Final = ServerLoad(0, 0.0)
+
+__all__ = ["LOAD_AGE", "LoadBoard", "Loads"]
--- a/packages/core/src/vaneturn_core/traffic/servers.py
+++ b/packages/core/src/vaneturn_core/traffic/servers.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum
-from typing import Final, NewType
+from typing import Final, NamedTuple, NewType
 
 from vaneturn_core.identifiers import ServiceName
 from vaneturn_core.traffic.configuration import EngineProfile
@@ -28,6 +28,13 @@
 MAX_RESTING_SHARE: Final = 0.5  # of the servers that could be chosen; beyond it, rest counts for nothing
 
 
+class ServerLoad(NamedTuple):
+    """Requests in progress on a server."""
+
+    leading: int  # that it is the first server of
+    reserved: float  # tokens times layers
+
+
 class ServerState(Enum):
     """What a server says of itself."""
 
@@ -150,6 +157,14 @@
     def __getitem__(self, server: ServerId) -> ServerBelief:
         return self._beliefs.setdefault(server, ServerBelief())
 
+    def list_loads(self) -> dict[ServerId, ServerLoad]:
+        """List what this node has in progress on each server."""
+        return {
+            server: ServerLoad(belief.leading, round(belief.reserved))
+            for server, belief in self._beliefs.items()
+            if belief.in_progress
+        }
+
     def estimate_share(self, nodes: int, now: float) -> float:
         """Estimate how many times this node's own requests are in progress over all nodes.
 
@@ -190,5 +205,6 @@
     "ServerBelief",
     "ServerBeliefs",
     "ServerId",
+    "ServerLoad",
     "ServerState",
 ]
--- a/packages/node/src/vaneturn_node/traffic/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/daemon.py
@@ -31,6 +31,7 @@
 from vaneturn_node.traffic.exchange import ReportBoard, TrafficParts
 from vaneturn_node.traffic.following import StoreFollower
 from vaneturn_node.traffic.inspection import EndedTraffic, Inspection
+from vaneturn_node.traffic.loadsharing import LoadSharing
 from vaneturn_node.traffic.metrics import TrafficMetrics
 from vaneturn_node.traffic.peers import ChangeClient, ChangeServer
 from vaneturn_node.traffic.placing import Placer
@@ -71,14 +72,17 @@
         self._lifecycle = Lifecycle(bounds.stop_s)
         log = ChangeLog()
         times = RelayTimes.derive(min(bounds.leaving_ms, bounds.change_ms) / 1000)
-        self._changes = ChangeServer(log, self._view, times)
+        board = parts.board
+        self._changes = ChangeServer(log, self._view, times, self._beliefs, board)
+        peers = ChangeClient(caller, times, settings.vm, self._beliefs, board)
+        self._sharing = LoadSharing(vm=settings.vm, view=self._view, beliefs=self._beliefs, board=board, peers=peers)
         self._follower = StoreFollower(
             vm=settings.vm,
             store=self._store,
             view=self._view,
             keeper=ViewKeeper(self._view, self._beliefs, self._tenure),
             log=log,
-            peers=ChangeClient(caller, times),
+            peers=peers,
             server=self._changes,
             times=times,
         )
@@ -100,6 +104,7 @@
             async with anyio.create_task_group() as tasks:
                 for background in (self._follower.run, self._tenure.run, self._registration.run, self._placer.run):
                     tasks.start_soon(background)
+                tasks.start_soon(self._sharing.run)
                 tasks.start_soon(self._pool.run)
                 await self._listen(tasks)
                 logger.info("serving", extra={"address": self._settings.client_address, "node": self.id})
--- a/packages/node/src/vaneturn_node/traffic/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/exchange.py
@@ -12,6 +12,7 @@
 from vaneturn_core.identifiers import DataHall, ServiceName
 from vaneturn_core.traffic.configuration import EngineProfile
 from vaneturn_core.traffic.layermap import LayerMap
+from vaneturn_core.traffic.loads import LoadBoard
 from vaneturn_core.traffic.retries import WindowedRetryBudget
 from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerId
 from vaneturn_core.traffic.settings import Bounds
@@ -75,6 +76,7 @@
     pool: LinkPool
     calls: ServerCalls
     reports: ReportBoard
+    board: LoadBoard = field(default_factory=lambda: LoadBoard(time.monotonic))
     budgets: dict[ServiceName, WindowedRetryBudget] = field(default_factory=dict)
     layer_maps: dict[ServiceName, LayerMap] = field(default_factory=dict)
 
--- a/packages/node/src/vaneturn_node/traffic/peers.py
+++ b/packages/node/src/vaneturn_node/traffic/peers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from dataclasses import dataclass
 from typing import Final
@@ -15,7 +16,10 @@
 import msgspec
 from msgspec import Struct
 
+from vaneturn_core.identifiers import VmId
+from vaneturn_core.traffic.loads import LoadBoard, Loads
 from vaneturn_core.traffic.relays import RelayTimes
+from vaneturn_core.traffic.servers import ServerBeliefs, ServerId, ServerLoad
 from vaneturn_core.traffic.view import PlatformView, StoreContact
 from vaneturn_node.http1.caller import Caller, Reply
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
@@ -24,12 +28,23 @@
 
 CHANGES_PATH: Final = "/changes"
 VALUE_PATH: Final = "/value"
+LOADS_PATH: Final = "/loads"
+TELL_TIME: Final = 0.5  # seconds for a word on loads; the next one follows
 VALUE_TIME: Final = 2.0  # seconds for a long value; 250 KB take 0.2 s over a link of 10 Mbit/s
 _OK: Final = 200
 _GONE: Final = 410
 _OUT_OF_TOUCH: Final = 503
 _JSON: Final = [(b"content-type", b"application/json")]
 
+logger = logging.getLogger(__name__)
+
+
+class _Told(Struct):
+    """What a node has in progress, or a relay with those that ask it."""
+
+    vm: VmId
+    loads: dict[ServerId, ServerLoad]
+
 
 class _Word(Struct):
     """An answer of a relay; ages in seconds, none for what never was."""
@@ -40,6 +55,7 @@
     confirmed_age: float | None
     failed_age: float | None
     returned_age: float | None
+    loads: dict[ServerId, ServerLoad] = {}  # of all nodes
 
 
 class _Value(Struct):
@@ -59,7 +75,11 @@
 class ChangeServer:
     """Answers the nodes that ask this one for changes."""
 
-    def __init__(self, log: ChangeLog, view: PlatformView, times: RelayTimes) -> None:
+    def __init__(
+        self, log: ChangeLog, view: PlatformView, times: RelayTimes, beliefs: ServerBeliefs, board: LoadBoard
+    ) -> None:
+        self._beliefs = beliefs
+        self._board = board
         self._log = log
         self._view = view
         self._times = times
@@ -75,10 +95,17 @@
         if request.path == VALUE_PATH:
             await self._answer_value(query.get("key", [""])[0], answer)
             return
+        told = _decode_told(request.body)
+        if request.path == LOADS_PATH and told is not None:
+            self._board.take_relay(told.vm, told.loads)
+            await answer.send_whole(_OK, [], b"")
+            return
         since = query.get("since", [""])[0]
         if request.path != CHANGES_PATH or not since.isdigit():
             await answer.send_whole(404, [], b"")
             return
+        if told is not None:
+            self._board.take_follower(told.vm, told.loads)
         await self._answer_changes(int(since), request.arrived, answer)
 
     async def _answer_value(self, key: str, answer: ClientAnswer) -> None:
@@ -112,6 +139,7 @@
             confirmed_age=_compute_age(now, contact.confirmed_at),
             failed_age=_compute_age(now, contact.failed_at),
             returned_age=_compute_age(now, contact.returned_at),
+            loads=dict(self._board.sum_all(self._beliefs.list_loads())),
         )
         await answer.send_whole(_OK, _JSON, msgspec.json.encode(word))
 
@@ -122,14 +150,19 @@
 class ChangeClient:
     """Asks relays for changes."""
 
-    def __init__(self, caller: Caller, times: RelayTimes) -> None:
+    def __init__(self, caller: Caller, times: RelayTimes, vm: VmId, beliefs: ServerBeliefs, board: LoadBoard) -> None:
+        self._vm = vm
+        self._beliefs = beliefs
+        self._board = board
         self._caller = caller
         self._times = times
 
     async def ask(self, address: str, since: int) -> RelayedChanges | None:
         """Wait for changes after a revision; none when the relay is out of touch or does not keep them any more."""
         started = time.monotonic()
-        reply = await self._caller.call(address, "GET", f"{CHANGES_PATH}?since={since}", self._times.ask)
+        loads = self._beliefs.list_loads()
+        body = msgspec.json.encode(_Told(self._vm, loads))
+        reply = await self._caller.call(address, "POST", f"{CHANGES_PATH}?since={since}", self._times.ask, body=body)
         if not isinstance(reply, Reply) or reply.status != _OK:
             return None
         try:
@@ -144,8 +177,16 @@
         )
         if time.monotonic() - contact.confirmed_at > self._times.ask:
             return None
+        self._board.take_total(word.loads, loads)
         return RelayedChanges(word.revision, word.changes, contact)
 
+    async def tell_loads(self, address: str, loads: Loads) -> None:
+        """Tell another relay what this one and those that ask it have in progress; a lost word is told anew soon."""
+        body = msgspec.json.encode(_Told(self._vm, dict(loads)))
+        reply = await self._caller.call(address, "POST", LOADS_PATH, TELL_TIME, body=body)
+        if not isinstance(reply, Reply):
+            logger.debug("loads not told", extra={"relay": address, "cause": reply.cause})
+
     async def ask_long(self, address: str, key: str) -> StoreItem | None:
         """Ask for a value that is too long for the changes; none when the relay did not give it."""
         reply = await self._caller.call(address, "GET", f"{VALUE_PATH}?{urlencode({'key': key})}", VALUE_TIME)
@@ -158,6 +199,14 @@
         return StoreItem(key, found.value, found.revision)
 
 
+def _decode_told(body: bytes) -> _Told | None:
+    try:
+        return msgspec.json.decode(body, type=_Told) if body else None
+    except msgspec.DecodeError as error:
+        logger.warning("word on loads not understood", extra={"fault": str(error)})
+        return None
+
+
 def _compute_age(now: float, at: float) -> float | None:
     return None if at == float("-inf") else now - at
 
--- a/packages/node/src/vaneturn_node/traffic/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/streams.py
@@ -83,6 +83,7 @@
             prompt=prompt,
             tokens=prompt + answer,
             now=time.monotonic(),
+            board=self._parts.board,
         )
 
     def _give_up(self, work: RequestInProgress, relay: Relay, end: TryEnd | None) -> OwnAnswer | None:
--- a/tests/core/traffic/test_chains.py
+++ b/tests/core/traffic/test_chains.py
@@ -10,15 +10,19 @@
 from hypothesis import strategies as st
 
 from core.traffic.samples import ENGINE, make_fleet, make_server
-from vaneturn_core.identifiers import DataHall
+from vaneturn_core.identifiers import DataHall, VmId
 from vaneturn_core.traffic.chains import MAX_HOLDERS, Chain, ChainChooser, Part, assert_chain
 from vaneturn_core.traffic.layermap import LayerMap
 from vaneturn_core.traffic.layout import LayoutPlanner
-from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs
+from vaneturn_core.traffic.loads import LoadBoard
+from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerLoad
 
 
 def make_chooser(
-    fleet: Sequence[BackendServer], beliefs: ServerBeliefs | None = None, hall: str = "osborne"
+    fleet: Sequence[BackendServer],
+    beliefs: ServerBeliefs | None = None,
+    hall: str = "osborne",
+    board: LoadBoard | None = None,
 ) -> ChainChooser:
     return ChainChooser(
         layer_map=LayerMap(ENGINE, fleet),
@@ -28,6 +32,7 @@
         prompt=774.0,
         tokens=974.0,
         now=100.0,
+        board=board,
     )
 
 
@@ -146,3 +151,19 @@
     chain = choose(fleet, beliefs)
     assert chain is not None
     assert chain.first is fleet[1]
+
+
+def test_told_loads_of_other_nodes_count_in_place_of_an_estimate() -> None:
+    """By its own load times the nodes, a node left its own hall's free chain for a crowded one."""
+    fleet = [make_server(1, "a100", "osborne", (0, 80)), make_server(2, "l4", "malaga", (0, 80))]
+    beliefs, board = ServerBeliefs(), LoadBoard(lambda: 100.0)
+    beliefs[fleet[0].id].leading = fleet[0].slots // 8
+    board.take_follower(VmId("entry-2"), {})
+    chooser = make_chooser(fleet, beliefs, board=board)
+    free = chooser.choose(fleet)
+    assert free is not None
+    assert free.first is fleet[0]
+    board.take_follower(VmId("entry-2"), {fleet[0].id: ServerLoad(fleet[0].slots, 0.0)})
+    full = make_chooser(fleet, beliefs, board=board).choose(fleet)
+    assert full is not None
+    assert full.first is fleet[1]
--- /dev/null
+++ b/tests/core/traffic/test_loads.py
@@ -0,0 +1,49 @@
+"""What nodes have in progress on servers, summed over all of them, and forgotten when it is old."""
+
+from __future__ import annotations
+
+from vaneturn_core.identifiers import VmId
+from vaneturn_core.traffic.loads import LOAD_AGE, LoadBoard
+from vaneturn_core.traffic.servers import ServerId, ServerLoad
+
+ONE, OTHER = ServerId("i-1"), ServerId("i-2")
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def test_nothing_is_known_before_anybody_has_told() -> None:
+    assert LoadBoard(Clock()).find_others(ONE) is None
+
+
+def test_newest_word_of_a_node_replaces_the_one_before() -> None:
+    board = LoadBoard(Clock())
+    board.take_follower(VmId("entry-2"), {ONE: ServerLoad(3, 30.0)})
+    board.take_follower(VmId("entry-2"), {ONE: ServerLoad(1, 10.0)})
+    board.take_follower(VmId("entry-3"), {ONE: ServerLoad(2, 20.0), OTHER: ServerLoad(0, 5.0)})
+    assert board.find_others(ONE) == ServerLoad(3, 30.0)
+    assert board.sum_followers({OTHER: ServerLoad(1, 1.0)})[OTHER] == ServerLoad(1, 6.0)
+
+
+def test_total_of_a_relay_counts_without_the_own_part() -> None:
+    board = LoadBoard(Clock())
+    board.take_total({ONE: ServerLoad(9, 90.0), OTHER: ServerLoad(4, 40.0)}, {ONE: ServerLoad(2, 20.0)})
+    assert board.find_others(ONE) == ServerLoad(7, 70.0)
+    assert board.find_others(OTHER) == ServerLoad(4, 40.0)
+
+
+def test_old_word_counts_for_nothing() -> None:
+    clock = Clock()
+    board = LoadBoard(clock)
+    board.take_follower(VmId("entry-2"), {ONE: ServerLoad(3, 30.0)})
+    clock.now += LOAD_AGE - 0.1
+    board.take_relay(VmId("entry-3"), {OTHER: ServerLoad(1, 10.0)})
+    clock.now += 0.2
+    assert board.sum_all({}) == {OTHER: ServerLoad(1, 10.0)}
+    clock.now += LOAD_AGE
+    assert board.find_others(ONE) is None
--- a/tests/node/traffic/test_parsing.py
+++ b/tests/node/traffic/test_parsing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from typing import Any
 
 import anyio
@@ -11,9 +12,11 @@
 from hypothesis import strategies as st
 
 from vaneturn_core.faults import Fault
+from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.configuration import TrafficConfiguration
+from vaneturn_core.traffic.loads import LoadBoard
 from vaneturn_core.traffic.relays import RelayTimes
-from vaneturn_core.traffic.servers import BackendServer, ServerAddress, ServerId
+from vaneturn_core.traffic.servers import BackendServer, ServerAddress, ServerBeliefs, ServerId
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
 from vaneturn_node.platform.configuration import decode_configuration
@@ -114,7 +117,9 @@
 @settings(max_examples=60)
 def test_words_of_relays(status: int, body: bytes) -> None:
     async def ask() -> None:
-        client = ChangeClient(Fixed(status, body), RelayTimes.derive(2.0))
+        client = ChangeClient(
+            Fixed(status, body), RelayTimes.derive(2.0), VmId("entry-1"), ServerBeliefs(), LoadBoard(time.monotonic)
+        )
         assert isinstance(await client.ask("relay", 1), RelayedChanges | None)
         await client.ask_long("relay", "key")
 
--- a/tests/node/traffic/test_peers.py
+++ b/tests/node/traffic/test_peers.py
@@ -8,7 +8,10 @@
 import msgspec
 import pytest
 
+from vaneturn_core.identifiers import VmId
+from vaneturn_core.traffic.loads import LoadBoard
 from vaneturn_core.traffic.relays import RelayTimes
+from vaneturn_core.traffic.servers import ServerBeliefs, ServerId, ServerLoad
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
@@ -20,6 +23,7 @@
 pytestmark = pytest.mark.anyio
 
 TIMES = RelayTimes.derive(2.0)
+BUSY = ServerId("i-1")
 
 
 class Wire(Caller):
@@ -30,11 +34,11 @@
         self._server = server
         self._delay = delay
 
-    async def call(self, address: str, method: str, target: str, limit: float, **_: object) -> Reply | Failed:
+    async def call(self, address: str, method: str, target: str, limit: float, **sent: object) -> Reply | Failed:
         assert limit > 0
         assert address == "relay"
         answer = Answer()
-        request = ClientRequest(method, target, target.partition("?")[0], [], b"", time.monotonic())
+        request = ClientRequest(method, target, target.partition("?")[0], [], sent["body"], time.monotonic())  # type: ignore[arg-type]
         await self._server.answer(request, answer)
         await anyio.sleep(self._delay)
         return Reply(answer.status, answer.body)
@@ -61,15 +65,60 @@
         self.log = ChangeLog()
         self.log.reset([], 5)
         self.view.confirm(time.monotonic())
-        self.server = ChangeServer(self.log, self.view, TIMES)
+        self.beliefs = ServerBeliefs()
+        self.board = LoadBoard(time.monotonic)
+        self.server = ChangeServer(self.log, self.view, TIMES, self.beliefs, self.board)
 
     def hear(self, *items: StoreItem, revision: int) -> None:
         self.view.confirm(time.monotonic())
         self.log.append(items, revision)
 
 
+def make_client(caller: Caller, name: str = "entry-2", busy: int = 0) -> tuple[ChangeClient, LoadBoard]:
+    """Make the client of a node that leads some requests over the server i-1."""
+    beliefs, board = ServerBeliefs(), LoadBoard(time.monotonic)
+    lead(beliefs, busy)
+    return ChangeClient(caller, TIMES, VmId(name), beliefs, board), board
+
+
+def lead(beliefs: ServerBeliefs, requests: int) -> None:
+    belief = beliefs[BUSY]
+    belief.in_progress = belief.leading = requests
+    belief.reserved = 1000.0 * requests
+
+
 async def ask(caller: Caller) -> RelayedChanges | None:
-    return await ChangeClient(caller, TIMES).ask("relay", 5)
+    return await make_client(caller)[0].ask("relay", 5)
+
+
+async def test_nodes_learn_what_all_others_have_in_progress() -> None:
+    """Each took the others to be like itself: chains of other halls seemed full, and the own ones free."""
+    relay, other = Relay(), Relay()
+    lead(relay.beliefs, 1)
+    await make_client(Wire(other.server), "entry-4", busy=20)[0].ask("relay", 4)
+    relay.board.take_relay(VmId("entry-9"), other.board.sum_followers({}))
+    for name, busy in (("entry-2", 3), ("entry-3", 5)):
+        relay.hear(StoreItem("servers/i-1", b"entry", 6), revision=6)
+        client, board = make_client(Wire(relay.server), name, busy)
+        assert await client.ask("relay", 5) is not None
+    assert board.find_others(BUSY) == ServerLoad(1 + 3 + 20, 24000.0)
+    assert relay.board.find_others(BUSY) == ServerLoad(3 + 5 + 20, 28000.0)
+    assert relay.board.find_others(ServerId("i-2")) == ServerLoad(0, 0.0)
+
+
+async def test_relays_tell_each_other() -> None:
+    relay = Relay()
+    await make_client(Wire(relay.server), "entry-1")[0].tell_loads("relay", {BUSY: ServerLoad(7, 70.0)})
+    assert relay.board.find_others(BUSY) == ServerLoad(7, 70.0)
+
+
+async def test_word_on_loads_that_is_not_understood_does_not_hide_changes() -> None:
+    relay = Relay()
+    relay.hear(StoreItem("servers/i-1", b"entry", 6), revision=6)
+    answer = Answer()
+    request = ClientRequest("POST", f"{CHANGES_PATH}?since=5", CHANGES_PATH, [], b"{", time.monotonic())
+    await relay.server.answer(request, answer)
+    assert answer.status == 200
 
 
 async def test_changes_are_told_at_once() -> None:
