--- a/packages/core/src/vaneturn_core/traffic/layout.py
+++ b/packages/core/src/vaneturn_core/traffic/layout.py
@@ -72,17 +72,15 @@
                 placements.append(Placement(server, layers))
         return placements
 
-    def list_halls_with_gaps(self) -> list[str]:
-        """List the halls that hold some layers and lack others."""
-        return [hall for hall, counts in sorted(self._counts.items()) if any(counts) and not all(counts)]
-
-    def plan_repair(self, halls: Iterable[str]) -> list[Placement]:
-        """Plan for layers that nobody in these halls holds: the servers beside them take them over, or spares do."""
-        placements: list[Placement] = []
-        for hall in halls:
-            for run in _list_runs([count == 0 for count in self._counts[hall]]):
-                moved = {placement.server.id for placement in placements}
-                placements += self._close_gap([one for one in self._halls[hall] if one.id not in moved], run)
+    def plan_repair(self) -> list[Placement]:
+        """Plan for layers that nobody in a hall holds: the servers beside them take them over."""
+        placements = []
+        for hall, servers in sorted(self._halls.items()):
+            counts = self._counts.get(hall)
+            if counts is None or not any(counts):
+                continue
+            runs = _list_runs([count == 0 for count in counts])
+            placements += [placement for run in runs for placement in self._close_gap(servers, run)]
         return placements
 
     def plan_move(self) -> Placement | None:
--- a/packages/node/src/vaneturn_node/traffic/placing.py
+++ b/packages/node/src/vaneturn_node/traffic/placing.py
@@ -21,9 +21,6 @@
 ROUND: Final = 0.3  # seconds between looks
 SETTLE_TIME: Final = 1.3  # seconds without a new server before the first plan, and before one becomes a spare:
 # servers appear one after another, and in a release each new one comes a second before the old one leaves
-GAP_TIME: Final = 0.5  # seconds that a hall lacks layers before other servers take them over: in a release, the
-# new server takes them in the next round. A hall without all its layers sent its requests to the others for 10 s
-# when it waited for the whole list to settle, and for all orders under way
 LOAD_WAIT: Final = 20.0  # seconds after which an order that shows no effect is given again
 MOVE_INTERVAL: Final = 4.0  # seconds between moves, for the effect of one to show
 RETRY_AFTER_SILENCE: Final = 0.7  # seconds
@@ -49,7 +46,6 @@
         self._pending: dict[ServerId, _Pending] = {}
         self._known: frozenset[ServerId] = frozenset()
         self._changed_at = time.monotonic()
-        self._gaps_since: dict[str, float] = {}  # by data hall
         self._moved_at = float("-inf")
 
     async def run(self) -> None:
@@ -75,18 +71,16 @@
         is_begun = any(server.layers for server in planned)
         planner = LayoutPlanner(engine, planned)
         placements = planner.plan_empty(takes_spare=is_settled) if is_settled or is_begun else []
-        placements += planner.plan_repair(self._list_lasting_gaps(planner, now)) if is_begun else []
-        if not placements and not self._pending and now - self._moved_at >= MOVE_INTERVAL and is_settled:
-            move = planner.plan_move()
-            if move is not None:
-                self._moved_at = now
-                placements = [move]
-        await self._order_all(placements)
-
-    def _list_lasting_gaps(self, planner: LayoutPlanner, now: float) -> list[str]:
-        """List the halls that have lacked layers for a while, those that are being loaded not counted."""
-        self._gaps_since = {hall: self._gaps_since.get(hall, now) for hall in planner.list_halls_with_gaps()}
-        return [hall for hall, since in self._gaps_since.items() if now - since >= GAP_TIME]
+        if placements:
+            await self._order_all(placements)
+            return
+        if self._pending or now - self._moved_at < MOVE_INTERVAL or not is_settled:
+            return
+        move = planner.plan_move()
+        placements = planner.plan_repair() or ([move] if move is not None else [])
+        if placements:
+            self._moved_at = now
+            await self._order_all(placements)
 
     def _drop_settled(self, servers: list[BackendServer], now: float) -> None:
         """Forget the orders that have shown their effect, or should have long since."""
