--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -84,7 +84,6 @@
     taken: float  # tokens times layers of the requests in progress, from all nodes
     leading: float  # requests in progress that it is the first server of, from all nodes
     slowness: float
-    reading: float  # tokens times layers that wait to be read, from all nodes
 
 
 class ChainChooser:
@@ -101,7 +100,6 @@
         tokens: float,
         now: float,
         board: LoadBoard | None = None,
-        is_resumed: bool = False,
     ) -> None:
         """Prepare a choice.
 
@@ -112,7 +110,6 @@
         :param tokens: that the request will hold in the end.
         :param now: steady time, for what was told a while ago.
         :param board: what the other nodes have in progress.
-        :param is_resumed: whether a client waits for the next event, not the first: what reads least is best.
         """
         self._layer_map = layer_map
         self._engine: EngineProfile = layer_map.engine
@@ -122,7 +119,6 @@
         self.tokens = tokens
         self._now = now
         self._board = board
-        self.is_resumed = is_resumed
         self._pipe_time = PIPE_WEIGHT * prompt * self._engine.handover_bytes / self._engine.pipe_rate
 
     def choose(self, able: Iterable[BackendServer]) -> Chain | None:
@@ -176,7 +172,7 @@
                 taken, leading = belief.reserved * self._share, belief.leading * self._share
             else:
                 taken, leading = belief.reserved + others.reserved, belief.leading + others.leading
-            loads[server.id] = _Load(taken, leading, belief.read_slowness(self._now), belief.reading * self._share)
+            loads[server.id] = _Load(taken, leading, belief.read_slowness(self._now))
         return loads
 
     def _find_whole_way(self, boundaries: Boundaries, loads: Mapping[ServerId, _Load]) -> _Way | None:
@@ -236,21 +232,7 @@
         crowded = _estimate_crowding(crowding)
         slow = SLOW_TIME if load.slowness >= VERY_SLOW else 0.0
         grown = GROWTH_WEIGHT * option.growth * load.taken
-        reading = self._estimate_reading(option, load) if self.is_resumed else 0.0
-        return load.slowness * (option.time + grown) + crowded + slow + reading
-
-    def _estimate_reading(self, option: Option, load: _Load) -> float:
-        """Estimate the seconds until a server has read this request, after those that wait there."""
-        return option.read_time * (load.reading / option.length + self.tokens)
-
-    def estimate_reading(self, parts: Iterable[Part]) -> float:
-        """Estimate the seconds until the slowest of some parts has read this request."""
-        seconds = [0.0]
-        for part in parts:
-            kind = self._engine.kinds[part.server.kind or ""]
-            waiting = self._beliefs[part.server.id].reading * self._share + self.tokens * (part.end - part.first)
-            seconds.append(self._engine.read_time * kind.read_factor / self._engine.layers * waiting)
-        return max(seconds)
+        return load.slowness * (option.time + grown) + crowded + slow
 
 
 def _compute_taken(server: BackendServer, load: _Load, engine: EngineProfile) -> float:
--- a/packages/core/src/vaneturn_core/traffic/configuration.py
+++ b/packages/core/src/vaneturn_core/traffic/configuration.py
@@ -56,7 +56,6 @@
     name: str
     bytes: float
     step_factor: float  # on the times of steps and of context
-    read_factor: float  # on the time that prompts take
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +69,6 @@
     cache_bytes: float  # of one token on one layer
     step: float  # seconds of a token step
     step_growth: float  # seconds that each token of the requests in progress adds to a token step
-    read_time: float  # seconds that a token of a prompt takes
     handover_bytes: float  # of a token's activations, from one server of a chain to the next
     pipe_rate: float  # bytes a second between two data halls, shared by all
     usual_prompt: int  # tokens
--- a/packages/core/src/vaneturn_core/traffic/layermap.py
+++ b/packages/core/src/vaneturn_core/traffic/layermap.py
@@ -29,7 +29,6 @@
     part: Part
     room: float  # memory beside the layers, in tokens times layers
     time: float  # seconds of a token step, at the usual speed of the server's kind
-    read_time: float  # seconds for each token that it reads
     growth: float  # seconds that each token times layer in progress on the server adds to it
 
     @property
@@ -78,7 +77,6 @@
     engine: EngineProfile, server: BackendServer, boundary: int, begins: Iterable[int], end: int
 ) -> list[Option]:
     room = server.compute_room(engine)
-    read_time = engine.read_time * engine.kinds[server.kind or ""].read_factor / engine.layers
     factor = engine.kinds[server.kind or ""].step_factor / engine.layers
     step = engine.step * factor
     growth = engine.step_growth * factor / max(1, sum(len(layers) for layers in server.layers))
@@ -92,7 +90,6 @@
                     Part(server, boundary, stop),
                     room,
                     step * (stop - boundary) + HOP_TIME,
-                    read_time * (stop - boundary),
                     growth * (stop - boundary),
                 )
                 for stop in (*stops, last)
--- a/packages/core/src/vaneturn_core/traffic/servers.py
+++ b/packages/core/src/vaneturn_core/traffic/servers.py
@@ -82,7 +82,6 @@
     in_progress: int = 0
     heard_at: float = float("-inf")  # when a token last came over a chain with this server
     reserved: float = 0.0  # tokens times layers of the requests in progress from this node
-    reading: float = 0.0  # tokens times layers that it reads for requests of this node before their next events
     latency: float = 0.0  # moving average of whole answers or first events, seconds
     failures: int = 0  # in a row
     failed_at: float = float("-inf")
--- a/packages/node/src/vaneturn_node/platform/configuration.py
+++ b/packages/node/src/vaneturn_node/platform/configuration.py
@@ -50,7 +50,6 @@
     name: str
     mb: float
     pace: float = 1.0
-    read_x: float = 1.0
 
 
 class _Delay(Struct, rename={"one": "from", "other": "target_version"}):  # the far zone, not a version
@@ -73,7 +72,6 @@
     kv_token_bytes: float = 0.0  # of a token on all layers
     models: list[_Model] = []
     step_ms: float = 1.0
-    read_per_s: float = 0.0  # tokens of prompts
     per_seq_ms: float = 0.0  # that each request in progress adds to a step
     context_per_k: float = 0.0  # ms that each thousand tokens of its context add
     delays: list[_Delay] = []
@@ -169,13 +167,12 @@
         layer_bytes=engine.layer_mb * _MEGABYTE,
         cache_bytes=engine.kv_token_bytes / engine.layers,
         step=engine.step_ms * _MS,
-        read_time=1 / engine.read_per_s if engine.read_per_s else 0.0,
         step_growth=_compute_step_growth(engine),
         handover_bytes=engine.act_bytes,
         pipe_rate=engine.pipe_mbps * _MEGABIT_BYTES or float("inf"),
         usual_prompt=engine.usual.prompt,
         usual_answer=engine.usual.answer,
-        kinds={kind.name: ServerKind(kind.name, kind.mb * _MEGABYTE, kind.pace, kind.read_x) for kind in engine.kinds},
+        kinds={kind.name: ServerKind(kind.name, kind.mb * _MEGABYTE, kind.pace) for kind in engine.kinds},
         delays=delays,
     )
 
--- a/packages/node/src/vaneturn_node/traffic/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/streams.py
@@ -48,7 +48,7 @@
         end: TryEnd | None = None
         refusals = 0
         while work.sends < MAX_SENDS and refusals < MAX_REFUSALS and work.left > 0 and work.may_send():
-            chooser = self._make_chooser(work, engine, is_resumed=relay.is_begun)
+            chooser = self._make_chooser(work, engine)
             chain = chooser.choose(self._parts.list_choosable(work.service, work.avoided))
             if chain is None:
                 if not relay.is_begun:
@@ -72,7 +72,7 @@
                 break
         return self._give_up(work, relay, end)
 
-    def _make_chooser(self, work: RequestInProgress, engine: EngineProfile, *, is_resumed: bool) -> ChainChooser:
+    def _make_chooser(self, work: RequestInProgress, engine: EngineProfile) -> ChainChooser:
         answer = min(work.facts.most_answer_tokens or engine.usual_answer, engine.usual_answer)
         prompt = work.facts.prompt_tokens or engine.usual_prompt
         return ChainChooser(
@@ -84,7 +84,6 @@
             tokens=prompt + answer,
             now=time.monotonic(),
             board=self._parts.board,
-            is_resumed=is_resumed,
         )
 
     def _give_up(self, work: RequestInProgress, relay: Relay, end: TryEnd | None) -> OwnAnswer | None:
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterable
 from typing import Final
 
 from vaneturn_core.traffic.chains import Chain, ChainChooser, Part
@@ -25,7 +24,6 @@
 OVERDUE_PAUSES: Final = 2.5  # the same, in usual pauses of this answer
 HEAD_OVERDUE: Final = 0.2  # seconds without the first event; most come in 0.16 s, and should in 0.5 s
 ASK_AGAIN: Final = 0.1  # seconds between questions while nothing comes
-NEW_RUN_TIME: Final = 0.03  # seconds that a new run takes beyond the reading: its send, and a token over all parts
 MAX_DETOURS: Final = 3
 
 
@@ -49,7 +47,6 @@
         self._tokens = chooser.tokens
         self._is_counted = False  # as a run
         self._is_gone = False  # the first server has ended, or is cut off
-        self._reading: list[Part] = []  # parts that read the request before its next event
         self._finder = LossFinder(parts, work)
 
     @property
@@ -72,7 +69,6 @@
         except LinkError as error:
             end = self._note_lost(error)
         finally:
-            self._note_read()
             self._reserve(self._chain, -1)
             if link is not None:
                 is_whole = end is None or isinstance(end, Answered | NotRun)
@@ -89,16 +85,6 @@
             belief.leading += sign * (part is chain.parts[0])
             belief.reserved += sign * self._tokens * (part.end - part.first)
 
-    def _note_reading(self, parts: Iterable[Part]) -> None:
-        for part in parts:
-            self._parts.beliefs[part.server.id].reading += self._tokens * (part.end - part.first)
-            self._reading.append(part)
-
-    def _note_read(self) -> None:
-        for part in self._reading:
-            self._parts.beliefs[part.server.id].reading -= self._tokens * (part.end - part.first)
-        self._reading.clear()
-
     def _count_run(self) -> None:
         """Count that the request may have run on the first server, once for each try."""
         if not self._is_counted:
@@ -110,7 +96,6 @@
         now = time.monotonic()
         for part in self._chain.parts:
             self._parts.beliefs[part.server.id].record_token(now)
-        self._note_read()
 
     def _note_lost(self, error: LinkError) -> TryEnd:
         """Decide what a lost connection says of the first server, and of the request."""
@@ -130,7 +115,6 @@
             self._first.id, self._chain, self._relay.last_event, is_resumed=self._relay.is_begun
         )
         headers = build_server_headers(work.request.headers, dispatch)
-        self._note_reading(self._chain.parts)
         await link.send(work.request.method, work.request.target, headers, work.request.body, work.left)
         head = await self._await(link, is_head=True)
         if not isinstance(head, AnswerHead):
@@ -203,7 +187,6 @@
     async def _replace(self, lost: list[Part]) -> TryEnd | None:
         """Take the request over other servers in place of the lost ones."""
         work = self._work
-        self._chooser.is_resumed = self._relay.is_begun
         for part in lost:
             self._parts.beliefs[part.server.id].record_failure(time.monotonic())
             work.avoided.add(part.server.id)
@@ -214,32 +197,20 @@
                 return self._end_or_wait("no server in place of the lost one")
             if self._may_move() and chain.count_crossings() > self._chain.count_crossings():
                 return MayHaveRun("another hall reads the prompt sooner than it crosses the pipe")
-            added_parts = [part for part in chain.parts if part not in self._chain.parts]
-            if self._may_move() and self._reads_sooner_elsewhere(added_parts):
-                return MayHaveRun("another chain reads the prompt sooner than the servers in place of the lost one")
             assert work.facts.id is not None  # noqa: S101 # without an id a request is not let in
             outcome = await self._parts.calls.replace_parts(self._first, work.facts.id, list(chain.parts))
-            added = [part.server.id for part in added_parts]
+            added = [part.server.id for part in chain.parts if part not in self._chain.parts]
             work.note(f"detour over {added} {outcome.value}")
             if outcome is OrderOutcome.TAKEN:
                 self._reserve(self._chain, -1)
                 self._chain = chain
                 self._reserve(self._chain, 1)
-                self._note_reading(added_parts)
                 return None
             if outcome is not OrderOutcome.CONFLICT:
                 break
             work.avoided.update(added)  # one of them has no room, or does not hold its part any more
         return self._end_or_wait("no detour")
 
-    def _reads_sooner_elsewhere(self, added: list[Part]) -> bool:
-        """Tell whether a new run over another chain would give the next event before a detour."""
-        other = self._chooser.choose(self._parts.list_choosable(self._work.service, self._work.avoided))
-        if other is None or other.first is self._first:
-            return False
-        here = self._chooser.estimate_reading(added)
-        return self._chooser.estimate_reading(other.parts) + NEW_RUN_TIME < here
-
     def _end_or_wait(self, cause: str) -> TryEnd | None:
         """End the try if the request may run elsewhere; else the first server still waits a while for a detour."""
         if self._may_move():
--- a/tests/core/traffic/samples.py
+++ b/tests/core/traffic/samples.py
@@ -7,9 +7,9 @@
 from vaneturn_core.traffic.servers import BackendServer, LayerRange, ServerAddress, ServerId, ServerState
 
 KINDS = {
-    "a100": ServerKind("a100", 72e9, 2.4, 3.2),
-    "l40s": ServerKind("l40s", 43.2e9, 5.6, 2.7),
-    "l4": ServerKind("l4", 21.6e9, 16.0, 8.2),
+    "a100": ServerKind("a100", 72e9, 2.4),
+    "l40s": ServerKind("l40s", 43.2e9, 5.6),
+    "l4": ServerKind("l4", 21.6e9, 16.0),
 }
 HALLS = {
     "osborne": {"a100": 1, "l40s": 3, "l4": 8},
@@ -24,7 +24,6 @@
     cache_bytes=22950.0,
     step=0.00102,
     step_growth=1.1e-8,
-    read_time=1 / 105000,
     handover_bytes=91800,
     pipe_rate=26e9 / 8,
     usual_prompt=774,
--- a/tests/core/traffic/test_chains.py
+++ b/tests/core/traffic/test_chains.py
@@ -23,8 +23,6 @@
     beliefs: ServerBeliefs | None = None,
     hall: str = "osborne",
     board: LoadBoard | None = None,
-    *,
-    is_resumed: bool = False,
 ) -> ChainChooser:
     return ChainChooser(
         layer_map=LayerMap(ENGINE, fleet),
@@ -35,7 +33,6 @@
         tokens=974.0,
         now=100.0,
         board=board,
-        is_resumed=is_resumed,
     )
 
 
@@ -170,23 +167,3 @@
     full = make_chooser(fleet, beliefs, board=board).choose(fleet)
     assert full is not None
     assert full.first is fleet[1]
-
-
-def test_resumed_answers_spread_over_the_chains_that_read_them_soonest() -> None:
-    """All streams of a lost server moved to one chain, and the queue of their prompts there made the pauses."""
-    fleet = [make_server(number, "a100", "malaga", (0, 80)) for number in range(1, 4)]
-    beliefs = ServerBeliefs()
-    for _ in range(9):
-        chain = make_chooser(fleet, beliefs, is_resumed=True).choose(fleet)
-        assert chain is not None
-        beliefs[chain.first.id].reading += 974.0 * 80
-    assert [beliefs[server.id].reading for server in fleet] == [3 * 974.0 * 80] * 3
-
-
-def test_chain_with_a_queue_of_prompts_reads_later() -> None:
-    fleet = [make_server(1, "a100", layers=(0, 80)), make_server(2, "a100", layers=(0, 80))]
-    beliefs = ServerBeliefs()
-    beliefs[fleet[0].id].reading = 10 * 974.0 * 80
-    chooser = make_chooser(fleet, beliefs)
-    busy, idle = (chooser.estimate_reading([Part(server, 0, 80)]) for server in fleet)
-    assert busy == pytest.approx((8 * 10 + 1) * idle)
