Revert "Refuse a new request at once when the best chain for it is full"

Conclusion: a server that is full by this node's belief still serves most of what it gets late, and a refused client comes back only once.

--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -256,4 +256,4 @@
     return len({part.server.address for part in parts}) == len(parts)
 
 
-__all__ = ["FULL", "VERY_SLOW", "Chain", "ChainChooser", "Part", "assert_chain"]
+__all__ = ["VERY_SLOW", "Chain", "ChainChooser", "Part", "assert_chain"]
--- a/packages/node/src/vaneturn_node/traffic/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/streams.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from vaneturn_core.traffic.chains import FULL, ChainChooser
+from vaneturn_core.traffic.chains import ChainChooser
 from vaneturn_core.traffic.configuration import EngineProfile
 from vaneturn_node.http1.server import ClientAnswer
 from vaneturn_node.traffic.exchange import TrafficParts
@@ -20,7 +20,6 @@
 MAX_SENDS: Final = 5  # of one request, those that servers turned away included
 MAX_REFUSALS: Final = 3  # by servers that have no room, before the request is refused
 RETRY_AFTER: Final = 0.3  # seconds, full jitter on top: some answers end in that time
-FULL_RETRY_AFTER: Final = 1.0  # seconds, full jitter on top: half of the answers in progress end in that time
 RETURN_WAIT: Final = 0.2  # seconds between looks for a chain to go on with a begun answer
 
 
@@ -57,9 +56,6 @@
                 work.note("no chain")
                 await anyio.sleep(RETURN_WAIT)
                 continue
-            if not relay.is_begun and not work.may_have_run and chooser.estimate_fullness(chain) >= FULL:
-                work.note("all chains full")
-                return refuse(Reason.FULL, FULL_RETRY_AFTER * (1 + random.random()))
             if not work.sends:
                 budget.record_first()
             elif not budget.spend():
