Add the verb losses: what bound the traffic, from the log lines of nodes alone

The verb reads lines of all nodes from files or standard input and prints for each kind of loss and cause the requests, routes, worst second and the requests of that second.

--- a/packages/cli/src/vaneturn_cli/commands.py
+++ b/packages/cli/src/vaneturn_cli/commands.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
+import itertools
 import os
 import sys
 import uuid
@@ -16,6 +18,7 @@
 from vaneturn_cli.declarations import load_declarations
 from vaneturn_cli.difference import compare_configurations
 from vaneturn_cli.exits import Exit
+from vaneturn_cli.losses import Limits, format_losses, read_lines
 from vaneturn_cli.querying import run_prompt, run_statement
 from vaneturn_cli.reporting import report_change, report_no_answer
 from vaneturn_cli.traffic import NotThere, find_request, format_request, format_states, read_state
@@ -62,6 +65,7 @@
     explaining = verbs.add_parser("explain", help="tell what became of a request on the users' platform")
     explaining.add_argument("request")
     explaining.set_defaults(command=explain)
+    _add_losses(verbs.add_parser("losses", help="tell from log lines which requests were late or not served, and why"))
     verbs.add_parser("prompt", help="carry out lines from standard input").set_defaults(command=prompt)
     verbs.add_parser("schema", help="print the JSON Schema of declarations").set_defaults(command=show_schema)
     return parser
@@ -72,6 +76,16 @@
     parser.set_defaults(command=command)
 
 
+def _add_losses(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "files", nargs="*", type=Path, metavar="FILE", help="log lines of nodes; without: standard input"
+    )
+    parser.add_argument("--first-event", type=float, default=0.5, help="seconds in which a stream should begin")
+    parser.add_argument("--pause", type=float, default=0.2, help="seconds that a stream may pause")
+    parser.add_argument("--most", type=int, default=30, help="rows")
+    parser.set_defaults(command=show_losses)
+
+
 def _make_client(options: argparse.Namespace) -> OperatorClient:
     nodes = [node for node in options.nodes.split(",") if node]
     return OperatorClient(nodes, os.environ.get(KEY_VARIABLE, ""), options.authority)
@@ -161,6 +175,22 @@
     return Exit.NO_ANSWER
 
 
+def show_losses(options: argparse.Namespace) -> Exit:
+    """Tell from log lines which requests were late or not served, and why."""
+    try:
+        with contextlib.ExitStack() as files:
+            opened = [files.enter_context(path.open(errors="replace")) for path in options.files]
+            lines = itertools.chain.from_iterable(opened) if opened else sys.stdin
+            table = read_lines(lines, Limits(options.first_event, options.pause))
+    except OSError as error:
+        print(f"{error.filename}: {error.strerror}", file=sys.stderr)
+        return Exit.FAULTY
+    print(msgspec.json.encode(table.list_rows()).decode() if options.json else format_losses(table, options.most))
+    if table.faulty_lines:
+        print(f"{table.faulty_lines} lines not understood", file=sys.stderr)
+    return Exit.DONE
+
+
 def show_schema(_options: argparse.Namespace) -> Exit:
     """Print the JSON Schema of declarations."""
     print(msgspec.json.format(msgspec.json.encode(describe_schema())).decode())
--- /dev/null
+++ b/packages/cli/src/vaneturn_cli/losses.py
@@ -0,0 +1,129 @@
+"""What bound the traffic, from the log lines of nodes: which requests were late or not served, when and why."""
+
+from __future__ import annotations
+
+import re
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Final
+
+import msgspec
+from tabulate import tabulate
+
+from vaneturn_core.traffic.state import TrafficRequest
+
+MESSAGE: Final = "request ended"
+WHOLE: Final = re.compile(r"^(whole|status 2\d\d)$")
+OWN_REFUSAL: Final = re.compile(r"^own (503|429|408|421) ")
+LEFT: Final = "client left"
+BROKEN: Final = "broken off"
+_STEP_TIME: Final = re.compile(r"^\d+ms ")
+_SERVER: Final = re.compile(r"\bi-[0-9a-zA-Z]+\b(\[\d+,\d+\))?")
+_SENT: Final = "over "  # a step that names the chain, no cause
+
+
+class Loss(Enum):
+    """How a request fell short."""
+
+    FIRST_EVENT = "late first event"
+    PAUSE = "long pause"
+    BROKEN_OFF = "broken off"
+    REFUSED = "refused"
+    FAILED = "failed"
+    CLIENT_LEFT = "client left"
+
+
+@dataclass(frozen=True)
+class Limits:
+    """What a stream may take before it counts as late."""
+
+    first_event: float  # seconds from its arrival
+    pause: float  # seconds between two events
+
+
+class _Line(msgspec.Struct):
+    """A log line on the end of a request; the fields of the request stand beside these."""
+
+    message: str
+    time: str = ""
+
+
+@dataclass
+class LossTable:
+    """Losses by kind and cause."""
+
+    requests: int = 0
+    faulty_lines: int = 0
+    seconds: defaultdict[tuple[Loss, str], Counter[str]] = field(default_factory=lambda: defaultdict(Counter))
+    routes: defaultdict[tuple[Loss, str], set[str]] = field(default_factory=lambda: defaultdict(set))
+
+    def add(self, request: TrafficRequest, second: str, limits: Limits) -> None:
+        """Count a request."""
+        self.requests += 1
+        loss = find_loss(request, limits)
+        if loss is not None:
+            key = (loss, find_cause(request))
+            self.seconds[key][second] += 1
+            self.routes[key].add(request.route)
+
+    def list_rows(self) -> list[tuple[str, str, int, int, str, int]]:
+        """List kind, cause, requests, routes, worst second and the requests of that second, most requests first."""
+        rows = []
+        for key, seconds in self.seconds.items():
+            worst, most = seconds.most_common(1)[0]
+            rows.append((key[0].value, key[1], seconds.total(), len(self.routes[key]), worst, most))
+        return sorted(rows, key=lambda row: -row[2])
+
+
+def find_loss(request: TrafficRequest, limits: Limits) -> Loss | None:
+    """Find how a request fell short; none when it was served in time, or refused for what the client had sent."""
+    if WHOLE.match(request.ending):
+        if request.first_event > limits.first_event:
+            return Loss.FIRST_EVENT
+        return Loss.PAUSE if request.longest_pause > limits.pause else None
+    if request.ending == LEFT:
+        return Loss.CLIENT_LEFT
+    if request.ending == BROKEN:
+        return Loss.BROKEN_OFF
+    if OWN_REFUSAL.match(request.ending):
+        return Loss.REFUSED
+    return Loss.FAILED if re.search(r"\b5\d\d\b", request.ending) else None
+
+
+def find_cause(request: TrafficRequest) -> str:
+    """Find the steps that kept a request up, without times and servers; by itself crowding leaves no step."""
+    steps = [_SERVER.sub("S", _STEP_TIME.sub("", step)) for step in request.steps]
+    causes = dict.fromkeys(step for step in steps if not step.startswith(_SENT))
+    return "; ".join(causes) or request.reason or "no step"
+
+
+def read_lines(lines: Iterable[str], limits: Limits) -> LossTable:
+    """Read log lines; whatever stands before the JSON of a line is passed over, other messages do not count."""
+    table = LossTable()
+    for line in lines:
+        if MESSAGE not in line:
+            continue
+        text = line[line.find("{") :]
+        try:
+            head = msgspec.json.decode(text, type=_Line)
+            if head.message == MESSAGE:
+                table.add(msgspec.json.decode(text, type=TrafficRequest), head.time[:19], limits)
+        except msgspec.DecodeError:
+            table.faulty_lines += 1
+    return table
+
+
+def format_losses(table: LossTable, most: int) -> str:
+    """Format the table, its longest rows first."""
+    rows = table.list_rows()
+    lost = sum(row[2] for row in rows)
+    text = tabulate(
+        rows[:most], headers=("loss", "cause", "requests", "routes", "worst second", "then"), maxcolwidths=[None, 70]
+    )
+    left_out = f", {len(rows) - most} rows left out" if len(rows) > most else ""
+    return f"{table.requests} requests, {lost} late or not served{left_out}\n\n{text}"
+
+
+__all__ = ["Limits", "Loss", "LossTable", "find_cause", "find_loss", "format_losses", "read_lines"]
