Let the stand-ins take the last connections before they stop

Ruled out: the product (its processes had ended), load alone (a connection made right before the end fails three runs of three, at rest). Change: after its nodes have ended, the rig waits 0.02 s so that the stand-ins accept what is there.

--- a/tests/rig/traffic.py
+++ b/tests/rig/traffic.py
@@ -20,6 +20,7 @@
 from standins.platform.servers import Fleet, Server, open_fleet
 from standins.relay import Path as NetworkPath
 
+ACCEPT_TIME = 0.02  # seconds for the stand-ins to take the last connections of nodes that have ended
 START_TIME = 20.0  # seconds; generous, for busy machines
 
 
@@ -162,6 +163,7 @@
         finally:
             for node in traffic.nodes:
                 node.process.end()
+            await anyio.sleep(ACCEPT_TIME)
 
 
 __all__ = ["Node", "Traffic", "assert_layers_once_in_order", "list_ids", "open_traffic", "wait_for"]
