--- a/packages/core/src/vaneturn_core/traffic/layout.py
+++ b/packages/core/src/vaneturn_core/traffic/layout.py
@@ -10,30 +10,18 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import dataclass
 from typing import Final
 
 from vaneturn_core.traffic.configuration import EngineProfile
-from vaneturn_core.traffic.layermap import HOP_TIME
+from vaneturn_core.traffic.memory import ServerMemory
 from vaneturn_core.traffic.servers import BackendServer, LayerRange, ServerState
+from vaneturn_core.traffic.tilings import HallTiler, Placement
 
-MAX_WEIGHTS_SHARE: Final = 0.75  # of a server's memory that weights may take; the rest is room for requests
 WEAK_SHARE: Final = 0.35  # of the mean cover; layers below it get a server from elsewhere
 ROOM_SHARE: Final = 0.67  # of the requests that a first server takes: more room would cost layers on fast servers
-TILING_SHIFT: Final = 0.5  # of the layers, between the fastest servers of two tilings of a hall
-LESS_ROOM: Final = 0.85  # of that room, where it spares a chain its last server, which costs each token 0.8 ms
-ROOM_STEPS: Final = 12  # halvings of the room of a chain: to a fortieth of a request at 96
 MOVE_GAIN: Final = 1.25  # by which a move must better the weakest cover: it costs a load
 
 
-@dataclass(frozen=True, slots=True)
-class Placement:
-    """What one server should hold."""
-
-    server: BackendServer
-    layers: LayerRange
-
-
 class LayoutPlanner:
     """One round over the servers of one model."""
 
@@ -46,6 +34,8 @@
         self._counts: dict[str, list[int]] = {}  # by data hall: holders of each layer
         self._sizes: dict[str, list[int]] = {}  # by data hall: layers of the largest part that holds each layer
         self._most_requests = ROOM_SHARE * engine.slots
+        self._memory = ServerMemory(engine)
+        self._tiler = HallTiler(engine, self._memory, self._most_requests)
         self._cover = [0.0] * engine.layers  # requests that all holders of a layer have room for
         for server in self._servers:
             for layers in server.layers:
@@ -62,7 +52,7 @@
             if len(empty) == len(servers):
                 placements += self._tile_hall(servers, number / len(self._halls))
                 continue
-            for server in sorted(empty, key=lambda one: (-self._count_bytes(one), one.id)):
+            for server in sorted(empty, key=lambda one: (-self._memory.count_bytes(one), one.id)):
                 layers = self._find_gap(server, hall)
                 if layers is None and takes_spare:
                     layers = self._find_spare(server)
@@ -106,55 +96,16 @@
         return best
 
     def _tile_hall(self, servers: Iterable[BackendServer], shift: float) -> Iterator[Placement]:
-        """Tile all layers as often as they fit; the servers left over double some of them.
-
-        :param shift: share of the layers before the fastest server of the first tiling.
-        """
-        requests = self._find_room(servers)
-        rest = sorted(servers, key=lambda one: (self._estimate_layer_time(one, requests), one.id))
-        while parts := self._take_tiling(rest, requests):
-            shorter = self._take_tiling(rest, LESS_ROOM * requests)
-            parts = shorter if len(shorter) < len(parts) else parts
-            rest = rest[len(parts) :]
-            for placement in _lay_out(parts, int(shift * self._engine.layers)):
-                self._add(placement.server, placement.layers, 1)
-                yield placement
-            shift = (shift + TILING_SHIFT) % 1
+        """Tile all layers as often as they fit; the servers left over double some of them."""
+        placements, rest = self._tiler.tile(servers, shift)
+        for placement in placements:
+            self._add(placement.server, placement.layers, 1)
+            yield placement
         for server in rest:
             layers = self._find_spare(server)
             self._add(server, layers, 1)
             yield Placement(server, layers)
 
-    def _take_tiling(self, servers: Sequence[BackendServer], requests: float) -> list[tuple[BackendServer, int]]:
-        """Take the first servers that hold all layers, each with its number of layers; empty when all do not."""
-        parts: list[tuple[BackendServer, int]] = []
-        left = self._engine.layers
-        for server in servers:
-            size = min(left, max(1, self._count_roomy_layers(server, requests)))
-            parts.append((server, size))
-            left -= size
-            if not left:
-                return parts
-        return []
-
-    def _find_room(self, servers: Iterable[BackendServer]) -> float:
-        """Find how many requests a chain of a hall can have room for: those that its first server takes, or fewer."""
-        least, most = 0.0, self._most_requests
-        if sum(self._count_roomy_layers(server, most) for server in servers) >= self._engine.layers:
-            return most
-        for _ in range(ROOM_STEPS):
-            middle = (least + most) / 2
-            if sum(self._count_roomy_layers(server, middle) for server in servers) >= self._engine.layers:
-                least = middle
-            else:
-                most = middle
-        return least
-
-    def _estimate_layer_time(self, server: BackendServer, requests: float) -> float:
-        """Estimate the seconds that a token takes for each layer there, its wait at the server included."""
-        step = self._engine.step * self._engine.kinds[server.kind or ""].step_factor / self._engine.layers
-        return step + HOP_TIME / max(1, self._count_roomy_layers(server, requests))
-
     def _find_gap(self, server: BackendServer, hall: str) -> LayerRange | None:
         """Find the layers that an empty server should hold first: those that nobody in its hall holds."""
         counts = self._counts.get(hall, [0] * self._engine.layers)
@@ -162,17 +113,19 @@
         if not runs:
             return None
         gap = max(runs, key=len)
-        most = self._count_most_layers(server)
+        most = self._memory.count_most_layers(server)
         if len(gap) > most:
-            return LayerRange(gap.first, gap.first + max(1, self._count_roomy_layers(server, self._most_requests)))
+            return LayerRange(
+                gap.first, gap.first + max(1, self._memory.count_roomy_layers(server, self._most_requests))
+            )
         return gap
 
     def _close_gap(self, servers: Iterable[BackendServer], gap: LayerRange) -> list[Placement]:
         """Let the servers on both sides of a gap share it by the room they have."""
-        before = max(_list_beside(servers, gap, is_before=True), key=self._count_free, default=None)
-        after = max(_list_beside(servers, gap, is_before=False), key=self._count_free, default=None)
-        free_before = self._count_free(before) if before is not None else 0
-        free_after = self._count_free(after) if after is not None else 0
+        before = max(_list_beside(servers, gap, is_before=True), key=self._memory.count_free, default=None)
+        after = max(_list_beside(servers, gap, is_before=False), key=self._memory.count_free, default=None)
+        free_before = self._memory.count_free(before) if before is not None else 0
+        free_after = self._memory.count_free(after) if after is not None else 0
         if free_before + free_after < len(gap):
             return self._move_spares(servers, gap)
         middle = gap.first + min(free_before, round(len(gap) * free_before / (free_before + free_after)))
@@ -188,12 +141,12 @@
         """Let servers whose layers others in the hall hold as well close a gap; none when they cannot close it all."""
         placements: list[Placement] = []
         first = gap.first
-        for server in sorted(servers, key=lambda one: (-self._count_most_layers(one), one.id)):
+        for server in sorted(servers, key=lambda one: (-self._memory.count_most_layers(one), one.id)):
             if first >= gap.end:
                 break
             if len(server.layers) != 1 or not self._is_doubled(server):
                 continue
-            layers = LayerRange(first, min(gap.end, first + self._count_most_layers(server)))
+            layers = LayerRange(first, min(gap.end, first + self._memory.count_most_layers(server)))
             self._add(server, server.layers[0], -1)
             self._add(server, layers, 1)
             placements.append(Placement(server, layers))
@@ -221,7 +174,7 @@
 
     def _find_least(self, server: BackendServer, *figures: Sequence[float]) -> LayerRange:
         """Find the layers for a server with the least sum of the first figure; the next ones decide between equals."""
-        size = max(1, min(self._count_roomy_layers(server, self._most_requests), self._engine.layers))
+        size = max(1, min(self._memory.count_roomy_layers(server, self._most_requests), self._engine.layers))
         starts = range(self._engine.layers - size + 1)
         first = min(starts, key=lambda start: [sum(figure[start : start + size]) for figure in figures])
         return LayerRange(first, first + size)
@@ -229,43 +182,12 @@
     def _add(self, server: BackendServer, layers: LayerRange, sign: int) -> None:
         counts = self._counts.setdefault(server.hall, [0] * self._engine.layers)
         sizes = self._sizes.setdefault(server.hall, [0] * self._engine.layers)
-        free = self._count_bytes(server) - len(layers) * self._engine.layer_bytes
-        requests = max(1.0, free / (self._count_request_bytes() * len(layers)))
+        requests = self._memory.count_requests(server, layers)
         for layer in range(layers.first, min(layers.end, self._engine.layers)):
             counts[layer] += sign
             sizes[layer] = max(sizes[layer], len(layers))
             self._cover[layer] += sign * requests
 
-    def _count_bytes(self, server: BackendServer) -> float:
-        return self._engine.kinds[server.kind or ""].bytes
-
-    def _count_most_layers(self, server: BackendServer) -> int:
-        return max(1, int(MAX_WEIGHTS_SHARE * self._count_bytes(server) / self._engine.layer_bytes))
-
-    def _count_roomy_layers(self, server: BackendServer, requests: float) -> int:
-        """Count the layers that leave a server room for so many requests."""
-        roomy = self._count_bytes(server) / (self._engine.layer_bytes + requests * self._count_request_bytes())
-        return min(int(roomy), self._count_most_layers(server))
-
-    def _count_request_bytes(self) -> float:
-        """Count what a usual request takes for each layer."""
-        return (self._engine.usual_prompt + self._engine.usual_answer) * self._engine.cache_bytes
-
-    def _count_free(self, server: BackendServer) -> int:
-        """Count the layers that a server may take beside its own."""
-        return max(0, self._count_most_layers(server) - sum(len(layers) for layers in server.layers))
-
-
-def _lay_out(parts: Sequence[tuple[BackendServer, int]], before: int) -> Iterator[Placement]:
-    """Lay parts out over the layers, the last ones first until so many layers are before the first one."""
-    turn = len(parts)
-    while turn > 1 and sum(size for _, size in parts[turn:]) < before:
-        turn -= 1
-    first = 0
-    for server, size in [*parts[turn:], *parts[:turn]]:
-        yield Placement(server, LayerRange(first, first + size))
-        first += size
-
 
 def _list_beside(servers: Iterable[BackendServer], gap: LayerRange, *, is_before: bool) -> list[BackendServer]:
     """List the servers with one range that ends where a gap begins, or begins where it ends."""
--- /dev/null
+++ b/packages/core/src/vaneturn_core/traffic/tilings.py
@@ -0,0 +1,100 @@
+"""Whole tilings of a data hall: all layers once and in order, over its fastest servers first."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from vaneturn_core.traffic.configuration import EngineProfile
+from vaneturn_core.traffic.layermap import HOP_TIME
+from vaneturn_core.traffic.memory import ServerMemory
+from vaneturn_core.traffic.servers import BackendServer, LayerRange
+
+LESS_ROOM: Final = 0.85  # of the room wanted, where it spares a chain its last server, which costs each token 0.8 ms
+ROOM_STEPS: Final = 12  # halvings of the room of a chain: to a fortieth of a request at 96
+TILING_SHIFT: Final = 0.5  # of the layers, between the fastest servers of two tilings of a hall
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """What one server should hold."""
+
+    server: BackendServer
+    layers: LayerRange
+
+
+class HallTiler:
+    """Tiles halls for servers of one model."""
+
+    def __init__(self, engine: EngineProfile, memory: ServerMemory, most_requests: float) -> None:
+        """Prepare.
+
+        :param most_requests: that a chain should have room for, if its hall has the memory.
+        """
+        self._engine = engine
+        self._memory = memory
+        self._most_requests = most_requests
+
+    def tile(self, servers: Iterable[BackendServer], shift: float) -> tuple[list[Placement], list[BackendServer]]:
+        """Tile all layers as often as they fit; gives the servers left over as well.
+
+        :param shift: share of the layers before the fastest server of the first tiling.
+        """
+        requests = self._find_room(servers)
+        rest = sorted(servers, key=lambda one: (self._estimate_layer_time(one, requests), one.id))
+        placements: list[Placement] = []
+        while parts := self._take_tiling(rest, requests):
+            shorter = self._take_tiling(rest, LESS_ROOM * requests)
+            parts = shorter if len(shorter) < len(parts) else parts
+            rest = rest[len(parts) :]
+            placements += _lay_out(parts, int(shift * self._engine.layers))
+            shift = (shift + TILING_SHIFT) % 1
+        return placements, rest
+
+    def _take_tiling(self, servers: Sequence[BackendServer], requests: float) -> list[tuple[BackendServer, int]]:
+        """Take the first servers that hold all layers, each with its number of layers; empty when all do not."""
+        parts: list[tuple[BackendServer, int]] = []
+        left = self._engine.layers
+        for server in servers:
+            size = min(left, max(1, self._memory.count_roomy_layers(server, requests)))
+            parts.append((server, size))
+            left -= size
+            if not left:
+                return parts
+        return []
+
+    def _find_room(self, servers: Iterable[BackendServer]) -> float:
+        """Find how many requests a chain of a hall can have room for: those wanted, or fewer."""
+        least, most = 0.0, self._most_requests
+        if self._can_tile(servers, most):
+            return most
+        for _ in range(ROOM_STEPS):
+            middle = (least + most) / 2
+            if self._can_tile(servers, middle):
+                least = middle
+            else:
+                most = middle
+        return least
+
+    def _can_tile(self, servers: Iterable[BackendServer], requests: float) -> bool:
+        return sum(self._memory.count_roomy_layers(server, requests) for server in servers) >= self._engine.layers
+
+    def _estimate_layer_time(self, server: BackendServer, requests: float) -> float:
+        """Estimate the seconds that a token takes for each layer there, its wait at the server included."""
+        step = self._engine.step * self._engine.kinds[server.kind or ""].step_factor / self._engine.layers
+        return step + HOP_TIME / max(1, self._memory.count_roomy_layers(server, requests))
+
+
+def _lay_out(parts: Sequence[tuple[BackendServer, int]], before: int) -> Iterator[Placement]:
+    """Lay parts out over the layers, the last ones first until so many layers are before the first one."""
+    turn = len(parts)
+    while turn > 1 and sum(size for _, size in parts[turn:]) < before:
+        turn -= 1
+    first = 0
+    for server, size in [*parts[turn:], *parts[:turn]]:
+        yield Placement(server, LayerRange(first, first + size))
+        first += size
+
+
+__all__ = ["HallTiler", "Placement"]
--- a/tests/core/traffic/test_layout.py
+++ b/tests/core/traffic/test_layout.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from core.traffic.samples import ENGINE, HALLS, KINDS, make_fleet, make_server
-from vaneturn_core.traffic.layout import MAX_WEIGHTS_SHARE, LayoutPlanner, Placement
+from vaneturn_core.traffic.layout import LayoutPlanner, Placement
+from vaneturn_core.traffic.memory import MAX_WEIGHTS_SHARE
 from vaneturn_core.traffic.servers import BackendServer, ServerState
 
 
