Deal the servers of a large hall evenly over its tilings

Its halls hold two or three tilings; taken fastest first, the last one lies on the slowest kind alone. Change: servers are dealt by memory into as many groups as there are tilings, and each group is tiled fastest first.

--- a/packages/core/src/vaneturn_core/traffic/tilings.py
+++ b/packages/core/src/vaneturn_core/traffic/tilings.py
@@ -42,15 +42,28 @@
         :param shift: share of the layers before the fastest server of the first tiling.
         """
         requests = self._find_room(servers)
-        rest = sorted(servers, key=lambda one: (self._estimate_layer_time(one, requests), one.id))
+        roomy = sum(self._memory.count_roomy_layers(server, requests) for server in servers)
         placements: list[Placement] = []
-        while parts := self._take_tiling(rest, requests):
-            shorter = self._take_tiling(rest, LESS_ROOM * requests)
+        left_over: list[BackendServer] = []
+        for group in self._deal(servers, max(1, roomy // self._engine.layers)):
+            fastest_first = sorted(group, key=lambda one: (self._estimate_layer_time(one, requests), one.id))
+            parts = self._take_tiling(fastest_first, requests)
+            shorter = self._take_tiling(fastest_first, LESS_ROOM * requests)
             parts = shorter if len(shorter) < len(parts) else parts
-            rest = rest[len(parts) :]
             placements += _lay_out(parts, int(shift * self._engine.layers))
+            left_over += fastest_first[len(parts) :]
             shift = (shift + TILING_SHIFT) % 1
-        return placements, rest
+        return placements, left_over
+
+    def _deal(self, servers: Iterable[BackendServer], groups: int) -> list[list[BackendServer]]:
+        """Deal servers into groups of about the same memory and kinds, one for each tiling."""
+        dealt: list[list[BackendServer]] = [[] for _ in range(groups)]
+        filled = [0.0] * groups
+        for server in sorted(servers, key=lambda one: (-self._memory.count_bytes(one), one.id)):
+            index = min(range(groups), key=lambda one: filled[one])
+            dealt[index].append(server)
+            filled[index] += self._memory.count_bytes(server)
+        return dealt
 
     def _take_tiling(self, servers: Sequence[BackendServer], requests: float) -> list[tuple[BackendServer, int]]:
         """Take the first servers that hold all layers, each with its number of layers; empty when all do not."""
