List the mechanisms to measure the traffic with and without

Cause: none of the older mechanisms of the traffic had been switched off and measured. Change: each has an edit that takes it out of a copy, made by rig/ablation.py; applying edits is one function for proofs and ablation.

--- /dev/null
+++ b/tests/rig/ablation.py
@@ -0,0 +1,159 @@
+"""Mechanisms to measure the traffic with and without: each edit takes one out of a copy of the sources.
+
+A mechanism that keeps a promise stands in ``mechanisms.py`` with its test; here stand those that earn their place by
+what they measure. ``python -m rig.ablation NAME FOLDER`` takes one out of the checkout in a folder.
+"""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from rig.proof import Edit, apply_edits
+
+TRAFFIC = "node/src/vaneturn_node/traffic"
+CORE = "core/src/vaneturn_core/traffic"
+
+
+@dataclass(frozen=True)
+class Mechanism:
+    """What can be taken out, and what it is against."""
+
+    name: str
+    purpose: str
+    edits: tuple[Edit, ...]
+
+
+MECHANISMS = (
+    Mechanism("relays", "calls on the store", (Edit(f"{CORE}/relays.py", "if nodes <= DIRECT_NODES:", "if nodes:"),)),
+    Mechanism(
+        "told-loads",
+        "requests of other nodes on the same servers",
+        (Edit(f"{TRAFFIC}/streams.py", "board=self._parts.board,", "board=None,"),),
+    ),
+    Mechanism(
+        "random-firsts",
+        "requests of many nodes that all choose the same chain by old word",
+        (Edit(f"{CORE}/chains.py", "CANDIDATES: Final = 2", "CANDIDATES: Final = 1000"),),
+    ),
+    Mechanism(
+        "growth-by-load",
+        "steps that slow down with the requests there",
+        (Edit(f"{CORE}/chains.py", "GROWTH_WEIGHT: Final = 2.0", "GROWTH_WEIGHT: Final = 0.0"),),
+    ),
+    Mechanism(
+        "places-of-first",
+        "queues at the first server of a chain",
+        (Edit(f"{CORE}/chains.py", "if before.part is None and part.first == 0:", "if before is None:"),),
+    ),
+    Mechanism(
+        "resting-servers",
+        "new work for a server that has just failed",
+        (
+            Edit(
+                f"{CORE}/servers.py",
+                "[server for server in able if self[server.id].resting_until <= now]",
+                "able",
+            ),
+        ),
+    ),
+    Mechanism(
+        "short-rest-of-full",
+        "long rest of a server that only lacks room",
+        (Edit(f"{CORE}/servers.py", "if now - self.heard_at > ALIVE_AGE:", "if now > float('-inf'):"),),
+    ),
+    Mechanism(
+        "detour",
+        "a lost part in the middle of an answer",
+        (Edit(f"{TRAFFIC}/streamtry.py", "for _ in range(MAX_DETOURS):", "for _ in range(0):"),),
+    ),
+    Mechanism(
+        "very-slow-parts",
+        "answers with long pauses over a slow server",
+        (Edit(f"{TRAFFIC}/lossfinding.py", "if usual_pause >= SLOW_PAUSE:", "if usual_pause >= float('inf'):"),),
+    ),
+    Mechanism(
+        "kept-connections",
+        "new connections",
+        (
+            Edit(
+                "node/src/vaneturn_node/http1/pool.py",
+                "if len(idle) < MAX_IDLE_EACH and link.finish():",
+                "if len(idle) < 0 and link.finish():",
+            ),
+        ),
+    ),
+    Mechanism(
+        "idle-bound",
+        "a request that may not run twice lost on a connection that the server forgot",
+        (Edit(f"{TRAFFIC}/plain.py", "longest = ANY_IDLE_TIME if work.route.may_repeat else", "longest ="),),
+    ),
+    Mechanism(
+        "retry-shares",
+        "more second sends than the users allow",
+        (Edit(f"{CORE}/retries.py", "if len(self._seconds) + 1 > self.compute_limit():", "if self._ratio < 0:"),),
+    ),
+    Mechanism(
+        "second-server",
+        "a failure of one server of a plain service",
+        (
+            Edit(
+                f"{TRAFFIC}/plain.py",
+                "if last.status < SERVER_FAULT or not work.may_run_again:",
+                "if last.status < SERVER_FAULT or work.runs:",
+            ),
+            Edit(
+                f"{TRAFFIC}/plain.py",
+                "elif isinstance(last, MayHaveRun) and not work.may_run_again:",
+                "elif isinstance(last, MayHaveRun):",
+            ),
+        ),
+    ),
+    Mechanism(
+        "asking-servers",
+        "a loss that no connection shows",
+        (Edit(f"{TRAFFIC}/streamtry.py", "end = await self._look_for_loss()", "end: TryEnd | None = None"),),
+    ),
+    Mechanism(
+        "plan-move",
+        "layers with too few holders",
+        (Edit(f"{TRAFFIC}/placing.py", "move = planner.plan_move()", "move = None"),),
+    ),
+    Mechanism(
+        "move-spares",
+        "a gap that its neighbours cannot close",
+        (Edit(f"{CORE}/layout.py", "return self._move_spares(servers, gap)", "return []"),),
+    ),
+    Mechanism(
+        "doubled-parts",
+        "the loss of a server whose layers nobody else in its hall holds",
+        (
+            Edit(f"{CORE}/layout.py", "for server in rest:", "for server in rest[:0]:"),
+            Edit(f"{CORE}/layout.py", "if layers is None and takes_spare:", "if layers is None and not servers:"),
+        ),
+    ),
+    Mechanism(
+        "turned-halls",
+        "the loss of the same kind of server in all halls",
+        (
+            Edit(f"{CORE}/layout.py", "number / len(self._halls)", "0.0 * number"),
+            Edit(f"{CORE}/tilings.py", "TILING_SHIFT: Final = 0.5", "TILING_SHIFT: Final = 0.0"),
+        ),
+    ),
+)
+
+
+def main() -> int:
+    """Take a mechanism out of a checkout; without words, list them."""
+    if len(sys.argv) != 3:
+        for mechanism in MECHANISMS:
+            print(f"{mechanism.name:20} {mechanism.purpose}")
+        return 2
+    mechanism = next(one for one in MECHANISMS if one.name == sys.argv[1])
+    apply_edits(mechanism.name, mechanism.edits, Path(sys.argv[2]) / "packages")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/rig/proof.py
+++ b/tests/rig/proof.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
+from pathlib import Path
 
 
 @dataclass(frozen=True)
@@ -21,3 +23,16 @@
     name: str
     test: str
     edits: tuple[Edit, ...]
+
+
+def apply_edits(name: str, edits: Iterable[Edit], packages: Path) -> None:
+    """Edit the sources in a folder.
+
+    :raises LookupError: the sources do not hold what an edit replaces.
+    """
+    for edit in edits:
+        path = packages / edit.file
+        text = path.read_text()
+        if edit.old not in text:
+            raise LookupError(f"{name}: {edit.file} does not hold {edit.old!r} any more")
+        path.write_text(text.replace(edit.old, edit.new))
--- a/tests/rig/proofs.py
+++ b/tests/rig/proofs.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from rig.mechanisms import PROOFS
-from rig.proof import Proof
+from rig.proof import Proof, apply_edits
 
 ROOT = Path(__file__).parents[2]
 PACKAGES = ("core", "node", "cli")
@@ -30,12 +30,7 @@
     """Copy the packages and take the mechanism out of the copy."""
     packages = folder / "packages"
     shutil.copytree(ROOT / "packages", packages)
-    for edit in proof.edits:
-        path = packages / edit.file
-        text = path.read_text()
-        if edit.old not in text:
-            raise LookupError(f"{proof.name}: {edit.file} does not hold {edit.old!r} any more")
-        path.write_text(text.replace(edit.old, edit.new))
+    apply_edits(proof.name, proof.edits, packages)
     return packages
 
 
