--- a/packages/node/src/vaneturn_node/traffic/following.py
+++ b/packages/node/src/vaneturn_node/traffic/following.py
@@ -110,8 +110,8 @@
         """Read the values that were too long to be passed on; the relay gives them when the store does not answer."""
         items: list[StoreItem] = []
         for change in changes:
-            item: StoreItem | NotDone | None = StoreItem(change.key, change.value, change.revision)
-            if change.is_left_out:
+            item: StoreItem | NotDone | None = _unpack(change)
+            if item is None:
                 item = await self._store.read_key(change.key)
             if isinstance(item, NotDone):
                 item = await self._peers.ask_long(address, change.key)
@@ -145,7 +145,7 @@
         self._keeper.replace_all(items)
         self._revision = revision
         self._view.confirm(started)
-        self._log.reset(items.values(), revision)
+        self._log.replace(items.values(), revision)
         return True
 
     async def _watch(self, revision: int) -> bool:
@@ -173,4 +173,15 @@
         self._log.append(items, self._revision)
 
 
+def _unpack(change: Change) -> StoreItem | None:
+    """Give the item of a change; none when its value is to be read elsewhere."""
+    if change.is_left_out:
+        return None
+    try:
+        return StoreItem(change.key, change.unpack(), change.revision)
+    except ValueError as error:
+        logger.warning("value of a relay not understood", extra={"key": change.key, "fault": str(error)})
+        return None
+
+
 __all__ = ["StoreFollower"]
--- a/tests/node/traffic/test_peers.py
+++ b/tests/node/traffic/test_peers.py
@@ -67,7 +67,7 @@
         self.view = PlatformView(5.0, time.monotonic)
         self.view.put_server(make_server(1, "a100", "east"))
         self.log = ChangeLog()
-        self.log.reset([], 5)
+        self.log.replace([], 5)
         self.view.confirm(time.monotonic())
         self.beliefs = ServerBeliefs()
         self.board = LoadBoard(time.monotonic)
