Let a node that was left out of the slot map look at it again when it is asked for a slot

Cause, traced from the logs of the 29th of 31 runs of test_new_keys_are_served_after_an_owner_died beside eight busy processes: at the start three nodes wrote ten maps in 60 ms, each without a node that it had not met yet. One that was left out, and is no assigner, stopped watching the map; the last map gave it slots again, and it never learned so: two thirds of the keys were refused as claim_owner_away for 30 s, until the test gave up. A real fault, not load. Change: a node that is asked for a slot which it does not own by its own map looks at the map for 5 s. The new unit test fails without it.

--- a/packages/node/src/vaneturn_node/claims/ownership.py
+++ b/packages/node/src/vaneturn_node/claims/ownership.py
@@ -27,6 +27,10 @@
 HAND_OVER_TIME: Final = 8.0  # seconds for all of it; a stop does not wait for an outage of the store
 HAND_OVER_PAUSE: Final = 0.2  # seconds between two tries
 IDLE: Final = 1.0  # seconds between looks whether this node has a part in the slots
+ASKED_AGE: Final = (
+    5.0  # seconds since a claim for a slot of others for which this node looks at the map: who asks may know
+)
+# a newer map, in which the slot is its own
 ASSIGNERS: Final = 2  # nodes of each data hall that look after the map besides the owners
 
 logger = logging.getLogger(__name__)
@@ -43,6 +47,7 @@
         self._accept_from: dict[int, float] = {}  # for each own slot, on the clock of read_clock
         self._ledgers: dict[int, SlotLedger] = {}
         self._is_stopping = False
+        self._asked_at = float("-inf")  # for a slot that is not its own by the map it knows
         self.map = SlotMap()
 
     async def run(self) -> None:
@@ -57,7 +62,8 @@
                 await anyio.sleep(random.uniform(0, RETRY))
 
     def _has_part(self) -> bool:
-        return bool(self._accept_from) or not self.map.slots or self._table.is_chosen("slots", ASSIGNERS)
+        is_asked = read_clock() - self._asked_at < ASKED_AGE
+        return is_asked or bool(self._accept_from) or not self.map.slots or self._table.is_chosen("slots", ASSIGNERS)
 
     async def refresh(self, wait: float) -> bool:
         """Confirm the map, or take the newer one; false when the service gave no answer."""
@@ -170,6 +176,8 @@
         made_at = read_key_time(repeat_key)
         slot = find_slot(customer, repeat_key)
         ledger = self._find_ledger(slot)
+        if slot not in self._ledgers:
+            self._asked_at = read_clock()
         if made_at is None or ledger is None:
             return Verdict.NOT_OWNER
         return ledger.claim(customer, repeat_key, claim, made_at, now)
--- a/tests/node/test_ownership.py
+++ b/tests/node/test_ownership.py
@@ -10,7 +10,7 @@
 
 from rig.keys import make_key
 from vaneturn_core.claims.ledger import Verdict
-from vaneturn_core.claims.slots import SLOTS_KEY, SlotMap, reassign_slots
+from vaneturn_core.claims.slots import SLOTS_KEY, SlotMap, SlotOwner, reassign_slots
 from vaneturn_core.identifiers import CustomerName, DataHall, NodeId, RepeatKey, StoreVersion, VmId
 from vaneturn_core.membership.member import Member
 from vaneturn_core.membership.table import MemberTable
@@ -191,3 +191,42 @@
         late.set()
     assert owner.map.epoch == before.epoch + 2
     assert all(claim_anywhere(owners, key, "second") is Verdict.CLAIMED for key in taken)
+
+
+@pytest.mark.anyio
+async def test_node_that_was_left_out_learns_from_a_claim_that_it_owns_slots_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """At a start three nodes wrote maps in turn, each without a node it had not met; one stayed out of its own view.
+
+    It had stopped looking at the map, so two thirds of the keys were refused for 30 s, until the test gave up.
+    """
+    monkeypatch.setattr(module, "IDLE", 0.05)
+    monkeypatch.setattr(module, "CONFIRM_INTERVAL", 0.05)
+    monkeypatch.setattr(module, "CONFIRM_BOUND", 0.2)
+    monkeypatch.setattr("vaneturn_core.claims.ledger.CLOCK_MARGIN", 0.0)
+    store = FakeStore()
+    members = [make_member(index) for index in range(3)]
+    owners = make_owners(store, 3)
+    idle = next(owner for owner in owners.values() if not owner._table.is_chosen("slots", module.ASSIGNERS))
+    others = [member for member in members if member.node != idle._table.own.node]
+    without = reassign_slots(SlotMap(), others)
+    store.value, store.version = msgspec.json.encode(without), StoreVersion(1)
+    assert await idle.refresh(0.0)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(idle.run)
+        assert without is not None
+        again = msgspec.structs.replace(without, epoch=without.epoch + 1, owners=(*without.owners[:1], _own(idle)))
+        await store.write(SLOTS_KEY, msgspec.json.encode(again), store.version)
+        verdicts = []
+        with anyio.move_on_after(2.0):
+            while Verdict.WON not in verdicts:
+                verdicts.append(idle.claim(CUSTOMER, make_key(), "claim"))
+                await anyio.sleep(0.02)
+        tasks.cancel_scope.cancel()
+    assert verdicts[0] is Verdict.NOT_OWNER
+    assert verdicts[-1] is Verdict.WON
+
+
+def _own(owner: SlotOwnership) -> SlotOwner:
+    return SlotOwner(owner._table.own.node, owner._table.own.address)
