Leave candidates that lead nowhere, and search all halls before a chain crosses pipes

Cause: a node whose candidates lay in halls without a whole chain took one over several halls, beside halls that had whole ones. Change: up to three pairs of candidates are tried inside halls, then all first servers inside all halls, and only then chains over halls. The new test fails without it. The test of told loads steps its clock by the time for which a sum serves; it demands the same.

--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -26,6 +26,8 @@
 VERY_SLOW: Final = 2.5  # times slower than its kind: streams over such a server pause for too long
 SLOW_TIME: Final = 0.3  # seconds that such a server counts as slower: more than a crossing, less than a full one
 MAX_PARTS: Final = 32  # that a chain may have
+CANDIDATES: Final = 2  # chains that are compared
+MAX_LOOKS: Final = 3  # pairs of first servers that are tried for them; then all are searched
 MAX_HOLDERS: Final = (
     6  # looked at for each boundary, picked at random: the time of a choice stays the same in big fleets
 )
@@ -133,12 +135,24 @@
         """
         loads = self._read_loads(able)
         firsts = self._list_firsts(loads)
-        picked = pick_firsts(self._node, self._hall, firsts)
-        best = self._find_best({server.id for server in picked}, loads)
-        if best is None or best.cost >= FULL_TIME:  # no request is turned away while there is room elsewhere
+        best = min(self._find_candidates(firsts, loads), key=lambda way: way.cost, default=None)
+        if best is None or best.cost >= min(FULL_TIME, self._pipe_time):  # full, or more than a crossing would cost
             best = self._find_best({server.id for server in firsts}, loads)
         return Chain(self._engine.layers, tuple(best.list_parts())) if best is not None else None
 
+    def _find_candidates(self, firsts: Sequence[BackendServer], loads: Mapping[ServerId, _Load]) -> list[_Way]:
+        """Find the ways inside a hall from the candidates of this node; one that leads nowhere gives way to another."""
+        ways: list[_Way] = []
+        left = list(firsts)
+        for _ in range(MAX_LOOKS):
+            for first in pick_firsts(self._node, self._hall, left):
+                left.remove(first)
+                way = self._find_whole_way(self._layer_map.halls[first.hall], loads, {first.id})
+                ways += [way] if way is not None else []
+            if len(ways) >= CANDIDATES or not left:
+                break
+        return ways[:CANDIDATES]
+
     def _list_firsts(self, loads: Mapping[ServerId, _Load]) -> list[BackendServer]:
         """List the servers that a chain may begin with."""
         holders = self._layer_map.everywhere.get(0, ())
--- a/tests/core/traffic/test_chains.py
+++ b/tests/core/traffic/test_chains.py
@@ -8,11 +8,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from core.traffic.samples import ENGINE, make_fleet, make_server, place
+from core.traffic.samples import ENGINE, LARGE_ENGINE, LARGE_HALLS, make_fleet, make_server, place
 from vaneturn_core.identifiers import DataHall, VmId
 from vaneturn_core.traffic.chains import MAX_HOLDERS, Chain, ChainChooser, Part, assert_chain
+from vaneturn_core.traffic.configuration import EngineProfile
 from vaneturn_core.traffic.layermap import LayerMap
-from vaneturn_core.traffic.loads import LoadBoard
+from vaneturn_core.traffic.loads import SUM_AGE, LoadBoard
 from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerLoad
 
 
@@ -20,11 +21,13 @@
     fleet: Sequence[BackendServer],
     beliefs: ServerBeliefs | None = None,
     hall: str = "osborne",
+    *,
     board: LoadBoard | None = None,
     node: str = "entry-1",
+    engine: EngineProfile = ENGINE,
 ) -> ChainChooser:
     return ChainChooser(
-        layer_map=LayerMap(ENGINE, fleet),
+        layer_map=LayerMap(engine, fleet),
         beliefs=beliefs or ServerBeliefs(),
         node=VmId(node),
         hall=DataHall(hall),
@@ -113,6 +116,18 @@
     assert len(chosen) > MAX_HOLDERS  # not the same few each time
 
 
+def test_chain_stays_inside_another_hall_when_the_own_candidates_lead_nowhere() -> None:
+    """Prompts of 130 streams a second crossed pipes that carry 36, beside halls that held all layers."""
+    broken = {"osborne", "welshpool", "bibra-lake"}
+    fleet = place(LARGE_ENGINE, make_fleet(LARGE_HALLS))
+    left = [one for one in fleet if one.hall not in broken or one.layers[0].first == 0 or one.layers[0].end == 80]
+    for number in range(40):
+        chooser = make_chooser(left, node=f"entry-{number}", engine=LARGE_ENGINE)
+        chain = chooser.choose(left)
+        assert chain is not None
+        assert chain.count_crossings() == 0
+
+
 def test_room_elsewhere_is_found_when_the_candidates_are_full() -> None:
     """Two candidates of a choice were full: the request must not be turned away beside 18 empty servers."""
     fleet = [make_server(number, "l40s", layers=(0, 8)) for number in range(1, 21)]
@@ -171,13 +186,15 @@
 def test_told_loads_of_other_nodes_count_in_place_of_an_estimate() -> None:
     """By its own load times the nodes, a node left its own hall's free chain for a crowded one."""
     fleet = [make_server(1, "a100", "osborne", (0, 80)), make_server(2, "l4", "malaga", (0, 80))]
-    beliefs, board = ServerBeliefs(), LoadBoard(lambda: 100.0)
+    now = [100.0]
+    beliefs, board = ServerBeliefs(), LoadBoard(lambda: now[0])
     beliefs[fleet[0].id].leading = fleet[0].slots // 8
     board.take_follower(VmId("entry-2"), {})
     chooser = make_chooser(fleet, beliefs, board=board)
     free = chooser.choose(fleet)
     assert free is not None
     assert free.first is fleet[0]
+    now[0] += 2 * SUM_AGE
     board.take_follower(VmId("entry-2"), {fleet[0].id: ServerLoad(fleet[0].slots, 0.0)})
     full = make_chooser(fleet, beliefs, board=board).choose(fleet)
     assert full is not None
