Let as many requests cross from hall to hall as the pipes carry, and turn the others away at once

Ruled out: waiting at the node (the queue grows until a hall is whole again); a budget of pipe time for each node (195 nodes with one request each are 11 s of the pipes at once). Change: core/traffic/crossings.py: a node lets the share of its requests cross that the pipes carry of all requests, by its own rate of arrivals times the nodes; the others are refused as not run (crossings_full) and told to come back in 1 to 4 s. Begun answers always may.

--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -12,6 +12,7 @@
 from vaneturn_core.identifiers import DataHall, VmId
 from vaneturn_core.tiling import assert_tiling
 from vaneturn_core.traffic.configuration import EngineProfile
+from vaneturn_core.traffic.crossings import compute_crossing_share
 from vaneturn_core.traffic.firsts import pick_firsts
 from vaneturn_core.traffic.layermap import Boundaries, HolderOptions, LayerMap, Option, Part, index_options
 from vaneturn_core.traffic.loads import LoadBoard
@@ -104,6 +105,9 @@
         tokens: float,
         now: float,
         board: LoadBoard | None = None,
+        rate: float = 0.0,
+        nodes: int = 1,
+        draw: float = 0.0,
     ) -> None:
         """Prepare a choice.
 
@@ -115,6 +119,9 @@
         :param tokens: that the request will hold in the end.
         :param now: steady time, for what was told a while ago.
         :param board: what the other nodes have in progress.
+        :param rate: streams a second of this node.
+        :param nodes: that share the pipes between halls.
+        :param draw: of the request, from 0 to 1; it may cross from hall to hall if it is below the share that may.
         """
         self._layer_map = layer_map
         self._engine: EngineProfile = layer_map.engine
@@ -125,7 +132,12 @@
         self.tokens = tokens
         self._now = now
         self._board = board
-        self._pipe_time = PIPE_WEIGHT * prompt * self._engine.handover_bytes / self._engine.pipe_rate
+        self._rate = rate
+        self._nodes = nodes
+        self._draw = draw
+        self.is_crossing_refused = False  # a chain over halls was found, but the pipes have no time for it
+        self._transfer_time = prompt * self._engine.handover_bytes / self._engine.pipe_rate
+        self._pipe_time = PIPE_WEIGHT * self._transfer_time
 
     def choose(self, able: Iterable[BackendServer]) -> Chain | None:
         """Choose a chain over servers that may get work; none when they do not hold all layers.
@@ -162,12 +174,21 @@
         """Find the cheapest way through all layers that begins with one of some servers."""
         found = [self._find_whole_way(boundaries, loads, firsts) for boundaries in self._layer_map.halls.values()]
         best = min((way for way in found if way is not None), key=lambda way: way.cost, default=None)
-        if best is None or best.cost > self._pipe_time:
-            over_halls = self._find_whole_way(self._layer_map.everywhere, loads, firsts)
-            if best is None or (over_halls is not None and over_halls.cost < best.cost):
-                best = over_halls
+        if best is not None and best.cost <= self._pipe_time:
+            return best
+        over_halls = self._find_whole_way(self._layer_map.everywhere, loads, firsts)
+        if over_halls is None or (best is not None and best.cost <= over_halls.cost):
+            return best
+        if self._may_cross(over_halls):
+            return over_halls
+        self.is_crossing_refused = True
         return best
 
+    def _may_cross(self, way: _Way) -> bool:
+        """Tell whether the pipes have time for a request over such a way."""
+        crossings = Chain(self._engine.layers, tuple(way.list_parts())).count_crossings()
+        return self._draw < compute_crossing_share(self._rate, self._nodes, crossings * self._transfer_time)
+
     def estimate_fullness(self, chain: Chain) -> float:
         """Estimate how much of the memory, or of the places, of the fullest server is taken, without this request."""
         return max(self.estimate_server(part.server, is_first=part is chain.parts[0]) for part in chain.parts)
--- a/packages/node/src/vaneturn_node/traffic/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/exchange.py
@@ -10,6 +10,7 @@
 import anyio
 
 from vaneturn_core.identifiers import DataHall, ServiceName, VmId
+from vaneturn_core.traffic.arrivals import ArrivalRate
 from vaneturn_core.traffic.configuration import EngineProfile
 from vaneturn_core.traffic.layermap import LayerMap
 from vaneturn_core.traffic.loads import LoadBoard
@@ -97,6 +98,7 @@
     losses: LossBoard = field(default_factory=lambda: LossBoard(time.monotonic))
     loss_found: Signal = field(default_factory=Signal)
     board: LoadBoard = field(default_factory=lambda: LoadBoard(time.monotonic))
+    arrivals: ArrivalRate = field(default_factory=lambda: ArrivalRate(time.monotonic))  # of streams
     budgets: dict[ServiceName, WindowedRetryBudget] = field(default_factory=dict)
     layer_maps: dict[ServiceName, LayerMap] = field(default_factory=dict)
 
--- a/packages/node/src/vaneturn_node/traffic/outcomes.py
+++ b/packages/node/src/vaneturn_node/traffic/outcomes.py
@@ -45,7 +45,7 @@
     KEYS_TOO_OLD = "keys_too_old"
     NO_SERVER = "no_server"
     NO_CHAIN = "no_chain"
-    FULL = "full"
+    CROSSINGS_FULL = "crossings_full"
     NOT_RUN = "not_run"
     MAY_HAVE_RUN = "may_have_run"
     TIMEOUT = "timeout"
--- a/packages/node/src/vaneturn_node/traffic/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -37,6 +38,9 @@
     events: int = 0  # of a stream, passed on
     first_event: float = 0.0  # seconds from its arrival to the first event of a stream
     longest_pause: float = 0.0  # seconds between two events of a stream
+    draw: float = field(
+        default_factory=random.random
+    )  # decides for all its tries whether it is among a share of requests
     steps: list[str] = field(default_factory=list)  # what was decided, for the log
 
     @property
--- a/packages/node/src/vaneturn_node/traffic/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/streams.py
@@ -20,6 +20,11 @@
 MAX_SENDS: Final = 5  # of one request, those that servers turned away included
 MAX_REFUSALS: Final = 3  # by servers that have no room, before the request is refused
 RETRY_AFTER: Final = 0.3  # seconds, full jitter on top: some answers end in that time
+CROSSINGS_RETRY: Final = (
+    1.0,
+    4.0,
+)  # seconds, at random between: a hall has all its layers again after a load or two of
+# 1.6 to 5 s, and those who come back should not do so together
 RETURN_WAIT: Final = 0.2  # seconds between looks for a chain to go on with a begun answer
 
 
@@ -33,6 +38,7 @@
         self, work: RequestInProgress, engine: EngineProfile, answer: ClientAnswer
     ) -> Answered | OwnAnswer | None:
         """Relay an answer; none when it was given in full, or broken off after it had begun."""
+        self._parts.arrivals.record()
         relay = Relay(answer, work.facts.last_event)
         try:
             return await self._forward(work, engine, relay)
@@ -46,11 +52,13 @@
     ) -> Answered | OwnAnswer | None:
         budget = self._parts.find_budget(work.service)
         end: TryEnd | None = None
+        is_crossing_refused = False
         refusals = 0
         while work.sends < MAX_SENDS and refusals < MAX_REFUSALS and work.left > 0 and work.may_send():
-            chooser = self._make_chooser(work, engine)
+            chooser = self._make_chooser(work, engine, is_begun=relay.is_begun)
             chain = chooser.choose(self._parts.list_choosable(work.service, work.avoided))
             if chain is None:
+                is_crossing_refused = chooser.is_crossing_refused
                 if not relay.is_begun:
                     break
                 work.note("no chain")
@@ -70,9 +78,11 @@
             refusals += isinstance(end, NotRun)
             if not isinstance(end, NotRun) and not work.may_run_again:
                 break
+        if end is None and is_crossing_refused and not relay.is_begun and work.may_send():
+            return refuse(Reason.CROSSINGS_FULL, random.uniform(*CROSSINGS_RETRY))
         return self._give_up(work, relay, end)
 
-    def _make_chooser(self, work: RequestInProgress, engine: EngineProfile) -> ChainChooser:
+    def _make_chooser(self, work: RequestInProgress, engine: EngineProfile, *, is_begun: bool) -> ChainChooser:
         answer = min(work.facts.most_answer_tokens or engine.usual_answer, engine.usual_answer)
         prompt = work.facts.prompt_tokens or engine.usual_prompt
         nodes = self._parts.view.count_nodes()
@@ -86,6 +96,9 @@
             tokens=prompt + answer,
             now=time.monotonic(),
             board=self._parts.board,
+            rate=self._parts.arrivals.compute(),
+            nodes=nodes,
+            draw=0.0 if is_begun else work.draw,
         )
 
     def _give_up(self, work: RequestInProgress, relay: Relay, end: TryEnd | None) -> OwnAnswer | None:
--- /dev/null
+++ b/tests/core/traffic/test_arrivals.py
@@ -0,0 +1,17 @@
+"""Requests a second of a node."""
+
+from __future__ import annotations
+
+from vaneturn_core.traffic.arrivals import WINDOW, ArrivalRate
+
+
+def test_requests_of_the_window_count() -> None:
+    now = [100.0]
+    rate = ArrivalRate(lambda: now[0])
+    for _ in range(5):
+        rate.record()
+    now[0] += WINDOW / 2
+    rate.record()
+    assert rate.compute() == 6 / WINDOW
+    now[0] += WINDOW / 2 + 0.1
+    assert rate.compute() == 1 / WINDOW
--- a/tests/core/traffic/test_chains.py
+++ b/tests/core/traffic/test_chains.py
@@ -12,6 +12,7 @@
 from vaneturn_core.identifiers import DataHall, VmId
 from vaneturn_core.traffic.chains import MAX_HOLDERS, Chain, ChainChooser, Part, assert_chain
 from vaneturn_core.traffic.configuration import EngineProfile
+from vaneturn_core.traffic.crossings import compute_crossing_share
 from vaneturn_core.traffic.layermap import LayerMap
 from vaneturn_core.traffic.loads import SUM_AGE, LoadBoard
 from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerLoad
@@ -25,6 +26,7 @@
     board: LoadBoard | None = None,
     node: str = "entry-1",
     engine: EngineProfile = ENGINE,
+    draw: float = 0.0,
 ) -> ChainChooser:
     return ChainChooser(
         layer_map=LayerMap(engine, fleet),
@@ -36,6 +38,9 @@
         tokens=974.0,
         now=100.0,
         board=board,
+        rate=5.0,
+        nodes=8,
+        draw=draw,
     )
 
 
@@ -199,3 +204,18 @@
     full = make_chooser(fleet, beliefs, board=board).choose(fleet)
     assert full is not None
     assert full.first is fleet[1]
+
+
+def test_chain_over_halls_is_for_as_many_requests_as_the_pipes_carry() -> None:
+    """Of 20 streams a second over pipes that carry 2, all waited until their clients left."""
+    fleet = [make_server(1, "l40s", "osborne", (0, 18)), make_server(2, "a100", "malaga", (18, 40))]
+    fleet += [make_server(3, "a100", "welshpool", (40, 62)), make_server(4, "l40s", "osborne", (62, 80))]
+    crossing_time = 3 * 774.0 * ENGINE.handover_bytes / ENGINE.pipe_rate
+    share = compute_crossing_share(5.0, 8, crossing_time)
+    assert 0.1 < share < 0.9
+    chain = make_chooser(fleet, draw=share - 0.01).choose(fleet)
+    assert chain is not None
+    assert chain.count_crossings() == 3
+    refusing = make_chooser(fleet, draw=share + 0.01)
+    assert refusing.choose(fleet) is None
+    assert refusing.is_crossing_refused
