Plot losses by second and kind, and the servers that they name

Cause: the table of vaneturn losses names causes, but an operator has to see at a look which second and which server. No figure of the traffic changes.

--- a/packages/cli/src/vaneturn_cli/commands.py
+++ b/packages/cli/src/vaneturn_cli/commands.py
@@ -19,6 +19,7 @@
 from vaneturn_cli.difference import compare_configurations
 from vaneturn_cli.exits import Exit
 from vaneturn_cli.losses import Limits, format_losses, read_lines
+from vaneturn_cli.lossplot import plot_losses
 from vaneturn_cli.querying import run_prompt, run_statement
 from vaneturn_cli.reporting import report_change, report_no_answer
 from vaneturn_cli.traffic import NotThere, find_request, format_request, format_states, read_state
@@ -83,6 +84,7 @@
     parser.add_argument("--first-event", type=float, default=0.5, help="seconds in which a stream should begin")
     parser.add_argument("--pause", type=float, default=0.2, help="seconds that a stream may pause")
     parser.add_argument("--most", type=int, default=30, help="rows")
+    parser.add_argument("--plot", action="store_true", help="plot by second and by server; needs the extra 'plot'")
     parser.set_defaults(command=show_losses)
 
 
@@ -186,6 +188,12 @@
         print(f"{error.filename}: {error.strerror}", file=sys.stderr)
         return Exit.FAULTY
     print(msgspec.json.encode(table.list_rows()).decode() if options.json else format_losses(table, options.most))
+    if options.plot and not options.json:
+        try:
+            print(f"\n{plot_losses(table)}")
+        except ImportError:
+            print("plotext is not installed: pip install 'vaneturn-cli[plot]'", file=sys.stderr)
+            return Exit.FAULTY
     if table.faulty_lines:
         print(f"{table.faulty_lines} lines not understood", file=sys.stderr)
     return Exit.DONE
--- a/packages/cli/src/vaneturn_cli/losses.py
+++ b/packages/cli/src/vaneturn_cli/losses.py
@@ -20,7 +20,7 @@
 LEFT: Final = "client left"
 BROKEN: Final = "broken off"
 _STEP_TIME: Final = re.compile(r"^\d+ms ")
-_SERVER: Final = re.compile(r"\bi-[0-9a-zA-Z]+\b(\[\d+,\d+\))?")
+_SERVER: Final = re.compile(r"\b(i-[0-9a-zA-Z]+)\b(\[\d+,\d+\))?")
 _SENT: Final = "over "  # a step that names the chain, no cause
 
 
@@ -58,6 +58,7 @@
     faulty_lines: int = 0
     seconds: defaultdict[tuple[Loss, str], Counter[str]] = field(default_factory=lambda: defaultdict(Counter))
     routes: defaultdict[tuple[Loss, str], set[str]] = field(default_factory=lambda: defaultdict(set))
+    servers: Counter[str] = field(default_factory=Counter)  # that the steps of losses name, once for each request
 
     def add(self, request: TrafficRequest, second: str, limits: Limits) -> None:
         """Count a request."""
@@ -67,6 +68,15 @@
             key = (loss, find_cause(request))
             self.seconds[key][second] += 1
             self.routes[key].add(request.route)
+            self.servers.update(find_servers(request))
+
+    def count_by_second(self) -> dict[str, Counter[Loss]]:
+        """Count the losses of each second by kind."""
+        counts: defaultdict[str, Counter[Loss]] = defaultdict(Counter)
+        for (kind, _), seconds in self.seconds.items():
+            for second, count in seconds.items():
+                counts[second][kind] += count
+        return dict(counts)
 
     def list_rows(self) -> list[tuple[str, str, int, int, str, int]]:
         """List kind, cause, requests, routes, worst second and the requests of that second, most requests first."""
@@ -99,6 +109,14 @@
     return "; ".join(causes) or request.reason or "no step"
 
 
+def find_servers(request: TrafficRequest) -> set[str]:
+    """Find the servers to look at: those that steps name as lost or refusing, or else the first of the last chain."""
+    named = {server.group(1) for step in request.steps if _SENT not in step for server in _SERVER.finditer(step)}
+    chains = [step for step in request.steps if _SENT in step]
+    first = _SERVER.search(chains[-1]) if chains else None
+    return named or ({first.group(1)} if first is not None else set())
+
+
 def read_lines(lines: Iterable[str], limits: Limits) -> LossTable:
     """Read log lines; whatever stands before the JSON of a line is passed over, other messages do not count."""
     table = LossTable()
@@ -126,4 +144,4 @@
     return f"{table.requests} requests, {lost} late or not served{left_out}\n\n{text}"
 
 
-__all__ = ["Limits", "Loss", "LossTable", "find_cause", "find_loss", "format_losses", "read_lines"]
+__all__ = ["Limits", "Loss", "LossTable", "find_cause", "find_loss", "find_servers", "format_losses", "read_lines"]
--- a/tests/cli/test_losses.py
+++ b/tests/cli/test_losses.py
@@ -4,13 +4,14 @@
 
 import io
 import json
+import sys
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from vaneturn_cli.commands import main
-from vaneturn_cli.losses import Limits, Loss, find_cause, find_loss, read_lines
+from vaneturn_cli.losses import Limits, Loss, find_cause, find_loss, find_servers, read_lines
 from vaneturn_core.traffic.state import TrafficRequest
 
 LIMITS = Limits(first_event=0.5, pause=0.2)
@@ -91,3 +92,41 @@
 def test_file_that_is_not_there_is_named(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["losses", str(tmp_path / "gone")]) != 0
     assert "gone" in capsys.readouterr().err
+
+
+def test_servers_to_look_at_are_those_that_failed_or_the_first_of_the_chain() -> None:
+    sent = "1ms over i-1[0,40) i-2[40,80), fullest 0.30"
+    assert find_servers(make_request("whole", steps=[sent])) == {"i-1"}
+    assert find_servers(make_request("whole", steps=[sent, "900ms lost ['i-2']", "903ms detour over []"])) == {"i-2"}
+    assert find_servers(make_request("own 503 no_chain")) == set()
+
+
+def test_plot_shows_kinds_by_second_and_servers(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    lost = ["1ms over i-1[0,40) i-2[40,80)", "9ms refused with 503 at i-2"]
+    lines = [make_line("own 503 not_run", second=3, steps=lost), make_line("whole", second=9, longest_pause=0.5)]
+    log = tmp_path / "node.log"
+    log.write_text("".join(lines))
+    assert main(["losses", "--plot", str(log)]) == 0
+    plot = capsys.readouterr().out.partition("by second")[2]
+    assert "p long pause, r refused" in plot
+    assert "21:59:03" in plot
+    assert "21:59:09" in plot
+    assert plot.count("r") > 5
+    assert "i-2      1 ####" in plot
+
+
+def test_plot_of_nothing_says_so(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    log = tmp_path / "node.log"
+    log.write_text(make_line("whole"))
+    assert main(["losses", "--plot", str(log)]) == 0
+    assert "nothing was late" in capsys.readouterr().out
+
+
+def test_plot_without_the_library_says_what_to_install(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setitem(sys.modules, "plotext", None)
+    log = tmp_path / "node.log"
+    log.write_text(make_line("own 503 no_chain"))
+    assert main(["losses", "--plot", str(log)]) != 0
+    assert "vaneturn-cli[plot]" in capsys.readouterr().err
