Search all first servers only when the candidates are full

Change: all are searched only when no candidate has room. A chain over halls is taken then alone, within what the pipes carry.

--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -148,7 +148,7 @@
         loads = self._read_loads(able)
         firsts = self._list_firsts(loads)
         best = min(self._find_candidates(firsts, loads), key=lambda way: way.cost, default=None)
-        if best is None or best.cost >= min(FULL_TIME, self._pipe_time):  # full, or more than a crossing would cost
+        if best is None or best.cost >= FULL_TIME:  # no request is turned away while there is room elsewhere
             best = self._find_best({server.id for server in firsts}, loads)
         return Chain(self._engine.layers, tuple(best.list_parts())) if best is not None else None
 
