Part the choice of a chain and the words between nodes, and list the new mechanisms with their tests

chain.py holds a chain, crowding.py what others on a server cost, peerwords.py what relays and nodes say: moves alone, and names without an underscore for what two modules use. trafficmechanisms.py takes out five new mechanisms; the edits of the ablation are checked against the sources like those of the proofs (one no longer fitted). No behaviour changes.

--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 import random
 from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
@@ -10,18 +9,16 @@
 from typing import Final
 
 from vaneturn_core.identifiers import DataHall, VmId
-from vaneturn_core.tiling import assert_tiling
+from vaneturn_core.traffic.chain import Chain
 from vaneturn_core.traffic.configuration import EngineProfile
 from vaneturn_core.traffic.crossings import compute_crossing_share
+from vaneturn_core.traffic.crowding import FULL_TIME, estimate_crowding
 from vaneturn_core.traffic.firsts import pick_firsts
 from vaneturn_core.traffic.layermap import Boundaries, HolderOptions, LayerMap, Option, Part, index_options
 from vaneturn_core.traffic.loads import LoadBoard
 from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerId
 
 GROWTH_WEIGHT: Final = 2.0  # of a step's growth by the requests there: one more slows them all by as much again
-CROWDING_TIME: Final = 0.006  # seconds that a half-full server counts as slower
-FULL: Final = 0.97  # of a server's memory; beyond it, requests are put back
-FULL_TIME: Final = 10.0  # seconds that a full server counts as slower: it is taken only if no other is left
 PIPE_WEIGHT: Final = 4.0  # of the time that a prompt takes a pipe between halls: all who share it wait as well
 OUTSIDE: Final = ""  # where a request is before the first server
 VERY_SLOW: Final = 2.5  # times slower than its kind: streams over such a server pause for too long
@@ -34,36 +31,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Chain:
-    """The servers of one request, in the order of the layers."""
-
-    layers: int
-    parts: tuple[Part, ...]
-
-    def __post_init__(self) -> None:
-        assert_chain(self.parts, self.layers)
-
-    @property
-    def first(self) -> BackendServer:
-        """The server that takes the request and answers it."""
-        return self.parts[0].server
-
-    def count_crossings(self) -> int:
-        """Count the parts whose tokens come from another hall."""
-        return sum(one.server.hall != other.server.hall for one, other in itertools.pairwise(self.parts))
-
-
-def assert_chain(parts: Sequence[Part], layers: int) -> None:
-    """Stop the process on parts that do not tile all layers, or name a server twice.
-
-    :raises AssertionError: the invariant is broken.
-    """
-    assert_tiling(parts, layers)
-    if len({part.server.address for part in parts}) != len(parts):
-        raise AssertionError(f"a server stands twice in a chain: {parts}")
-
-
 @dataclass(frozen=True, slots=True)
 class _Way:
     """The cheapest way found to a boundary, as a linked list of parts."""
@@ -271,7 +238,7 @@
             key=lambda pair: pair[0],
         )
         if before.part is None and part.first == 0:
-            cost += _estimate_crowding((load.leading + 1) / max(1, part.server.slots))
+            cost += estimate_crowding((load.leading + 1) / max(1, part.server.slots))
         for option in options:
             whole = cost + self._estimate_time(option, load)
             known = ways[option.part.end].get(hall)
@@ -291,7 +258,7 @@
 
     def _estimate_time(self, option: Option, load: _Load) -> float:
         crowding = (load.taken + self.tokens * option.length) / option.room if option.room > 0 else 1.0
-        crowded = _estimate_crowding(crowding)
+        crowded = estimate_crowding(crowding)
         slow = SLOW_TIME if load.slowness >= VERY_SLOW else 0.0
         grown = GROWTH_WEIGHT * option.growth * load.taken
         return load.slowness * (option.time + grown) + crowded + slow
@@ -303,11 +270,6 @@
     return load.taken / room if room > 0 else 1.0
 
 
-def _estimate_crowding(share: float) -> float:
-    """Estimate the seconds that a server counts as slower when so much of its memory, or of its places, is taken."""
-    return FULL_TIME * share if share >= FULL else CROWDING_TIME * share / (1 - share)
-
-
 def _pick_holders(holders: Sequence[HolderOptions], loads: Mapping[ServerId, _Load]) -> Sequence[HolderOptions]:
     """Pick the holders to look at, among those that may get work."""
     able = [options for options in holders if options[0].part.server.id in loads]
@@ -318,4 +280,4 @@
     return len({part.server.address for part in parts}) == len(parts)
 
 
-__all__ = ["VERY_SLOW", "Chain", "ChainChooser", "Part", "assert_chain"]
+__all__ = ["VERY_SLOW", "ChainChooser"]
--- a/packages/node/src/vaneturn_node/platform/headers.py
+++ b/packages/node/src/vaneturn_node/platform/headers.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from vaneturn_core.identifiers import RequestId
-from vaneturn_core.traffic.chains import Chain, Part
+from vaneturn_core.traffic.chain import Chain, Part
 from vaneturn_core.traffic.servers import ServerAddress, ServerId
 from vaneturn_node.http1.messages import Headers, find_header, list_connection_headers
 
--- a/packages/node/src/vaneturn_node/platform/servers.py
+++ b/packages/node/src/vaneturn_node/platform/servers.py
@@ -11,7 +11,7 @@
 
 from vaneturn_core.faults import Fault, describe_decode_error
 from vaneturn_core.identifiers import RequestId, ServiceName
-from vaneturn_core.traffic.chains import Part
+from vaneturn_core.traffic.chain import Part
 from vaneturn_core.traffic.servers import BackendServer, LayerRange, ServerAddress, ServerId, ServerState
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.platform.headers import EXPECTED_SERVER, format_chain
--- a/packages/node/src/vaneturn_node/traffic/lossfinding.py
+++ b/packages/node/src/vaneturn_node/traffic/lossfinding.py
@@ -8,7 +8,8 @@
 
 import anyio
 
-from vaneturn_core.traffic.chains import VERY_SLOW, Chain, Part
+from vaneturn_core.traffic.chain import Chain, Part
+from vaneturn_core.traffic.chains import VERY_SLOW
 from vaneturn_node.http1.caller import Failed
 from vaneturn_node.traffic.exchange import TrafficParts
 from vaneturn_node.traffic.requests import RequestInProgress
--- a/packages/node/src/vaneturn_node/traffic/peers.py
+++ b/packages/node/src/vaneturn_node/traffic/peers.py
@@ -8,67 +8,38 @@
 
 import logging
 import time
-from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Final, TypeVar
+from typing import Final
 from urllib.parse import parse_qs, urlencode
 
 import anyio
 import msgspec
-from msgspec import Struct
 
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.loads import SUM_AGE, LoadBoard, Loads
 from vaneturn_core.traffic.relays import RelayTimes
-from vaneturn_core.traffic.servers import ServerBeliefs, ServerId
+from vaneturn_core.traffic.servers import ServerBeliefs
 from vaneturn_core.traffic.view import PlatformView, StoreContact
-from vaneturn_node.http1.caller import Caller, Failed, Reply
+from vaneturn_node.http1.caller import Caller, Reply
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
 from vaneturn_node.platform.store import StoreItem
 from vaneturn_node.traffic.changelog import Change, ChangeLog
 from vaneturn_node.traffic.losssharing import LOSSES_PATH, LossSharing
-from vaneturn_node.traffic.serverrows import pack_loads, unpack_loads
+from vaneturn_node.traffic.peerwords import OK, LongValue, RelayWord, ToldLoads, decode_reply, decode_told, unpack_total
+from vaneturn_node.traffic.serverrows import pack_loads
 
 CHANGES_PATH: Final = "/changes"
 VALUE_PATH: Final = "/value"
 LOADS_PATH: Final = "/loads"
 TELL_TIME: Final = 0.5  # seconds for a word on loads; the next one follows
 VALUE_TIME: Final = 2.0  # seconds for a long value; 250 KB take 0.2 s over a link of 10 Mbit/s
-_OK: Final = 200
 _GONE: Final = 410
 _OUT_OF_TOUCH: Final = 503
 _JSON: Final = [(b"content-type", b"application/json")]
 
-_Body = TypeVar("_Body")
-
 logger = logging.getLogger(__name__)
 
 
-class _Told(Struct):
-    """What a node has in progress, or a relay with those that ask it."""
-
-    vm: VmId
-    loads: bytes  # packed
-
-
-class _Word(Struct):
-    """An answer of a relay; ages in seconds, none for what never was."""
-
-    revision: int
-    changes: list[Change]
-    held: float
-    confirmed_age: float | None
-    failed_age: float | None
-    returned_age: float | None
-    loads: bytes = b""  # of all nodes, packed
-    losses: bytes = b""  # servers that two nodes or more have found lost, packed
-
-
-class _Value(Struct):
-    revision: int
-    value: bytes
-
-
 @dataclass(frozen=True, slots=True)
 class RelayedChanges:
     """What a relay knows after a revision."""
@@ -113,12 +84,12 @@
             return
         if request.path == LOSSES_PATH:
             self._losses.take(request.body)
-            await answer.send_whole(_OK, [], b"")
+            await answer.send_whole(OK, [], b"")
             return
-        told = _decode_told(request.body, self._view.servers)
+        told = decode_told(request.body, self._view.servers)
         if request.path == LOADS_PATH and told is not None:
             self._board.take_relay(*told)
-            await answer.send_whole(_OK, [], b"")
+            await answer.send_whole(OK, [], b"")
             return
         since = query.get("since", [""])[0]
         if request.path != CHANGES_PATH or not since.isdigit():
@@ -133,7 +104,7 @@
         if item is None or item.value is None:
             await answer.send_whole(404, [], b"")
             return
-        await answer.send_whole(_OK, _JSON, msgspec.json.encode(_Value(item.revision, item.value)))
+        await answer.send_whole(OK, _JSON, msgspec.json.encode(LongValue(item.revision, item.value)))
 
     async def _answer_changes(self, since: int, arrived: float, answer: ClientAnswer) -> None:
         """Answer as soon as there are changes, a newer confirmation that there are none, a loss, or trouble."""
@@ -153,7 +124,7 @@
             return
         now = time.monotonic()
         contact = self._view.contact
-        word = _Word(
+        word = RelayWord(
             revision=self._log.revision,
             changes=changes,
             held=now - arrived,
@@ -163,7 +134,7 @@
             loads=self._pack_all(now),
             losses=self._losses.pack_confirmed(now),
         )
-        await answer.send_whole(_OK, _JSON, msgspec.json.encode(word))
+        await answer.send_whole(OK, _JSON, msgspec.json.encode(word))
 
     def _has_news(self, confirmed_at: float, losses: int) -> bool:
         return (
@@ -207,9 +178,9 @@
         """Wait for changes after a revision; none when the relay is out of touch or does not keep them any more."""
         started = time.monotonic()
         loads = self._beliefs.list_loads()
-        body = msgspec.json.encode(_Told(self._vm, pack_loads(loads)))
+        body = msgspec.json.encode(ToldLoads(self._vm, pack_loads(loads)))
         reply = await self._caller.call(address, "POST", f"{CHANGES_PATH}?since={since}", self._times.ask, body=body)
-        word = _decode(reply, _Word)
+        word = decode_reply(reply, RelayWord)
         if word is None:
             return None
         told_at = started + max(0.0, word.held)
@@ -220,7 +191,7 @@
         )
         if time.monotonic() - contact.confirmed_at > self._times.ask:
             return None
-        total = _unpack(word.loads, self._view.servers)
+        total = unpack_total(word.loads, self._view.servers)
         if total is not None:
             self._board.take_total(total, loads)
         self._losses.take_confirmed(word.losses, address)
@@ -228,7 +199,7 @@
 
     async def tell_loads(self, address: str, loads: Loads) -> None:
         """Tell another relay what this one and those that ask it have in progress; a lost word is told anew soon."""
-        body = msgspec.json.encode(_Told(self._vm, pack_loads(loads)))
+        body = msgspec.json.encode(ToldLoads(self._vm, pack_loads(loads)))
         reply = await self._caller.call(address, "POST", LOADS_PATH, TELL_TIME, body=body)
         if not isinstance(reply, Reply):
             logger.debug("loads not told", extra={"relay": address, "cause": reply.cause})
@@ -236,40 +207,10 @@
     async def ask_long(self, address: str, key: str) -> StoreItem | None:
         """Ask for a value that is too long for the changes; none when the relay did not give it."""
         reply = await self._caller.call(address, "GET", f"{VALUE_PATH}?{urlencode({'key': key})}", VALUE_TIME)
-        found = _decode(reply, _Value)
+        found = decode_reply(reply, LongValue)
         return StoreItem(key, found.value, found.revision) if found is not None else None
 
 
-def _decode(reply: Reply | Failed, kind: type[_Body]) -> _Body | None:
-    """Decode what a relay gave; none when it gave nothing that is understood."""
-    if not isinstance(reply, Reply) or reply.status != _OK:
-        return None
-    try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.DecodeError as error:
-        logger.warning("answer of a relay not understood", extra={"fault": str(error)})
-        return None
-
-
-def _decode_told(body: bytes, known: Iterable[ServerId]) -> tuple[VmId, Loads] | None:
-    """Decode who told what; none when nothing was told, or it was not understood."""
-    try:
-        told = msgspec.json.decode(body, type=_Told) if body else None
-    except msgspec.DecodeError as error:
-        logger.warning("word on loads not understood", extra={"fault": str(error)})
-        return None
-    loads = _unpack(told.loads, known) if told is not None else None
-    return (told.vm, loads) if told is not None and loads is not None else None
-
-
-def _unpack(data: bytes, known: Iterable[ServerId]) -> Loads | None:
-    try:
-        return unpack_loads(data, known)
-    except ValueError as error:
-        logger.warning("loads not understood", extra={"fault": str(error)})
-        return None
-
-
 def _compute_age(now: float, at: float) -> float | None:
     return None if at == float("-inf") else now - at
 
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/peerwords.py
@@ -0,0 +1,84 @@
+"""What nodes say to each other along the way of the relays, and how it is read."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from typing import Final, TypeVar
+
+import msgspec
+from msgspec import Struct
+
+from vaneturn_core.identifiers import VmId
+from vaneturn_core.traffic.loads import Loads
+from vaneturn_core.traffic.servers import ServerId
+from vaneturn_node.http1.caller import Failed, Reply
+from vaneturn_node.traffic.changelog import Change
+from vaneturn_node.traffic.serverrows import unpack_loads
+
+OK: Final = 200
+
+_Body = TypeVar("_Body")
+
+logger = logging.getLogger(__name__)
+
+
+class ToldLoads(Struct):
+    """What a node has in progress, or a relay with those that ask it."""
+
+    vm: VmId
+    loads: bytes  # packed
+
+
+class RelayWord(Struct):
+    """An answer of a relay; ages in seconds, none for what never was."""
+
+    revision: int
+    changes: list[Change]
+    held: float
+    confirmed_age: float | None
+    failed_age: float | None
+    returned_age: float | None
+    loads: bytes = b""  # of all nodes, packed
+    losses: bytes = b""  # servers that two nodes or more have found lost, packed
+
+
+class LongValue(Struct):
+    """A value that is too long for the changes."""
+
+    revision: int
+    value: bytes
+
+
+def decode_reply(reply: Reply | Failed, kind: type[_Body]) -> _Body | None:
+    """Decode what a relay gave; none when it gave nothing that is understood."""
+    if not isinstance(reply, Reply) or reply.status != OK:
+        return None
+    try:
+        return msgspec.json.decode(reply.body, type=kind)
+    except msgspec.DecodeError as error:
+        logger.warning("answer of a relay not understood", extra={"fault": str(error)})
+        return None
+
+
+def decode_told(body: bytes, known: Iterable[ServerId]) -> tuple[VmId, Loads] | None:
+    """Decode who told what; none when nothing was told, or it was not understood."""
+    try:
+        told = msgspec.json.decode(body, type=ToldLoads) if body else None
+    except msgspec.DecodeError as error:
+        logger.warning("word on loads not understood", extra={"fault": str(error)})
+        return None
+    loads = unpack_total(told.loads, known) if told is not None else None
+    return (told.vm, loads) if told is not None and loads is not None else None
+
+
+def unpack_total(data: bytes, known: Iterable[ServerId]) -> Loads | None:
+    """Unpack loads; none when they were not understood."""
+    try:
+        return unpack_loads(data, known)
+    except ValueError as error:
+        logger.warning("loads not understood", extra={"fault": str(error)})
+        return None
+
+
+__all__ = ["OK", "LongValue", "RelayWord", "ToldLoads", "decode_reply", "decode_told", "unpack_total"]
--- a/packages/node/src/vaneturn_node/traffic/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/requests.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from vaneturn_core.identifiers import ServiceName
-from vaneturn_core.traffic.chains import Chain
+from vaneturn_core.traffic.chain import Chain
 from vaneturn_core.traffic.configuration import TrafficCustomer, TrafficRoute
 from vaneturn_core.traffic.servers import ServerId
 from vaneturn_node.http1.server import ClientRequest
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -5,7 +5,8 @@
 import time
 from typing import Final
 
-from vaneturn_core.traffic.chains import Chain, ChainChooser, Part
+from vaneturn_core.traffic.chain import Chain, Part
+from vaneturn_core.traffic.chains import ChainChooser
 from vaneturn_core.traffic.servers import BackendServer, ServerAddress
 from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
 from vaneturn_node.platform.headers import build_server_headers, read_answer_facts
--- a/tests/rig/ablation.py
+++ b/tests/rig/ablation.py
@@ -35,7 +35,10 @@
     Mechanism(
         "random-firsts",
         "requests of many nodes that all choose the same chain by old word",
-        (Edit(f"{CORE}/chains.py", "pick_firsts(self._node, self._hall, firsts)", "firsts"),),
+        (
+            Edit(f"{CORE}/chains.py", "pick_firsts(self._node, self._hall, left)", "list(left)"),
+            Edit(f"{CORE}/chains.py", "return ways[:CANDIDATES]", "return ways"),
+        ),
     ),
     Mechanism(
         "growth-by-load",
@@ -61,7 +64,7 @@
     Mechanism(
         "short-rest-of-full",
         "long rest of a server that only lacks room",
-        (Edit(f"{CORE}/servers.py", "if now - self.heard_at > ALIVE_AGE:", "if now > float('-inf'):"),),
+        (Edit(f"{CORE}/servers.py", "if now - self.heard_at > ALIVE_AGE and", "if now > float('-inf') and"),),
     ),
     Mechanism(
         "detour",
--- a/tests/rig/fleetmodel.py
+++ b/tests/rig/fleetmodel.py
@@ -15,7 +15,8 @@
 from dataclasses import dataclass, field
 
 from vaneturn_core.identifiers import DataHall, VmId
-from vaneturn_core.traffic.chains import Chain, ChainChooser
+from vaneturn_core.traffic.chain import Chain
+from vaneturn_core.traffic.chains import ChainChooser
 from vaneturn_core.traffic.configuration import EngineProfile
 from vaneturn_core.traffic.layermap import HOP_TIME, LayerMap, Part
 from vaneturn_core.traffic.loads import LoadBoard
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -141,4 +141,35 @@
             ),
         ),
     ),
+    Proof(
+        "a choice looks at few first servers, not at all",
+        "tests/core/traffic/test_fleetload.py::test_requests_stay_with_few_first_servers_of_the_hall",
+        (
+            Edit(f"{CORE}/chains.py", "pick_firsts(self._node, self._hall, left)", "list(left)"),
+            Edit(f"{CORE}/chains.py", "return ways[:CANDIDATES]", "return ways"),
+        ),
+    ),
+    Proof(
+        "only as many requests cross halls as the pipes carry",
+        "tests/core/traffic/test_chains.py::test_chain_over_halls_is_for_as_many_requests_as_the_pipes_carry",
+        (Edit(f"{CORE}/chains.py", "if self._may_cross(over_halls):", "if over_halls is not None:"),),
+    ),
+    Proof(
+        "a loss that two nodes have found is told to all",
+        "tests/node/traffic/test_losssharing.py::test_loss_found_behind_two_relays_is_known_to_all_relays",
+        (
+            Edit(f"{TRAFFIC}/losssharing.py", "if taken:", "if False:"),
+            Edit(f"{CORE}/servers.py", "self.resting_until = until\n", "pass\n"),
+        ),
+    ),
+    Proof(
+        "candidates for the tenure come in turn",
+        "tests/node/traffic/test_candidacy.py::test_few_nodes_ask_the_store_when_the_tenure_is_free",
+        (Edit(f"{TRAFFIC}/tenure.py", "await anyio.sleep(rank * TURN)", "await anyio.sleep(0)"),),
+    ),
+    Proof(
+        "a forgotten history is told as differences",
+        "tests/node/traffic/test_changelog.py::test_new_reading_is_told_as_what_differs",
+        (Edit(f"{TRAFFIC}/changelog.py", "if self._complete_after is None:\n", "if True:\n"),),
+    ),
 )
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -6,13 +6,14 @@
 
 import pytest
 
+from rig.ablation import MECHANISMS, Mechanism
 from rig.mechanisms import PROOFS
 from rig.proof import Proof
 
 PACKAGES = Path(__file__).parents[1] / "packages"
 
 
-@pytest.mark.parametrize("proof", [pytest.param(proof, id=proof.name) for proof in PROOFS])
-def test_mechanism_stands_in_the_sources(proof: Proof) -> None:
-    for edit in proof.edits:
+@pytest.mark.parametrize("taken_out", [pytest.param(one, id=one.name) for one in (*PROOFS, *MECHANISMS)])
+def test_mechanism_stands_in_the_sources(taken_out: Proof | Mechanism) -> None:
+    for edit in taken_out.edits:
         assert edit.old in (PACKAGES / edit.file).read_text()
