--- a/tests/core/traffic/test_fleetload.py
+++ b/tests/core/traffic/test_fleetload.py
@@ -41,7 +41,7 @@
 
 @pytest.mark.parametrize("nodes", [8, 60, 195])
 def test_calm_traffic_is_spread_over_all_first_servers(nodes: int) -> None:
-    """Busiest first server over the mean at 8, 60 and 195 nodes: 2.6, 2.4, 1.8; with all first servers 3.2, 3.0, 5.2."""
+    """Busiest first server over the mean at 8, 60, 195 nodes: 2.6, 2.4, 1.8; with all first servers 3.2, 3.0, 5.2."""
     figures, peak = play_large(nodes, rate=244.0, seconds=4.0)
     assert figures.late_share < 0.01
     assert figures.refused_share < 0.001
@@ -76,7 +76,7 @@
 
 
 def test_requests_stay_with_few_first_servers_of_the_hall() -> None:
-    """Of 195 nodes: 58% within 6 s of another on the same first server, 63% in the own hall; 11% and 23% from all."""
+    """Of 195 nodes: 58% within 6 s of another on one first server, 63% in the own hall; 11% and 23% from all."""
     figures, _ = play_large(195, rate=244.0, seconds=6.0)
     begun = figures.begun.total()
     assert figures.returns > 0.5 * begun
