--- a/packages/core/src/vaneturn_core/traffic/firsts.py
+++ b/packages/core/src/vaneturn_core/traffic/firsts.py
@@ -17,8 +17,8 @@
 from vaneturn_core.traffic.servers import BackendServer
 
 # dealt to a node in its own hall, and as many in all halls. In a model of 195 nodes and 190 servers, 58% of requests
-# come within 6 s of another of the node on the same first server, 11% with two of all servers at random; 63% stay in the
-# hall, 23% with those; the busiest first server gets 1.7 times the mean
+# come within 6 s of another of the node on the same first server, 11% with two of all servers at random; 63% stay in
+# the hall, 23% with those; the busiest first server gets 1.7 times the mean
 HOME_FIRSTS: Final = 2
 
 
