Hash texts for ranking in one place, and look at one server when it refuses

Found by reading the change again: firsts.py had written again the hash that relays.py ranks nodes by, and note_refusal listed the findings on all servers to see whether one of them was found lost, once for each refusal. Change: hash_text is one function; the one belief is asked. Checks: formatter, linter and mypy clean; 68 tests of the choices, relays, losses, candidacy, streams and boundaries pass.

--- a/packages/core/src/vaneturn_core/traffic/firsts.py
+++ b/packages/core/src/vaneturn_core/traffic/firsts.py
@@ -8,12 +8,12 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 from collections.abc import Sequence
 from typing import Final
 
 from vaneturn_core.identifiers import DataHall, VmId
+from vaneturn_core.traffic.relays import hash_text
 from vaneturn_core.traffic.servers import BackendServer
 
 # dealt to a node in its own hall, and as many in all halls. In a model of 195 nodes and 190 servers, 58% of requests
@@ -27,7 +27,7 @@
 
     :param firsts: servers that hold the first layer and may get new work.
     """
-    ranked = sorted(firsts, key=lambda server: _hash(f"{node} {server.id}"))
+    ranked = sorted(firsts, key=lambda server: hash_text(f"{node} {server.id}"))
     inside = _pick_one([server for server in ranked if server.hall == hall])
     return inside + _pick_one([server for server in ranked if server not in inside])
 
@@ -37,8 +37,4 @@
     return [random.choice(home)] if home else []
 
 
-def _hash(text: str) -> bytes:
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
-
-
 __all__ = ["HOME_FIRSTS", "pick_firsts"]
--- a/packages/core/src/vaneturn_core/traffic/relays.py
+++ b/packages/core/src/vaneturn_core/traffic/relays.py
@@ -50,13 +50,13 @@
 
 def list_relays(nodes: Collection[VmId]) -> list[VmId]:
     """List the relays; every node that knows the same nodes finds the same ones."""
-    return sorted(nodes, key=lambda node: (_hash(node), node))[: count_relays(len(nodes))]
+    return sorted(nodes, key=lambda node: (hash_text(node), node))[: count_relays(len(nodes))]
 
 
 def rank_relays(own: VmId, nodes: Collection[VmId]) -> list[VmId]:
     """Rank the relays that a node asks one after the other; none for a relay."""
     relays = list_relays(nodes)
-    return [] if own in relays else sorted(relays, key=lambda relay: (_hash(f"{own} {relay}"), relay))
+    return [] if own in relays else sorted(relays, key=lambda relay: (hash_text(f"{own} {relay}"), relay))
 
 
 def rank_candidate(own: VmId, nodes: Collection[VmId]) -> int | None:
@@ -70,8 +70,9 @@
     return relays.index(own) if own in relays else len(relays)
 
 
-def _hash(text: str) -> bytes:
+def hash_text(text: str) -> bytes:
+    """Hash a text, the same on every node: who ranks by it agrees with all who rank the same texts."""
     return hashlib.blake2b(text.encode(), digest_size=8).digest()
 
 
-__all__ = ["RelayTimes", "count_relays", "list_relays", "rank_candidate", "rank_relays"]
+__all__ = ["RelayTimes", "count_relays", "hash_text", "list_relays", "rank_candidate", "rank_relays"]
--- a/packages/node/src/vaneturn_node/traffic/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/exchange.py
@@ -134,8 +134,10 @@
 
     def note_refusal(self, server: ServerId, fullness: float) -> None:
         """Take note that a server lacks room, or is lost, by how full it should be."""
-        self.beliefs[server].record_refusal(time.monotonic(), fullness)
-        if server in self.beliefs.list_found(time.monotonic()):
+        now = time.monotonic()
+        belief = self.beliefs[server]
+        belief.record_refusal(now, fullness)
+        if belief.found_until > now:
             self.loss_found.give()
 
     async def release(self, link: HttpLink, address: str, *, is_whole: bool) -> None:
