Log who is silent beside how many were asked, and what a long value takes of the link

Cause: logs say 'first server lost' but not whether anybody was heard at that moment, so that a lost server, a full link of this VM and a process that was held up look alike.

Change: a line for each look that finds silence (who, of how many asked, how long the look took, age of the newest token of any server), and one for each long value read (bytes, seconds, from whom). No logic changes.

--- a/packages/core/src/vaneturn_core/traffic/servers.py
+++ b/packages/core/src/vaneturn_core/traffic/servers.py
@@ -170,6 +170,11 @@
     def __getitem__(self, server: ServerId) -> ServerBelief:
         return self._beliefs.setdefault(server, ServerBelief())
 
+    @property
+    def heard_at(self) -> float:
+        """Give when a token last came over any chain, steady time."""
+        return max((belief.heard_at for belief in self._beliefs.values()), default=float("-inf"))
+
     def list_loads(self) -> dict[ServerId, ServerLoad]:
         """List what this node has in progress on each server."""
         return {
--- a/packages/node/src/vaneturn_node/traffic/following.py
+++ b/packages/node/src/vaneturn_node/traffic/following.py
@@ -110,16 +110,28 @@
         """Read the values that were too long to be passed on; the relay gives them when the store does not answer."""
         items: list[StoreItem] = []
         for change in changes:
-            item: StoreItem | NotDone | None = _unpack(change)
-            if item is None:
-                item = await self._store.read_key(change.key)
-            if isinstance(item, NotDone):
-                item = await self._peers.ask_long(address, change.key)
+            item = _unpack(change) or await self._read_long(change.key, address)
             if item is None:
                 return None
             items.append(item)
         return items
 
+    async def _read_long(self, key: str, address: str) -> StoreItem | None:
+        """Read a value that was too long to be passed on, and log what it takes of this VM's link."""
+        started = time.monotonic()
+        item: StoreItem | NotDone | None = await self._store.read_key(key)
+        is_told = isinstance(item, NotDone)
+        if isinstance(item, NotDone):
+            item = await self._peers.ask_long(address, key)
+        extra = {
+            "key": key,
+            "bytes": len(item.value or b"") if item is not None else None,
+            "took": round(time.monotonic() - started, 3),
+            "relay": address if is_told else None,
+        }
+        logger.info("long value read", extra=extra)
+        return item
+
     def _note_followed(self, relay: VmId | None, lost: VmId | None = None) -> None:
         if relay == self.followed:
             return
--- a/packages/node/src/vaneturn_node/traffic/lossfinding.py
+++ b/packages/node/src/vaneturn_node/traffic/lossfinding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from dataclasses import dataclass
 from typing import Final
@@ -10,6 +11,7 @@
 
 from vaneturn_core.traffic.chain import Chain, Part
 from vaneturn_core.traffic.chains import VERY_SLOW
+from vaneturn_core.traffic.view import MAX_TOLD_AGE
 from vaneturn_node.http1.caller import Failed
 from vaneturn_node.traffic.exchange import TrafficParts
 from vaneturn_node.traffic.requests import RequestInProgress
@@ -20,6 +22,8 @@
 MAX_SILENCES: Final = 2  # questions without answer after which the first server counts as lost: its answer may be whole
 MANY_QUIET: Final = 3  # requests that are all quiet on a server, as it was not heard of: one silence is enough
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class Losses:
@@ -59,18 +63,32 @@
 
     async def _find_silent(self, chain: Chain) -> list[Part]:
         silent: list[Part] = []
-        quiet_before = time.monotonic() - HEARD_AGE
+        started = time.monotonic()
 
         async def ask(part: Part) -> None:
             if isinstance(await self._parts.reports.read(part.server), Failed):
                 silent.append(part)
 
+        quiet = [part for part in chain.parts if self._parts.beliefs[part.server.id].heard_at < started - HEARD_AGE]
         async with anyio.create_task_group() as tasks:
-            for part in chain.parts:
-                if self._parts.beliefs[part.server.id].heard_at < quiet_before:
-                    tasks.start_soon(ask, part)
+            for part in quiet:
+                tasks.start_soon(ask, part)
+        if silent:
+            self._log_silent(quiet, silent, started)
         return silent
 
+    def _log_silent(self, quiet: list[Part], silent: list[Part], started: float) -> None:
+        """Log who did not answer beside how many were asked: silence of all alike may be this VM's own."""
+        now = time.monotonic()
+        extra = {
+            "request": self._work.facts.id,
+            "silent": [part.server.id for part in silent],
+            "asked": len(quiet),
+            "took": round(now - started, 3),  # far over the time for a sign of life: this process was held up
+            "heard_age": round(min(now - self._parts.beliefs.heard_at, MAX_TOLD_AGE), 3),  # of any server
+        }
+        logger.info("servers silent", extra=extra)
+
     async def _find_slow(self, chain: Chain) -> list[Part]:
         """Find the parts that say of themselves that they are much slower than their kind."""
         slow: list[Part] = []
