Show with tests that fail that one silence counts many times and is not taken back

A placer whose links to one range are down orders the version before off the servers in sight, though the unseen ones hold no other: neither version keeps a way. A connection that ends under three steps is three failures, and ejects the server. Five streams that see one silence of a server make 8 s of rest out of it; a token over the server lifts no rest, and what was told of its loss is not taken back.

--- a/tests/core/placing/test_plan.py
+++ b/tests/core/placing/test_plan.py
@@ -135,6 +135,25 @@
     assert {order.vm for order in plan_holdings(configuration, engines.said, vms[:1]).orders} == set(vms[1:])
 
 
+def test_version_that_only_unseen_servers_still_need_is_not_taken_from_the_others() -> None:
+    """The links of the ordering node to one range are down; its servers go on with the version before, for all others.
+
+    Taken for replaced, that version was ordered off the servers in sight: neither version had all its layers any more.
+    """
+    configuration = roll_out(make_configuration([6], 2, memory=2, loads=1))
+    pipeline = configuration.pipelines[0]
+    newest, previous = (group_parts([version]) for version in list_versions(pipeline))
+    engines = Engines(configuration, Random(1))
+    unseen = {stage.vm for stage in pipeline.stages if stage.first}
+    for vm in engines.said:
+        held = previous[vm] if vm in unseen else previous[vm] | newest[vm]
+        engines.said[vm] = Holdings(1, tuple(held), (), ())
+    before = engines.carry(pipeline)
+    for order in plan_holdings(configuration, engines.said, unseen).orders:
+        engines.take(order)
+    assert engines.carry(pipeline) == before
+
+
 def test_memory_too_small_for_the_stages_is_a_fault() -> None:
     configuration = make_configuration([6], 1, 1, 4)
     small = msgspec.structs.replace(configuration.servers[0], memory=5)
--- a/tests/node/test_link.py
+++ b/tests/node/test_link.py
@@ -10,7 +10,7 @@
 from vaneturn_core.configuration.schema import Server
 from vaneturn_core.engine.messages import ENCODER, ORDERS, Done, Step
 from vaneturn_core.identifiers import DataHall, SessionId, VmId
-from vaneturn_core.routing.health import ServerHealths
+from vaneturn_core.routing.health import FAILURES_TO_EJECT, ServerHealths
 from vaneturn_core.routing.hops import Hop
 from vaneturn_node.metrics import Metrics
 from vaneturn_node.stages.link import Lost, StageLink, StepResult
@@ -76,3 +76,37 @@
 def test_reply_that_names_other_layers_ends_the_link() -> None:
     results = anyio.run(run_two_steps, [make_done(FIRST, 5, b"of first", end=4), RIGHT[1]])
     assert results == {FIRST: Lost(sent=True), SECOND: Lost(sent=True)}
+
+
+async def lose_one_connection(steps: int) -> ServerHealths:
+    """Run steps at once over a connection that ends under all of them."""
+    port = find_port()
+    healths = ServerHealths()
+    for number in range(4):
+        healths.record_reply(VmId(f"other-{number}"), 0.01)
+    healths.record_reply(HOP.vm, 0.01)
+
+    async def answer(connection: ServerConnection) -> None:
+        received = 0
+        async for frame in connection:
+            received += len(ORDERS.decode(frame if isinstance(frame, bytes) else frame.encode()))
+            if received == steps:
+                return
+
+    server = Server(vm=HOP.vm, address=f"127.0.0.1:{port}", data_hall=DataHall("osborne"))
+    link = StageLink(server, healths, Metrics(), lambda: 0, lambda: None)
+    link.window.add(steps)
+    async with serve(answer, "127.0.0.1", port), anyio.create_task_group() as tasks:
+        tasks.start_soon(link.run)
+        await link.wait_connected()
+        async with anyio.create_task_group() as running:
+            for number in range(steps):
+                running.start_soon(link.run_step, make_step(SessionId(f"session-{number}"), 5), HOP, 5.0)
+        tasks.cancel_scope.cancel()
+    return healths
+
+
+@pytest.mark.parametrize("steps", [1, FAILURES_TO_EJECT])
+def test_one_lost_connection_is_one_failure_however_many_steps_were_on_it(steps: int) -> None:
+    healths = anyio.run(lose_one_connection, steps)
+    assert not healths.list_ejected()
--- a/tests/node/traffic/test_losssharing.py
+++ b/tests/node/traffic/test_losssharing.py
@@ -13,7 +13,7 @@
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.losses import Finding
 from vaneturn_core.traffic.relays import list_relays, rank_relays
-from vaneturn_core.traffic.servers import ServerBeliefs, ServerId
+from vaneturn_core.traffic.servers import FIRST_REST, ServerBeliefs, ServerId
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
@@ -102,3 +102,39 @@
     follower.sharing.take_confirmed(relay.sharing.pack_confirmed(time.monotonic()), "relay")
     assert follower.is_resting()
     assert follower.beliefs.list_found(now) == {}
+
+
+async def test_one_silence_seen_by_many_requests_is_one_failure() -> None:
+    """Each stream over a server looked for itself: five of them made 8 s of rest out of one silence of 0.1 s."""
+    node = Node(NODES[0], Fleet())
+    for _ in range(5):
+        node.parts.note_lost(LOST)
+    assert node.beliefs[LOST].resting_until <= time.monotonic() + FIRST_REST
+
+
+async def test_server_that_has_worked_since_it_was_found_lost_gets_work_again() -> None:
+    node = Node(NODES[0], Fleet())
+    servers = [make_server(number, "a100") for number in range(1, 5)]
+    for _ in range(3):
+        node.parts.note_lost(LOST)
+        await anyio.sleep(0.01)
+    node.beliefs[LOST].record_token(time.monotonic())
+    assert servers[0] in node.beliefs.list_choosable(servers, [], time.monotonic())
+
+
+async def test_node_that_hears_of_a_server_again_takes_its_word_back() -> None:
+    """Two nodes were deaf for a moment; what they told of it kept all others from a sound server for up to 8 s."""
+    fleet = Fleet()
+    one, other = list_relays(NODES)
+    finders = [list_followers(one)[0], list_followers(other)[0]]
+    for vm in (one, other, *finders):
+        Node(vm, fleet)
+    await lose_at(fleet, finders)
+    assert fleet.nodes[one].is_resting()
+    for vm in finders:
+        fleet.nodes[vm].beliefs[LOST].record_token(time.monotonic())
+        fleet.nodes[vm].parts.loss_found.give()
+    await lose_at(fleet, [])
+    confirmed = [node.parts.losses.list_confirmed({}) for node in fleet.nodes.values()]
+    assert not any(confirmed)
+    assert not fleet.nodes[one].is_resting()
