Count one event once in the own interface, and keep the version that servers out of sight still need

Cause, found by looking for the same one elsewhere: three steps on a connection that ends were three failures in a row, and ejected the server for 5 s; a placer whose own links to one range are down counted the servers there as none, and ordered the version before off all others, though those go on with it for every other node (carry 200 -> 0 in the test).

Change: a failure of a step that began before the last failure that counted is part of the same event. A version is replaced only when the one after it can run without the servers that lack it.

Speed was not measured.

--- a/packages/core/src/vaneturn_core/placing/plan.py
+++ b/packages/core/src/vaneturn_core/placing/plan.py
@@ -125,9 +125,15 @@
         return kept
 
     def _is_replaced(self, previous: Pipeline) -> bool:
-        """Tell whether every server that takes orders holds the version that came after."""
+        """Tell whether every server that takes orders holds the version that came after, and it can run without others.
+
+        Servers that are out of sight of this node may go on with the version before for all other nodes.
+        """
         newest = next(pipeline for pipeline in self._configuration.pipelines if pipeline.name == previous.name)
-        return not any(self._is_ordered(vm) for vm in list_lacking(newest, self._held))
+        lacking = list_lacking(newest, self._held)
+        if any(self._is_ordered(vm) for vm in lacking):
+            return False
+        return not lacking or compute_flow(newest, lacking | self._unusable).bound > 0
 
     def _is_in_use(self, previous: Pipeline) -> bool:
         """Tell whether sessions go on with a version that servers do not offer any more."""
--- a/packages/core/src/vaneturn_core/routing/health.py
+++ b/packages/core/src/vaneturn_core/routing/health.py
@@ -46,6 +46,7 @@
     best_latency: float = float("inf")
     limit: float = INITIAL_LIMIT
     failures: int = 0  # in a row
+    failed_at: float = float("-inf")  # the last failure that counted
     ejections: int = 0  # in a row
     ejected_until: float = 0.0
     leaving: set[LeavingSource] = field(default_factory=set)
@@ -107,9 +108,17 @@
         """Take a reply of a server into its health."""
         self[vm].record_reply(latency, positions, self._clock())
 
-    def record_failure(self, vm: VmId) -> None:
-        """Count a lost or late reply; eject the server after several in a row, within the cap."""
+    def record_failure(self, vm: VmId, begun: float | None = None) -> None:
+        """Count a lost or late reply; eject the server after several in a row, within the cap.
+
+        :param begun: when the step began, by the clock of this; one begun before the last failure is part of the same
+            event, as all steps on a connection that has ended.
+        """
         health = self[vm]
+        if begun is not None:
+            if begun <= health.failed_at:
+                return
+            health.failed_at = self._clock()
         health.failures += 1
         if health.failures < FAILURES_TO_EJECT or self._is_ejected(health):
             return
--- a/packages/node/src/vaneturn_node/stages/link.py
+++ b/packages/node/src/vaneturn_node/stages/link.py
@@ -150,15 +150,15 @@
         finally:
             del self._awaited[key]
             health.in_progress -= 1
-        self._record(awaited.result, time.monotonic() - started, step.count)
+        self._record(awaited.result, started, step.count)
         return awaited.result
 
-    def _record(self, result: StepResult, latency: float, positions: int) -> None:
+    def _record(self, result: StepResult, started: float, positions: int) -> None:
         self._metrics.steps.labels(type(result).__name__.lower()).inc()
         if isinstance(result, Lost):
-            self._healths.record_failure(self.server.vm)
+            self._healths.record_failure(self.server.vm, started)
             return
-        self._healths.record_reply(self.server.vm, latency, positions)
+        self._healths.record_reply(self.server.vm, time.monotonic() - started, positions)
 
     async def run(self) -> None:
         """Keep the link connected until cancelled."""
