Show with a test that fails that a full link of a node is taken for the loss of servers

Cause: tests could only let servers fall silent. In the incident nothing was silent but the node's own link, which a long configuration filled, and events and signs of life waited behind it; no stand-in could show that.

Change: a stand-in for a link (standins/link.py): all that the store and the servers send to a node passes one queue, first in first out, at a settable rate or without bound. The servers tell nodes apart by the address they call from, which standins/vm.py gives each node with a link; entries in the store stay the same for all, since relays pass them on. Nodes without a link run as before. find_log finds the line at the end of a request: lines on silent servers name the request too, so that it found one without steps. The stand-in servers keep each run's chains with the run: a request that came anew to a server before its old run was found to be left broke the stand-in with a KeyError.

The test is red until the product is mended; it isn't in KNOWN-RED.txt.

--- a/tests/rig/traffic.py
+++ b/tests/rig/traffic.py
@@ -13,9 +13,11 @@
 
 import anyio
 import httpx
+from anyio.abc import SocketAttribute, SocketStream
 
 from rig.ports import find_port
 from rig.processes import Process
+from standins.link import Link
 from standins.platform.operator import HOST, KEY, configure, make_configuration
 from standins.platform.servers import Fleet, Server, open_fleet
 from standins.relay import Path as NetworkPath
@@ -52,14 +54,16 @@
     readiness_port: int
     metrics_port: int
     peer_port: int
+    module: str
     arguments: list[str]
     store_path: NetworkPath  # may be cut and healed
     store_address: str  # one for each node, so that a test can treat their calls apart
+    link: Link | None  # that the answers of the store and of the servers pass
 
     def restart(self) -> None:
         """Start the process anew, as the platform does after its end."""
         self.process.end()
-        self.process = Process("vaneturn_node", self.arguments, self.process.output)
+        self.process = Process(self.module, self.arguments, self.process.output)
 
     async def is_ready(self, client: httpx.AsyncClient) -> bool:
         try:
@@ -73,7 +77,13 @@
         return [json.loads(line) for line in lines if line.startswith(b"{") and line.endswith(b"\n")]
 
     def find_log(self, request: str) -> dict[str, Any]:
-        return next(line for line in self.read_log() if line.get("request") == request)
+        """Find the line at the end of a request; lines on the way name it too."""
+        return next(line for line in self.read_log() if line.get("request") == request and "steps" in line)
+
+    async def wait_for_log(self, request: str) -> dict[str, Any]:
+        """Wait for the line at the end of a request; it comes after the client has the end of the answer."""
+        await wait_for(lambda: any(line.get("request") == request and "steps" in line for line in self.read_log()))
+        return self.find_log(request)
 
 
 @dataclass
@@ -86,11 +96,18 @@
     bounds: dict[str, float]
     nodes: list[Node] = field(default_factory=list)
     _numbers: Any = field(default_factory=lambda: count(1))
+    _links: dict[str, Link] = field(default_factory=dict)  # by the address of the node
+
+    def find_link(self, stream: SocketStream) -> Link | None:
+        """Find the link of the node that has made a connection."""
+        return self._links.get(stream.extra(SocketAttribute.remote_address)[0])  # noqa: S610 # no query
 
-    async def start_node(self) -> Node:
+    async def start_node(self, link: Link | None = None) -> Node:
         client_port, readiness_port, metrics_port, peer_port = (find_port() for _ in range(4))
         door = find_port()
-        await self.fleet.store.listen(f"127.0.0.1:{door}", self.fleet.tasks)
+        await self.fleet.store.listen(f"127.0.0.1:{door}", self.fleet.tasks, lambda _: link)
+        if link is not None:
+            self.fleet.tasks.start_soon(link.run)
         store_path, way_port = NetworkPath(door), find_port()
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=way_port)
         self.fleet.tasks.start_soon(listener.serve, store_path.carry)
@@ -108,10 +125,14 @@
         }
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
-        arguments = ["--platform", "--settings", str(path)]
-        process = Process("vaneturn_node", arguments, self.folder / f"{name}.log")
+        module, arguments = "vaneturn_node", ["--platform", "--settings", str(path)]
+        if link is not None:
+            address = f"127.0.1.{len(self.nodes) + 1}"  # that its connections come from
+            self._links[address] = link
+            module, arguments = "standins.vm", [address, module, *arguments]
+        process = Process(module, arguments, self.folder / f"{name}.log")
         ports = (client_port, readiness_port, metrics_port, peer_port)
-        node = Node(process, *ports, arguments, store_path, store_address)
+        node = Node(process, *ports, module, arguments, store_path, store_address, link)
         self.nodes.append(node)
         with anyio.fail_after(START_TIME):
             while True:
@@ -136,6 +157,10 @@
 
     async def ask(self, path: str, method: str = "POST", node: int = 0, **headers: str) -> httpx.Response:
         """Send a request and read the whole answer; underscores in header names stand for dashes."""
+        return await self.client.send(self.build(path, method, node, **headers))
+
+    def build(self, path: str, method: str = "POST", node: int = 0, **headers: str) -> httpx.Request:
+        """Build a request, as it is asked with."""
         sent = {
             "Host": HOST,
             "X-Request-Id": f"request-{next(self._numbers)}",
@@ -146,19 +171,25 @@
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
         url = f"http://127.0.0.1:{self.nodes[node].client_port}{path}"
-        return await self.client.request(method, url, headers={k: v for k, v in sent.items() if v}, content=b"letter")
+        return self.client.build_request(method, url, headers={k: v for k, v in sent.items() if v}, content=b"letter")
 
 
 @asynccontextmanager
-async def open_traffic(folder: Path, nodes: int = 1, **bounds: float) -> AsyncIterator[Traffic]:
-    """Run a platform with a configuration, and nodes that are ready."""
+async def open_traffic(
+    folder: Path, nodes: int = 1, link_rate: float | None = None, **bounds: float
+) -> AsyncIterator[Traffic]:
+    """Run a platform with a configuration, and nodes that are ready.
+
+    :param link_rate: bytes a second of each node's link; none for nodes without links.
+    """
     address = f"127.0.0.1:{find_port()}"
     async with open_fleet(address) as fleet, httpx.AsyncClient(timeout=10.0) as client:
         traffic = Traffic(fleet, folder, client, bounds)
+        fleet.find_link = traffic.find_link
         configure(fleet.store, make_configuration(1))
         try:
             for _ in range(nodes):
-                await traffic.start_node()
+                await traffic.start_node(Link(link_rate) if link_rate is not None else None)
             yield traffic
         finally:
             for node in traffic.nodes:
--- a/tests/standins/platform/operator.py
+++ b/tests/standins/platform/operator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 from typing import Any
 
 from standins.platform.store import Store
@@ -53,9 +54,16 @@
     return {**configuration, **changes}
 
 
+def make_more_routes(count: int, rng: random.Random) -> list[dict[str, Any]]:
+    """Make routes with names that no two of them share, so that they do not pack well."""
+    route = make_configuration(1)["routes"][3]
+    names = [f"{rng.getrandbits(96):024x}" for _ in range(count)]
+    return [{**route, "name": name, "path_prefix": f"/{name}/"} for name in names]
+
+
 def configure(store: Store, configuration: dict[str, Any]) -> int:
     """Put a configuration in force; gives the store's revision."""
     return store.put("op/config", json.dumps(configuration).encode())
 
 
-__all__ = ["HOST", "KEY", "configure", "make_configuration"]
+__all__ = ["HOST", "KEY", "configure", "make_configuration", "make_more_routes"]
--- a/tests/standins/platform/servers.py
+++ b/tests/standins/platform/servers.py
@@ -15,7 +15,7 @@
 from anyio.abc import Listener, SocketStream, TaskGroup
 
 from standins.platform.store import Store
-from standins.platform.wire import Exchange, serve
+from standins.platform.wire import Exchange, FindLink, find_no_link, serve
 
 _PART = re.compile(r"(?P<address>[0-9.:]+)=(?P<first>\d+)-(?P<end>\d+)")
 
@@ -40,6 +40,7 @@
     headers: dict[str, str]
     body: bytes
     tokens: list[list[Part]] = field(default_factory=list)  # the chain of each token that was made
+    chains: list[list[Part]] = field(default_factory=list)  # that it was to go over; the last one is in force
     was_cut: bool = False
     started: float = field(default_factory=time.monotonic)
 
@@ -53,6 +54,7 @@
     layers: int = 8
     token_time: float = 0.01
     answer_tokens: int = 10
+    find_link: FindLink = find_no_link  # of the node that has called
     runs: list[Run] = field(default_factory=list)
     servers: dict[str, Server] = field(default_factory=dict)  # by address
     _numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
@@ -88,12 +90,12 @@
     load_time: float = 0.05
     spoil: Callable[[Exchange, Run], Any] | None = None  # in place of a sound answer
     work_time: float = 0.01  # of a plain service
-    active: dict[str, tuple[Run, list[Part]]] = field(default_factory=dict)
+    active: dict[str, Run] = field(default_factory=dict)  # the newest run of each request
     _listener: Listener[SocketStream] | None = None
     _open: set[Exchange] = field(default_factory=set)
 
     async def start(self) -> None:
-        self._listener = await serve(self.address, self._answer, self.fleet.tasks)
+        self._listener = await serve(self.address, self._answer, self.fleet.tasks, self.fleet.find_link)
         self.announce()
 
     def announce(self) -> None:
@@ -138,8 +140,8 @@
     def _report(self) -> dict[str, Any]:
         layers = [{"from": self.held[0], "target_version": self.held[1], "version": 1}] if self.held else []
         stalled = []
-        for request, (_, chain) in self.active.items():
-            lost = next((part for part in chain if not self._is_alive(part)), None)
+        for request, run in self.active.items():
+            lost = next((part for part in run.chains[-1] if not self._is_alive(part)), None)
             if lost is not None:
                 stalled.append({"id": request, "addr": lost.address})
         return {"seq": self.orders, "utilization": self.is_loading, "layers": layers, "stalled": stalled, "pace": 1.0}
@@ -187,8 +189,7 @@
         if not all(self._is_alive(part) for part in chain):
             await exchange.reply(409)
             return
-        run, _ = self.active[order["id"]]
-        self.active[order["id"]] = (run, chain)
+        self.active[order["id"]].chains.append(chain)
         await exchange.reply(200)
 
     def _is_alive(self, part: Part) -> bool:
@@ -219,16 +220,17 @@
             at = lost.address if lost is not None else self.address
             await exchange.reply(503, {"X-Not-Executed": "1", "At-Server": at, "X-Request-Id": request})
             return
-        run = Run(request, self.id, call.headers, call.body)
+        run = Run(request, self.id, call.headers, call.body, chains=[chain])
         self.fleet.runs.append(run)
-        self.active[request] = (run, chain)
+        self.active[request] = run
         try:
             if self.spoil is not None:
                 await self.spoil(exchange, run)
                 return
             await self._stream(exchange, run)
         finally:
-            self.active.pop(request, None)
+            if self.active.get(request) is run:  # it may have come anew before this run was found to be left
+                del self.active[request]
 
     async def _stream(self, exchange: Exchange, run: Run) -> None:
         start = int(run.headers.get("last-event-id", "0"))
@@ -250,11 +252,11 @@
     async def _make_token(self, exchange: Exchange, run: Run) -> None:
         """Make a token over the chain in force; wait while a part of it is lost."""
         await anyio.sleep(self.fleet.token_time)
-        while not all(self._is_alive(part) for part in self.active[run.request][1]):
+        while not all(self._is_alive(part) for part in run.chains[-1]):
             if self.is_crashed:
                 await exchange.reset()
             await anyio.sleep(self.fleet.token_time)
-        run.tokens.append(self.active[run.request][1])
+        run.tokens.append(run.chains[-1])
 
 
 @asynccontextmanager
--- a/tests/standins/platform/store.py
+++ b/tests/standins/platform/store.py
@@ -14,7 +14,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from standins.platform.wire import Exchange, serve
+from standins.platform.wire import Exchange, FindLink, find_no_link, serve
 
 
 class Mode(Enum):
@@ -68,9 +68,9 @@
         await self.listen(address, tasks)
         tasks.start_soon(self._expire)
 
-    async def listen(self, address: str, tasks: TaskGroup) -> None:
+    async def listen(self, address: str, tasks: TaskGroup, find_link: FindLink = find_no_link) -> None:
         """Take calls at one more address, so that a test can tell callers apart."""
-        await serve(address, self._answer, tasks)
+        await serve(address, self._answer, tasks, find_link)
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         self.revision += 1
--- a/tests/standins/platform/wire.py
+++ b/tests/standins/platform/wire.py
@@ -14,6 +14,8 @@
 import h11
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
+from standins.link import Link
+
 
 class ConnectionEndedError(Exception):
     """The other side, or a fault of the stand-in, has ended the connection."""
@@ -38,8 +40,9 @@
 class Exchange:
     """One call and the means to answer it, in good ways and bad ones."""
 
-    def __init__(self, stream: SocketStream, protocol: h11.Connection, call: Call) -> None:
+    def __init__(self, stream: SocketStream, protocol: h11.Connection, call: Call, link: Link | None) -> None:
         self._stream = stream
+        self._link = link  # of the caller
         self._protocol = protocol
         self.call = call
 
@@ -84,6 +87,9 @@
             return
 
     async def _write(self, data: bytes | None) -> None:
+        if self._link is not None:
+            self._link.put(self._stream, data or b"")
+            return
         try:
             await self._stream.send(data or b"")
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
@@ -91,17 +97,30 @@
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
+FindLink = Callable[[SocketStream], Link | None]
+
+
+def find_no_link(_stream: SocketStream) -> None:
+    """Find that the caller has no link of its own."""
+
 
+async def serve(
+    address: str, handler: Handler, tasks: TaskGroup, find_link: FindLink = find_no_link
+) -> anyio.abc.Listener[SocketStream]:
+    """Listen on IP:PORT; each connection is a task of its own.
 
-async def serve(address: str, handler: Handler, tasks: TaskGroup) -> anyio.abc.Listener[SocketStream]:
-    """Listen on IP:PORT; each connection is a task of its own."""
+    :param find_link: finds the link that answers to a caller pass.
+    """
     host, _, port = address.rpartition(":")
     listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
 
     async def serve_connection(stream: SocketStream) -> None:
         async with stream:
+            link = find_link(stream)
             try:
-                await _serve_connection(stream, handler)
+                await _serve_connection(stream, handler, link)
+                if link is not None:
+                    await link.flush()
             except* (ConnectionEndedError, h11.ProtocolError, anyio.BrokenResourceError, anyio.ClosedResourceError):
                 pass  # a connection that ends is nothing to report
 
@@ -115,13 +134,13 @@
     return listener
 
 
-async def _serve_connection(stream: SocketStream, handler: Handler) -> None:
+async def _serve_connection(stream: SocketStream, handler: Handler, link: Link | None) -> None:
     protocol = h11.Connection(h11.SERVER)
     while True:
         call = await _read_call(stream, protocol)
         if call is None:
             return
-        await handler(Exchange(stream, protocol, call))
+        await handler(Exchange(stream, protocol, call, link))
         if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
             return
         protocol.start_next_cycle()
@@ -148,4 +167,4 @@
             return None
 
 
-__all__ = ["Call", "ConnectionEndedError", "Exchange", "serve"]
+__all__ = ["Call", "ConnectionEndedError", "Exchange", "FindLink", "find_no_link", "serve"]
--- /dev/null
+++ b/tests/system/platform/test_narrowlink.py
@@ -0,0 +1,83 @@
+"""A long configuration filled the links of nodes, and the nodes took what waited behind it for silence of servers.
+
+A link is shared by all connections of a node and passes what comes first in first out. A configuration with some
+2,000 routes took the links of 59 nodes for about a quarter of a second, and a small change of it, which is written as
+the whole again, took them once more. The events of streams waited behind it, and so did the answers of the servers
+that were asked for a sign of life. Nothing was lost and nothing was slow but the link, and yet the nodes broke
+streams off as if nearly all servers of their chains were lost.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import suppress
+from pathlib import Path
+
+import anyio
+import httpx
+import pytest
+
+from rig.traffic import Traffic, assert_layers_once_in_order, list_ids, open_traffic, wait_for
+from standins.platform.operator import configure, make_configuration, make_more_routes
+
+pytestmark = pytest.mark.anyio
+
+TOKENS = 150
+TOKEN_TIME = 0.02  # seconds
+MORE_ROUTES = 2000
+TRANSFER = 0.5  # seconds that the long configuration takes of the link
+LINK_RATE = 1_250_000.0  # bytes a second, 10 Mbit/s; the store gives the long configuration as 626,500 bytes
+REQUEST = "behind-a-long-value"
+DEADLINE = "8000"  # milliseconds; below the patience of the client, so that the node's own end is seen
+CHANGE_TIME = 1.0  # seconds from the long configuration to the change of it
+
+
+@pytest.fixture
+async def narrow(tmp_path: Path) -> AsyncIterator[Traffic]:
+    async with open_traffic(tmp_path, link_rate=LINK_RATE) as made:
+        yield made
+
+
+def write_long(traffic: Traffic, version: int, timeout: int) -> None:
+    """Write a configuration with many routes; of two versions only the timeout of one route differs."""
+    routes = make_configuration(1)["routes"]
+    changed = {**routes[3], "timeout_ms": timeout}
+    more = make_more_routes(MORE_ROUTES, random.Random(1))
+    configure(traffic.fleet.store, make_configuration(version, routes=[*routes[:3], changed, *routes[4:], *more]))
+
+
+async def ask_through_long_configurations(traffic: Traffic) -> httpx.Response | None:
+    """Ask for a stream, and write the long configuration and its change while the events come.
+
+    :return: none when the answer was broken off.
+    """
+    traffic.fleet.answer_tokens, traffic.fleet.token_time = TOKENS, TOKEN_TIME
+    answers: list[httpx.Response] = []
+    async with anyio.create_task_group() as tasks:
+
+        async def write() -> None:
+            await wait_for(lambda: any(len(run.tokens) > 5 for run in traffic.fleet.runs))
+            write_long(traffic, 2, 1500)
+            await anyio.sleep(CHANGE_TIME)
+            write_long(traffic, 3, 1400)
+
+        tasks.start_soon(write)
+        with suppress(httpx.RemoteProtocolError):
+            answers.append(await traffic.ask("/letter/1", X_Deadline_Ms=DEADLINE, X_Request_Id=REQUEST))
+    return answers[0] if answers else None
+
+
+async def test_full_link_is_not_taken_for_the_loss_of_servers(narrow: Traffic) -> None:
+    await narrow.add_chains()
+    answer = await ask_through_long_configurations(narrow)
+    link = narrow.nodes[0].link
+    assert link is not None
+    assert max(end - start for start, end in link.waits) > TRANSFER * 0.8
+    steps = (await narrow.nodes[0].wait_for_log(REQUEST))["steps"]
+    assert not [step for step in steps if "lost" in step], steps
+    assert answer is not None, steps
+    assert answer.status_code == 200
+    assert list_ids(answer.text) == list(range(1, TOKENS + 1))
+    assert len(narrow.fleet.runs) == 1
+    assert_layers_once_in_order(narrow.fleet)
