--- /dev/null
+++ b/tests/system/platform/test_judge.py
@@ -0,0 +1,69 @@
+"""The judge of streams that did not come to their end: it blames only where node and servers were sound."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from rig.trafficjudge import Cut, Span, Troubles, find_pauses, join
+
+CUT = Cut("request", "/letter/1", 0, "", 10.0, 11.0)
+SERVERS = ["first", "second"]
+
+
+def make_troubles(**troubles: Any) -> Troubles:
+    made = Troubles()
+    for name, value in troubles.items():
+        found = getattr(made, name)
+        found.extend(value) if isinstance(found, list) else found.update(value)
+    return made
+
+
+@pytest.mark.parametrize(
+    "troubles",
+    [
+        {},
+        {"nodes": {1: [Span(10.0, 11.0)]}},
+        {"nodes": {0: [Span(1.0, 6.9)]}},
+        {"stores": {0: [Span(10.0, 12.9)]}},
+        {"lost_at": {"third": 10.5}},
+        {"lost_at": {"first": 11.5}},
+        {"silences": {"first": [Span(10.0, 10.9)]}},
+        {"silences": {"third": [Span(9.0, 11.0)]}},
+        {"silences": {"first": [Span(9.0, 9.6)], "second": [Span(10.0, 10.6)]}},
+        {"waits": {1: [Span(9.0, 11.0)]}},
+        {"silences": {"first": [Span(4.0, 6.5)]}},
+    ],
+    ids=[
+        "nothing", "another node", "node long ago", "short outage", "another server lost", "server lost later",
+        "short silence", "another server", "two short silences", "another link", "long silence long ago",
+    ],
+)  # fmt: skip
+def test_cut_of_a_sound_stream_is_not_excused(troubles: dict[str, Any]) -> None:
+    assert make_troubles(**troubles).find_excuse(CUT, SERVERS) is None
+
+
+@pytest.mark.parametrize(
+    ("troubles", "excuse"),
+    [
+        ({"nodes": {0: [Span(5.0, 7.5)]}}, "node killed or frozen"),
+        ({"stores": {0: [Span(6.0, 9.5)]}}, "store long out of reach"),
+        ({"lost_at": {"second": 10.5}}, "server ended"),
+        ({"silences": {"second": [Span(9.9, 11.0)]}}, "long silence"),
+        ({"silences": {"first": [Span(9.5, 10.1)], "second": [Span(10.2, 10.6)]}}, "long silence"),
+        ({"silences": {"first": [Span(9.5, 10.1)]}, "waits": {0: [Span(10.0, 10.6)]}}, "long silence"),
+        ({"pauses": [Span(9.5, 10.6)]}, "long silence"),
+    ],
+    ids=["node", "store", "server", "silence", "silences in a row", "silence and full link", "stand-ins held up"],
+)
+def test_cut_that_the_promises_allow_is_excused(troubles: dict[str, Any], excuse: str) -> None:
+    assert make_troubles(**troubles).find_excuse(CUT, SERVERS) == excuse
+
+
+def test_spans_that_nearly_touch_are_joined() -> None:
+    assert join([Span(2.0, 3.0), Span(0.0, 1.0), Span(1.1, 1.5)]) == [Span(0.0, 1.5), Span(2.0, 3.0)]
+
+
+def test_pause_is_where_the_clock_stood_still() -> None:
+    assert find_pauses([0.0, 0.05, 0.5, 0.55], 0.2) == [Span(0.05, 0.5)]
