Join the way of long values over relays

Merge of the work on relays: long values travel as differences or packed, and a relay is kept while a long answer of the store arrives there.

--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -142,14 +142,39 @@
         "a relay that the store turns away is left in time",
         f"{SYSTEM}/test_relays.py::test_relay_that_the_store_turns_away_is_left",
         (
-            Edit(f"{TRAFFIC}/peers.py", "waiting.cancelled_caught or self._is_in_trouble()", "False"),
+            Edit(f"{TRAFFIC}/peers.py", "not is_heard or self._is_in_trouble()", "False"),
             Edit(f"{TRAFFIC}/peers.py", "confirmed_at > self._times.ask", "confirmed_at > 8.0"),
         ),
     ),
+    Proof(
+        "a relay is kept while the store's answer is arriving there",
+        f"{SYSTEM}/test_relays.py::test_relay_is_kept_while_a_long_value_arrives_there",
+        (Edit(f"{TRAFFIC}/peers.py", "if not is_heard and self._is_arriving():", "if False:"),),
+    ),
     Proof(
         "a relay gives long values to who cannot read them",
         f"{SYSTEM}/test_relays.py::test_node_that_the_store_turns_away_gets_a_long_configuration_from_its_relay",
-        (Edit(f"{TRAFFIC}/following.py", "item = await self._peers.ask_long(address, key)", "item = None"),),
+        (Edit(f"{TRAFFIC}/longvalues.py", "for relay in self._list_relays(address):", "for relay in ():"),),
+    ),
+    Proof(
+        "long values are read from the store by relays alone",
+        f"{SYSTEM}/test_relays.py::test_long_configurations_are_read_from_the_store_by_relays_alone",
+        (Edit(f"{TRAFFIC}/longvalues.py", "for relay in self._list_relays(address):", "for relay in ():"),),
+    ),
+    Proof(
+        "a newer version of a long value is told as its difference",
+        "tests/node/traffic/test_longvalues.py::test_newer_version_is_made_of_its_difference",
+        (Edit(f"{TRAFFIC}/changelog.py", "if base is not None and base.value is not None:", "if base is None:"),),
+    ),
+    Proof(
+        "a value that a difference was not made for is not taken",
+        "tests/node/traffic/test_longvalues.py::test_difference_that_gives_another_value_is_not_taken",
+        (Edit(f"{TRAFFIC}/difference.py", "if compute_digest(value) != digest:", "if False:"),),
+    ),
+    Proof(
+        "a relay does not fill its own link with long values",
+        "tests/node/traffic/test_longvalues.py::test_relay_gives_values_one_after_the_other_and_refuses_who_would_wait_too_long",
+        (Edit(f"{TRAFFIC}/longvalues.py", "await anyio.sleep(turn - now)", "await anyio.sleep(0)"),),
     ),
     Proof(
         "ages of relays are counted on the asker's clock",
