--- a/packages/node/src/vaneturn_node/traffic/longvalues.py
+++ b/packages/node/src/vaneturn_node/traffic/longvalues.py
@@ -23,7 +23,7 @@
 from vaneturn_node.traffic.peerwords import OK
 
 VALUE_PATH: Final = "/value"
-VALUE_RATE: Final = 2_000_000.0  # bytes a second that a relay gives: four fifths of the smallest link, 20 Mbit/s
+VALUE_RATE: Final = 2_000_000.0  # bytes a second that a relay gives: four fifths of a link of 20 Mbit/s
 LONGEST_TURN: Final = 0.6  # seconds that an asker waits for its turn: 29 values of 41 KB; the others ask elsewhere
 ASK_TIME: Final = 0.8  # seconds for one relay
 RELAYS_TIME: Final = 1.0  # seconds for all relays; the store takes 0.5 s, and the shortest bound is 2 s
