--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -14,19 +14,18 @@
 
 import anyio
 
-from vaneturn_core.traffic.chain import Chain, Part
+from vaneturn_core.traffic.chain import Chain
 from vaneturn_core.traffic.chains import ChainChooser
 from vaneturn_core.traffic.servers import BackendServer
 from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
 from vaneturn_node.platform.headers import build_server_headers
-from vaneturn_node.platform.servers import OrderOutcome
 from vaneturn_node.traffic.chainhold import ChainHold
 from vaneturn_node.traffic.events import EventSplitter
 from vaneturn_node.traffic.exchange import TrafficParts
 from vaneturn_node.traffic.heads import take_head
-from vaneturn_node.traffic.lossfinding import LossFinder
 from vaneturn_node.traffic.outcomes import Answered, MayHaveRun, NotRun, TryOutcome
 from vaneturn_node.traffic.relay import Relay
+from vaneturn_node.traffic.repair import ChainRepair, TryOverError
 from vaneturn_node.traffic.requests import RequestInProgress
 
 OVERDUE: Final = 0.1  # seconds without an event after which the parts are asked; a pause should not exceed 0.2 s
@@ -35,21 +34,12 @@
 ASK_AGAIN: Final = 0.1  # seconds between questions while nothing comes
 ASK_SUSPECTED_AGAIN: Final = 0.04  # the same, after a silence of the first server: its loss is found in 0.26 s
 MOVE_GAP: Final = 0.25  # seconds after a try that was turned away; a server that lacks room rests as long
-MAX_DETOURS: Final = 3
 
 T = TypeVar("T")
 
 logger = logging.getLogger(__name__)
 
 
-class TryOverError(Exception):
-    """A try has ended before its answer; the end is that of the try that took its place, where one did."""
-
-    def __init__(self, end: TryOutcome | None) -> None:
-        super().__init__(repr(end))
-        self.end = end
-
-
 OnTaken = Callable[[], Awaitable[None]]
 
 
@@ -82,7 +72,7 @@
         self._link: HttpLink | None = None
         self._is_replaced = False  # another try has taken its place
         self._moves_from = float("-inf")  # steady time from which another try may be sent
-        self._finder = LossFinder(parts, work)
+        self._repair = ChainRepair(parts, work, self._hold, relay, self._move)
 
     @property
     def _first(self) -> BackendServer:
@@ -175,33 +165,10 @@
             if self._work.left <= 0:
                 self._hold.count_run()
                 raise TryOverError(MayHaveRun("time is up"))
-            await self._look_for_loss()
-            wait = ASK_SUSPECTED_AGAIN if self._finder.is_first_suspected else ASK_AGAIN
-
-    async def _look_for_loss(self) -> None:
-        """Look for lost parts, and go round them, or on with another try.
-
-        :raises TryOverError: another try has taken the place of this one, or it cannot go on.
-        """
-        losses = await self._finder.find(self._hold.chain, usual_pause=self._relay.usual_pause)
-        if losses.is_first_gone:
-            await self._pass_lost_first()
-        elif self._hold.chain.parts[0] in losses.parts:
-            await self._move("first server stalls")
-        elif losses.parts:
-            await self._replace(losses.parts)
-
-    async def _pass_lost_first(self) -> None:
-        """Go on elsewhere, as the server that answers is silent; where nothing else can, its answer may still come."""
-        self._hold.note_part_lost(self._hold.chain.parts[0])
-        await self._move("first server lost", is_gone=True)
-        is_all = self._relay.is_begun or not self._work.route.may_repeat  # that this request can get
-        has_left = self._first.id not in self._parts.view.servers or self._parts.reports.is_refused(self._first.id)
-        if has_left or not is_all:
-            self._hold.uncount_run()
-            raise TryOverError(MayHaveRun("first server lost"))
+            await self._repair.look_for_loss()
+            wait = ASK_SUSPECTED_AGAIN if self._repair.is_first_suspected else ASK_AGAIN
 
-    async def _move(self, cause: str, *, is_gone: bool = False) -> None:
+    async def _move(self, cause: str, *, is_gone: bool) -> None:
         """Go on with another try, where there is one; this one is kept until a server has taken the other.
 
         Of 63 streams that were broken off in 12 s, 58 had ended a try that still worked, and then had no budget for
@@ -263,26 +230,6 @@
             self._hold.uncount_run()
         await self._close(is_whole=False)
 
-    async def _replace(self, lost: list[Part]) -> None:
-        """Take the request over other servers in place of the lost ones."""
-        work = self._work
-        work.note_wait(f"lost {[part.server.id for part in lost]}")
-        for part in lost:
-            self._hold.note_part_lost(part)
-        for _ in range(MAX_DETOURS):
-            chain = self._hold.find_detour()
-            if chain is None:
-                await self._move("no server in place of the lost one")
-                return
-            if chain.count_crossings() > self._hold.chain.count_crossings():
-                await self._move("another hall reads the prompt sooner than it crosses the pipe")
-            outcome = await self._hold.order_detour(chain)
-            if outcome is OrderOutcome.TAKEN:
-                return
-            if outcome is not OrderOutcome.CONFLICT:
-                break
-        await self._move("no detour")
-
 
 FindNext = Callable[[OnTaken], StreamTry | None]
 
--- a/tests/rig/ablation.py
+++ b/tests/rig/ablation.py
@@ -69,7 +69,7 @@
     Mechanism(
         "detour",
         "a lost part in the middle of an answer",
-        (Edit(f"{TRAFFIC}/streamtry.py", "for _ in range(MAX_DETOURS):", "for _ in range(0):"),),
+        (Edit(f"{TRAFFIC}/repair.py", "for _ in range(MAX_DETOURS):", "for _ in range(0):"),),
     ),
     Mechanism(
         "very-slow-parts",
@@ -116,7 +116,7 @@
     Mechanism(
         "asking-servers",
         "a loss that no connection shows",
-        (Edit(f"{TRAFFIC}/streamtry.py", "            await self._look_for_loss()\n", ""),),
+        (Edit(f"{TRAFFIC}/streamtry.py", "            await self._repair.look_for_loss()\n", ""),),
     ),
     Mechanism(
         "plan-move",
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -78,7 +78,7 @@
     Proof(
         "a lost part of a chain is replaced",
         f"{SYSTEM}/test_streams.py::test_stream_that_must_not_run_twice_waits_for_a_server_in_place_of_a_lost_one",
-        (Edit(f"{TRAFFIC}/streamtry.py", "            await self._replace(losses.parts)\n", "            return\n"),),
+        (Edit(f"{TRAFFIC}/repair.py", "            await self._replace(losses.parts)\n", "            return\n"),),
     ),
     Proof(
         "a part named in a refusal rests",
