Let a try that went on give way no more to one whose head came in the same turn

The kept try had gone on and ended the next one, but the next one's head had come in the same turn: it took the place before it was cancelled, and the kept connection was closed by it.

Change: once the kept try has gone on, it gives way no more; the next one is over. Two unit tests; the first fails without the change.

Also three unit tests of what counts as hearing others.

--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -71,6 +71,7 @@
         self._on_taken = on_taken
         self._link: HttpLink | None = None
         self._is_replaced = False  # another try has taken its place
+        self._is_back = False  # it went on while another one opened, which has to end
         self._moves_from = float("-inf")  # steady time from which another try may be sent
         self._repair = ChainRepair(parts, work, self._hold, relay, self._move)
 
@@ -200,6 +201,7 @@
         work.note(cause)
         self._hold.count_run()
         end: TryOutcome | None = None
+        self._is_back = False
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_return, tasks.cancel_scope)
             end = await successor.run()
@@ -220,10 +222,16 @@
             return
         if not self._is_replaced:
             self._work.note("goes on where it was")
+            self._is_back = True
             scope.cancel()
 
     async def _give_way(self, *, is_gone: bool) -> None:
-        """Leave the request to another try."""
+        """Leave the request to another try.
+
+        :raises TryOverError: that one comes too late; both were given up when its head came in the turn of the return.
+        """
+        if self._is_back:
+            raise TryOverError(MayHaveRun("the one before went on"))
         self._is_replaced = True
         self._work.may_have_run = True
         if is_gone:
--- /dev/null
+++ b/tests/core/traffic/test_hearing.py
@@ -0,0 +1,40 @@
+"""Only a prompt answer shows that the way to this VM is free, and only for questions that are not newer."""
+
+from __future__ import annotations
+
+from vaneturn_core.traffic.hearing import PROMPT, Hearing
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def test_prompt_answer_counts_for_questions_as_old_or_older() -> None:
+    clock = Clock()
+    hearing = Hearing(clock)
+    assert not hearing.has_heard_since(99.0)
+    clock.now += PROMPT / 2
+    hearing.record_answer(100.0)
+    assert hearing.has_heard_since(100.0)
+    assert not hearing.has_heard_since(100.001)
+
+
+def test_late_answer_counts_for_nothing() -> None:
+    """Behind a full link tokens and answers still come, in their turn."""
+    clock = Clock()
+    hearing = Hearing(clock)
+    clock.now += 2 * PROMPT
+    hearing.record_answer(100.0)
+    assert not hearing.has_heard_since(100.0)
+
+
+def test_older_answer_does_not_take_a_newer_one_back() -> None:
+    clock = Clock()
+    hearing = Hearing(clock)
+    hearing.record_answer(100.0)
+    hearing.record_answer(99.99)
+    assert hearing.has_heard_since(100.0)
--- /dev/null
+++ b/tests/node/traffic/test_streamtry.py
@@ -0,0 +1,48 @@
+"""A try gives way to another, or goes on: never both.
+
+The head of the next try came in the same turn of the event loop as more of the answer of the one before: that one ended
+the next, and then gave way to it all the same. The steps end with "goes on where it was", and the answer was cut.
+"""
+
+from __future__ import annotations
+
+import time
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from core.traffic.samples import make_server
+from node.traffic.samples import make_parts
+from vaneturn_core.traffic.chain import Chain, Part
+from vaneturn_core.traffic.servers import ServerBeliefs
+from vaneturn_core.traffic.view import PlatformView
+from vaneturn_node.http1.caller import Caller
+from vaneturn_node.http1.pool import LinkPool
+from vaneturn_node.traffic.repair import TryOverError
+from vaneturn_node.traffic.streamtry import StreamTry
+
+pytestmark = pytest.mark.anyio
+
+
+def make_try() -> StreamTry:
+    parts = make_parts("entry-1", PlatformView(5.0, time.monotonic), ServerBeliefs(), Caller(LinkPool()))
+    work: Any = SimpleNamespace(runs=0, may_have_run=False)
+    chooser: Any = SimpleNamespace(tokens=100)
+    chain = Chain(80, (Part(make_server(1, "a100", layers=(0, 80)), 0, 80),))
+    relay: Any = SimpleNamespace()
+    return StreamTry(parts=parts, work=work, chooser=chooser, chain=chain, relay=relay, find_next=lambda _: None)
+
+
+async def test_try_that_went_on_gives_way_no_more() -> None:
+    made = make_try()
+    made._is_back = True
+    with pytest.raises(TryOverError):
+        await made._give_way(is_gone=False)
+    assert not made._is_replaced
+
+
+async def test_try_that_is_still_silent_gives_way() -> None:
+    made = make_try()
+    await made._give_way(is_gone=False)
+    assert made._is_replaced
