Answer as a full server, and keep an answer, in one place for the tests that do

Cause, from the last read of the whole change: the same refusal stood three times in the tests of kept tries, and the class that keeps an answer in two files; one test ended with an assertion that could not fail (a list that the test had made itself was not empty).

--- a/tests/node/traffic/samples.py
+++ b/tests/node/traffic/samples.py
@@ -11,12 +11,26 @@
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller
 from vaneturn_node.http1.pool import LinkPool
+from vaneturn_node.http1.server import ClientAnswer
 from vaneturn_node.platform.servers import ServerCalls
 from vaneturn_node.traffic.changelog import ChangeLog
 from vaneturn_node.traffic.exchange import ReportBoard, TrafficParts
 from vaneturn_node.traffic.losssharing import LossSharing
 
 
+class Answer(ClientAnswer):
+    """Keeps what was answered."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b""
+
+    async def send_whole(self, status: int, headers: object, body: bytes) -> None:
+        assert headers is not None
+        self.status = status
+        self.body = body
+
+
 def make_parts(vm: str, view: PlatformView, beliefs: ServerBeliefs, caller: Caller) -> TrafficParts:
     calls = ServerCalls(caller)
     hearing = Hearing(time.monotonic)
--- a/tests/node/traffic/test_longvalues.py
+++ b/tests/node/traffic/test_longvalues.py
@@ -10,12 +10,12 @@
 import msgspec
 import pytest
 
+from node.traffic.samples import Answer
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.servers import ServerAddress
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
-from vaneturn_node.http1.server import ClientAnswer
 from vaneturn_node.platform.store import PlatformStore, StoreItem
 from vaneturn_node.traffic.changelog import Change, ChangeLog
 from vaneturn_node.traffic.difference import pack
@@ -52,18 +52,6 @@
     return changes[0]
 
 
-class Answer(ClientAnswer):
-    """Keeps what was answered."""
-
-    def __init__(self) -> None:
-        self.status = 0
-        self.body = b""
-
-    async def send_whole(self, status: int, headers: object, body: bytes) -> None:
-        assert headers is not None
-        self.status, self.body = status, body
-
-
 class Wire(Caller):
     """Carries questions to relays in this process, and to a store that holds one item."""
 
--- a/tests/node/traffic/test_peers.py
+++ b/tests/node/traffic/test_peers.py
@@ -10,7 +10,7 @@
 import pytest
 
 from core.traffic.samples import make_server
-from node.traffic.samples import make_parts, make_sharing
+from node.traffic.samples import Answer, make_parts, make_sharing
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.loads import SUM_AGE, LoadBoard
 from vaneturn_core.traffic.relays import RelayTimes
@@ -18,7 +18,7 @@
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
-from vaneturn_node.http1.server import ClientAnswer, ClientRequest
+from vaneturn_node.http1.server import ClientRequest
 from vaneturn_node.platform.store import StoreItem
 from vaneturn_node.traffic.changelog import ChangeLog
 from vaneturn_node.traffic.losssharing import LossSharing
@@ -50,19 +50,6 @@
         return Reply(answer.status, answer.body)
 
 
-class Answer(ClientAnswer):
-    """Keeps what was answered."""
-
-    def __init__(self) -> None:
-        self.status = 0
-        self.body = b""
-
-    async def send_whole(self, status: int, headers: object, body: bytes) -> None:
-        assert headers is not None
-        self.status = status
-        self.body = body
-
-
 class Relay:
     """A node that has read the store at revision 5."""
 
--- a/tests/system/platform/test_kepttries.py
+++ b/tests/system/platform/test_kepttries.py
@@ -46,8 +46,10 @@
     return [line for line in traffic.nodes[0].read_log() if line["message"] == "request ended"]
 
 
-def traffic_address(exchange: Exchange) -> str:
-    return exchange.call.headers["host"]
+async def refuse(exchange: Exchange, run: Run) -> None:
+    """Answer as a first server that has no room."""
+    address = exchange.call.headers["host"]
+    await exchange.reply(503, {"X-Not-Executed": "1", "At-Server": address, "X-Request-Id": run.request})
 
 
 def first_of(traffic: Traffic) -> Server:
@@ -106,7 +108,6 @@
         steps = (await read_end(frugal, f"after-{number}"))["steps"]
         wrong += [(answer.status_code, steps)] if answer.status_code != 200 or len(steps) > 1 else []
     assert not wrong, wrong
-    assert servers
 
 
 async def test_client_that_leaves_while_the_next_one_opens_ends_both(rich: Traffic) -> None:
@@ -172,11 +173,6 @@
             first = first_of(rich)
             first.is_dark = True
 
-            async def refuse(exchange: Exchange, run: Run) -> None:
-                await exchange.reply(
-                    503, {"X-Not-Executed": "1", "At-Server": traffic_address(exchange), "X-Request-Id": run.request}
-                )
-
             others = [s for s in servers if s is not first]
             for server in others:
                 server.spoil = refuse
@@ -202,9 +198,7 @@
         async def wait_long(exchange: Exchange, run: Run) -> None:
             with anyio.move_on_after(4):
                 await exchange.watch_client()
-            await exchange.reply(
-                503, {"X-Not-Executed": "1", "At-Server": traffic_address(exchange), "X-Request-Id": run.request}
-            )
+            await refuse(exchange, run)
 
         async def trouble() -> None:
             await wait_for(lambda: any(len(run.tokens) > 5 for run in rich.fleet.runs))
@@ -230,18 +224,16 @@
     answers = []
     async with anyio.create_task_group() as tasks:
 
-        async def refuse(exchange: Exchange, run: Run) -> None:
+        async def refuse_unseen(exchange: Exchange, run: Run) -> None:
             rich.fleet.runs.remove(run)
-            await exchange.reply(
-                503, {"X-Not-Executed": "1", "At-Server": traffic_address(exchange), "X-Request-Id": run.request}
-            )
+            await refuse(exchange, run)
 
         async def trouble() -> None:
             await wait_for(lambda: any(len(run.tokens) > 5 for run in rich.fleet.runs))
             chain = [rich.fleet.servers[part.address] for part in rich.fleet.runs[0].tokens[0]]
             others = [server for server in servers if server not in chain]
             for server in others:
-                server.spoil = refuse
+                server.spoil = refuse_unseen
             chain[0].is_dark = True
             await anyio.sleep(1.2)
             for server in others:
