Log what a request asks for by a digest that stays when it comes again, and the events of a lost try

Change: a digest of host, method, target, caller and body in each request's line; the events of a try in its step. No decision reads either yet.

--- /dev/null
+++ b/packages/core/src/vaneturn_core/traffic/contents.py
@@ -0,0 +1,28 @@
+"""What a request asks for, apart from who carries it: the same on every node and with every try of a client."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Final, NewType
+
+Content = NewType("Content", int)  # a digest of 64 bits
+
+CONTENT_BYTES: Final = 8
+
+
+def digest_content(host: str, method: str, target: str, caller: str, body: bytes) -> Content:
+    """Digest a request by what stays when it comes again: the place it asks, its caller and its body.
+
+    :param caller: customer, or key where the customer is not known; empty for a request without any.
+    """
+    head = f"{host}\0{method}\0{target}\0{caller}\0".encode()
+    digest = hashlib.blake2b(head + body, digest_size=CONTENT_BYTES).digest()
+    return Content(int.from_bytes(digest, "big"))
+
+
+def format_content(content: Content) -> str:
+    """Format a digest for logs and operators."""
+    return f"{content:0{2 * CONTENT_BYTES}x}"
+
+
+__all__ = ["CONTENT_BYTES", "Content", "digest_content", "format_content"]
--- a/packages/core/src/vaneturn_core/traffic/state.py
+++ b/packages/core/src/vaneturn_core/traffic/state.py
@@ -52,6 +52,7 @@
     events: int = 0  # of a stream, passed on
     first_event: float = 0.0  # seconds from its arrival
     longest_pause: float = 0.0  # seconds between two of them
+    content: str = ""  # digest of what it asks for, the same when it comes again under another id
 
 
 __all__ = ["SeenServer", "TrafficRequest", "TrafficState"]
--- a/packages/node/src/vaneturn_node/traffic/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/answering.py
@@ -12,6 +12,7 @@
 
 from vaneturn_core.identifiers import ServiceName
 from vaneturn_core.traffic.configuration import EngineProfile, TrafficConfiguration, TrafficCustomer, TrafficRoute
+from vaneturn_core.traffic.contents import format_content
 from vaneturn_core.traffic.state import TrafficRequest
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
 from vaneturn_node.platform.headers import RETRY_AFTER, RequestFacts, build_client_headers, read_request_facts
@@ -157,6 +158,7 @@
             events=work.events if work is not None else 0,
             first_event=round(work.first_event, 3) if work is not None else 0.0,
             longest_pause=round(work.longest_pause, 3) if work is not None else 0.0,
+            content=format_content(work.content) if work is not None else "",
         )
         self._ended.add(facts.id, ended)
         logger.info("request ended", extra=msgspec.structs.asdict(ended))
--- a/packages/node/src/vaneturn_node/traffic/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/requests.py
@@ -6,11 +6,13 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Final
 
 from vaneturn_core.identifiers import ServiceName
 from vaneturn_core.traffic.chain import Chain
 from vaneturn_core.traffic.configuration import TrafficCustomer, TrafficRoute
+from vaneturn_core.traffic.contents import Content, digest_content
 from vaneturn_core.traffic.servers import ServerId
 from vaneturn_node.http1.server import ClientRequest
 from vaneturn_node.platform.headers import Dispatch, RequestFacts
@@ -44,6 +46,12 @@
     steps: list[str] = field(default_factory=list)  # what was decided, for the log
     waits: set[str] = field(default_factory=set)  # what is lacked since its newest event; noted once
 
+    @cached_property
+    def content(self) -> Content:
+        """Give what it asks for: the same when it comes again under another id."""
+        caller = self.customer.name if self.customer is not None else self.facts.key or ""
+        return digest_content(self.facts.host, self.request.method, self.request.target, caller, self.request.body)
+
     @property
     def ends(self) -> float:
         """Give the steady time at which it must be answered."""
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -70,6 +70,7 @@
         self._find_next = find_next
         self._on_taken = on_taken
         self._link: HttpLink | None = None
+        self._events = 0  # that came over this try
         self._is_replaced = False  # another try has taken its place
         self._is_back = False  # it went on while another one opened, which has to end
         self._moves_from = float("-inf")  # steady time from which another try may be sent
@@ -130,7 +131,9 @@
             if data is None:
                 await self._relay.end(splitter)
                 return
+            before = self._relay.events
             if await self._relay.pass_on(splitter, data):
+                self._events += self._relay.events - before
                 self._hold.note_heard()
 
     async def _close(self, *, is_whole: bool) -> None:
@@ -149,7 +152,7 @@
         if not error.was_sent:
             return NotRun(error.cause, is_silent=True)
         self._hold.count_run()
-        return MayHaveRun(error.cause)
+        return MayHaveRun(f"{error.cause}, after {self._events} events")
 
     async def _wait_for(self, read: Callable[[float], Awaitable[T]], wait: float) -> T:
         """Wait for the head or for data; while nothing comes, look for the part that is lost.
