Show with a test that fails that a request which ends its servers is sent on to the next ones

Three nodes, three halls with a chain each, one request that ends each first server 0.03 s after it began to run it; servers are back after 0.5 s.

--- a/tests/rig/traffic.py
+++ b/tests/rig/traffic.py
@@ -159,8 +159,15 @@
         """Send a request and read the whole answer; underscores in header names stand for dashes."""
         return await self.client.send(self.build(path, method, node, **headers))
 
+    async def ask_for(self, body: bytes, path: str, node: int = 0, **headers: str) -> httpx.Response:
+        """Send a request with a body of its own."""
+        return await self.client.send(self._build(path, "POST", node, body, headers))
+
     def build(self, path: str, method: str = "POST", node: int = 0, **headers: str) -> httpx.Request:
         """Build a request, as it is asked with."""
+        return self._build(path, method, node, b"letter", headers)
+
+    def _build(self, path: str, method: str, node: int, body: bytes, headers: dict[str, str]) -> httpx.Request:
         sent = {
             "Host": HOST,
             "X-Request-Id": f"request-{next(self._numbers)}",
@@ -171,7 +178,7 @@
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
         url = f"http://127.0.0.1:{self.nodes[node].client_port}{path}"
-        return self.client.build_request(method, url, headers={k: v for k, v in sent.items() if v}, content=b"letter")
+        return self.client.build_request(method, url, headers={k: v for k, v in sent.items() if v}, content=body)
 
 
 @asynccontextmanager
--- a/tests/standins/platform/servers.py
+++ b/tests/standins/platform/servers.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 from anyio.abc import Listener, SocketStream, TaskGroup
 
 from standins.platform.store import Store
@@ -55,6 +56,10 @@
     token_time: float = 0.01
     answer_tokens: int = 10
     find_link: FindLink = find_no_link  # of the node that has called
+    deadly: bytes | None = None  # body of a request that ends each server that begins to run it
+    deadly_after: float = 0.03  # seconds from the beginning of its run to the end of the server
+    restart_time: float = 0.5  # seconds from that end to the next start at the same address
+    ended: list[tuple[float, str]] = field(default_factory=list)  # servers that ended so, with the steady time
     runs: list[Run] = field(default_factory=list)
     servers: dict[str, Server] = field(default_factory=dict)  # by address
     _numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
@@ -65,6 +70,14 @@
         await server.start()
         return server
 
+    async def end(self, server: Server) -> None:
+        """Let a server end by itself, and start again after some time; it holds nothing then."""
+        self.ended.append((time.monotonic(), server.id))
+        await server.crash()
+        await anyio.sleep(self.restart_time)
+        self.store.remove(f"servers/{server.id}")
+        await self.add(server.address, server.service, server.hall, server.kind)
+
     def find_runs(self, request: str) -> list[Run]:
         return [run for run in self.runs if run.request == request]
 
@@ -224,6 +237,8 @@
         self.fleet.runs.append(run)
         self.active[request] = run
         try:
+            if call.body == self.fleet.deadly:
+                await self._end_by(exchange, run)
             if self.spoil is not None:
                 await self.spoil(exchange, run)
                 return
@@ -232,6 +247,15 @@
             if self.active.get(request) is run:  # it may have come anew before this run was found to be left
                 del self.active[request]
 
+    async def _end_by(self, exchange: Exchange, run: Run) -> None:
+        """Begin to run a request that ends this server, once."""
+        await exchange.begin(200, {**self._sign(run), "Content-Type": "text/event-stream"})
+        await anyio.sleep(self.fleet.deadly_after)
+        if not self.is_crashed:
+            self.fleet.tasks.start_soon(self.fleet.end, self)
+            await anyio.lowlevel.checkpoint()
+        await exchange.reset()
+
     async def _stream(self, exchange: Exchange, run: Run) -> None:
         start = int(run.headers.get("last-event-id", "0"))
         async with anyio.create_task_group() as tasks:
