Pass the head of a streamed answer on with its first event

Cause: a server that ended between its head and its first event left the client with an answer begun and nothing in it: a closed connection in place of a status. Change: the head of the newest try is kept until the first whole event, or the end. Nothing earns by an early head: objectives count from the first event. Beside it: a copy that has had events is not ended when its content is barred (the count of events was set at the end only); with a test.

--- a/packages/node/src/vaneturn_node/traffic/relay.py
+++ b/packages/node/src/vaneturn_node/traffic/relay.py
@@ -19,18 +19,26 @@
     def __init__(self, answer: ClientAnswer, last_event: str | None) -> None:
         self._answer = answer
         self.last_event = last_event
-        self.is_begun = False
+        self.is_begun = False  # the client has a part of it
+        self._head: AnswerHead | None = None  # of the newest try, until the first event
         self.first_at: float | None = None  # when the first event was passed on, steady time
         self.longest_pause = 0.0  # seconds between two events
         self.events = 0
         self.usual_pause = 0.0  # moving average, seconds
         self._passed_at: float | None = None
 
-    async def begin(self, head: AnswerHead) -> None:
-        """Pass the head on, once: what follows belongs to the answer of the first server."""
-        if not self.is_begun:
-            self.is_begun = True
-            await self._answer.begin(head.status, build_client_headers(head.headers))
+    def take_head(self, head: AnswerHead) -> None:
+        """Keep the head of a try; it is passed on with the first event, and what follows belongs to that answer.
+
+        Where a server ended between its head and its first event, clients saw a closed connection in place of a status.
+        """
+        self._head = head
+
+    async def _begin(self) -> None:
+        if self.is_begun or self._head is None:
+            return
+        self.is_begun = True
+        await self._answer.begin(self._head.status, build_client_headers(self._head.headers))
 
     async def pass_on(self, splitter: EventSplitter, data: bytes) -> bool:
         """Pass whole events on; false when there is none yet."""
@@ -46,6 +54,7 @@
             self.first_at = now
         self._passed_at = now
         self.events += len(events)
+        await self._begin()
         await self._answer.send_part(b"".join(event.data for event in events))
         for event in events:
             self.last_event = event.id if event.id is not None else self.last_event
@@ -53,6 +62,7 @@
 
     async def end(self, splitter: EventSplitter) -> None:
         """End the answer as whole."""
+        await self._begin()
         if splitter.rest:
             await self._answer.send_part(splitter.rest)
         await self._answer.end()
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -132,7 +132,7 @@
 
     async def _relay_events(self, link: HttpLink, head: AnswerHead) -> None:
         splitter = EventSplitter()
-        await self._relay.begin(head)
+        self._relay.take_head(head)
         while True:
             overdue = max(OVERDUE, OVERDUE_PAUSES * self._relay.usual_pause)
             data = await self._wait_for(link.read_data, overdue)
@@ -143,6 +143,7 @@
             before = self._relay.events
             if await self._relay.pass_on(splitter, data):
                 self._events += self._relay.events - before
+                self._work.events = self._relay.events
                 self._hold.note_heard()
                 self._note_running()
 
--- a/tests/system/platform/test_deadly.py
+++ b/tests/system/platform/test_deadly.py
@@ -91,6 +91,15 @@
     assert len(three.fleet.ended) == ended == 2
 
 
+async def test_answer_without_an_event_is_not_broken_off(three: Traffic) -> None:
+    """The servers that ended had answered 200; the client had nothing of it and comes back for a connection closed."""
+    await three.add_chains(halls=("east", "west", "north"))
+    three.fleet.deadly = DEADLY
+    answer = await three.ask_for(DEADLY, "/letter/1")
+    assert (answer.status_code, answer.json()["error"]) == (400, "ends_servers")
+    assert len(three.fleet.ended) == 2
+
+
 async def test_others_with_another_body_caller_or_place_are_served(three: Traffic) -> None:
     await three.add_chains(halls=("east", "west", "north"))
     three.fleet.deadly = DEADLY
@@ -191,6 +200,28 @@
     assert ended == ["copy"]
 
 
+async def test_copy_that_has_had_events_goes_on(three: Traffic) -> None:
+    """The same request begins to run well, as on a server of another kind, before others end under it."""
+    await three.add_chains(halls=("east", "west", "north"))
+    three.fleet.answer_tokens, three.fleet.token_time = 20, 0.04
+    ids: list[int] = []
+    async with anyio.create_task_group() as tasks:
+
+        async def ask() -> None:
+            ids.extend(list_ids((await three.ask_for(DEADLY, "/letter/1", 2)).text))
+
+        tasks.start_soon(ask)
+        await wait_for(lambda: any(len(run.tokens) > 2 for run in three.fleet.runs))
+        first = next(one for one in three.fleet.servers.values() if one.id == three.fleet.runs[0].server)
+        first.state = "draining"
+        first.announce()
+        await anyio.sleep(0.1)
+        three.fleet.deadly = DEADLY
+        for node in (0, 1, 0):
+            await send_deadly(three, node)
+    assert ids == list(range(1, 21))
+
+
 async def test_node_that_starts_anew_is_told(three: Traffic) -> None:
     await three.add_chains(halls=("east", "west", "north"))
     three.fleet.deadly = DEADLY
