Tell one start of a server from another, and take no entry of other writers for a server

The code took the id for one start, and accepted entries with -3 or 10^30 places, addresses that are none, layers from -5 and up to 10^9, and services that nobody names; an entry that turned unreadable left its server listed.

Change: the id of a start is name and birth, so that all that is kept by it (beliefs, loads, losses told, reports, pending orders, ends) ends with the start; only the name goes to the server. An older start changes nothing, by list, watch or report; a report of another start, or 421, shows the end of the one asked. Entries are checked as a whole where they are decoded, and against the configuration in force (service, kind, layers): what fits none waits for the next one. A wrong entry is a removal at once, also while the store is in trouble; one line for each key and fault. Records of nodes need an address.

--- a/bench/chains.py
+++ b/bench/chains.py
@@ -12,7 +12,7 @@
 from vaneturn_core.traffic.chains import ChainChooser
 from vaneturn_core.traffic.layermap import LayerMap
 from vaneturn_core.traffic.layout import LayoutPlanner
-from vaneturn_core.traffic.servers import BackendServer, ServerAddress, ServerBeliefs, ServerId
+from vaneturn_core.traffic.servers import BackendServer, ServerAddress, ServerBeliefs, ServerId, ServerName
 
 FLEETS = (1, 3, 25)  # times the users' 33 servers
 ROUNDS = 9
@@ -20,7 +20,12 @@
 
 def make_fleets(times: int) -> list[BackendServer]:
     return [
-        dataclasses.replace(one, id=ServerId(f"{one.id}-{copy}"), address=ServerAddress(f"{one.address}{copy}"))
+        dataclasses.replace(
+            one,
+            id=ServerId(f"{one.id}-{copy}"),
+            name=ServerName(f"{one.id}-{copy}"),
+            address=ServerAddress(f"{one.address}{copy}"),
+        )
         for copy in range(times)
         for one in make_fleet()
     ]
--- a/packages/core/src/vaneturn_core/traffic/servers.py
+++ b/packages/core/src/vaneturn_core/traffic/servers.py
@@ -10,7 +10,8 @@
 from vaneturn_core.identifiers import ServiceName
 from vaneturn_core.traffic.configuration import EngineProfile
 
-ServerId = NewType("ServerId", str)  # one start of a backend server
+ServerName = NewType("ServerName", str)  # of a backend server; it may start again under it
+ServerId = NewType("ServerId", str)  # one start of a backend server: what is believed of it ends with that start
 ServerAddress = NewType("ServerAddress", str)  # IP number and port; may pass to another server later
 
 FIRST_REST: Final = 0.7  # seconds without new work after a failure; a process restarts in about that time
@@ -29,6 +30,11 @@
 MAX_RESTING_SHARE: Final = 0.5  # of the servers that could be chosen; beyond it, rest counts for nothing
 
 
+def identify_start(name: ServerName, born: int | None) -> ServerId:
+    """Give the id of one start of a server."""
+    return ServerId(name if born is None else f"{name}@{born}")
+
+
 class ServerLoad(NamedTuple):
     """Requests in progress on a server."""
 
@@ -59,6 +65,7 @@
     """The newest entry of a server in the list."""
 
     id: ServerId
+    name: ServerName
     service: ServiceName
     address: ServerAddress
     hall: str
@@ -67,6 +74,7 @@
     kind: str | None  # of its accelerator
     layers: tuple[LayerRange, ...]  # ready for requests
     software: str = ""  # version of what it runs
+    born: int | None = None  # Unix milliseconds of its start; none on platforms that do not tell it
 
     def compute_room(self, engine: EngineProfile) -> float:
         """Compute the memory that its layers leave, in tokens times layers."""
@@ -234,5 +242,7 @@
     "ServerBeliefs",
     "ServerId",
     "ServerLoad",
+    "ServerName",
     "ServerState",
+    "identify_start",
 ]
--- a/packages/core/src/vaneturn_core/traffic/view.py
+++ b/packages/core/src/vaneturn_core/traffic/view.py
@@ -9,7 +9,7 @@
 
 from vaneturn_core.identifiers import ServiceName, VmId
 from vaneturn_core.traffic.configuration import TrafficConfiguration
-from vaneturn_core.traffic.servers import BackendServer, ServerId
+from vaneturn_core.traffic.servers import BackendServer, ServerId, ServerName
 
 KEYS_MARGIN: Final = 0.8  # seconds; a watch may hear nothing for a second before the store says so, and then does
 LAPSE_HOLD: Final = 2.2  # seconds after the store's return in which servers write their entries again
@@ -53,6 +53,7 @@
         self.nodes: dict[VmId, str | None] = {}  # and the address where a node tells others of changes
         self.has_servers = False  # the list was read once
         self.contact = StoreContact()
+        self._starts: dict[ServerName, ServerId] = {}  # the start that is listed under each name
         self._lapsed: dict[ServerId, float] = {}  # entries that went in trouble, and when they are given up
 
     @property
@@ -107,10 +108,32 @@
         self.configuration = configuration
         return True
 
-    def put_server(self, server: BackendServer) -> None:
-        """Take a server's entry."""
+    def put_server(self, server: BackendServer) -> bool:
+        """Take a server's entry; false for that of an older start than the one known.
+
+        A new start takes the place of the one before, which is gone with all that it held.
+        """
+        known = self.find_server(server.name)
+        if known is not None and known.id != server.id:
+            if (known.born or 0) > (server.born or 0):
+                return False
+            self.drop_server(known.id)
         self._lapsed.pop(server.id, None)
         self.servers[server.id] = server
+        self._starts[server.name] = server.id
+        return True
+
+    def find_server(self, name: ServerName) -> BackendServer | None:
+        """Find the start of a server that is listed, or whose entry has lapsed."""
+        start = self._starts.get(name)
+        return self.servers.get(start) if start is not None else None
+
+    def drop_server(self, server: ServerId) -> None:
+        """Remove a server at once, whatever became of the store."""
+        self._lapsed.pop(server, None)
+        known = self.servers.pop(server, None)
+        if known is not None and self._starts.get(known.name) == server:
+            del self._starts[known.name]
 
     def remove_server(self, server: ServerId) -> bool:
         """Remove a server whose entry went; false if it is kept for a while, since the entry may have lapsed."""
@@ -120,16 +143,20 @@
         if self.contact.is_in_trouble or now - self.contact.returned_at < RETURN_TIME:
             self._lapsed.setdefault(server, now + LAPSE_HOLD)
             return False
-        del self.servers[server]
+        self.drop_server(server)
         return True
 
     def replace_servers(self, servers: Iterable[BackendServer]) -> list[ServerId]:
         """Take the whole list; gives the servers that were removed."""
-        listed = {server.id: server for server in servers}
+        listed = {server.name: server for server in servers}
         self.has_servers = True
-        removed = [one for one in list(self.servers) if one not in listed and self.remove_server(one)]
+        removed = [
+            one.id for one in list(self.servers.values()) if one.name not in listed and self.remove_server(one.id)
+        ]
         for server in listed.values():
-            self.put_server(server)
+            known = self.find_server(server.name)
+            if self.put_server(server) and known is not None and known.id != server.id:
+                removed.append(known.id)
         return removed
 
     def expire_lapsed(self) -> list[ServerId]:
@@ -137,8 +164,7 @@
         now = self._clock()
         over = [server for server, until in self._lapsed.items() if until <= now]
         for server in over:
-            del self._lapsed[server]
-            self.servers.pop(server, None)
+            self.drop_server(server)
         return over
 
     def list_software(self) -> set[str]:
--- a/packages/node/src/vaneturn_node/http1/caller.py
+++ b/packages/node/src/vaneturn_node/http1/caller.py
@@ -26,7 +26,7 @@
 
     cause: str
     was_sent: bool  # a byte of the request has left
-    is_refused: bool = False  # nobody listens there
+    is_gone: bool = False  # nobody listens there, or not the server that was asked
 
 
 @dataclass(slots=True)
@@ -73,7 +73,7 @@
             return Failed("no answer in time", was_sent=link is not None)
         except LinkError as error:
             await _abort(link)
-            return Failed(error.cause, was_sent=error.was_sent, is_refused=error.is_refused)
+            return Failed(error.cause, was_sent=error.was_sent, is_gone=error.is_refused)
         except BaseException:
             await _abort(link)
             raise
--- a/packages/node/src/vaneturn_node/platform/headers.py
+++ b/packages/node/src/vaneturn_node/platform/headers.py
@@ -8,7 +8,7 @@
 
 from vaneturn_core.identifiers import RequestId
 from vaneturn_core.traffic.chain import Chain, Part
-from vaneturn_core.traffic.servers import ServerAddress, ServerId
+from vaneturn_core.traffic.servers import ServerAddress, ServerName
 from vaneturn_node.http1.messages import Headers, find_header, list_connection_headers
 
 REQUEST_ID: Final = b"x-request-id"
@@ -62,7 +62,7 @@
 class Dispatch:
     """What the router adds to a request for one server."""
 
-    server: ServerId
+    server: ServerName
     deadline: float | None  # seconds left
     customer: str | None
     priority: int
--- a/packages/node/src/vaneturn_node/platform/servers.py
+++ b/packages/node/src/vaneturn_node/platform/servers.py
@@ -2,39 +2,57 @@
 
 from __future__ import annotations
 
+import ipaddress
 from dataclasses import dataclass
 from enum import Enum
-from typing import Final, TypeVar
+from typing import Annotated, Final, TypeVar
 
 import msgspec
-from msgspec import Struct
+from msgspec import UNSET, Meta, Struct, UnsetType
 
 from vaneturn_core.faults import Fault, describe_decode_error
 from vaneturn_core.identifiers import RequestId, ServiceName
 from vaneturn_core.traffic.chain import Part
-from vaneturn_core.traffic.servers import BackendServer, LayerRange, ServerAddress, ServerId, ServerState
+from vaneturn_core.traffic.servers import (
+    BackendServer,
+    LayerRange,
+    ServerAddress,
+    ServerName,
+    ServerState,
+    identify_start,
+)
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.platform.headers import EXPECTED_SERVER, format_chain
 
 SERVERS_PREFIX: Final = "servers/"
 REPORT_TIME: Final = 0.4  # seconds; a sound server answers in a few milliseconds
 ORDER_TIME: Final = 0.6  # seconds
+MAX_ENTRY: Final = 65_536  # bytes of an entry; sound ones have some 250
+MAX_SLOTS: Final = 10_000  # servers of today have 6 to 192
+MAX_LAYERS: Final = 10_000  # models of today have 40 to 80
+MAX_PORT: Final = 65_535
+MAX_NAME: Final = 200  # characters, as the keys of the store
+WRONG_SERVER: Final = 421
+
+Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME)]
+Born = Annotated[int, Meta(ge=1, le=2**53)]  # Unix milliseconds
 
 
 class _Layers(Struct, rename={"first": "from", "end": "target_version"}):  # exclusive end, not a version
-    first: int
-    end: int
+    first: Annotated[int, Meta(ge=0, le=MAX_LAYERS)]
+    end: Annotated[int, Meta(ge=0, le=MAX_LAYERS)]
 
 
 class _Entry(Struct):
-    service: str
-    addr: str
-    zone: str
+    service: Name
+    addr: Name
+    zone: Name
     state: str
-    slots: int = 1
-    route_type: str | None = None  # kind of its accelerator, not of a route
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)] = 1
+    route_type: Name | None = None  # kind of its accelerator, not of a route
     layers: list[_Layers] | _Layers | None = None
     version: str | int = ""  # of its software
+    born: Born | UnsetType = UNSET
 
 
 class _Stalled(Struct):
@@ -48,6 +66,7 @@
     pace: float = 1.0
     layers: list[_Layers] | _Layers | None = None
     stalled: list[_Stalled] = []
+    born: Born | UnsetType = UNSET
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,31 +90,64 @@
     UNKNOWN = "unknown"  # no answer: may be taken, also later
 
 
-def decode_server(id_: ServerId, value: bytes) -> BackendServer | Fault:
-    """Decode an entry of the list."""
+def decode_server(name: ServerName, value: bytes) -> BackendServer | Fault:
+    """Decode an entry of the list; whatever is not as the platform's pages say makes a fault that names the field."""
+    if len(value) > MAX_ENTRY:
+        return Fault("$", f"{len(value)} bytes are more than {MAX_ENTRY}")
     try:
         entry = msgspec.json.decode(value, type=_Entry)
-        return BackendServer(
-            id=id_,
-            service=ServiceName(entry.service),
-            address=ServerAddress(entry.addr),
-            hall=entry.zone,
-            state=ServerState(entry.state),
-            slots=entry.slots,
-            kind=entry.route_type,
-            layers=_convert_layers(entry.layers),
-            software=str(entry.version),
-        )
     except msgspec.DecodeError as error:
         return describe_decode_error(error)
-    except ValueError as error:
-        return Fault("$.state", str(error))
+    except RecursionError:
+        return Fault("$", "nested too deeply")
+    return _find_fault(entry) or _convert_entry(name, entry)
+
+
+def _find_fault(entry: _Entry) -> Fault | None:
+    states = [state.value for state in ServerState]
+    if entry.state not in states:
+        return Fault("$.state", f"one of {states}")
+    if not is_address(entry.addr):
+        return Fault("$.addr", "IP number and port")
+    if any(layers.end < layers.first for layers in _list_ranges(entry.layers)):
+        return Fault("$.layers", "an end that is not before the beginning")
+    return None
+
+
+def _convert_entry(name: ServerName, entry: _Entry) -> BackendServer:
+    born = None if entry.born is UNSET else entry.born
+    return BackendServer(
+        id=identify_start(name, born),
+        name=name,
+        service=ServiceName(entry.service),
+        address=ServerAddress(entry.addr),
+        hall=entry.zone,
+        state=ServerState(entry.state),
+        slots=entry.slots,
+        kind=entry.route_type,
+        layers=_convert_layers(_list_ranges(entry.layers)),
+        software=str(entry.version),
+        born=born,
+    )
+
+
+def is_address(text: str) -> bool:
+    """Tell whether a text is an IP number and a port."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
 
 
-def _convert_layers(layers: list[_Layers] | _Layers | None) -> tuple[LayerRange, ...]:
+def _list_ranges(layers: list[_Layers] | _Layers | None) -> list[_Layers]:
     if layers is None:
-        return ()
-    ranges = layers if isinstance(layers, list) else [layers]
+        return []
+    return layers if isinstance(layers, list) else [layers]
+
+
+def _convert_layers(ranges: list[_Layers]) -> tuple[LayerRange, ...]:
     return tuple(LayerRange(one.first, one.end) for one in ranges if one.end > one.first)
 
 
@@ -110,14 +162,20 @@
         reply = await self._caller.call(server.address, "GET", "/api/report", limit, headers=_expect(server))
         if isinstance(reply, Failed):
             return reply
+        if reply.status == WRONG_SERVER:
+            return Failed("another server has the address", was_sent=True, is_gone=True)
         report = _decode(reply, _Report)
         if isinstance(report, Failed):
             return report
+        born = None if report.born is UNSET else report.born
+        if server.born is not None and born != server.born:
+            is_newer = born is not None and born > server.born
+            return Failed(f"born {born}, not {server.born}", was_sent=True, is_gone=is_newer)
         return ServerReport(
             orders=report.seq,
             is_loading=report.utilization,
             slowness=report.pace,
-            layers=_convert_layers(report.layers),
+            layers=_convert_layers(_list_ranges(report.layers)),
             stalled={RequestId(one.id): ServerAddress(one.addr) for one in report.stalled},
         )
 
@@ -157,7 +215,7 @@
 
 
 def _expect(server: BackendServer) -> list[tuple[bytes, bytes]]:
-    return [(EXPECTED_SERVER, server.id.encode("latin-1"))]
+    return [(EXPECTED_SERVER, server.name.encode("latin-1"))]
 
 
 T = TypeVar("T")
@@ -172,4 +230,4 @@
         return Failed(str(error), was_sent=True)
 
 
-__all__ = ["SERVERS_PREFIX", "OrderOutcome", "ServerCalls", "ServerReport", "decode_server"]
+__all__ = ["SERVERS_PREFIX", "OrderOutcome", "ServerCalls", "ServerReport", "decode_server", "is_address"]
--- a/packages/node/src/vaneturn_node/traffic/crashwatch.py
+++ b/packages/node/src/vaneturn_node/traffic/crashwatch.py
@@ -38,7 +38,7 @@
             report = await self._reports.read(server, 0.0)
             if isinstance(report, ServerReport):
                 return False
-            if self._reports.is_refused(server.id):
+            if self._reports.is_gone(server.id):
                 self._note_refused(server, content)
                 return True
         return False
@@ -46,7 +46,7 @@
     def note_silent(self, server: BackendServer, content: Content, suspicion: Suspicion) -> None:
         """Take note that a server is silent; it has ended when nobody listens there, or when its entry goes."""
         self._note_lost(server, content, suspicion)
-        if self._reports.is_refused(server.id):
+        if self._reports.is_gone(server.id):
             self._note_refused(server, content)
 
     def note_sound(self, content: Content) -> None:
--- a/packages/node/src/vaneturn_node/traffic/lossfinding.py
+++ b/packages/node/src/vaneturn_node/traffic/lossfinding.py
@@ -67,14 +67,14 @@
     def _is_first_gone(self, chain: Chain) -> bool:
         first = chain.first.id
         enough = MAX_SILENCES if self._parts.beliefs[first].in_progress < MANY_QUIET else 1
-        return self._silences >= enough or self._parts.reports.is_refused(first)
+        return self._silences >= enough or self._parts.reports.is_gone(first)
 
     async def _find_silent(self, chain: Chain) -> list[Part]:
         """Find the parts that give no sign of life while others do; while this VM hears nobody, there are none."""
         started = time.monotonic()
         quiet = [part for part in chain.parts if self._parts.beliefs[part.server.id].heard_at < started - HEARD_AGE]
         failed = await self._ask(quiet)
-        refused = [part for part in failed if self._parts.reports.is_refused(part.server.id)]
+        refused = [part for part in failed if self._parts.reports.is_gone(part.server.id)]
         silent = [part for part in failed if part not in refused]
         if not silent:
             return refused
--- a/packages/node/src/vaneturn_node/traffic/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/plain.py
@@ -151,7 +151,7 @@
         self, work: RequestInProgress, server: BackendServer, link: HttpLink, limit: float
     ) -> TryOutcome:
         request = work.request
-        headers = build_server_headers(request.headers, work.make_dispatch(server.id))
+        headers = build_server_headers(request.headers, work.make_dispatch(server.name))
         await link.send(request.method, request.target, headers, request.body, limit)
         head = await link.read_head(limit)
         facts = read_answer_facts(head.status, head.headers)
--- a/packages/node/src/vaneturn_node/traffic/records.py
+++ b/packages/node/src/vaneturn_node/traffic/records.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from vaneturn_core.identifiers import NodeId, VmId
+from vaneturn_node.platform.servers import is_address
 
 NODES_PREFIX: Final = "vaneturn/nodes/"
 TENURE_KEY: Final = "vaneturn/placer"
@@ -32,11 +33,12 @@
 
 
 def decode_node(value: bytes) -> NodeRecord | None:
-    """Decode the record of a node; none if it is not understood."""
+    """Decode the record of a node; none if it is not understood, or its address is none."""
     try:
-        return msgspec.json.decode(value, type=NodeRecord)
-    except msgspec.DecodeError:
+        record = msgspec.json.decode(value, type=NodeRecord)
+    except (msgspec.DecodeError, RecursionError):
         return None
+    return record if is_address(record.peer_address) else None
 
 
 def encode_holder(holder: TenureHolder) -> bytes:
@@ -48,7 +50,7 @@
     """Decode the record of the holder; none if it is not understood."""
     try:
         return msgspec.json.decode(value, type=TenureHolder)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
 
 
--- a/packages/node/src/vaneturn_node/traffic/repair.py
+++ b/packages/node/src/vaneturn_node/traffic/repair.py
@@ -70,7 +70,7 @@
         await self._move("first server lost", is_gone=True)
         is_all = self._relay.is_begun or not self._work.route.may_repeat  # that this request can get
         first = self._hold.first.id
-        has_left = first not in self._parts.view.servers or self._parts.reports.is_refused(first)
+        has_left = first not in self._parts.view.servers or self._parts.reports.is_gone(first)
         if has_left or not is_all:
             self._hold.uncount_run()
             raise TryOverError(MayHaveRun("first server lost"))
--- a/packages/node/src/vaneturn_node/traffic/reports.py
+++ b/packages/node/src/vaneturn_node/traffic/reports.py
@@ -77,10 +77,10 @@
         known = self._newest.get(server)
         return known.report if known is not None and isinstance(known.report, ServerReport) else None
 
-    def is_refused(self, server: ServerId) -> bool:
-        """Tell whether nobody listens at the server's address."""
+    def is_gone(self, server: ServerId) -> bool:
+        """Tell whether nobody listens at the server's address, or another one."""
         known = self._newest.get(server)
-        return known is not None and isinstance(known.report, Failed) and known.report.is_refused
+        return known is not None and isinstance(known.report, Failed) and known.report.is_gone
 
     def _forget_old(self) -> None:
         """Forget reports that nobody can want any more, of servers that have left among them."""
--- a/packages/node/src/vaneturn_node/traffic/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/requests.py
@@ -14,7 +14,7 @@
 from vaneturn_core.traffic.configuration import TrafficCustomer, TrafficRoute
 from vaneturn_core.traffic.contents import Content, digest_content
 from vaneturn_core.traffic.crashes import CrashBoard
-from vaneturn_core.traffic.servers import ServerId
+from vaneturn_core.traffic.servers import ServerId, ServerName
 from vaneturn_node.http1.server import ClientRequest
 from vaneturn_node.platform.headers import Dispatch, RequestFacts
 from vaneturn_node.traffic.outcomes import OwnAnswer, Reason
@@ -100,7 +100,7 @@
 
     def make_dispatch(
         self,
-        server: ServerId,
+        server: ServerName,
         chain: Chain | None = None,
         last_event: str | None = None,
         *,
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/serverentries.py
@@ -0,0 +1,102 @@
+"""Decides which entries of the list name a server to use: others than servers may write there too."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Collection
+from typing import Final
+
+from vaneturn_core.faults import Fault
+from vaneturn_core.traffic.configuration import TrafficConfiguration
+from vaneturn_core.traffic.servers import BackendServer, ServerName
+from vaneturn_node.platform.servers import decode_server
+
+MAX_ASIDE: Final = 256  # entries that another configuration may name; 390 nodes are planned before 810 servers
+MAX_FAULTS: Final = 256  # names whose newest fault is remembered, so that each is logged once
+BORN_SHARE: Final = 0.5  # of a service's servers that tell when they were born, from which the others are no servers
+
+logger = logging.getLogger(__name__)
+
+
+class ServerEntries:
+    """Checks entries against the platform's pages and the configuration in force."""
+
+    def __init__(self) -> None:
+        self._aside: dict[ServerName, BackendServer] = {}  # sound, but not named by the configuration in force
+        self._faults: dict[ServerName, str] = {}
+
+    def read(
+        self,
+        name: ServerName,
+        value: bytes,
+        configuration: TrafficConfiguration | None,
+        listed: Collection[BackendServer],
+    ) -> BackendServer | None:
+        """Read an entry; none when it names no server to use."""
+        self._aside.pop(name, None)
+        server = decode_server(name, value)
+        if isinstance(server, Fault):
+            self._note_fault(name, server)
+            return None
+        if server.born is None and _tell_born(server, listed):
+            self._note_fault(name, Fault("$.born", "a whole number, as the other servers of the service have"))
+            return None
+        return self._admit(server, configuration)
+
+    def forget(self, name: ServerName) -> None:
+        """Forget an entry that went."""
+        self._aside.pop(name, None)
+        self._faults.pop(name, None)
+
+    def recheck(
+        self, configuration: TrafficConfiguration, listed: Collection[BackendServer]
+    ) -> tuple[list[BackendServer], list[BackendServer]]:
+        """Check all entries against a new configuration; gives the servers to list and those to drop."""
+        aside = list(self._aside.values())
+        self._aside.clear()
+        added = [server for server in aside if self._admit(server, configuration) is not None]
+        dropped = [server for server in listed if self._admit(server, configuration) is None]
+        return added, dropped
+
+    def _admit(self, server: BackendServer, configuration: TrafficConfiguration | None) -> BackendServer | None:
+        """Give a server that the configuration has a use for, and put any other aside for the next configuration."""
+        fault = _find_misfit(server, configuration) if configuration is not None else None
+        if fault is None:
+            self._faults.pop(server.name, None)
+            return server
+        self._note_fault(server.name, fault)
+        if len(self._aside) < MAX_ASIDE:
+            self._aside[server.name] = server
+        return None
+
+    def _note_fault(self, name: ServerName, fault: Fault) -> None:
+        """Log a fault, once while it stays the same."""
+        if self._faults.get(name) == str(fault):
+            return
+        if len(self._faults) >= MAX_FAULTS:
+            self._faults.clear()
+        self._faults[name] = str(fault)
+        logger.warning("server entry not used", extra={"server": name, "fault": str(fault)})
+
+
+def _find_misfit(server: BackendServer, configuration: TrafficConfiguration) -> Fault | None:
+    service = configuration.services.get(server.service)
+    if service is None:
+        return Fault("$.service", "a service of the configuration in force")
+    engine = service.engine
+    if engine is None:
+        return None
+    if server.kind is not None and server.kind not in engine.kinds:
+        return Fault("$.route_type", "a kind of the service")
+    if any(layers.end > engine.layers for layers in server.layers):
+        return Fault("$.layers", f"layers within {engine.layers}")
+    return None
+
+
+def _tell_born(server: BackendServer, listed: Collection[BackendServer]) -> bool:
+    """Tell whether the servers of a service tell when they were born; one entry of another writer shows nothing."""
+    others = [one for one in listed if one.service == server.service and one.name != server.name]
+    return sum(one.born is not None for one in others) > BORN_SHARE * max(1, len(others))
+
+
+__all__ = ["ServerEntries"]
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -116,7 +116,7 @@
         if not work.may_send():
             return NotRun("keys too old")
         dispatch = work.make_dispatch(
-            self._first.id, self._hold.chain, self._relay.last_event, is_resumed=self._relay.is_begun
+            self._first.name, self._hold.chain, self._relay.last_event, is_resumed=self._relay.is_begun
         )
         headers = build_server_headers(work.request.headers, dispatch)
         await link.send(work.request.method, work.request.target, headers, work.request.body, work.left)
--- a/packages/node/src/vaneturn_node/traffic/viewkeeping.py
+++ b/packages/node/src/vaneturn_node/traffic/viewkeeping.py
@@ -7,13 +7,14 @@
 
 from vaneturn_core.faults import Fault
 from vaneturn_core.identifiers import VmId
-from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerId
+from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerName
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.platform.configuration import CONFIGURATION_KEY, decode_configuration
-from vaneturn_node.platform.servers import SERVERS_PREFIX, decode_server
+from vaneturn_node.platform.servers import SERVERS_PREFIX
 from vaneturn_node.platform.store import StoreItem
 from vaneturn_node.traffic.crashwatch import CrashWatch
 from vaneturn_node.traffic.records import NODES_PREFIX, TENURE_KEY, decode_node
+from vaneturn_node.traffic.serverentries import ServerEntries
 from vaneturn_node.traffic.tenure import Tenure
 
 logger = logging.getLogger(__name__)
@@ -27,6 +28,7 @@
         self._beliefs = beliefs
         self._tenure = tenure
         self._crashes = crashes
+        self._entries = ServerEntries()
 
     def forget_lapsed(self) -> None:
         """Remove the servers whose entries have not come back."""
@@ -44,10 +46,15 @@
         for item in items.values():
             if not item.key.startswith(SERVERS_PREFIX):
                 self.apply(item)
-                continue
-            server = self._decode_server(item)
+        for item in items.values():
+            server = self._read_server(item) if item.key.startswith(SERVERS_PREFIX) else None
             if server is not None:
                 servers.append(server)
+        listed = {SERVERS_PREFIX + server.name for server in servers}
+        for known in list(self._view.servers.values()):
+            key = SERVERS_PREFIX + known.name
+            if key in items and key not in listed:
+                self._drop(known, "entry not used")
         for removed in self._view.replace_servers(servers):
             logger.info("server removed", extra={"server": removed, "cause": "not in the list"})
 
@@ -64,11 +71,13 @@
 
     def _apply_node(self, item: StoreItem) -> None:
         vm = VmId(item.key.removeprefix(NODES_PREFIX))
-        if item.value is None:
-            self._view.nodes.pop(vm, None)
+        record = decode_node(item.value) if item.value is not None else None
+        if record is not None:
+            self._view.nodes[vm] = record.peer_address
             return
-        record = decode_node(item.value)
-        self._view.nodes[vm] = record.peer_address if record is not None else None
+        self._view.nodes.pop(vm, None)
+        if item.value is not None:
+            logger.warning("record of a node not understood", extra={"key": item.key})
 
     def _apply_configuration(self, item: StoreItem) -> None:
         if item.value is None:
@@ -81,29 +90,49 @@
         if self._view.take_configuration(configuration):
             extra = {"version": configuration.version, "routes": len(configuration.routes), "revision": item.revision}
             logger.info("configuration in force", extra=extra)
+            added, dropped = self._entries.recheck(configuration, self._view.servers.values())
+            for server in added:
+                self._list(server)
+            for server in dropped:
+                self._drop(server, "not named by the configuration")
 
     def _apply_server(self, item: StoreItem) -> None:
-        server = ServerId(item.key.removeprefix(SERVERS_PREFIX))
+        name = ServerName(item.key.removeprefix(SERVERS_PREFIX))
+        known = self._view.find_server(name)
         if item.value is None:
-            is_removed = self._view.remove_server(server)
-            logger.info("server removed" if is_removed else "server entry lapsed", extra={"server": server})
+            self._entries.forget(name)
+            is_removed = known is not None and self._view.remove_server(known.id)
+            start = known.id if known is not None else name
+            logger.info("server removed" if is_removed else "server entry lapsed", extra={"server": start})
             return
-        decoded = self._decode_server(item)
-        if decoded is None:
+        server = self._read_server(item)
+        if server is not None:
+            self._list(server)
+        elif known is not None:
+            self._drop(known, "entry not used")
+
+    def _read_server(self, item: StoreItem) -> BackendServer | None:
+        name = ServerName(item.key.removeprefix(SERVERS_PREFIX))
+        listed = self._view.servers.values()
+        return self._entries.read(name, item.value or b"", self._view.configuration, listed)
+
+    def _list(self, server: BackendServer) -> None:
+        """Put a server into the list; one that started again has nothing of its start before."""
+        known = self._view.find_server(server.name)
+        if not self._view.put_server(server):
+            logger.info("older start of a server left", extra={"server": server.id})
             return
-        known = self._view.servers.get(server)
-        self._view.put_server(decoded)
-        if known is None or known.state is not decoded.state or known.layers != decoded.layers:
-            layers = [[one.first, one.end] for one in decoded.layers]
-            extra = {"server": server, "address": decoded.address, "state": decoded.state.value, "layers": layers}
+        if known is not None and known.id != server.id:
+            logger.info("server removed", extra={"server": known.id, "cause": "started again"})
+        if known is None or (known.id, known.state, known.layers) != (server.id, server.state, server.layers):
+            layers = [[one.first, one.end] for one in server.layers]
+            extra = {"server": server.id, "address": server.address, "state": server.state.value, "layers": layers}
             logger.info("server listed", extra=extra)
 
-    def _decode_server(self, item: StoreItem) -> BackendServer | None:
-        server = decode_server(ServerId(item.key.removeprefix(SERVERS_PREFIX)), item.value or b"")
-        if isinstance(server, Fault):
-            logger.error("server entry not understood", extra={"key": item.key, "fault": str(server)})
-            return None
-        return server
+    def _drop(self, server: BackendServer, cause: str) -> None:
+        """Remove a server at once: its entry is there, so it has not lapsed."""
+        self._view.drop_server(server.id)
+        logger.info("server removed", extra={"server": server.id, "cause": cause})
 
 
 __all__ = ["ViewKeeper"]
--- a/tests/core/traffic/samples.py
+++ b/tests/core/traffic/samples.py
@@ -8,7 +8,7 @@
 from vaneturn_core.identifiers import DataHall, ServiceName
 from vaneturn_core.traffic.configuration import EngineProfile, ServerKind
 from vaneturn_core.traffic.layout import LayoutPlanner
-from vaneturn_core.traffic.servers import BackendServer, LayerRange, ServerAddress, ServerId, ServerState
+from vaneturn_core.traffic.servers import BackendServer, LayerRange, ServerAddress, ServerId, ServerName, ServerState
 
 KINDS = {
     "a100": ServerKind("a100", 72e9, 2.4),
@@ -52,6 +52,7 @@
 ) -> BackendServer:
     fields: dict[str, object] = {
         "id": ServerId(f"i-{number}"),
+        "name": ServerName(f"i-{number}"),
         "service": ServiceName("llm"),
         "address": ServerAddress(f"10.1.0.{number}:80"),
         "hall": hall,
--- a/tests/node/traffic/test_parsing.py
+++ b/tests/node/traffic/test_parsing.py
@@ -18,7 +18,7 @@
 from vaneturn_core.traffic.configuration import TrafficConfiguration
 from vaneturn_core.traffic.loads import LoadBoard
 from vaneturn_core.traffic.relays import RelayTimes
-from vaneturn_core.traffic.servers import BackendServer, ServerAddress, ServerBeliefs, ServerId
+from vaneturn_core.traffic.servers import BackendServer, ServerAddress, ServerBeliefs, ServerName
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
@@ -89,7 +89,7 @@
 
 @given(BYTES)
 def test_entries_of_servers(data: bytes) -> None:
-    assert isinstance(decode_server(ServerId("i-1"), data), BackendServer | Fault)
+    assert isinstance(decode_server(ServerName("i-1"), data), BackendServer | Fault)
 
 
 @given(BYTES)
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -112,7 +112,7 @@
         "tests/node/traffic/test_lossfinding.py::test_one_unanswered_question_is_one_silence",
         (
             Edit(
-                f"{TRAFFIC}/exchange.py",
+                f"{TRAFFIC}/reports.py",
                 "if known is not None and isinstance(known.report, ServerReport) and known.asked_at > now - age:",
                 "if known is not None and known.report is not None and known.asked_at > now - age:",
             ),
@@ -234,7 +234,7 @@
         f"{SYSTEM}/test_deadly.py::test_connections_that_are_reset_bar_nobody",
         (
             Edit(f"{TRAFFIC}/crashwatch.py", "if isinstance(report, ServerReport):", "if report is None:"),
-            Edit(f"{TRAFFIC}/crashwatch.py", "if self._reports.is_refused(server.id):", "if True:"),
+            Edit(f"{TRAFFIC}/crashwatch.py", "if self._reports.is_gone(server.id):", "if True:"),
         ),
     ),
     Proof(
