--- a/packages/node/src/vaneturn_node/answers/generation.py
+++ b/packages/node/src/vaneturn_node/answers/generation.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import AsyncGenerator, Sequence
 from dataclasses import dataclass, replace
 from typing import Final
@@ -21,6 +20,7 @@
 from vaneturn_node.answers.request import AnswerRequest, Piece, Yield
 from vaneturn_node.answers.resume import ResumePoint, count_generated, digest_prompt
 from vaneturn_node.answers.stagerun import HopFailure, StageRun
+from vaneturn_node.clock import read_clock
 from vaneturn_node.metrics import Metrics
 from vaneturn_node.stages.link import Lost
 
@@ -60,11 +60,11 @@
         self._lacking: set[Hop] = set()  # hops of the route whose cache lacks held positions
         self._route: Route | None = None
         self._broken: tuple[Route, int] | None = None  # while no route is known: the last one, and its failed hop
-        self._start_until = time.monotonic() + FIRST_ROUTE_WAIT
-        self._avoided: dict[VmId, float] = {}  # until when, on the monotonic clock
+        self._start_until = read_clock() + FIRST_ROUTE_WAIT
+        self._avoided: dict[VmId, float] = {}  # until when, by the clock
         self._lost_at: float | None = None
         self._method = Method.REBUILD
-        self._looked_at = time.monotonic()
+        self._looked_at = read_clock()
         self.routes: list[str] = []  # every route taken, for the operators
         self.recoveries = 0
         self._produced = 0
@@ -130,7 +130,7 @@
     async def _advance(self) -> Done | NotRun | Unknown:
         """Run all tokens that no stage holds yet; the last reply carries the next token."""
         while True:
-            if time.monotonic() >= self._request.deadline:
+            if read_clock() >= self._request.deadline:
                 return self._give_up(Reason.DEADLINE)
             if not await self._find_route():
                 return self._give_up(Reason.NO_ROUTE)
@@ -146,7 +146,7 @@
     async def _find_route(self) -> bool:
         """Wait for a route: briefly before the first step, to the deadline once the answer is in progress."""
         until = self._request.deadline if self._run.may_have_run else self._start_until
-        while time.monotonic() < until:
+        while read_clock() < until:
             if self._route is not None:
                 return True
             if self._produced == 0:
@@ -182,9 +182,9 @@
     async def _move_if_better(self) -> None:
         """Leave a server that is going away or has become slow; the answer goes on where it is if none is better."""
         route = self._route
-        if route is None or self._lacking or time.monotonic() < self._looked_at + CHECK_INTERVAL:
+        if route is None or self._lacking or read_clock() < self._looked_at + CHECK_INTERVAL:
             return
-        self._looked_at = time.monotonic()
+        self._looked_at = read_clock()
         suggestion = self._mover.suggest(route)
         if suggestion is None:
             return
@@ -193,7 +193,7 @@
         new = self._placement.replace(request.pipeline, route, suggestion.index, request.affinity, avoided)
         if new is None or not self._mover.is_worth_it(suggestion, route, new):
             return
-        self._lost_at = time.monotonic()
+        self._lost_at = read_clock()
         self._run.attempt += 1
         self._method = await self._mover.move_cache(request, route, new, suggestion.index, self._held)
         self._take_route(new)
@@ -243,7 +243,7 @@
         route = self._route
         if route is None:
             raise AssertionError("no route to replace")
-        self._lost_at = self._lost_at or time.monotonic()
+        self._lost_at = self._lost_at or read_clock()
         self._method = Method.REBUILD
         self._run.attempt += 1
         self.recoveries += 1
@@ -256,7 +256,7 @@
             self._lacking.add(hop)
             return
         avoidance = LOST_AVOIDANCE if isinstance(failure.cause, Lost) else REFUSED_AVOIDANCE
-        self._avoided[hop.vm] = time.monotonic() + avoidance
+        self._avoided[hop.vm] = read_clock() + avoidance
         self._broken = (route, failure.index)
         self._take_route(self._choose_route())
 
@@ -272,13 +272,13 @@
         self.routes.append(str(route))
 
     def _list_avoided(self) -> set[VmId]:
-        now = time.monotonic()
+        now = read_clock()
         return {vm for vm, until in self._avoided.items() if until > now}
 
     def _note_recovery(self) -> None:
         if self._lost_at is None:
             return
-        self._metrics.recovery.labels(self._method.value).observe(time.monotonic() - self._lost_at)
+        self._metrics.recovery.labels(self._method.value).observe(read_clock() - self._lost_at)
         self._lost_at = None
 
     def _give_up(self, reason: Reason) -> NotRun | Unknown:
--- a/packages/node/src/vaneturn_node/answers/moving.py
+++ b/packages/node/src/vaneturn_node/answers/moving.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
@@ -15,6 +14,7 @@
 from vaneturn_core.routing.hops import Hop, Route
 from vaneturn_core.routing.recovery import Method, Move, choose_method, estimate_import, estimate_rebuild
 from vaneturn_node.answers.request import AnswerRequest
+from vaneturn_node.clock import read_clock
 from vaneturn_node.stages.cachemove import CacheMover
 
 CHECK_INTERVAL: Final = 0.25  # seconds between looks at the hops of one answer
@@ -94,7 +94,7 @@
             Method.REBUILD: estimate_rebuild(positions, self._list_position_seconds(new.hops[: index + 1])),
         }
         method = choose_method(estimates)
-        started = time.monotonic()
+        started = read_clock()
         if method is Method.IMPORT and not await self._caches.move(request.session, old_server, new_server):
             method = Method.REBUILD
         logger.info(
@@ -105,7 +105,7 @@
                 "new": added[0].vm,
                 "method": method.value,
                 "estimates": {known.value: round(seconds, 4) for known, seconds in estimates.items()},
-                "seconds": round(time.monotonic() - started, 4),
+                "seconds": round(read_clock() - started, 4),
             },
         )
         return method
--- a/packages/node/src/vaneturn_node/answers/placement.py
+++ b/packages/node/src/vaneturn_node/answers/placement.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Collection, Mapping
 from typing import Final
 
@@ -14,6 +13,7 @@
 from vaneturn_core.routing.flow import Flow, compute_flow
 from vaneturn_core.routing.health import ServerHealths
 from vaneturn_core.routing.hops import Hop, Route
+from vaneturn_node.clock import read_clock
 from vaneturn_node.metrics import Metrics
 from vaneturn_node.stages.pool import LinkPool
 
@@ -93,7 +93,7 @@
 
     def _refresh(self) -> None:
         """Compute the flows anew if engines hold something else; not for each one of a burst of changes."""
-        if self._is_stale and time.monotonic() >= self._computed_at + REFRESH:
+        if self._is_stale and read_clock() >= self._computed_at + REFRESH:
             self._compute_flows()
 
     def _list_barred(self, avoided: Collection[VmId]) -> set[VmId]:
@@ -108,7 +108,7 @@
 
     def _compute_flows(self) -> None:
         self._is_stale = False
-        self._computed_at = time.monotonic()
+        self._computed_at = read_clock()
         held = self._list_held()
         self._flows = {
             (pipeline.name, version.version): (version, self._compute_flow(version, held))
--- a/packages/node/src/vaneturn_node/answers/request.py
+++ b/packages/node/src/vaneturn_node/answers/request.py
@@ -24,7 +24,7 @@
     seed: int
     max_tokens: int
     affinity: str
-    deadline: float  # on the monotonic clock, seconds
+    deadline: float  # by the clock, seconds
     resumed: ResumePoint | None = None
 
 
--- a/packages/node/src/vaneturn_node/clock.py
+++ b/packages/node/src/vaneturn_node/clock.py
@@ -1,8 +1,23 @@
-"""The clock for everything that must lapse while a process is paused."""
+"""The clocks: ages of what is known, leases, callers' deadlines and rests lapse also while a VM is suspended.
+
+The time-outs of single calls, and sleeps, run on the loop's own clock, which stands still meanwhile: they only end
+later. What must not outlast its time is therefore decided by reading this clock right before acting, and the waits in
+progress are shortened when a suspension is noticed.
+"""
 
 from __future__ import annotations
 
+import logging
 import time
+from collections.abc import Callable
+from typing import Final
+
+import anyio
+
+LOOK_INTERVAL: Final = 0.1  # seconds between looks whether this process was suspended
+SHORTEST: Final = 0.05  # seconds of a suspension that is noticed; the two clocks are read microseconds apart
+
+logger = logging.getLogger(__name__)
 
 
 def read_clock() -> float:
@@ -10,4 +25,16 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-__all__ = ["read_clock"]
+async def watch_suspensions(on_wake: Callable[[float], None]) -> None:
+    """Tell of each suspension of this VM once it is over, with its seconds, until cancelled."""
+    known = read_clock() - time.monotonic()
+    while True:
+        await anyio.sleep(LOOK_INTERVAL)
+        offset = read_clock() - time.monotonic()
+        suspended, known = offset - known, offset
+        if suspended >= SHORTEST:
+            logger.info("suspended", extra={"seconds": round(suspended, 3)})
+            on_wake(suspended)
+
+
+__all__ = ["read_clock", "watch_suspensions"]
--- a/packages/node/src/vaneturn_node/daemon.py
+++ b/packages/node/src/vaneturn_node/daemon.py
@@ -6,7 +6,6 @@
 import random
 import signal
 import sys
-import time
 import uuid
 from pathlib import Path
 from typing import Any, Final, cast
@@ -34,6 +33,7 @@
 from vaneturn_node.claims.byslot import ClaimsBySlot
 from vaneturn_node.claims.chosen import ChosenClaims
 from vaneturn_node.claims.ownership import SlotOwnership
+from vaneturn_node.clock import read_clock
 from vaneturn_node.configuration.changes import Changes
 from vaneturn_node.configuration.follower import WATCHERS, ConfigurationFollower
 from vaneturn_node.configuration.inforce import ConfigurationInForce
@@ -79,7 +79,7 @@
     limits = httpx.Limits(max_connections=MAX_CLIENT_CONNECTIONS)
     async with httpx.AsyncClient(limits=limits) as client, anyio.create_task_group() as tasks:
         own = Member(node, settings.vm, settings.peer_address, settings.data_hall)
-        table = MemberTable(own, random.Random(node), time.monotonic)
+        table = MemberTable(own, random.Random(node), read_clock)
         runtime = _make_runtime(settings, table, client, tasks)
         peers = make_peers(runtime, table)
         follower = ConfigurationFollower(runtime.store, runtime.in_force, lambda: table.is_chosen("watch", WATCHERS))
@@ -102,7 +102,7 @@
     in_force = ConfigurationInForce(metrics)
     peer_client = PeerClient(zmq.asyncio.Context.instance(), tasks, Sealer(settings.cluster_key), metrics)
     ownership = SlotOwnership(store, table)
-    healths = ServerHealths()
+    healths = ServerHealths(read_clock)
     pool = LinkPool(tasks, healths, metrics)
     placement = Placement(healths, pool, metrics)
     caches = CacheMover(client, settings.data_hall)
--- a/packages/node/src/vaneturn_node/http/accounting.py
+++ b/packages/node/src/vaneturn_node/http/accounting.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 import uuid
 from dataclasses import dataclass, field
 
@@ -13,6 +12,7 @@
 from vaneturn_core.identifiers import ClassName, RequestId, VmId
 from vaneturn_core.operators import EndedRequest
 from vaneturn_core.outcomes import NotRun, Unknown
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http.ended import EndedRequests
 from vaneturn_node.metrics import Metrics
 
@@ -29,13 +29,13 @@
     customer: Customer
     target: str  # pipeline or service
     id: RequestId = field(default_factory=lambda: RequestId(uuid.uuid4().hex))
-    started: float = field(default_factory=time.monotonic)
+    started: float = field(default_factory=read_clock)
     last_token: float | None = None
     tokens: int = 0
 
     def note_token(self) -> None:
         """Observe the time to this token."""
-        now = time.monotonic()
+        now = read_clock()
         since = self.started if self.last_token is None else self.last_token
         histogram = self.metrics.first_token if self.last_token is None else self.metrics.between_tokens
         self.metrics.observe(histogram, ClassName(self.customer.work_class), self.customer.name, now - since)
@@ -44,7 +44,7 @@
 
     def close(self, outcome: NotRun | Unknown | None) -> None:
         """Record the outcome; none means that the request was completed."""
-        seconds = time.monotonic() - self.started
+        seconds = read_clock() - self.started
         work_class = ClassName(self.customer.work_class)
         name = "completed" if outcome is None else type(outcome).__name__.lower()
         reason = "" if outcome is None else outcome.reason.value
--- a/packages/node/src/vaneturn_node/http/answering.py
+++ b/packages/node/src/vaneturn_node/http/answering.py
@@ -22,6 +22,7 @@
 from vaneturn_node.answers.resume import MAX_RESUMABLE, ResumeCodec, ResumePoint, count_generated
 from vaneturn_node.answers.stagerun import StageRun
 from vaneturn_node.claims.ports import Claim
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http.accounting import Account
 from vaneturn_node.http.chatformat import (
     AnswerMessage,
@@ -228,7 +229,7 @@
         self._closed = True
         self._runtime.generations.pop(self._account.id, None)
         if self._has_place:
-            self._runtime.admission.leave_pipeline(self._chat.pipeline, time.monotonic() - self._account.started)
+            self._runtime.admission.leave_pipeline(self._chat.pipeline, read_clock() - self._account.started)
         self._runtime.admission.leave(self._chat.call.customer)
         self._account.close(self._outcome)
         with anyio.CancelScope(shield=True):
--- a/packages/node/src/vaneturn_node/http/services.py
+++ b/packages/node/src/vaneturn_node/http/services.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from typing import Final
 
 import anyio
@@ -15,6 +14,7 @@
 from vaneturn_core.identifiers import RepeatKey, RequestId, ServiceName, VmId
 from vaneturn_core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
 from vaneturn_node.claims.ports import Claim
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http.accounting import Account
 from vaneturn_node.http.errors import answer_error
 from vaneturn_node.http.reading import Call, Malformed, find_customer, read_call
@@ -93,7 +93,7 @@
         budget = self._runtime.retry_budget
         budget.earn()
         for tried, vm in enumerate(self._rank_servers()[:MAX_TRIES]):
-            if time.monotonic() >= self._deadline or (tried and not budget.spend()):
+            if read_clock() >= self._deadline or (tried and not budget.spend()):
                 break
             await anyio.sleep(random.uniform(0, BACKOFF * tried))  # full jitter, none before the first try
             outcome = await self._send(vm)
@@ -117,7 +117,7 @@
             return NotRun(Reason.NO_ROUTE)
         health = self._runtime.healths[vm]
         health.in_progress += 1
-        started = time.monotonic()
+        started = read_clock()
         try:
             response = await self._runtime.client.request(
                 self._request.method,
@@ -134,7 +134,7 @@
             return NotRun(Reason.NO_ROUTE) if isinstance(error, _NOT_SENT) else Unknown(Reason.CONNECTION_LOST)
         finally:
             health.in_progress -= 1
-        self._runtime.healths.record_reply(vm, time.monotonic() - started)
+        self._runtime.healths.record_reply(vm, read_clock() - started)
         return Completed(response.status_code, response.headers.get("Content-Type", ""), response.content)
 
 
--- a/packages/node/src/vaneturn_node/http1/caller.py
+++ b/packages/node/src/vaneturn_node/http1/caller.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass
 
 import anyio
 
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import HttpLink, LinkError
 from vaneturn_node.http1.messages import Headers
 from vaneturn_node.http1.pool import LinkPool
@@ -86,7 +86,7 @@
     while (data := await link.read_data(limit if arrival is None else arrival.silence)) is not None:
         parts.append(data)
         if arrival is not None:
-            arrival.at = time.monotonic()
+            arrival.at = read_clock()
     return b"".join(parts)
 
 
--- a/packages/node/src/vaneturn_node/http1/pool.py
+++ b/packages/node/src/vaneturn_node/http1/pool.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from collections import defaultdict
 from typing import Final
 
 import anyio
 
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import HttpLink
 
 CONNECT_TIME: Final = 0.3  # seconds; a sound server accepts in a few milliseconds
@@ -27,7 +27,7 @@
 
         :raises LinkError: no connection could be opened.
         """
-        now = time.monotonic()
+        now = read_clock()
         idle = self._idle[address]
         while idle:
             link = idle.pop()
@@ -40,7 +40,7 @@
         """Keep a connection whose exchange has ended, or close it."""
         idle = self._idle[address]
         if len(idle) < MAX_IDLE_EACH and link.finish():
-            link.idle_since = time.monotonic()
+            link.idle_since = read_clock()
             idle.append(link)
             return
         await link.abort()
@@ -49,7 +49,7 @@
         """Close connections that were idle for too long, until cancelled."""
         while True:
             await anyio.sleep(SWEEP_INTERVAL)
-            now = time.monotonic()
+            now = read_clock()
             for address, idle in list(self._idle.items()):
                 stale = [link for link in idle if not link.is_fresh(now, ANY_IDLE_TIME)]
                 self._idle[address] = [link for link in idle if link not in stale]
--- a/packages/node/src/vaneturn_node/http1/server.py
+++ b/packages/node/src/vaneturn_node/http1/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Final
@@ -13,6 +12,7 @@
 from anyio.abc import SocketStream
 
 from vaneturn_core.traffic.configuration import ClientLimits
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.messages import Headers, find_header
 
 RECEIVE_BYTES: Final = 65536
@@ -194,7 +194,7 @@
         """Read a whole request; none when the client has none any more."""
         if not self._protocol.trailing_data[0] and not await self._await_first_bytes():
             return None
-        arrived = time.monotonic()
+        arrived = read_clock()
         with anyio.move_on_after(self._limits.header_time):
             head = await self._read_event()
             if not isinstance(head, h11.Request):
--- a/packages/node/src/vaneturn_node/logs.py
+++ b/packages/node/src/vaneturn_node/logs.py
@@ -6,7 +6,6 @@
 import os
 import select
 import sys
-import time
 from collections import Counter
 from collections.abc import Callable
 from typing import Final
@@ -14,6 +13,7 @@
 from pythonjsonlogger.json import JsonFormatter
 
 from vaneturn_core.identifiers import NodeId, VmId
+from vaneturn_node.clock import read_clock
 
 MAX_PER_SECOND: Final = 100  # records below warnings with one message
 
@@ -21,7 +21,7 @@
 class FloodFilter(logging.Filter):
     """Lets so many records of one message through in a second, and says with the next one how many it held back."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, clock: Callable[[], float] = read_clock) -> None:
         super().__init__()
         self._clock = clock
         self._second = 0
--- a/packages/node/src/vaneturn_node/peers/sharing.py
+++ b/packages/node/src/vaneturn_node/peers/sharing.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 import zlib
 from typing import Final
 
@@ -12,6 +11,7 @@
 from vaneturn_core.configuration.schema import Configuration
 from vaneturn_core.identifiers import Revision, VmId
 from vaneturn_core.routing.health import LeavingSource, ServerHealths
+from vaneturn_node.clock import read_clock
 from vaneturn_node.configuration.inforce import ConfigurationInForce
 from vaneturn_node.peers.gossip import Gossip
 from vaneturn_node.peers.messages import ConfigurationDocument, FetchConfiguration
@@ -53,7 +53,7 @@
         self._gossip.tell_leaving(self._healths.list_said_by(LeavingSource.SERVER))
 
     def _note_leaving(self, vm: VmId) -> None:
-        self._marks[vm] = time.monotonic() + MARK_LIFE
+        self._marks[vm] = read_clock() + MARK_LIFE
         self._healths.mark_leaving(vm, LeavingSource.PEER)
 
     async def run(self) -> None:
@@ -74,7 +74,7 @@
             self._in_force.offer(data)
 
     def _lapse_marks(self) -> None:
-        now = time.monotonic()
+        now = read_clock()
         self._marks = {vm: until for vm, until in self._marks.items() if until > now}
         self._healths.replace_leaving(LeavingSource.PEER, self._marks)
 
--- a/packages/node/src/vaneturn_node/stages/cachemove.py
+++ b/packages/node/src/vaneturn_node/stages/cachemove.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from typing import Final
 
 import httpx
@@ -12,6 +11,7 @@
 from vaneturn_core.engine.messages import CACHE_PATH
 from vaneturn_core.identifiers import DataHall, SessionId
 from vaneturn_core.routing.recovery import LinkTable
+from vaneturn_node.clock import read_clock
 
 TIMEOUT: Final = 30.0  # seconds
 
@@ -33,10 +33,10 @@
     async def move(self, session: SessionId, old: Server, new: Server) -> bool:
         """Move a session's cache; false when either engine would not."""
         try:
-            started = time.monotonic()
+            started = read_clock()
             exported = await self._client.get(_name_cache(old, session), timeout=TIMEOUT)
             exported.raise_for_status()
-            fetched = time.monotonic()
+            fetched = read_clock()
             imported = await self._client.put(_name_cache(new, session), content=exported.content, timeout=TIMEOUT)
             imported.raise_for_status()
         except httpx.HTTPError as error:
@@ -44,7 +44,7 @@
             return False
         size = len(exported.content)
         self.links.record_transfer(old.data_hall, self.hall, size, fetched - started)
-        self.links.record_transfer(self.hall, new.data_hall, size, time.monotonic() - fetched)
+        self.links.record_transfer(self.hall, new.data_hall, size, read_clock() - fetched)
         return True
 
 
--- a/packages/node/src/vaneturn_node/stages/holding.py
+++ b/packages/node/src/vaneturn_node/stages/holding.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
 from vaneturn_core.engine.messages import Hold, Holdings
+from vaneturn_node.clock import read_clock
 
 ANSWER_TIME: Final = 5.0  # seconds in which an engine says what it made of an order
 
@@ -18,7 +18,7 @@
 
     order: Hold
     is_valid: Callable[[], bool]
-    until: float  # on the monotonic clock
+    until: float  # by the clock
 
 
 class Holding:
@@ -32,7 +32,7 @@
     @property
     def is_ordered(self) -> bool:
         """Whether the engine has yet to say what it made of an order."""
-        return self._ordered is not None and time.monotonic() < self._ordered.until
+        return self._ordered is not None and read_clock() < self._ordered.until
 
     @property
     def holdings(self) -> Holdings | None:
@@ -52,7 +52,7 @@
 
     def order(self, order: Hold, is_valid: Callable[[], bool]) -> None:
         """Make an order due; a newer one takes its place."""
-        self._ordered = _Ordered(order, is_valid, time.monotonic() + ANSWER_TIME)
+        self._ordered = _Ordered(order, is_valid, read_clock() + ANSWER_TIME)
         self._is_due = True
 
     def take_due_order(self) -> list[Hold]:
--- a/packages/node/src/vaneturn_node/stages/link.py
+++ b/packages/node/src/vaneturn_node/stages/link.py
@@ -4,7 +4,6 @@
 
 import logging
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
@@ -31,6 +30,7 @@
 from vaneturn_core.identifiers import SessionId
 from vaneturn_core.routing.health import LeavingSource, ServerHealths
 from vaneturn_core.routing.hops import Hop
+from vaneturn_node.clock import read_clock
 from vaneturn_node.metrics import Metrics
 from vaneturn_node.stages.holding import Holding
 from vaneturn_node.stages.window import StepWindow
@@ -142,7 +142,7 @@
         awaited = self._awaited[key] = _Awaited(step, hop, anyio.Event(), Lost(sent=True))
         health = self._healths[self.server.vm]
         health.in_progress += 1
-        started = time.monotonic()
+        started = read_clock()
         try:
             self.send(step)
             with anyio.move_on_after(timeout):
@@ -158,7 +158,7 @@
         if isinstance(result, Lost):
             self._healths.record_failure(self.server.vm, started)
             return
-        self._healths.record_reply(self.server.vm, time.monotonic() - started, positions)
+        self._healths.record_reply(self.server.vm, read_clock() - started, positions)
 
     async def run(self) -> None:
         """Keep the link connected until cancelled."""
--- a/packages/node/src/vaneturn_node/traffic/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/answering.py
@@ -4,7 +4,6 @@
 
 import logging
 import random
-import time
 from typing import Final
 
 import anyio
@@ -15,6 +14,7 @@
 from vaneturn_core.traffic.configuration import EngineProfile, TrafficConfiguration, TrafficCustomer, TrafficRoute
 from vaneturn_core.traffic.contents import format_content
 from vaneturn_core.traffic.state import TrafficRequest
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
 from vaneturn_node.platform.headers import RETRY_AFTER, RequestFacts, build_client_headers, read_request_facts
 from vaneturn_node.traffic.exchange import TrafficParts
@@ -124,6 +124,11 @@
             if work.sends and not work.events and work.is_barred:
                 scope.cancel()
 
+    def note_suspended(self, seconds: float) -> None:
+        """Take note that this VM was suspended: the time of requests went on, that of their waits stood still."""
+        for scope in self._open:
+            scope.deadline -= seconds
+
     async def _forward(self, work: RequestInProgress, answer: ClientAnswer) -> Answered | OwnAnswer | None:
         configuration = self._parts.view.configuration
         engine = _find_engine(configuration, work.service)
@@ -155,7 +160,7 @@
         result: Answered | OwnAnswer | None,
         ending: str,
     ) -> None:
-        seconds = time.monotonic() - request.arrived
+        seconds = read_clock() - request.arrived
         route = work.route.name if work is not None else ""
         customer = work.customer.name if work is not None and work.customer is not None else ""
         self._metrics.observe(route, customer, ending, seconds)
--- a/packages/node/src/vaneturn_node/traffic/chainhold.py
+++ b/packages/node/src/vaneturn_node/traffic/chainhold.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import time
-
 from vaneturn_core.traffic.chain import Chain, Part
 from vaneturn_core.traffic.chains import ChainChooser
 from vaneturn_core.traffic.servers import BackendServer, ServerAddress
+from vaneturn_node.clock import read_clock
 from vaneturn_node.platform.headers import AnswerFacts
 from vaneturn_node.platform.servers import OrderOutcome
 from vaneturn_node.traffic.exchange import TrafficParts
@@ -33,7 +32,7 @@
     def take(self) -> None:
         """Count the request on every server of the chain."""
         self.is_taken = True
-        self.taken_at = time.monotonic()
+        self.taken_at = read_clock()
         over = " ".join(f"{part.server.id}[{part.first},{part.end})" for part in self.chain.parts)
         self._work.note(f"over {over}, fullest {self._chooser.estimate_fullness(self.chain):.2f}")
         self._reserve(1)
@@ -57,7 +56,7 @@
 
     def note_heard(self) -> None:
         """Take note that every part of the chain has just worked."""
-        now = time.monotonic()
+        now = read_clock()
         for part in self.chain.parts:
             self._parts.beliefs[part.server.id].record_token(now)
             self._work.avoided.discard(part.server.id)
--- a/packages/node/src/vaneturn_node/traffic/changelog.py
+++ b/packages/node/src/vaneturn_node/traffic/changelog.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterable
 from typing import Final
 
 import anyio
 from msgspec import Struct
 
+from vaneturn_node.clock import read_clock
 from vaneturn_node.platform.store import StoreItem
 from vaneturn_node.traffic.difference import MAX_VALUE_BYTES, compute_difference, compute_digest, pack, unpack
 
@@ -121,10 +121,10 @@
             self._bases.pop(item.key, None)
         elif old.revision != item.revision:
             kept = self._bases.get(item.key, [])
-            self._bases[item.key] = [*kept, (time.monotonic(), old)][-KEPT_BASES:]
+            self._bases[item.key] = [*kept, (read_clock(), old)][-KEPT_BASES:]
 
     def _forget_bases(self) -> None:
-        oldest = time.monotonic() - BASE_TIME
+        oldest = read_clock() - BASE_TIME
         for key, kept in list(self._bases.items()):
             self._bases[key] = [(at, item) for at, item in kept if at > oldest]
 
--- a/packages/node/src/vaneturn_node/traffic/crashsharing.py
+++ b/packages/node/src/vaneturn_node/traffic/crashsharing.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from typing import Final
 
 import anyio
@@ -21,6 +20,7 @@
 from vaneturn_core.traffic.relays import list_relays, rank_relays
 from vaneturn_core.traffic.servers import ServerId
 from vaneturn_core.traffic.view import PlatformView
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.caller import Caller, Reply
 from vaneturn_node.traffic.signals import Signal
 
@@ -85,7 +85,7 @@
         """Take the word of another node."""
         try:
             word = msgspec.json.decode(body, type=CrashWord)
-            ends = unpack_ends(word.ends, time.monotonic())
+            ends = unpack_ends(word.ends, read_clock())
         except (msgspec.DecodeError, ValueError) as error:
             logger.warning("word on ended servers not understood", extra={"fault": str(error)})
             return
@@ -99,7 +99,7 @@
         targets = self._list_targets() if self._told != self._board.check else set()
         targets |= self._behind
         self._told, self._behind = self._board.check, set()
-        word = CrashWord(self._vm, self._board.check, pack_ends(self._board.list_ends(), time.monotonic()))
+        word = CrashWord(self._vm, self._board.check, pack_ends(self._board.list_ends(), read_clock()))
         body = msgspec.json.encode(word)
         async with anyio.create_task_group() as tasks:
             for target in targets:
--- a/packages/node/src/vaneturn_node/traffic/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/daemon.py
@@ -4,7 +4,6 @@
 
 import logging
 import signal
-import time
 import uuid
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -21,6 +20,7 @@
 from vaneturn_core.traffic.servers import ServerAddress, ServerBeliefs
 from vaneturn_core.traffic.settings import TrafficSettings, load_traffic_settings
 from vaneturn_core.traffic.view import PlatformView
+from vaneturn_node.clock import read_clock, watch_suspensions
 from vaneturn_node.http1.caller import Caller
 from vaneturn_node.http1.pool import LinkPool
 from vaneturn_node.http1.server import ClientAnswer, ClientConnection, ClientRequest, Handler
@@ -63,14 +63,14 @@
         self._pool = LinkPool()
         caller = Caller(self._pool)
         self._store = PlatformStore(caller, ServerAddress(settings.store_address))
-        self._view = PlatformView(bounds.keys_valid_ms / 1000, time.monotonic)
+        self._view = PlatformView(bounds.keys_valid_ms / 1000, read_clock)
         self._beliefs = ServerBeliefs()
         metrics = TrafficMetrics()
         self._tenure = Tenure(self._store, self.id, settings.vm, lambda: rank_candidate(settings.vm, self._view.nodes))
         self._registration = Registration(self._store, settings.vm, settings.peer_address)
         calls = ServerCalls(caller)
         hall = DataHall(settings.data_hall)
-        hearing = Hearing(time.monotonic)
+        hearing = Hearing(read_clock)
         parts = TrafficParts(
             settings.vm,
             hall,
@@ -138,6 +138,7 @@
                 tasks.start_soon(self._losses.run)
                 tasks.start_soon(self._crashes.run)
                 tasks.start_soon(self._pool.run)
+                tasks.start_soon(watch_suspensions, self._answerer.note_suspended)
                 await self._listen(tasks)
                 logger.info("serving", extra={"address": self._settings.client_address, "node": self.id})
                 tasks.start_soon(self._await_end, tasks.cancel_scope)
--- a/packages/node/src/vaneturn_node/traffic/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/exchange.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from typing import Final
@@ -22,6 +21,7 @@
 from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerId
 from vaneturn_core.traffic.settings import Bounds
 from vaneturn_core.traffic.view import PlatformView
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import HttpLink
 from vaneturn_node.http1.pool import LinkPool
 from vaneturn_node.platform.servers import ServerCalls
@@ -45,10 +45,10 @@
     calls: ServerCalls
     reports: ReportBoard
     hearing: Hearing
-    losses: LossBoard = field(default_factory=lambda: LossBoard(time.monotonic))
+    losses: LossBoard = field(default_factory=lambda: LossBoard(read_clock))
     loss_found: Signal = field(default_factory=Signal)
-    board: LoadBoard = field(default_factory=lambda: LoadBoard(time.monotonic))
-    arrivals: ArrivalRate = field(default_factory=lambda: ArrivalRate(time.monotonic))  # of streams
+    board: LoadBoard = field(default_factory=lambda: LoadBoard(read_clock))
+    arrivals: ArrivalRate = field(default_factory=lambda: ArrivalRate(read_clock))  # of streams
     budgets: dict[ServiceName, WindowedRetryBudget] = field(default_factory=dict)
     layer_maps: dict[ServiceName, LayerMap] = field(default_factory=dict)
     crashes: CrashBoard = field(init=False)
@@ -56,7 +56,7 @@
 
     def __post_init__(self) -> None:
         """Make the parts that are made of the others."""
-        self.crashes = CrashBoard(time.monotonic, self.view.list_software)
+        self.crashes = CrashBoard(read_clock, self.view.list_software)
         self.crash_watch = CrashWatch(self.crashes, self.reports, self.view)
 
     def find_budget(self, service: ServiceName) -> WindowedRetryBudget:
@@ -68,7 +68,7 @@
                 self.bounds.retry_slack,
                 self.bounds.retry_window_s,
                 self.view.count_nodes,
-                time.monotonic,
+                read_clock,
             )
         return budget
 
@@ -82,7 +82,7 @@
 
     def list_choosable(self, service: ServiceName, avoided: Iterable[ServerId]) -> list[BackendServer]:
         """List the servers of a service that may get new work."""
-        return self.beliefs.list_choosable(self.view.list_servers(service), avoided, time.monotonic())
+        return self.beliefs.list_choosable(self.view.list_servers(service), avoided, read_clock())
 
     async def hears_others(self, but: Collection[ServerId], since: float) -> bool:
         """Tell whether this VM hears servers, others than some; asks a few of them if it has asked nobody since.
@@ -94,7 +94,7 @@
         engines = [one for one in self.view.servers.values() if one.kind is not None]
         if len(engines) <= 1 or self.hearing.has_heard_since(since):
             return True
-        asked_at = time.monotonic()
+        asked_at = read_clock()
         others = [one for one in engines if one.id not in but]
         async with anyio.create_task_group() as tasks:
             for control in random.sample(others, min(CONTROLS, len(others))):
@@ -106,14 +106,14 @@
 
         Five streams that saw one silence of a server made 8 s of rest out of it, in place of 0.7 s.
         """
-        now = time.monotonic()
+        now = read_clock()
         if self.beliefs[server].found_until <= now:
             self.beliefs[server].record_failure(now)
         self.loss_found.give()
 
     def note_refusal(self, server: ServerId, fullness: float) -> None:
         """Take note that a server lacks room, or is lost, by how full it should be."""
-        now = time.monotonic()
+        now = read_clock()
         belief = self.beliefs[server]
         belief.record_refusal(now, fullness)
         if belief.found_until > now:
--- a/packages/node/src/vaneturn_node/traffic/following.py
+++ b/packages/node/src/vaneturn_node/traffic/following.py
@@ -4,7 +4,6 @@
 
 import logging
 import random
-import time
 from collections.abc import Sequence
 from typing import Final
 
@@ -13,6 +12,7 @@
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.relays import RelayTimes, rank_relays
 from vaneturn_core.traffic.view import PlatformView
+from vaneturn_node.clock import read_clock
 from vaneturn_node.platform.store import HistoryGone, NotDone, PlatformStore, StoreItem
 from vaneturn_node.traffic.changelog import Change, ChangeLog
 from vaneturn_node.traffic.longvalues import LongValueReader
@@ -91,7 +91,7 @@
         return await self._watch(self._revision)
 
     def _choose_relay(self) -> VmId | None:
-        now = time.monotonic()
+        now = read_clock()
         ranked = rank_relays(self._vm, self._view.nodes)
         return next((relay for relay in ranked if self._rests.get(relay, now) <= now), None)
 
@@ -101,7 +101,7 @@
         items = await self._complete(told.changes, address) if told is not None and address is not None else None
         if told is None or items is None:
             self._rests = {one: until for one, until in self._rests.items() if one in self._view.nodes}
-            self._rests[relay] = time.monotonic() + RELAY_REST
+            self._rests[relay] = read_clock() + RELAY_REST
             return False
         self._note_followed(relay)
         self._view.adopt_contact(told.contact)
@@ -128,7 +128,7 @@
 
     async def _reload(self) -> bool:
         """Read everything; the pages are no snapshot, so the watch goes on from the first one."""
-        started = time.monotonic()
+        started = read_clock()
         items: dict[str, StoreItem] = {}
         page = await self._store.read_range(EVERYTHING)
         if isinstance(page, NotDone):
@@ -150,7 +150,7 @@
 
     async def _watch(self, revision: int) -> bool:
         wait = self._choose_watch_time()
-        started = time.monotonic()
+        started = read_clock()
         page = await self._store.watch(EVERYTHING, revision, wait, self._server.arrival)
         if isinstance(page, HistoryGone):
             logger.info("store history gone", extra={"revision": revision})
@@ -159,7 +159,7 @@
         if isinstance(page, NotDone):
             logger.debug("watch ended", extra={"cause": page.cause})
             return False
-        has_waited = not page.items and time.monotonic() - started >= wait
+        has_waited = not page.items and read_clock() - started >= wait
         self._view.confirm(started + wait if has_waited else started)
         self._take(page.items, page.revision)
         if page.items:
--- a/packages/node/src/vaneturn_node/traffic/heads.py
+++ b/packages/node/src/vaneturn_node/traffic/heads.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final
 
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
 from vaneturn_node.platform.headers import read_answer_facts
 from vaneturn_node.traffic.chainhold import ChainHold
@@ -25,7 +25,7 @@
     """
     facts = read_answer_facts(head.status, head.headers)
     belief = parts.beliefs[hold.first.id]
-    now = time.monotonic()
+    now = read_clock()
     if facts.load is not None:
         belief.take_load(facts.load[0] + facts.load[1], now)
     if facts.id is not None and facts.id != work.facts.id:
@@ -51,7 +51,7 @@
         return NotRun(f"refused with {head.status} at {hold.note_refusal(facts).id}")
     hold.count_run()
     work.avoided.add(hold.first.id)
-    parts.beliefs[hold.first.id].record_error(time.monotonic())
+    parts.beliefs[hold.first.id].record_error(read_clock())
     if facts.is_sealed:
         return Answered(head.status, head.headers, b"".join(body))
     return MayHaveRun(f"unsealed answer {head.status}")
--- a/packages/node/src/vaneturn_node/traffic/inspection.py
+++ b/packages/node/src/vaneturn_node/traffic/inspection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import OrderedDict
 from typing import Final
 
@@ -11,6 +10,7 @@
 from vaneturn_core.identifiers import NodeId, RequestId, VmId
 from vaneturn_core.traffic.servers import BackendServer
 from vaneturn_core.traffic.state import SeenServer, TrafficRequest, TrafficState
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
 from vaneturn_node.traffic.exchange import TrafficParts
 from vaneturn_node.traffic.following import StoreFollower
@@ -100,7 +100,7 @@
 
     def _describe_server(self, server: BackendServer) -> SeenServer:
         belief = self._parts.beliefs[server.id]
-        now = time.monotonic()
+        now = read_clock()
         return SeenServer(
             id=server.id,
             service=server.service,
--- a/packages/node/src/vaneturn_node/traffic/longvalues.py
+++ b/packages/node/src/vaneturn_node/traffic/longvalues.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Iterator
 from typing import Final
 from urllib.parse import urlencode
@@ -15,6 +14,7 @@
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.relays import rank_relays
 from vaneturn_core.traffic.view import PlatformView
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.caller import Caller, Reply
 from vaneturn_node.http1.server import ClientAnswer
 from vaneturn_node.platform.store import PlatformStore, StoreItem
@@ -53,7 +53,7 @@
         if item is None or item.value is None:
             await answer.send_whole(404, [], b"")
             return
-        now = time.monotonic()
+        now = read_clock()
         turn = max(now, self._free_at)
         if turn - now > LONGEST_TURN:
             await answer.send_whole(_BUSY, [], b"")
@@ -85,7 +85,7 @@
         item = self._rebuild(change)
         if item is not None:
             return item
-        started = time.monotonic()
+        started = read_clock()
         item, relay = await self._ask_relays(change, address)
         if item is None:
             read = await self._store.read_key(change.key)
@@ -93,7 +93,7 @@
         extra = {
             "key": change.key,
             "bytes": len(item.value or b"") if item is not None else None,
-            "took": round(time.monotonic() - started, 3),
+            "took": round(read_clock() - started, 3),
             "relay": relay,
         }
         logger.info("long value read", extra=extra)
--- a/packages/node/src/vaneturn_node/traffic/lossfinding.py
+++ b/packages/node/src/vaneturn_node/traffic/lossfinding.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
@@ -14,6 +13,7 @@
 from vaneturn_core.traffic.chains import VERY_SLOW
 from vaneturn_core.traffic.servers import ServerId
 from vaneturn_core.traffic.view import MAX_TOLD_AGE
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.caller import Failed
 from vaneturn_node.traffic.exchange import TrafficParts
 from vaneturn_node.traffic.reports import REPORT_AGE
@@ -71,7 +71,7 @@
 
     async def _find_silent(self, chain: Chain) -> list[Part]:
         """Find the parts that give no sign of life while others do; while this VM hears nobody, there are none."""
-        started = time.monotonic()
+        started = read_clock()
         quiet = [part for part in chain.parts if self._parts.beliefs[part.server.id].heard_at < started - HEARD_AGE]
         failed = await self._ask(quiet)
         refused = [part for part in failed if self._parts.reports.is_gone(part.server.id)]
@@ -103,7 +103,7 @@
 
     async def _ask_again(self, chain: Chain, silent: list[Part]) -> tuple[list[Part], bool]:
         """Ask the silent parts once more, beside others; gives those still silent, and whether this VM hears others."""
-        asked_at = time.monotonic()
+        asked_at = read_clock()
         quiet = {part.server.id for part in silent}
         still: list[Part] = []
 
@@ -122,7 +122,7 @@
         if found == self._logged:
             return
         self._logged = found
-        now = time.monotonic()
+        now = read_clock()
         extra = {
             "request": self._work.facts.id,
             "silent": [part.server.id for part in silent],
@@ -141,7 +141,7 @@
             report = await self._parts.reports.read(part.server, SPEED_AGE)
             if isinstance(report, Failed):
                 return
-            self._parts.beliefs[part.server.id].take_slowness(report.slowness, time.monotonic())
+            self._parts.beliefs[part.server.id].take_slowness(report.slowness, read_clock())
             if report.slowness >= VERY_SLOW:
                 slow.append(part)
 
--- a/packages/node/src/vaneturn_node/traffic/losssharing.py
+++ b/packages/node/src/vaneturn_node/traffic/losssharing.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from typing import Final
 
 import anyio
@@ -14,6 +13,7 @@
 from vaneturn_core.traffic.losses import Finding, Findings
 from vaneturn_core.traffic.relays import list_relays, rank_relays
 from vaneturn_core.traffic.servers import ServerId
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.caller import Caller, Reply
 from vaneturn_node.traffic.changelog import ChangeLog
 from vaneturn_node.traffic.exchange import TrafficParts
@@ -62,7 +62,7 @@
         """Take the word of another node; a relay passes on what its followers tell."""
         try:
             word = msgspec.json.decode(body, type=LossWord)
-            findings = unpack_findings(word.findings, self._parts.view.servers, time.monotonic())
+            findings = unpack_findings(word.findings, self._parts.view.servers, read_clock())
         except (msgspec.DecodeError, ValueError) as error:
             logger.warning("word on losses not understood", extra={"fault": str(error)})
             return
@@ -84,14 +84,14 @@
     def take_confirmed(self, data: bytes, relay: str) -> None:
         """Take what a relay says that two nodes or more have found."""
         try:
-            findings = unpack_findings(data, self._parts.view.servers, time.monotonic())
+            findings = unpack_findings(data, self._parts.view.servers, read_clock())
         except ValueError as error:
             logger.warning("losses of a relay not understood", extra={"fault": str(error)})
             return
         self._adopt({server: finding.latest for server, finding in findings.items()}, relay)
 
     def _adopt(self, confirmed: dict[ServerId, float], teller: str) -> None:
-        now = time.monotonic()
+        now = read_clock()
         beliefs = self._parts.beliefs
         for server in self._adopted.keys() - confirmed.keys():  # who found it has heard of it again
             if beliefs[server].told_until == self._adopted[server]:
@@ -103,7 +103,7 @@
             logger.info("losses told", extra={"servers": taken, "rests": rests, "teller": teller})
 
     def _list_own(self) -> Findings:
-        found = self._parts.beliefs.list_found(time.monotonic())
+        found = self._parts.beliefs.list_found(read_clock())
         return {server: Finding(until) for server, until in found.items()}
 
     async def _tell(self) -> None:
@@ -114,7 +114,7 @@
         if not findings and not self._has_told:
             return
         self._has_told = bool(findings)
-        body = msgspec.json.encode(LossWord(self._vm, pack_findings(findings, time.monotonic())))
+        body = msgspec.json.encode(LossWord(self._vm, pack_findings(findings, read_clock())))
         async with anyio.create_task_group() as tasks:
             for target in targets:
                 address = nodes[target]
--- a/packages/node/src/vaneturn_node/traffic/peers.py
+++ b/packages/node/src/vaneturn_node/traffic/peers.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from dataclasses import dataclass
 from typing import Final
 from urllib.parse import parse_qs
@@ -20,6 +19,7 @@
 from vaneturn_core.traffic.relays import RelayTimes
 from vaneturn_core.traffic.servers import ServerBeliefs
 from vaneturn_core.traffic.view import PlatformView, StoreContact
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.caller import Arrival, Caller, Reply
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
 from vaneturn_node.platform.store import BODY_TIME, WATCH_MARGIN
@@ -80,7 +80,7 @@
 
     def is_asked(self) -> bool:
         """Tell whether nodes ask this one."""
-        return time.monotonic() - self._asked_at < 2 * self._times.hold
+        return read_clock() - self._asked_at < 2 * self._times.hold
 
     async def answer(self, request: ClientRequest, answer: ClientAnswer) -> None:
         """Answer with the changes after a revision, or with a long value."""
@@ -113,7 +113,7 @@
 
     async def _answer_changes(self, since: int, arrived: float, answer: ClientAnswer) -> None:
         """Answer as soon as there are changes, a newer confirmation that there are none, a loss, or trouble."""
-        self._asked_at = time.monotonic()
+        self._asked_at = read_clock()
         losses = self._losses.version
         confirmed_at = self._view.contact.confirmed_at
         is_heard = await self._hear(since, confirmed_at, losses, self._times.hold)
@@ -126,7 +126,7 @@
         if not is_heard or self._is_in_trouble():
             await answer.send_whole(_OUT_OF_TOUCH, [], b"")
             return
-        now = time.monotonic()
+        now = read_clock()
         contact = self._view.contact
         word = RelayWord(
             revision=self._log.revision,
@@ -149,7 +149,7 @@
         return False
 
     def _is_arriving(self) -> bool:
-        return time.monotonic() - self.arrival.at < ARRIVING_TIME
+        return read_clock() - self.arrival.at < ARRIVING_TIME
 
     def _has_news(self, confirmed_at: float, losses: int) -> bool:
         """Tell whether there is a newer confirmation, trouble, or a loss beside a word that the asker may still take.
@@ -201,7 +201,7 @@
 
     async def ask(self, address: str, since: int) -> RelayedChanges | None:
         """Wait for changes after a revision; none when the relay is out of touch or does not keep them any more."""
-        started = time.monotonic()
+        started = read_clock()
         loads = self._beliefs.list_loads()
         body = msgspec.json.encode(ToldLoads(self._vm, pack_loads(loads), self._crashes.check))
         reply = await self._caller.call(address, "POST", f"{CHANGES_PATH}?since={since}", self._times.ask, body=body)
@@ -214,7 +214,7 @@
             _compute_time(told_at, word.failed_age),
             _compute_time(told_at, word.returned_age),
         )
-        if time.monotonic() - contact.confirmed_at > self._times.ask:
+        if read_clock() - contact.confirmed_at > self._times.ask:
             return None
         total = unpack_total(word.loads, self._view.servers)
         if total is not None:
--- a/packages/node/src/vaneturn_node/traffic/placing.py
+++ b/packages/node/src/vaneturn_node/traffic/placing.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import logging
-import time
 from dataclasses import dataclass
 from typing import Final
 
@@ -14,6 +13,7 @@
 from vaneturn_core.traffic.layout import LayoutPlanner, Placement
 from vaneturn_core.traffic.servers import BackendServer, LayerRange, ServerId
 from vaneturn_core.traffic.view import PlatformView
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.caller import Failed
 from vaneturn_node.platform.servers import OrderOutcome, ServerCalls
 from vaneturn_node.traffic.tenure import Tenure
@@ -45,7 +45,7 @@
         self._calls = calls
         self._pending: dict[ServerId, _Pending] = {}
         self._known: frozenset[ServerId] = frozenset()
-        self._changed_at = time.monotonic()
+        self._changed_at = read_clock()
         self._moved_at = float("-inf")
 
     async def run(self) -> None:
@@ -60,7 +60,7 @@
                     await self._run_round(service.engine, self._view.list_servers(service.name))
 
     async def _run_round(self, engine: EngineProfile, servers: list[BackendServer]) -> None:
-        now = time.monotonic()
+        now = read_clock()
         known = frozenset(server.id for server in servers)
         if known != self._known:
             self._known = known
@@ -130,7 +130,7 @@
         self._wait(placement, LOAD_WAIT if outcome is OrderOutcome.TAKEN else RETRY_AFTER_SILENCE)
 
     def _wait(self, placement: Placement, seconds: float) -> None:
-        self._pending[placement.server.id] = _Pending(placement.layers, time.monotonic() + seconds)
+        self._pending[placement.server.id] = _Pending(placement.layers, read_clock() + seconds)
 
 
 __all__ = ["Placer"]
--- a/packages/node/src/vaneturn_node/traffic/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/plain.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from typing import Final
 
 import anyio
@@ -11,6 +10,7 @@
 from vaneturn_core.traffic.configuration import Repeatability
 from vaneturn_core.traffic.crashes import Suspicion
 from vaneturn_core.traffic.servers import BackendServer
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import HttpLink, LinkError
 from vaneturn_node.http1.pool import ANY_IDLE_TIME
 from vaneturn_node.platform.headers import build_server_headers, read_answer_facts
@@ -83,13 +83,13 @@
 
     def _estimate_wait(self, server: BackendServer) -> float:
         belief = self._parts.beliefs[server.id]
-        others = belief.told_load if time.monotonic() - belief.told_at < LOAD_MEMORY else 0
+        others = belief.told_load if read_clock() - belief.told_at < LOAD_MEMORY else 0
         busy = max(belief.in_progress, others)
         return (belief.latency or FIRST_LATENCY) * (1 + busy / max(1, server.slots))
 
     async def _try(self, work: RequestInProgress, server: BackendServer) -> TryOutcome:
         belief = self._parts.beliefs[server.id]
-        started = time.monotonic()
+        started = read_clock()
         limit = self._limit_try(work)
         work.sends += 1
         belief.in_progress += 1
@@ -98,11 +98,11 @@
         finally:
             belief.in_progress -= 1
         work.may_have_run = work.may_have_run or isinstance(outcome, MayHaveRun)
-        seconds = time.monotonic() - started
+        seconds = read_clock() - started
         if isinstance(outcome, Answered):
             work.note(f"{server.id} answered {outcome.status}")
             if outcome.status >= SERVER_FAULT:
-                belief.record_error(time.monotonic())
+                belief.record_error(read_clock())
             else:
                 belief.record_success(seconds)
         else:
@@ -110,7 +110,7 @@
             if isinstance(outcome, MayHaveRun) or outcome.is_silent:
                 belief.latency = max(belief.latency, seconds)
                 if await self._parts.hears_others({server.id}, started):
-                    belief.record_failure(time.monotonic())
+                    belief.record_failure(read_clock())
         return outcome
 
     def _limit_try(self, work: RequestInProgress) -> float:
@@ -160,7 +160,7 @@
             parts.append(data)
         belief = self._parts.beliefs[server.id]
         if facts.load is not None:
-            belief.take_load(facts.load[0] + facts.load[1], time.monotonic())
+            belief.take_load(facts.load[0] + facts.load[1], read_clock())
         if facts.id is not None and facts.id != work.facts.id:
             raise LinkError("answer to another request", was_sent=True)
         if facts.was_refused:
--- a/packages/node/src/vaneturn_node/traffic/relay.py
+++ b/packages/node/src/vaneturn_node/traffic/relay.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from typing import Final
 
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import AnswerHead
 from vaneturn_node.http1.server import ClientAnswer
 from vaneturn_node.platform.headers import build_client_headers
@@ -45,7 +45,7 @@
         events = splitter.split(data)
         if not events:
             return False
-        now = time.monotonic()
+        now = read_clock()
         if self._passed_at is not None:
             pause = now - self._passed_at
             self.longest_pause = max(self.longest_pause, pause)
--- a/packages/node/src/vaneturn_node/traffic/reports.py
+++ b/packages/node/src/vaneturn_node/traffic/reports.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -10,6 +9,7 @@
 
 from vaneturn_core.traffic.hearing import Hearing
 from vaneturn_core.traffic.servers import BackendServer, ServerId
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.caller import Failed
 from vaneturn_node.platform.servers import ServerCalls, ServerReport
 
@@ -45,7 +45,7 @@
         Only answers serve later requests. A silence does not: kept for 0.2 s and looked at every 0.1 s, one question
         without an answer made two silences and a lost server.
         """
-        now = time.monotonic()
+        now = read_clock()
         known = self._newest.get(server.id)
         if known is not None and isinstance(known.report, ServerReport) and known.asked_at > now - age:
             return known.report
@@ -57,7 +57,7 @@
         return await self._ask(server)
 
     async def _ask(self, server: BackendServer) -> ServerReport | Failed:
-        question = self._open[server.id] = _Question(time.monotonic())
+        question = self._open[server.id] = _Question(read_clock())
         try:
             question.report = report = await self._calls.read_report(server, SIGN_TIME)
         finally:
@@ -84,7 +84,7 @@
 
     def _forget_old(self) -> None:
         """Forget reports that nobody can want any more, of servers that have left among them."""
-        oldest = time.monotonic() - MAX_REPORT_AGE
+        oldest = read_clock() - MAX_REPORT_AGE
         for server in [one for one, question in self._newest.items() if question.asked_at < oldest]:
             del self._newest[server]
 
--- a/packages/node/src/vaneturn_node/traffic/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/requests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import cached_property
@@ -15,6 +14,7 @@
 from vaneturn_core.traffic.contents import Content, digest_content
 from vaneturn_core.traffic.crashes import CrashBoard
 from vaneturn_core.traffic.servers import ServerId, ServerName
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.server import ClientRequest
 from vaneturn_node.platform.headers import Dispatch, RequestFacts
 from vaneturn_node.traffic.outcomes import OwnAnswer, Reason
@@ -79,7 +79,7 @@
     @property
     def left(self) -> float:
         """Give the seconds until it must be answered."""
-        return self.ends - time.monotonic()
+        return self.ends - read_clock()
 
     @property
     def may_run_again(self) -> bool:
@@ -89,7 +89,7 @@
     @property
     def age(self) -> float:
         """Give the seconds since it arrived."""
-        return time.monotonic() - self.request.arrived
+        return read_clock() - self.request.arrived
 
     @property
     def priority(self) -> int:
--- a/packages/node/src/vaneturn_node/traffic/serverentries.py
+++ b/packages/node/src/vaneturn_node/traffic/serverentries.py
@@ -87,7 +87,7 @@
     if engine is None:
         return None
     if server.kind is not None and server.kind not in engine.kinds:
-        return Fault("$.route_type", "a kind of the service")
+        return Fault("$.kind", "a kind of the service")
     if any(layers.end > engine.layers for layers in server.layers):
         return Fault("$.layers", f"layers within {engine.layers}")
     return None
--- a/packages/node/src/vaneturn_node/traffic/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/streams.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from enum import Enum
 from typing import Final
 
@@ -11,6 +10,7 @@
 
 from vaneturn_core.traffic.chains import ChainChooser
 from vaneturn_core.traffic.configuration import EngineProfile
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.server import ClientAnswer
 from vaneturn_node.traffic.exchange import TrafficParts
 from vaneturn_node.traffic.outcomes import Answered, MayHaveRun, NotRun, OwnAnswer, Reason, TryOutcome, refuse
@@ -118,10 +118,10 @@
             beliefs=self._parts.beliefs,
             node=self._parts.vm,
             hall=self._parts.hall,
-            share=self._parts.beliefs.estimate_share(nodes, time.monotonic()),
+            share=self._parts.beliefs.estimate_share(nodes, read_clock()),
             prompt=prompt,
             tokens=prompt + answer,
-            now=time.monotonic(),
+            now=read_clock(),
             board=self._parts.board,
             rate=self._parts.arrivals.compute(),
             nodes=nodes,
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Final, TypeVar
@@ -18,6 +17,7 @@
 from vaneturn_core.traffic.chains import ChainChooser
 from vaneturn_core.traffic.crashes import STARTING_TIME, Suspicion
 from vaneturn_core.traffic.servers import BackendServer
+from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
 from vaneturn_node.platform.headers import build_server_headers
 from vaneturn_node.traffic.chainhold import ChainHold
@@ -149,7 +149,7 @@
 
     def _note_running(self) -> None:
         """Take note that the server has run the request for a while: it does not end servers."""
-        now = time.monotonic()
+        now = read_clock()
         self._heard_from = min(self._heard_from, now)
         if not self._work.is_sound and now - self._heard_from >= STARTING_TIME:
             self._work.is_sound = True
@@ -215,7 +215,7 @@
         if not work.route.may_repeat or runs >= work.route.max_attempts:
             work.note_wait(f"{cause}; waits")
             return
-        if time.monotonic() >= self._moves_from:
+        if read_clock() >= self._moves_from:
             await self._try_next(cause, is_gone=is_gone)
         work.note_wait(f"{cause}; waits")
         work.avoided.clear()  # those that are lost or full rest; the others may serve by now
@@ -238,7 +238,7 @@
             await self._give_way(is_gone=is_gone)
         if self._is_replaced:
             raise TryOverError(end)
-        self._moves_from = time.monotonic() + MOVE_GAP
+        self._moves_from = read_clock() + MOVE_GAP
 
     async def _watch_return(self, scope: anyio.CancelScope) -> None:
         """End the next try when this one goes on before a server has taken that."""
--- a/packages/node/src/vaneturn_node/traffic/tenure.py
+++ b/packages/node/src/vaneturn_node/traffic/tenure.py
@@ -8,13 +8,13 @@
 
 import logging
 import random
-import time
 from collections.abc import Callable
 from typing import Final
 
 import anyio
 
 from vaneturn_core.identifiers import NodeId, VmId
+from vaneturn_node.clock import read_clock
 from vaneturn_node.platform.store import Lease, LeaseOver, MaybeDone, NotDone, PlatformStore, StoreConflict
 from vaneturn_node.traffic.records import TENURE_KEY, TenureHolder, decode_holder, encode_holder
 
@@ -56,7 +56,7 @@
 
     def is_sure(self) -> bool:
         """Tell whether this node is the only one that may order, long enough for an order to arrive."""
-        return self._is_holder() and time.monotonic() < self._sure_until - MARGIN
+        return self._is_holder() and read_clock() < self._sure_until - MARGIN
 
     def note_holder(self, value: bytes | None, revision: int) -> None:
         """Take the record as the store holds it; none when there is no holder."""
@@ -93,7 +93,7 @@
         return self._is_known and self._holder is None and not self._is_stopping
 
     async def _keep(self, lease: int) -> None:
-        started = time.monotonic()
+        started = read_clock()
         kept = await self._store.keep_lease(lease)
         if isinstance(kept, Lease):
             self._sure_until = started + kept.time
@@ -105,7 +105,7 @@
             self._holder = None if self._is_holder() else self._holder
 
     async def _take(self) -> None:
-        started = time.monotonic()
+        started = read_clock()
         lease = await self._store.grant_lease(TERM)
         if not isinstance(lease, Lease):
             return
--- a/tests/node/traffic/test_serverentries.py
+++ b/tests/node/traffic/test_serverentries.py
@@ -113,7 +113,7 @@
             node.put("servers/i-1", SOUND, **{field: value})
     assert node.list_names() == ["i-2"]
     assert [record.message for record in caplog.records] == ["server entry not used"]
-    assert field in caplog.records[0].__dict__["fault"]
+    assert {"route_type": "kind"}.get(field, field) in caplog.records[0].__dict__["fault"].replace("route_type", "kind")
     node.put("servers/i-1", SOUND)
     assert node.list_names() == ["i-1", "i-2"]
 
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -129,7 +129,7 @@
         (
             Edit(
                 f"{TRAFFIC}/tenure.py",
-                "return self._is_holder() and time.monotonic() < self._sure_until - MARGIN",
+                "return self._is_holder() and read_clock() < self._sure_until - MARGIN",
                 "return self._is_holder()",
             ),
         ),
@@ -189,7 +189,7 @@
             Edit(
                 f"{TRAFFIC}/peers.py",
                 "told_at = started + max(0.0, word.held)",
-                "told_at = time.monotonic() + max(0.0, word.held) - max(0.0, word.held)",
+                "told_at = read_clock() + max(0.0, word.held) - max(0.0, word.held)",
             ),
         ),
     ),
@@ -268,4 +268,19 @@
         "tests/core/traffic/test_crashes.py::test_request_that_ends_well_anywhere_is_cleared_everywhere",
         (Edit(f"{CORE}/crashes.py", "Suspicion.CLEARED: 0}", "Suspicion.CLEARED: 3}"),),
     ),
+    Proof(
+        "what is known gets old while the VM is suspended",
+        "tests/node/traffic/test_suspension.py::test_no_keyed_request_runs_on_keys_out_of_date",
+        (Edit("node/src/vaneturn_node/clock.py", "time.clock_gettime(time.CLOCK_BOOTTIME)", "time.monotonic()"),),
+    ),
+    Proof(
+        "waits are shortened by a suspension",
+        "tests/node/traffic/test_suspension.py::test_request_whose_time_is_over_ends_at_once[plain]",
+        (Edit(f"{TRAFFIC}/answering.py", "scope.deadline -= seconds", "scope.deadline -= 0.0"),),
+    ),
+    Proof(
+        "a new start of a server has nothing of the one before",
+        "tests/node/traffic/test_serverentries.py::test_new_start_has_nothing_of_the_one_before",
+        (Edit(f"{CORE}/servers.py", 'name if born is None else f"{name}@{born}"', "name"),),
+    ),
 )
