Take no popular request for a deadly one, and try again what is in doubt

Change: a content that has run well on a software in the last ten minutes is no suspect for ends of servers with that software, at any node that knows it, and clears the others. What is barred by less than three ends before the first event is tried once more after 60 s.

--- a/packages/core/src/vaneturn_core/traffic/crashes.py
+++ b/packages/core/src/vaneturn_core/traffic/crashes.py
@@ -19,6 +19,9 @@
 
 STARTING_TIME: Final = 1.0  # seconds from the first event of a run; what is still there then has not ended its server
 BARRING_WEIGHT: Final = 6  # two ends before the first event, or three in all
+SURE_WEIGHT: Final = 9  # three ends before the first event
+DOUBT_TIME: Final = 60.0  # seconds from the newest end for which a request is barred below that weight; a bystander on
+# both servers, as one of some 900 was on a fleet of three first servers, is tried again then
 KEPT_TIME: Final = 600.0  # seconds from an end for which it counts
 PENDING_TIME: Final = 8.0  # seconds; the entry of a server that ended is gone after three heartbeats
 MAX_ENDS: Final = 64  # newest ones; 8 servers end at once where a part of 50 does
@@ -76,7 +79,7 @@
         self._list_software = list_software
         self._ends: dict[ServerId, ServerEnd] = {}
         self._pending: dict[ServerId, ServerEnd] = {}  # lost, but not shown to have ended
-        self._sound: OrderedDict[Content, float] = OrderedDict()  # when they last ended well
+        self._sound: OrderedDict[tuple[Content, str], float] = OrderedDict()  # when they last ran well on a software
         self._check: int | None = None  # computed anew when it is asked for
         self.listeners: list[Callable[[], None]] = []  # called when something new is known
 
@@ -95,12 +98,14 @@
         """
         if not self._ends:
             return False
-        ends = [end for end in self._ends.values() if content in end.suspects]
+        ends = [end for end in self._ends.values() if _WEIGHTS[end.suspects.get(content, Suspicion.CLEARED)]]
         weight = sum(_WEIGHTS[end.suspects[content]] for end in ends)
         if weight < BARRING_WEIGHT:
             return False
+        if weight < SURE_WEIGHT and self._clock() > max(end.at for end in ends) + DOUBT_TIME:
+            return False
         running = set(self._list_software())
-        return any(end.software in running and _WEIGHTS[end.suspects[content]] for end in ends)
+        return any(end.software in running for end in ends)
 
     def list_ends_under(self, content: Content) -> list[ServerId]:
         """List the servers that ended while a request had just begun there, and that has not ended well since."""
@@ -113,6 +118,8 @@
 
     def note_lost(self, server: ServerId, software: str, content: Content, suspicion: Suspicion) -> None:
         """Take note that the connection of a request was lost; whether the server has ended is not known yet."""
+        if self._is_sound(content, software):
+            return
         end = self._ends.get(server)
         if end is not None:
             self._note_change(is_new=end.suspect(content, suspicion))
@@ -131,13 +138,19 @@
         gone = self._pending.keys() - set(present)
         return [server for server in gone if self.confirm(server)]
 
-    def note_sound(self, content: Content) -> bool:
-        """Take note that a request has run well; true when it was suspected."""
-        self._sound[content] = self._clock()
-        self._sound.move_to_end(content)
+    def note_sound(self, content: Content, software: str) -> bool:
+        """Take note that a request has run well on a software; true when it was suspected.
+
+        It ends no server of that software then, whatever copies of it were on servers that ended before or end later:
+        copies of a popular request are on all servers, and were on both that a deadly one ended within 0.2 s.
+        """
+        key = content, software
+        self._sound[key] = self._clock()
+        self._sound.move_to_end(key)
         if len(self._sound) > KEPT_SOUND:
             self._sound.popitem(last=False)
-        cleared = [end.suspect(content, Suspicion.CLEARED) for end in self._ends.values() if content in end.suspects]
+        suspected = [end for end in self._ends.values() if content in end.suspects and end.software == software]
+        cleared = [end.suspect(content, Suspicion.CLEARED) for end in suspected]
         self._note_change(is_new=any(cleared))
         return any(cleared)
 
@@ -153,7 +166,7 @@
             is_new |= known.join(end)
             if pending is not None:
                 is_new |= known.join(pending)
-            for content in [one for one in known.suspects if self._sound.get(one, float("-inf")) >= known.at]:
+            for content in [one for one in known.suspects if self._is_sound(one, known.software)]:
                 is_new |= known.suspect(content, Suspicion.CLEARED)
         self._forget(oldest)
         self._note_change(is_new=is_new)
@@ -164,6 +177,9 @@
         self._forget(self._clock() - KEPT_TIME)
         return dict(self._ends)
 
+    def _is_sound(self, content: Content, software: str) -> bool:
+        return self._sound.get((content, software), float("-inf")) >= self._clock() - KEPT_TIME
+
     def _forget(self, oldest: float) -> None:
         newest = sorted(self._ends, key=lambda server: self._ends[server].at, reverse=True)[:MAX_ENDS]
         kept = {server: self._ends[server] for server in newest if self._ends[server].at >= oldest}
--- a/packages/node/src/vaneturn_node/traffic/crashwatch.py
+++ b/packages/node/src/vaneturn_node/traffic/crashwatch.py
@@ -49,9 +49,9 @@
         if self._reports.is_gone(server.id):
             self._note_refused(server, content)
 
-    def note_sound(self, content: Content) -> None:
-        """Take note that a request has run well."""
-        if self._board.note_sound(content):
+    def note_sound(self, server: BackendServer, content: Content) -> None:
+        """Take note that a server has run a request well."""
+        if self._board.note_sound(content, server.software):
             logger.info("request cleared", extra={"content": format_content(content)})
 
     def note_listed(self) -> None:
--- a/packages/node/src/vaneturn_node/traffic/inspection.py
+++ b/packages/node/src/vaneturn_node/traffic/inspection.py
@@ -72,6 +72,7 @@
         """Answer one operator's request."""
         if request.path == "/metrics":
             self._metrics.age.set(self._parts.view.told_age)
+            self._metrics.ends.set(len(self._parts.crashes.list_ends()))
             self._metrics.servers.set(len(self._parts.view.servers))
             await answer.send_whole(200, _TEXT, self._metrics.render())
         elif request.path == "/state":
--- a/packages/node/src/vaneturn_node/traffic/metrics.py
+++ b/packages/node/src/vaneturn_node/traffic/metrics.py
@@ -28,6 +28,7 @@
             registry=registry,
         )
         self.age = Gauge("vaneturn_view_age_seconds", "Age of what is believed of the platform", registry=registry)
+        self.ends = Gauge("vaneturn_server_ends", "Ends of servers that count against requests", registry=registry)
         self.servers = Gauge("vaneturn_backend_servers", "Backend servers in the list", registry=registry)
 
     def observe(self, route: str, customer: str, ending: str, seconds: float) -> None:
--- a/packages/node/src/vaneturn_node/traffic/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/plain.py
@@ -50,7 +50,7 @@
                 budget.record_first()
             last = await self._try(work, server)
             if isinstance(last, Answered):
-                self._parts.crash_watch.note_sound(work.content)
+                self._parts.crash_watch.note_sound(server, work.content)
                 if last.status < SERVER_FAULT or not work.may_run_again:
                     return last
                 failure = last
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -138,7 +138,7 @@
             data = await self._wait_for(link.read_data, overdue)
             if data is None:
                 await self._relay.end(splitter)
-                self._parts.crash_watch.note_sound(self._work.content)
+                self._parts.crash_watch.note_sound(self._first, self._work.content)
                 return
             before = self._relay.events
             if await self._relay.pass_on(splitter, data):
@@ -153,7 +153,7 @@
         self._heard_from = min(self._heard_from, now)
         if not self._work.is_sound and now - self._heard_from >= STARTING_TIME:
             self._work.is_sound = True
-            self._parts.crash_watch.note_sound(self._work.content)
+            self._parts.crash_watch.note_sound(self._first, self._work.content)
 
     async def _close(self, *, is_whole: bool) -> None:
         """Give back what was reserved; a server whose answer has not ended stops its work."""
--- a/tests/core/traffic/test_crashes.py
+++ b/tests/core/traffic/test_crashes.py
@@ -10,7 +10,15 @@
 from hypothesis import strategies as st
 
 from vaneturn_core.traffic.contents import Content, digest_content
-from vaneturn_core.traffic.crashes import KEPT_TIME, MAX_ENDS, MAX_SUSPECTS, CrashBoard, ServerEnd, Suspicion
+from vaneturn_core.traffic.crashes import (
+    DOUBT_TIME,
+    KEPT_TIME,
+    MAX_ENDS,
+    MAX_SUSPECTS,
+    CrashBoard,
+    ServerEnd,
+    Suspicion,
+)
 from vaneturn_core.traffic.servers import ServerId
 
 GUILTY, OTHER = Content(1), Content(2)
@@ -105,7 +113,7 @@
     scene, other = Scene(), Scene()
     scene.end(0, GUILTY, OTHER)
     other.board.join(scene.board.list_ends())
-    assert other.board.note_sound(OTHER)
+    assert other.board.note_sound(OTHER, "v1")
     scene.end(1, GUILTY, OTHER)
     scene.board.join(other.board.list_ends())
     assert scene.board.is_barred(GUILTY)
@@ -116,12 +124,51 @@
     scene, other = Scene(), Scene()
     other.end(0, OTHER)
     scene.now += 1.0
-    assert not scene.board.note_sound(OTHER)
+    assert not scene.board.note_sound(OTHER, "v1")
     scene.board.join(other.board.list_ends())
     scene.end(1, OTHER)
     assert not scene.board.is_barred(OTHER)
 
 
+def test_popular_request_is_no_suspect_where_it_has_run_well() -> None:
+    """Its copies were on both servers that ended within 0.2 s, none of them with an event; it had ended well before."""
+    scene, other = Scene(), Scene()
+    scene.board.note_sound(OTHER, "v1")
+    for server in range(2):
+        scene.end(server, GUILTY, OTHER)
+        other.end(server, OTHER)
+    assert not scene.board.is_barred(OTHER)
+    assert other.board.is_barred(OTHER)
+    scene.board.join(other.board.list_ends())
+    other.board.join(scene.board.list_ends())
+    assert not other.board.is_barred(OTHER)
+    assert other.board.is_barred(GUILTY)
+
+
+def test_what_ran_well_on_a_software_may_end_servers_of_the_next() -> None:
+    scene = Scene(software={"v1", "v2"})
+    scene.board.note_sound(GUILTY, "v1")
+    scene.end(0, GUILTY, software="v2")
+    scene.end(1, GUILTY, software="v2")
+    assert scene.board.is_barred(GUILTY)
+
+
+def test_request_in_doubt_is_tried_again_and_one_that_is_sure_is_not() -> None:
+    scene = Scene()
+    scene.end(0, GUILTY, OTHER)
+    scene.end(1, GUILTY, OTHER)
+    scene.now += DOUBT_TIME - 1
+    assert scene.board.is_barred(GUILTY)
+    scene.now += 2
+    assert not scene.board.is_barred(GUILTY)
+    scene.board.note_sound(OTHER, "v1")
+    scene.end(2, GUILTY, OTHER)
+    assert scene.board.is_barred(GUILTY)
+    assert not scene.board.is_barred(OTHER)
+    scene.now += 2 * DOUBT_TIME
+    assert scene.board.is_barred(GUILTY)
+
+
 def test_new_software_is_tried_once() -> None:
     scene = Scene()
     scene.end(0, GUILTY)
--- a/tests/rig/deadlymodel.py
+++ b/tests/rig/deadlymodel.py
@@ -142,13 +142,13 @@
 
     def _prove(self, one: _Try) -> None:
         one.is_sound = True
-        self._boards[one.node].note_sound(one.content)
+        self._boards[one.node].note_sound(one.content, "v1")
 
     def _finish(self, one: _Try) -> None:
         assert one.server is not None
         del self._streams[one.server][one]
         one.server = None
-        self._boards[one.node].note_sound(one.content)
+        self._boards[one.node].note_sound(one.content, "v1")
 
     def _end_server(self, server: int) -> None:
         self.harm.ended.append(self.now)
--- a/tests/rig/trafficsoak.py
+++ b/tests/rig/trafficsoak.py
@@ -88,10 +88,7 @@
         for _ in range(3):
             (await traffic.add_desk()).work_time = 0.1  # so that some are lost at work
         clients = [self._ask_stream] * 6 + [self._ask_plain] * 4
-        faults = [
-            self._fail_node, self._fail_store, self._fail_server, self._change, self._stop_node,
-            self._change_often, self._silence_many, self._fill_links, self._stop_in_trouble,
-        ]  # fmt: skip
+        faults = self.list_faults()
         async with anyio.create_task_group() as watch:
             watch.start_soon(self._look_at_the_clock)
             async with anyio.create_task_group() as tasks:
@@ -102,6 +99,13 @@
         self._check_runs()
         self._check_cuts()
 
+    def list_faults(self) -> list[Callable[[random.Random], Awaitable[None]]]:
+        """List what goes wrong; each has random numbers of its own, by its place here."""
+        return [
+            self._fail_node, self._fail_store, self._fail_server, self._change, self._stop_node,
+            self._change_often, self._silence_many, self._fill_links, self._stop_in_trouble,
+        ]  # fmt: skip
+
     async def _look_at_the_clock(self) -> None:
         while True:
             self._looks.append(time.monotonic())
@@ -130,6 +134,8 @@
                 self.findings.cuts.append(Cut(request, path, node, repr(error), sent, time.monotonic()))
             return request, None
         self.findings.counts[f"{path.split('/')[1]} {answer.status_code}"] += 1
+        if answer.status_code == httpx.codes.BAD_REQUEST:
+            self.findings.faults.append(f"{request} was refused for good: {answer.text}")
         if answer.status_code in {429, 503}:
             self.findings.refused.add(request)
             if "retry-after" not in answer.headers:
@@ -446,15 +452,15 @@
         return any(began <= at and ended >= at - DRAIN_TIME - CONTACT_TIME for began, ended in self.findings.troubles)
 
 
-async def run_traffic_soak(folder: Path, seconds: float, seed: int) -> Findings:
+async def run_traffic_soak(folder: Path, seconds: float, seed: int, kind: type[TrafficSoak] = TrafficSoak) -> Findings:
     """Run one seed; gives what was found."""
     async with open_traffic(folder, nodes=NODES, link_rate=LINK_RATE) as traffic:
-        soak = TrafficSoak(traffic, seconds, seed)
+        soak = kind(traffic, seconds, seed)
         await soak.run()
         return soak.findings
 
 
-def main() -> int:
+def main(kind: type[TrafficSoak] = TrafficSoak) -> int:
     parser = argparse.ArgumentParser()
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--seeds", type=int, nargs="+", default=[1])
@@ -463,7 +469,7 @@
     failed = 0
     for seed in options.seeds:
         with tempfile.TemporaryDirectory() as folder:
-            findings = anyio.run(run_traffic_soak, Path(folder), options.seconds, seed)
+            findings = anyio.run(run_traffic_soak, Path(folder), options.seconds, seed, kind)
             if findings.faults and options.keep is not None:
                 shutil.copytree(folder, options.keep / f"seed-{seed}", dirs_exist_ok=True)
         failed += bool(findings.faults)
--- a/tests/standins/platform/servers.py
+++ b/tests/standins/platform/servers.py
@@ -59,7 +59,10 @@
     deadly: bytes | None = None  # body of a request that ends each server that begins to run it
     deadly_after: float = 0.03  # seconds from the beginning of its run to the end of the server
     restart_time: float = 0.5  # seconds from that end to the next start at the same address
-    ended: list[tuple[float, str]] = field(default_factory=list)  # servers that ended so, with the steady time
+    tells_births: bool = False  # whether servers say when they started
+    ended: list[tuple[float, str]] = field(
+        default_factory=list
+    )  # addresses of servers that ended so, with the steady time
     runs: list[Run] = field(default_factory=list)
     servers: dict[str, Server] = field(default_factory=dict)  # by address
     _numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
@@ -72,12 +75,23 @@
 
     async def end(self, server: Server) -> None:
         """Let a server end by itself, and start again after some time; it holds nothing then."""
-        self.ended.append((time.monotonic(), server.id))
+        self.ended.append((time.monotonic(), server.address))
         await server.crash()
         await anyio.sleep(self.restart_time)
+        if self.tells_births:
+            await self.start_again(server)
+            return
         self.store.remove(f"servers/{server.id}")
         await self.add(server.address, server.service, server.hall, server.kind)
 
+    async def start_again(self, server: Server) -> Server:
+        """Start a server that has ended again, under its id and address; it holds nothing and has begun no order."""
+        again = Server(self, server.id, server.address, server.service, server.hall, server.kind)
+        again.work_time, again.load_time = server.work_time, server.load_time
+        self.servers[server.address] = again
+        await again.start()
+        return again
+
     def find_runs(self, request: str) -> list[Run]:
         return [run for run in self.runs if run.request == request]
 
@@ -101,6 +115,7 @@
     fence: int = 0
     late_orders: float = 0.0  # seconds for which an order is left unanswered before it is carried out
     load_time: float = 0.05
+    born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)  # Unix milliseconds
     spoil: Callable[[Exchange, Run], Any] | None = None  # in place of a sound answer
     work_time: float = 0.01  # of a plain service
     active: dict[str, Run] = field(default_factory=dict)  # the newest run of each request
@@ -121,6 +136,8 @@
             layers = [{"from": self.held[0], "target_version": self.held[1], "version": 1}] if self.held else []
             entry |= {"route_type": self.kind, "models": [{"name": "m", "version": 1, "adapters": []}] * bool(layers)}
             entry["layers"] = layers
+        if self.fleet.tells_births:
+            entry["born"] = self.born
         self.fleet.store.put(f"servers/{self.id}", json.dumps(entry).encode())
 
     async def crash(self, *, is_listed: bool = True) -> None:
@@ -157,7 +174,9 @@
             lost = next((part for part in run.chains[-1] if not self._is_alive(part)), None)
             if lost is not None:
                 stalled.append({"id": request, "addr": lost.address})
-        return {"seq": self.orders, "utilization": self.is_loading, "layers": layers, "stalled": stalled, "pace": 1.0}
+        born = {"born": self.born} if self.fleet.tells_births else {}
+        told = {"seq": self.orders, "utilization": self.is_loading, "layers": layers, "stalled": stalled, "pace": 1.0}
+        return {**told, **born}
 
     async def _take_order(self, exchange: Exchange, order: dict[str, Any]) -> None:
         if order.get("fence", self.fence) < self.fence:
