Tell what cannot be made alike seldom, and keep requests without an event first

Cause, from reading the change: with more ends, or suspects of one end, than are kept, two nodes may never know the same, and each question with another checksum (one a second, from up to 48 nodes) would bring the whole set.

--- a/packages/core/src/vaneturn_core/traffic/crashes.py
+++ b/packages/core/src/vaneturn_core/traffic/crashes.py
@@ -25,7 +25,7 @@
 KEPT_TIME: Final = 600.0  # seconds from an end for which it counts
 PENDING_TIME: Final = 8.0  # seconds; the entry of a server that ended is gone after three heartbeats
 MAX_ENDS: Final = 64  # newest ones; 8 servers end at once where a part of 50 does
-MAX_SUSPECTS: Final = 64  # of one end; more had not begun there within the time above
+MAX_SUSPECTS: Final = 128  # of one end; 51 streams were on a server that took over those of two others
 KEPT_SOUND: Final = 1024  # contents that ended well, newest ones
 
 
@@ -59,13 +59,21 @@
     def suspect(self, content: Content, suspicion: Suspicion) -> bool:
         """Suspect a request, or clear it; false when it is known."""
         known = self.suspects.get(content)
-        if known is None and len(self.suspects) >= MAX_SUSPECTS:
-            return False
         if known is not None and known >= suspicion:
             return False
+        if known is None and len(self.suspects) >= MAX_SUSPECTS and not self._make_room(suspicion):
+            return False
         self.suspects[content] = suspicion
         return True
 
+    def _make_room(self, suspicion: Suspicion) -> bool:
+        """Leave out a request that is suspected less; false when there is none."""
+        least = min(self.suspects, key=lambda content: (self.suspects[content], content))
+        if self.suspects[least] >= suspicion:
+            return False
+        del self.suspects[least]
+        return True
+
 
 class CrashBoard:
     """The ends of servers that this node has seen or heard of, and the requests that may not run any more."""
--- a/packages/node/src/vaneturn_node/traffic/crashsharing.py
+++ b/packages/node/src/vaneturn_node/traffic/crashsharing.py
@@ -28,6 +28,10 @@
 GATHER: Final = 0.01  # seconds from a change to the word of it: requests on one server find its end together
 TELL_GAP: Final = 0.1  # seconds between two words of a node
 TELL_TIME: Final = 0.3  # seconds for a word; checksums show when it was lost
+TELL_AGAIN: Final = (
+    5.0  # seconds until a node that still knows something else is told the same again: beyond the bounds
+)
+# of what is kept, two nodes may never know the same
 
 logger = logging.getLogger(__name__)
 
@@ -60,6 +64,7 @@
         self._has_news = Signal()
         self._told = board.check  # what those that this node tells know from it
         self._behind: set[VmId] = set()  # nodes that know something else
+        self._answered: dict[VmId, tuple[int, int, float]] = {}  # both checksums, and when the node was told for them
         board.listeners.append(self._has_news.give)
 
     @property
@@ -77,9 +82,16 @@
 
     def compare(self, vm: VmId, check: int) -> None:
         """Compare with what another node knows; it is told what this one knows when that differs."""
-        if check != self._board.check:
-            self._behind.add(vm)
-            self._has_news.give()
+        own, now = self._board.check, read_clock()
+        if check == own:
+            return
+        told_check, told_own, told_at = self._answered.get(vm, (own, own, float("-inf")))
+        if (told_check, told_own) == (check, own) and now < told_at + TELL_AGAIN:
+            return
+        self._answered = {one: told for one, told in self._answered.items() if one in self._view.nodes}
+        self._answered[vm] = check, own, now
+        self._behind.add(vm)
+        self._has_news.give()
 
     def take(self, body: bytes) -> None:
         """Take the word of another node."""
--- a/tests/core/traffic/test_crashes.py
+++ b/tests/core/traffic/test_crashes.py
@@ -196,6 +196,16 @@
     assert not scene.board.is_barred(Content(0))
 
 
+def test_request_without_an_event_is_kept_before_those_with_some() -> None:
+    scene = Scene()
+    for content in range(10, 10 + MAX_SUSPECTS):
+        scene.board.note_lost(SERVERS[0], "v1", Content(content), Suspicion.BEGUN)
+    scene.end(0, GUILTY)
+    scene.end(1, GUILTY)
+    assert scene.board.is_barred(GUILTY)
+    assert len(scene.board.list_suspects(SERVERS[0])) == MAX_SUSPECTS
+
+
 Words = dict[ServerId, dict[Content, Suspicion]]
 WORDS = st.dictionaries(
     st.sampled_from(SERVERS),
--- a/tests/node/traffic/test_crashsharing.py
+++ b/tests/node/traffic/test_crashsharing.py
@@ -12,7 +12,7 @@
 
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.contents import Content
-from vaneturn_core.traffic.crashes import CrashBoard, Suspicion
+from vaneturn_core.traffic.crashes import MAX_ENDS, CrashBoard, Suspicion
 from vaneturn_core.traffic.relays import list_relays
 from vaneturn_core.traffic.servers import ServerId
 from vaneturn_core.traffic.view import PlatformView
@@ -125,6 +125,26 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_nodes_that_can_never_know_the_same_tell_each_other_seldom() -> None:
+    """More ends than are kept, and each node has newer ones than the other."""
+    names = ["entry-1", "entry-2"]
+    mesh = Mesh(names)
+    async with anyio.create_task_group() as tasks:
+        for node in mesh.nodes.values():
+            tasks.start_soon(node.run)
+        mesh.cut = set(names)
+        for number in range(MAX_ENDS):
+            for name in names:
+                mesh.end(name, f"i-{name}-{number}")
+        await anyio.sleep(0.3)
+        mesh.words = 0
+        for _ in range(20):  # questions of one second; nothing comes through
+            mesh.nodes["entry-2"].compare(VmId("entry-1"), mesh.nodes["entry-1"].check)
+            await anyio.sleep(0.02)
+        assert mesh.words <= 2
+        tasks.cancel_scope.cancel()
+
+
 def encode_word(rows: list[object]) -> bytes:
     return msgspec.json.encode({"vm": "x", "check": 1, "ends": rows})
 
