Part the randomised run into clients, faults and checks

Change: tests only, methods moved as they were, constants with the module that uses them; the random numbers of each client and fault stay the same.

--- a/tests/rig/deadlysoak.py
+++ b/tests/rig/deadlysoak.py
@@ -9,7 +9,8 @@
 import anyio
 import httpx
 
-from rig.trafficsoak import CONTACT_TIME, NODES, SLACK, TrafficSoak, main
+from rig.soakclients import NODES, SLACK
+from rig.trafficsoak import CONTACT_TIME, TrafficSoak, main
 
 DEADLY = b"a letter that ends servers"
 MOST_SENDS = 3  # later than the contact time after a request has ended three servers
