Give what stands twice one place: the bar of a request, words to nodes, what an end weighs

Cause, from reading the whole change: three forwarders each answered for a barred request; three modules each sent a word and logged its loss; what an end says against a content was worked out in three ways; the status of a wrong server was named twice; the events of a stream were counted in the relay, the try and the request; a test silenced the first server in the same lines twice; two names were used by nobody. Change: the bar is answered where all ways to a server come together (Answerer); send_word; ServerEnd.weigh; the adapter's own status; pass_on gives the events passed; silence_first in the tests. Behaviour stays; no check or expectation is touched.

--- a/packages/core/src/vaneturn_core/traffic/contents.py
+++ b/packages/core/src/vaneturn_core/traffic/contents.py
@@ -25,4 +25,4 @@
     return f"{content:0{2 * CONTENT_BYTES}x}"
 
 
-__all__ = ["CONTENT_BYTES", "Content", "digest_content", "format_content"]
+__all__ = ["Content", "digest_content", "format_content"]
--- a/packages/core/src/vaneturn_core/traffic/crashes.py
+++ b/packages/core/src/vaneturn_core/traffic/crashes.py
@@ -39,8 +39,6 @@
 
 _WEIGHTS: Final = {Suspicion.BEGUN: 2, Suspicion.UNHEARD: 3, Suspicion.CLEARED: 0}
 
-Suspects = Mapping[Content, Suspicion]
-
 
 @dataclass(slots=True)
 class ServerEnd:
@@ -50,6 +48,10 @@
     software: str  # that it ran
     suspects: dict[Content, Suspicion] = field(default_factory=dict)
 
+    def weigh(self, content: Content) -> int:
+        """Weigh what it says against a request; 0 for one that was not there, or is cleared."""
+        return _WEIGHTS[self.suspects.get(content, Suspicion.CLEARED)]
+
     def join(self, other: ServerEnd) -> bool:
         """Take over what another node has seen of the same end; false when it says nothing new."""
         self.at = min(self.at, other.at)
@@ -104,10 +106,8 @@
 
         One that ended servers of a software that is gone may run once more on the new one.
         """
-        if not self._ends:
-            return False
-        ends = [end for end in self._ends.values() if _WEIGHTS[end.suspects.get(content, Suspicion.CLEARED)]]
-        weight = sum(_WEIGHTS[end.suspects[content]] for end in ends)
+        ends = [end for end in self._ends.values() if end.weigh(content)]
+        weight = sum(end.weigh(content) for end in ends)
         if weight < BARRING_WEIGHT:
             return False
         if weight < SURE_WEIGHT and self._clock() > max(end.at for end in ends) + DOUBT_TIME:
@@ -117,12 +117,12 @@
 
     def list_ends_under(self, content: Content) -> list[ServerId]:
         """List the servers that ended while a request had just begun there, and that has not ended well since."""
-        return [server for server, end in self._ends.items() if _WEIGHTS[end.suspects.get(content, Suspicion.CLEARED)]]
+        return [server for server, end in self._ends.items() if end.weigh(content)]
 
     def list_suspects(self, server: ServerId) -> list[Content]:
         """List the requests that may have ended a server."""
         end = self._ends.get(server)
-        return [one for one, word in end.suspects.items() if _WEIGHTS[word]] if end is not None else []
+        return [content for content in end.suspects if end.weigh(content)] if end is not None else []
 
     def note_lost(self, server: ServerId, software: str, content: Content, suspicion: Suspicion) -> None:
         """Take note that the connection of a request was lost; whether the server has ended is not known yet."""
--- a/packages/node/src/vaneturn_node/platform/servers.py
+++ b/packages/node/src/vaneturn_node/platform/servers.py
@@ -22,7 +22,7 @@
     identify_start,
 )
 from vaneturn_node.http1.caller import Caller, Failed, Reply
-from vaneturn_node.platform.headers import EXPECTED_SERVER, format_chain
+from vaneturn_node.platform.headers import EXPECTED_SERVER, WRONG_SERVER, format_chain
 
 SERVERS_PREFIX: Final = "servers/"
 REPORT_TIME: Final = 0.4  # seconds; a sound server answers in a few milliseconds
@@ -32,7 +32,6 @@
 MAX_LAYERS: Final = 10_000  # models of today have 40 to 80
 MAX_PORT: Final = 65_535
 MAX_NAME: Final = 200  # characters, as the keys of the store
-WRONG_SERVER: Final = 421
 
 Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME)]
 Born = Annotated[int, Meta(ge=1, le=2**53)]  # Unix milliseconds
@@ -115,7 +114,7 @@
 
 
 def _convert_entry(name: ServerName, entry: _Entry) -> BackendServer:
-    born = None if entry.born is UNSET else entry.born
+    born = _read_born(entry)
     return BackendServer(
         id=identify_start(name, born),
         name=name,
@@ -131,6 +130,11 @@
     )
 
 
+def _read_born(said: _Entry | _Report) -> int | None:
+    """Read when a server says that it was born; none where it does not say so, which null would not be."""
+    return None if said.born is UNSET else said.born
+
+
 def is_address(text: str) -> bool:
     """Tell whether a text is an IP number and a port."""
     host, _, port = text.rpartition(":")
@@ -167,7 +171,7 @@
         report = _decode(reply, _Report)
         if isinstance(report, Failed):
             return report
-        born = None if report.born is UNSET else report.born
+        born = _read_born(report)
         if server.born is not None and born != server.born:
             is_newer = born is not None and born > server.born
             return Failed(f"born {born}, not {server.born}", was_sent=True, is_gone=is_newer)
--- a/packages/node/src/vaneturn_node/traffic/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/answering.py
@@ -107,10 +107,10 @@
                 result = await self._forward(work, answer)
             finally:
                 del self._open[scope]
+        if not isinstance(result, Answered) and not answer.is_begun and work.is_barred:
+            return work.bar()
         if not scope.cancelled_caught:
             return result
-        if work.is_barred and not answer.is_begun:
-            return work.bar()
         work.note("time is up")
         if answer.is_begun:
             return None
--- a/packages/node/src/vaneturn_node/traffic/crashsharing.py
+++ b/packages/node/src/vaneturn_node/traffic/crashsharing.py
@@ -21,7 +21,8 @@
 from vaneturn_core.traffic.servers import ServerId
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.clock import read_clock
-from vaneturn_node.http1.caller import Caller, Reply
+from vaneturn_node.http1.caller import Caller
+from vaneturn_node.traffic.peerwords import send_word
 from vaneturn_node.traffic.signals import Signal
 
 CRASHES_PATH: Final = "/crashes"
@@ -110,12 +111,11 @@
         targets |= self._behind
         self._told, self._behind = self._board.check, set()
         word = CrashWord(self._vm, self._board.check, pack_ends(self._board.list_ends(), read_clock()))
-        body = msgspec.json.encode(word)
         async with anyio.create_task_group() as tasks:
             for target in targets:
                 address = self._view.nodes.get(target)
                 if address is not None and target != self._vm:
-                    tasks.start_soon(self._send, address, body)
+                    tasks.start_soon(send_word, self._caller, address, CRASHES_PATH, TELL_TIME, word)
 
     def _list_targets(self) -> set[VmId]:
         """List whom to tell: the own relay, or as a relay the other relays and all that ask this one."""
@@ -126,11 +126,6 @@
         relays = list_relays(nodes)
         return {node for node in nodes if node in relays or rank_relays(node, nodes)[0] == self._vm}
 
-    async def _send(self, address: str, body: bytes) -> None:
-        reply = await self._caller.call(address, "POST", CRASHES_PATH, TELL_TIME, body=body)
-        if not isinstance(reply, Reply):
-            logger.debug("ended servers not told", extra={"node": address, "cause": reply.cause})
-
 
 def pack_ends(ends: dict[ServerId, ServerEnd], now: float) -> list[EndRow]:
     """Pack ends with their ages."""
--- a/packages/node/src/vaneturn_node/traffic/losssharing.py
+++ b/packages/node/src/vaneturn_node/traffic/losssharing.py
@@ -14,9 +14,10 @@
 from vaneturn_core.traffic.relays import list_relays, rank_relays
 from vaneturn_core.traffic.servers import ServerId
 from vaneturn_node.clock import read_clock
-from vaneturn_node.http1.caller import Caller, Reply
+from vaneturn_node.http1.caller import Caller
 from vaneturn_node.traffic.changelog import ChangeLog
 from vaneturn_node.traffic.exchange import TrafficParts
+from vaneturn_node.traffic.peerwords import send_word
 from vaneturn_node.traffic.serverrows import pack_findings, unpack_findings
 
 LOSSES_PATH: Final = "/losses"
@@ -114,17 +115,12 @@
         if not findings and not self._has_told:
             return
         self._has_told = bool(findings)
-        body = msgspec.json.encode(LossWord(self._vm, pack_findings(findings, read_clock())))
+        word = LossWord(self._vm, pack_findings(findings, read_clock()))
         async with anyio.create_task_group() as tasks:
             for target in targets:
                 address = nodes[target]
                 if address is not None:
-                    tasks.start_soon(self._send, address, body)
-
-    async def _send(self, address: str, body: bytes) -> None:
-        reply = await self._caller.call(address, "POST", LOSSES_PATH, TELL_TIME, body=body)
-        if not isinstance(reply, Reply):
-            logger.debug("losses not told", extra={"relay": address, "cause": reply.cause})
+                    tasks.start_soon(send_word, self._caller, address, LOSSES_PATH, TELL_TIME, word)
 
 
 __all__ = ["LOSSES_PATH", "LossSharing", "LossWord"]
--- a/packages/node/src/vaneturn_node/traffic/peers.py
+++ b/packages/node/src/vaneturn_node/traffic/peers.py
@@ -20,14 +20,14 @@
 from vaneturn_core.traffic.servers import ServerBeliefs
 from vaneturn_core.traffic.view import PlatformView, StoreContact
 from vaneturn_node.clock import read_clock
-from vaneturn_node.http1.caller import Arrival, Caller, Reply
+from vaneturn_node.http1.caller import Arrival, Caller
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
 from vaneturn_node.platform.store import BODY_TIME, WATCH_MARGIN
 from vaneturn_node.traffic.changelog import Change, ChangeLog
 from vaneturn_node.traffic.crashsharing import CRASHES_PATH, CrashSharing
 from vaneturn_node.traffic.longvalues import VALUE_PATH, LongValueServer
 from vaneturn_node.traffic.losssharing import LOSSES_PATH, LossSharing
-from vaneturn_node.traffic.peerwords import OK, RelayWord, ToldLoads, decode_reply, decode_told, unpack_total
+from vaneturn_node.traffic.peerwords import OK, RelayWord, ToldLoads, decode_reply, decode_told, send_word, unpack_total
 from vaneturn_node.traffic.serverrows import pack_loads
 
 CHANGES_PATH: Final = "/changes"
@@ -224,10 +224,8 @@
 
     async def tell_loads(self, address: str, loads: Loads) -> None:
         """Tell another relay what this one and those that ask it have in progress; a lost word is told anew soon."""
-        body = msgspec.json.encode(ToldLoads(self._vm, pack_loads(loads), self._crashes.check))
-        reply = await self._caller.call(address, "POST", LOADS_PATH, TELL_TIME, body=body)
-        if not isinstance(reply, Reply):
-            logger.debug("loads not told", extra={"relay": address, "cause": reply.cause})
+        word = ToldLoads(self._vm, pack_loads(loads), self._crashes.check)
+        await send_word(self._caller, address, LOADS_PATH, TELL_TIME, word)
 
 
 def _compute_age(now: float, at: float) -> float | None:
--- a/packages/node/src/vaneturn_node/traffic/peerwords.py
+++ b/packages/node/src/vaneturn_node/traffic/peerwords.py
@@ -13,7 +13,7 @@
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.loads import Loads
 from vaneturn_core.traffic.servers import ServerId
-from vaneturn_node.http1.caller import Failed, Reply
+from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.traffic.changelog import Change
 from vaneturn_node.traffic.serverrows import unpack_loads
 
@@ -54,6 +54,13 @@
     losses: bytes = b""  # servers that two nodes or more have found lost, packed
 
 
+async def send_word(caller: Caller, address: str, path: str, limit: float, word: Struct) -> None:
+    """Send a word to another node; a lost one is made good by later words."""
+    reply = await caller.call(address, "POST", path, limit, body=msgspec.json.encode(word))
+    if not isinstance(reply, Reply):
+        logger.debug("word not sent", extra={"node": address, "path": path, "cause": reply.cause})
+
+
 def decode_reply(reply: Reply | Failed, kind: type[_Body]) -> _Body | None:
     """Decode what a relay gave; none when it gave nothing that is understood."""
     if not isinstance(reply, Reply) or reply.status != OK:
@@ -85,4 +92,4 @@
         return None
 
 
-__all__ = ["OK", "RelayWord", "Told", "ToldLoads", "decode_reply", "decode_told", "unpack_total"]
+__all__ = ["OK", "RelayWord", "Told", "ToldLoads", "decode_reply", "decode_told", "send_word", "unpack_total"]
--- a/packages/node/src/vaneturn_node/traffic/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/plain.py
@@ -62,8 +62,6 @@
         return self._give_up(work, last)
 
     def _give_up(self, work: RequestInProgress, last: TryOutcome | None) -> OwnAnswer:
-        if work.is_barred:
-            return work.bar()
         if work.may_have_run:
             return work.give_up_run(last.cause if isinstance(last, MayHaveRun | NotRun) else "")
         retry_after = RETRY_AFTER * (1 + random.random())
--- a/packages/node/src/vaneturn_node/traffic/relay.py
+++ b/packages/node/src/vaneturn_node/traffic/relay.py
@@ -23,7 +23,6 @@
         self._head: AnswerHead | None = None  # of the newest try, until the first event
         self.first_at: float | None = None  # when the first event was passed on, steady time
         self.longest_pause = 0.0  # seconds between two events
-        self.events = 0
         self.usual_pause = 0.0  # moving average, seconds
         self._passed_at: float | None = None
 
@@ -40,11 +39,11 @@
         self.is_begun = True
         await self._answer.begin(self._head.status, build_client_headers(self._head.headers))
 
-    async def pass_on(self, splitter: EventSplitter, data: bytes) -> bool:
-        """Pass whole events on; false when there is none yet."""
+    async def pass_on(self, splitter: EventSplitter, data: bytes) -> int:
+        """Pass whole events on; gives how many there were."""
         events = splitter.split(data)
         if not events:
-            return False
+            return 0
         now = read_clock()
         if self._passed_at is not None:
             pause = now - self._passed_at
@@ -53,12 +52,11 @@
         else:
             self.first_at = now
         self._passed_at = now
-        self.events += len(events)
         await self._begin()
         await self._answer.send_part(b"".join(event.data for event in events))
         for event in events:
             self.last_event = event.id if event.id is not None else self.last_event
-        return True
+        return len(events)
 
     async def end(self, splitter: EventSplitter) -> None:
         """End the answer as whole."""
--- a/packages/node/src/vaneturn_node/traffic/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/streams.py
@@ -136,8 +136,6 @@
         if relay.is_begun:
             work.note("answer broken off")
             return None
-        if work.is_barred:
-            return work.bar()
         cause = end.cause if isinstance(end, NotRun | MayHaveRun) else ""
         if work.may_have_run:
             return work.give_up_run(cause)
--- a/packages/node/src/vaneturn_node/traffic/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/streamtry.py
@@ -140,10 +140,10 @@
                 await self._relay.end(splitter)
                 self._parts.crash_watch.note_sound(self._first, self._work.content)
                 return
-            before = self._relay.events
-            if await self._relay.pass_on(splitter, data):
-                self._events += self._relay.events - before
-                self._work.events = self._relay.events
+            passed = await self._relay.pass_on(splitter, data)
+            if passed:
+                self._events += passed
+                self._work.events += passed
                 self._hold.note_heard()
                 self._note_running()
 
--- a/tests/node/traffic/test_suspension.py
+++ b/tests/node/traffic/test_suspension.py
@@ -45,15 +45,12 @@
 class Here:
     """A node in this process, so that its clocks can be changed, with its platform and a client."""
 
-    def __init__(self, traffic: Traffic, node: TrafficNode, client_port: int) -> None:
+    def __init__(self, traffic: Traffic, node: TrafficNode) -> None:
         self.traffic = traffic
         self.node = node
-        self.client_port = client_port
 
-    async def ask(self, path: str, request: str, deadline: float = 5000) -> httpx.Response:
-        """Ask as the other tests do."""
-        asked = Traffic.build(self.traffic, path, X_Request_Id=request, X_Deadline_Ms=f"{deadline:.0f}")
-        return await self.traffic.client.send(asked)
+    async def ask(self, path: str, request: str) -> httpx.Response:
+        return await self.traffic.ask(path, X_Request_Id=request)
 
 
 class _Door:
@@ -81,7 +78,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(node.run)
             await wait_for(node._view.is_ready, START_TIME)
-            yield Here(traffic, node, ports[0])
+            yield Here(traffic, node)
             tasks.cancel_scope.cancel()
 
 
--- a/tests/system/platform/test_kepttries.py
+++ b/tests/system/platform/test_kepttries.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from typing import Any
 
@@ -56,6 +56,17 @@
     return traffic.fleet.servers[traffic.fleet.runs[0].tokens[0][0].address]
 
 
+async def silence_first(traffic: Traffic, servers: list[Server], spoil: Callable[[Exchange, Run], Any]) -> Server:
+    """Let the first server of a stream under way be silent, and the others answer in another way; gives the first."""
+    await wait_for(lambda: any(len(run.tokens) > 5 for run in traffic.fleet.runs))
+    first = first_of(traffic)
+    first.is_dark = True
+    for server in servers:
+        if server is not first:
+            server.spoil = spoil
+    return first
+
+
 async def test_detour_after_a_silence_keeps_the_first_server(frugal: Traffic) -> None:
     """The first server and a later part are silent; the first is back sooner."""
     await frugal.add_chains()
@@ -120,16 +131,7 @@
         cut.append(time.monotonic())
 
     async with anyio.create_task_group() as tasks:
-
-        async def trouble() -> None:
-            await wait_for(lambda: any(len(run.tokens) > 5 for run in rich.fleet.runs))
-            first = first_of(rich)
-            first.is_dark = True
-            for server in servers:
-                if server is not first:
-                    server.spoil = wait_long
-
-        tasks.start_soon(trouble)
+        tasks.start_soon(silence_first, rich, servers, wait_long)
         with anyio.move_on_after(1.2):
             await rich.ask("/letter/1", X_Deadline_Ms="15000", X_Request_Id="leaves")
         left = time.monotonic()
@@ -201,12 +203,7 @@
             await refuse(exchange, run)
 
         async def trouble() -> None:
-            await wait_for(lambda: any(len(run.tokens) > 5 for run in rich.fleet.runs))
-            first = first_of(rich)
-            first.is_dark = True
-            for server in servers:
-                if server is not first:
-                    server.spoil = wait_long
+            first = await silence_first(rich, servers, wait_long)
             await anyio.sleep(0.6)
             first.is_dark = False
 
