--- a/tests/core/traffic/test_view.py
+++ b/tests/core/traffic/test_view.py
@@ -128,6 +128,24 @@
     assert not view.remove_server(server.id)
 
 
+def test_trouble_is_over_here_when_a_node_that_has_reached_the_store_again_tells() -> None:
+    """The last call of an outage ended at this node a second after the relay was back, and it asked the relay then.
+
+    It took itself to be in trouble for as long as it asked relays: entries that went 1.8 and 3.2 s later were "lapsed"
+    on five nodes of eight and "removed" on the others, and a server got work 2.06 s after it had left (2.0 s allowed).
+    """
+    clock = Clock()
+    view = PlatformView(5.0, clock)
+    server = make_server(1, "l4")
+    view.put_server(server)
+    view.note_failure()
+    relay = StoreContact(clock.now, failed_at=clock.now - 1.1, returned_at=clock.now - 1.0)
+    view.adopt_contact(relay)
+    clock.now += 1.8
+    view.adopt_contact(relay)
+    assert view.remove_server(server.id)
+
+
 def test_word_of_another_node_never_makes_the_view_older() -> None:
     clock = Clock()
     view = PlatformView(5.0, clock)
