End the trouble of a node when a relay that has reached the store again tells it

Cause: a node adopts the outage of a relay when both failed to reach the store at about the same time. Its own last call may fail a second after the relay is back; asking relays from then on, it never confirms anything with the store itself, its failure stayed newer than any return, and every entry that went was held for 2.2 s as lapsed. Class: a state that only one of two ways can end. Ruled out: the age of the relay's word (0.27 s), the processor (seen without break too). Change: the word of a relay that is not in trouble ends the own trouble then, as an answer of the store does; entries told with it count as lapsed as before.

--- a/packages/core/src/vaneturn_core/traffic/view.py
+++ b/packages/core/src/vaneturn_core/traffic/view.py
@@ -98,7 +98,9 @@
         if not self.contact.shares_trouble(contact):
             self.contact = StoreContact(confirmed_at)
             return
-        returned_at = max(self.contact.returned_at, contact.returned_at)
+        # the last call of an outage may end here after that of the other node, which has reached the store since
+        is_over = self.contact.is_in_trouble and not contact.is_in_trouble
+        returned_at = self._clock() if is_over else max(self.contact.returned_at, contact.returned_at)
         self.contact = StoreContact(confirmed_at, self.contact.failed_at, returned_at)
 
     def take_configuration(self, configuration: TrafficConfiguration) -> bool:
