--- a/packages/node/src/vaneturn_node/http1/caller.py
+++ b/packages/node/src/vaneturn_node/http1/caller.py
@@ -57,6 +57,7 @@
     ) -> Reply | Failed:
         """Call a server; the limit in seconds is for all of it, unless a long answer may arrive later."""
         link: HttpLink | None = None
+        parts: list[bytes] = []
         head = [(b"host", address.encode()), *headers]
         if body:
             head.append((b"content-type", b"application/json"))
@@ -67,10 +68,12 @@
                 answer = await link.read_head(limit)
                 if arrival is not None:
                     scope.deadline += arrival.extra
-                reply = Reply(answer.status, await _read_body(link, limit, arrival))
+                await _read_body(link, limit, arrival, parts)
         except TimeoutError:
             await _abort(link)
-            return Failed("no answer in time", was_sent=link is not None)
+            arrived = sum(map(len, parts))
+            cause = f"answer not whole in time, {arrived} bytes of it came" if arrived else "no answer in time"
+            return Failed(cause, was_sent=link is not None)
         except LinkError as error:
             await _abort(link)
             return Failed(error.cause, was_sent=error.was_sent, is_gone=error.is_refused)
@@ -78,16 +81,14 @@
             await _abort(link)
             raise
         await self._pool.put_back(link, address)
-        return reply
+        return Reply(answer.status, b"".join(parts))
 
 
-async def _read_body(link: HttpLink, limit: float, arrival: Arrival | None) -> bytes:
-    parts = []
+async def _read_body(link: HttpLink, limit: float, arrival: Arrival | None, parts: list[bytes]) -> None:
     while (data := await link.read_data(limit if arrival is None else arrival.silence)) is not None:
         parts.append(data)
         if arrival is not None:
             arrival.at = read_clock()
-    return b"".join(parts)
 
 
 async def _abort(link: HttpLink | None) -> None:
--- a/packages/node/src/vaneturn_node/traffic/following/follower.py
+++ b/packages/node/src/vaneturn_node/traffic/following/follower.py
@@ -60,6 +60,7 @@
         self._first_reading = first_reading
         self._revision: int | None = None
         self._is_reached = False
+        self._cause = ""  # of the newest failure
         self._failures = 0  # in a row
         self._rests: dict[VmId, float] = {}  # relays that failed, and until when they are not asked
         self._out_of_touch: set[VmId] = set()  # relays that said so last
@@ -84,8 +85,11 @@
     def _note_reached(self, *, is_answered: bool) -> None:
         if is_answered != self._is_reached:
             self._is_reached = is_answered
-            message = "store regained" if is_answered else "store lost"
-            logger.info(message, extra={"age": round(self._view.age, 3), "revision": self._revision})
+            extra = {"age": round(self._view.age, 3), "revision": self._revision}
+            if is_answered:
+                logger.info("store regained", extra=extra)
+            else:
+                logger.info("store lost", extra=extra | {"cause": self._cause})
 
     async def _ask(self) -> bool:
         """Ask a relay, or the store when none is in touch; false when nobody answered, or only relays are to ask."""
@@ -172,8 +176,7 @@
         items: dict[str, StoreItem] = {}
         page = await self._store.read_range(EVERYTHING)
         if isinstance(page, NotDone):
-            logger.debug("store not read", extra={"cause": page.cause})
-            return False
+            return self._fail(page)
         revision = page.revision
         while True:
             items.update((item.key, item) for item in page.items)
@@ -181,7 +184,7 @@
                 break
             page = await self._store.read_range(EVERYTHING, page.items[-1].key)
             if isinstance(page, NotDone):
-                return False
+                return self._fail(page)
         self._keeper.replace_all(items)
         self._revision = revision
         self._view.confirm(started)
@@ -197,8 +200,7 @@
             self._revision = None
             return True
         if isinstance(page, NotDone):
-            logger.debug("watch ended", extra={"cause": page.cause})
-            return False
+            return self._fail(page)
         has_waited = not page.items and read_clock() - started >= wait
         self._view.confirm(started + wait if has_waited else started)
         self._take(page.items, page.revision)
@@ -206,6 +208,12 @@
             await anyio.sleep(self._times.gather)
         return True
 
+    def _fail(self, page: NotDone) -> bool:
+        """Keep why the store gave nothing, for the line that tells that it is lost."""
+        self._cause = page.cause
+        logger.debug("store gave nothing", extra={"cause": page.cause})
+        return False
+
     def _choose_watch_time(self) -> float:
         """Choose how long to wait for changes: the word for those who ask must not get too old for them meanwhile.
 
