Read the newest values when a watch is still arriving at the end of its time

Callers saw: 503 keys_too_old for every call with a key, for ever, from a node that had been out of touch while a long configuration was written several times; it was well only once it had started anew.

Cause: a watch is answered with every version since the revision that the node knows. Twelve versions of 626,500 bytes take 6 s over 10 Mbit/s; the watch was given up 1.1 s after its wait, and the same was asked again, which only grows. The line that tells that the store is lost showed it ("answer not whole in time, 3063808 bytes of it came"). Ruled out: a store out of reach (bytes came), relays (the node is alone in the rig).

Why the mend holds: a range holds each key once, so that what is read does not grow with the time out of touch. A watch that ends otherwise (no head, a silence, a reset) is asked again as before, with the rests of an outage. The same elsewhere: a node whose history was gone threw away the revision that it knew, and asked the store alone until it was read; relays are asked in between now (unit test).

--- a/packages/node/src/vaneturn_node/http1/caller.py
+++ b/packages/node/src/vaneturn_node/http1/caller.py
@@ -27,13 +27,14 @@
     cause: str
     was_sent: bool  # a byte of the request has left
     is_gone: bool = False  # nobody listens there, or not the server that was asked
+    is_unfinished: bool = False  # the answer was still arriving when its time was up
 
 
 @dataclass(slots=True)
 class Arrival:
     """How a long answer may arrive, and when bytes of one came last."""
 
-    extra: float  # seconds beyond a call's limit, once its answer has begun
+    extra: float  # seconds beyond a call's limit, once its answer has begun; infinite when only a silence ends it
     silence: float  # seconds without a byte after which it is given up
     at: float = float("-inf")  # steady time of the newest bytes of a body
 
@@ -73,7 +74,7 @@
             await _abort(link)
             arrived = sum(map(len, parts))
             cause = f"answer not whole in time, {arrived} bytes of it came" if arrived else "no answer in time"
-            return Failed(cause, was_sent=link is not None)
+            return Failed(cause, was_sent=link is not None, is_unfinished=bool(arrived))
         except LinkError as error:
             await _abort(link)
             return Failed(error.cause, was_sent=error.was_sent, is_gone=error.is_refused)
--- a/packages/node/src/vaneturn_node/platform/store.py
+++ b/packages/node/src/vaneturn_node/platform/store.py
@@ -14,8 +14,9 @@
 from vaneturn_node.http1.caller import Arrival, Caller, Failed, Reply
 
 CALL_TIME: Final = 1.0  # seconds; the store answers in milliseconds when it is sound
-WATCH_MARGIN: Final = 0.5  # seconds beyond a watch's wait to the answer's head, and between bytes of its body
-BODY_TIME: Final = 0.6  # seconds beyond that for the body; the longest value, 1.4 MB, takes 0.56 s over 20 Mbit/s
+WATCH_MARGIN: Final = 0.5  # seconds beyond a watch's wait to the answer's head
+SILENCE: Final = 0.5  # seconds between bytes of an answer's body
+BODY_TIME: Final = 0.6  # seconds beyond its limit for a watch's body; the longest value takes 0.56 s over 20 Mbit/s
 _OK: Final = 200
 _NO_LEASE: Final = 404
 _NO_KEY: Final = 404
@@ -55,6 +56,13 @@
     """The store has forgotten the changes since the given revision."""
 
 
+@dataclass(frozen=True, slots=True)
+class WatchTooLong:
+    """The answer was still arriving when its time was up; the newest values alone may be far shorter."""
+
+    cause: str
+
+
 @dataclass(frozen=True, slots=True)
 class StoreConflict:
     """A key had another revision, so nothing was written."""
@@ -77,6 +85,7 @@
     """No answer: it may have been done, or be done seconds later."""
 
     cause: str
+    is_unfinished: bool = False  # the answer was arriving
 
 
 class _Item(Struct):
@@ -132,10 +141,16 @@
 
     async def watch(
         self, prefix: str, revision: int, wait: float, arrival: Arrival | None = None
-    ) -> StorePage | HistoryGone | NotDone:
-        """Wait for changes after a revision, at most some seconds; a long answer notes that it is arriving."""
+    ) -> StorePage | HistoryGone | WatchTooLong | NotDone:
+        """Wait for changes after a revision, at most some seconds; a long answer notes that it is arriving.
+
+        The answer holds every version since the revision, so that asking again for one that is too long to arrive in
+        time makes it longer still; the newest values are to be read then.
+        """
         query = urlencode({"path_prefix": prefix, "since_rev": revision, "wait_ms": int(wait * 1000)})
         reply = await self._call("GET", f"/api/kv-watch?{query}", wait + WATCH_MARGIN, arrival=arrival)
+        if isinstance(reply, MaybeDone) and reply.is_unfinished:
+            return WatchTooLong(reply.cause)
         if not isinstance(reply, Reply):
             return NotDone(reply.cause)
         if reply.status == _HISTORY_GONE:
@@ -187,7 +202,7 @@
     ) -> Reply | NotDone | MaybeDone:
         reply = await self._caller.call(self._address, method, target, limit, body=body, arrival=arrival)
         if isinstance(reply, Failed):
-            return MaybeDone(reply.cause) if reply.was_sent else NotDone(reply.cause)
+            return MaybeDone(reply.cause, reply.is_unfinished) if reply.was_sent else NotDone(reply.cause)
         if reply.status in _NOTHING_DONE:
             return NotDone(f"status {reply.status}")
         return reply
@@ -215,7 +230,7 @@
 
 __all__ = [
     "BODY_TIME",
-    "WATCH_MARGIN",
+    "SILENCE",
     "HistoryGone",
     "Lease",
     "LeaseOver",
@@ -225,4 +240,5 @@
     "StoreConflict",
     "StoreItem",
     "StorePage",
+    "WatchTooLong",
 ]
--- a/packages/node/src/vaneturn_node/traffic/following/follower.py
+++ b/packages/node/src/vaneturn_node/traffic/following/follower.py
@@ -13,7 +13,7 @@
 from vaneturn_core.traffic.relays import RelayTimes, rank_relays
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.clock import read_clock
-from vaneturn_node.platform.store import HistoryGone, NotDone, PlatformStore, StoreItem
+from vaneturn_node.platform.store import HistoryGone, NotDone, PlatformStore, StoreItem, WatchTooLong
 from vaneturn_node.traffic.following.viewkeeping import ViewKeeper
 from vaneturn_node.traffic.servers.firstreading import FirstReading
 from vaneturn_node.traffic.sharing.changeclient import ChangeClient, NoChanges
@@ -197,8 +197,10 @@
         page = await self._store.watch(EVERYTHING, revision, wait, self._server.arrival)
         if isinstance(page, HistoryGone):
             logger.info("store history gone", extra={"revision": revision})
-            self._revision = None
-            return True
+            return await self._reload()
+        if isinstance(page, WatchTooLong):
+            logger.info("store watch too long", extra={"revision": revision, "cause": page.cause})
+            return await self._reload()
         if isinstance(page, NotDone):
             return self._fail(page)
         has_waited = not page.items and read_clock() - started >= wait
--- a/tests/node/test_caller.py
+++ b/tests/node/test_caller.py
@@ -13,7 +13,7 @@
 from vaneturn_core.traffic.servers import ServerAddress
 from vaneturn_node.http1.caller import Arrival, Caller
 from vaneturn_node.http1.pool import LinkPool
-from vaneturn_node.platform.store import NotDone, PlatformStore, StorePage
+from vaneturn_node.platform.store import NotDone, PlatformStore, StorePage, WatchTooLong
 
 pytestmark = pytest.mark.anyio
 
@@ -50,3 +50,13 @@
             store = PlatformStore(Caller(LinkPool()), address)
             assert isinstance(await store.watch("", 1, WAIT, Arrival(extra=30.0, silence=0.2)), NotDone)
         tasks.cancel_scope.cancel()
+
+
+async def test_answer_that_still_arrives_when_its_time_is_up_is_told_from_none() -> None:
+    store, address = Store(body_time=2.0), ServerAddress(f"127.0.0.1:{find_port()}")
+    async with anyio.create_task_group() as tasks:
+        await store.listen(address, tasks)
+        store.put("op/config", b"x" * 50_000)
+        page = await PlatformStore(Caller(LinkPool()), address).watch("", 1, WAIT, Arrival(extra=0.2, silence=0.5))
+        assert isinstance(page, WatchTooLong)
+        tasks.cancel_scope.cancel()
--- a/tests/node/traffic/following/test_follower.py
+++ b/tests/node/traffic/following/test_follower.py
@@ -12,7 +12,7 @@
 from vaneturn_core.traffic.outage import MAX_RETRY, RELAY_RETRY
 from vaneturn_core.traffic.relays import RelayTimes, list_relays
 from vaneturn_core.traffic.view import PlatformView, StoreContact
-from vaneturn_node.platform.store import NotDone
+from vaneturn_node.platform.store import HistoryGone, NotDone, StorePage, WatchTooLong
 from vaneturn_node.traffic.following.follower import StoreFollower
 from vaneturn_node.traffic.servers.firstreading import FirstReading
 from vaneturn_node.traffic.sharing.changeclient import NoChanges, RelayedChanges
@@ -53,6 +53,9 @@
     def forget_lapsed(self) -> None:
         pass
 
+    def replace_all(self, _: Any) -> None:
+        pass
+
 
 class Server:
     arrival = None
@@ -129,3 +132,47 @@
     assert store.calls == 0
     assert follower.followed not in {None, *out}
     assert relays.asked[0] in relays.words
+
+
+class LongStore(Store):
+    """Gives no changes that could be read in time, or none at all, and the newest values."""
+
+    def __init__(self, answer: HistoryGone | WatchTooLong, page: StorePage | NotDone) -> None:
+        super().__init__()
+        self._answer = answer
+        self._page = page
+
+    async def watch(self, *_: Any) -> Any:
+        self.calls += 1
+        return self._answer
+
+    async def read_range(self, *_: Any) -> StorePage | NotDone:
+        return self._page
+
+
+UNREADABLE = [
+    pytest.param(WatchTooLong("arriving"), id="still arriving"),
+    pytest.param(HistoryGone(), id="history gone"),
+]
+
+
+@pytest.mark.parametrize("answer", UNREADABLE)
+async def test_newest_values_are_read_when_changes_cannot_be(answer: HistoryGone | WatchTooLong) -> None:
+    relays = Relays()
+    relays.word = NoChanges.NO_ANSWER
+    follower, view = make_follower(LongStore(answer, StorePage((), 90)), relays)
+    assert await follower._watch(5)
+    assert follower._revision == 90
+    assert view.age < 1.0
+
+
+@pytest.mark.parametrize("answer", UNREADABLE)
+async def test_relays_are_asked_when_the_newest_values_cannot_be_read(answer: HistoryGone | WatchTooLong) -> None:
+    """A node that gave up what it knew asked the store alone, which might turn just this node away."""
+    relays = Relays()
+    relays.word = NoChanges.NO_ANSWER
+    follower, _ = make_follower(LongStore(answer, NotDone("status 503")), relays)
+    assert not await follower._watch(5)
+    relays.word = RelayedChanges(6, [], StoreContact(time.monotonic()))
+    assert await follower._ask()
+    assert follower.followed is not None
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -336,6 +336,11 @@
         "tests/node/traffic/following/test_follower.py::test_node_leaves_a_store_that_is_away_to_its_relays",
         (Edit(f"{TRAFFIC}/following/follower.py", "if read_clock() < self._direct_from:", "if False:"),),
     ),
+    Proof(
+        "newest values are read in place of changes that are too long",
+        f"{SYSTEM}/test_catchup.py::test_node_that_missed_many_long_versions_serves_again",
+        (Edit(f"{PLATFORM}/store.py", "if isinstance(reply, MaybeDone) and reply.is_unfinished:", "if False:"),),
+    ),
     Proof(
         "the next nodes stand in for relays that were left",
         "tests/node/traffic/following/test_follower.py::test_next_nodes_stand_in_for_relays_that_the_store_turns_away",
--- a/tests/system/platform/test_catchup.py
+++ b/tests/system/platform/test_catchup.py
@@ -1,8 +1,17 @@
-"""A node that was out of touch while a long configuration was written many times."""
+"""A node that was out of touch while a long configuration was written many times never served again.
+
+Its watch of the store is answered with every version since the revision it knows. Twelve versions of 626,500 bytes
+take 6 s over its link of 10 Mbit/s, and a watch was given up 1.1 s after its wait, bytes arriving or not. Then the same
+was asked again, which grows with each version more, and the keys were too old for ever. The cause stood in the log:
+"store lost", "answer not whole in time, 3063808 bytes of it came", age 8.978, and no "store regained" after it. A node
+that starts reads the newest values, and was well. Now a node whose watch is still arriving when its time is up does the
+same.
+"""
 
 from __future__ import annotations
 
 import signal
+import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -38,8 +47,9 @@
     await narrow.add_desk()
     assert (await narrow.ask("/check/1")).status_code == 200
     await miss_changes(narrow)
-    with anyio.move_on_after(RECOVERY_TIME):
-        while (await narrow.ask("/check/1")).status_code != 200:
-            await anyio.sleep(0.2)
+    until = time.monotonic() + RECOVERY_TIME
     answer = await narrow.ask("/check/1")
+    while answer.status_code != 200 and time.monotonic() < until:
+        await anyio.sleep(0.2)
+        answer = await narrow.ask("/check/1")
     assert answer.status_code == 200, answer.text
