Read values for as long as bytes of them come

Callers saw: nothing but 503 from a node behind a link of 10 Mbit/s, once the configuration had grown to 1.03 MB; the store takes values of 1.05 MB, and the users have such links.

Cause: reading a range or a key had 1.0 s in all, and the longest value needs 1.1 s there (1.4 MB in base64). It was given up each time and asked for anew.

Why the mend holds: there is nothing shorter to ask for in place of the values, so that giving an arriving answer up is never better; a cut link or a store that stops still ends it, by a silence of 0.5 s (test_caller has that case).

Also looked at, with a way out already: a relay's answer and long values of relays have fixed times, and the store is asked when they fail.

--- a/packages/node/src/vaneturn_node/platform/store.py
+++ b/packages/node/src/vaneturn_node/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final, TypeVar
@@ -123,7 +124,7 @@
         query: dict[str, str | int] = {"path_prefix": prefix}
         if after:
             query["since_rev"] = after  # a key here, not a revision
-        reply = await self._call("GET", f"/api/kv-range?{urlencode(query)}")
+        reply = await self._read(f"/api/kv-range?{urlencode(query)}")
         if not isinstance(reply, Reply):
             return NotDone(reply.cause)
         page = _decode(reply, _Page)
@@ -131,7 +132,7 @@
 
     async def read_key(self, key: str) -> StoreItem | NotDone:
         """Read one key; a key that is not there has no value."""
-        reply = await self._call("GET", f"/api/kv-key?{urlencode({'key': key})}")
+        reply = await self._read(f"/api/kv-key?{urlencode({'key': key})}")
         if not isinstance(reply, Reply):
             return NotDone(reply.cause)
         if reply.status == _NO_KEY:
@@ -197,6 +198,10 @@
         """End a lease, at a planned stop; an unanswered call leaves it to run out."""
         await self._call("DELETE", f"/api/kv-lease-end/{lease}")
 
+    async def _read(self, target: str) -> Reply | NotDone | MaybeDone:
+        """Read values, for as long as they are arriving: there is nothing shorter to ask for in their place."""
+        return await self._call("GET", target, arrival=Arrival(math.inf, SILENCE))
+
     async def _call(
         self, method: str, target: str, limit: float = CALL_TIME, body: bytes = b"", arrival: Arrival | None = None
     ) -> Reply | NotDone | MaybeDone:
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -341,6 +341,11 @@
         f"{SYSTEM}/test_catchup.py::test_node_that_missed_many_long_versions_serves_again",
         (Edit(f"{PLATFORM}/store.py", "if isinstance(reply, MaybeDone) and reply.is_unfinished:", "if False:"),),
     ),
+    Proof(
+        "values are read for as long as they arrive",
+        f"{SYSTEM}/test_catchup.py::test_node_reads_the_longest_value_over_the_slowest_link",
+        (Edit(f"{PLATFORM}/store.py", "Arrival(math.inf, SILENCE)", "Arrival(0.0, SILENCE)"),),
+    ),
     Proof(
         "the next nodes stand in for relays that were left",
         "tests/node/traffic/following/test_follower.py::test_next_nodes_stand_in_for_relays_that_the_store_turns_away",
--- a/tests/system/platform/test_catchup.py
+++ b/tests/system/platform/test_catchup.py
@@ -5,7 +5,8 @@
 was asked again, which grows with each version more, and the keys were too old for ever. The cause stood in the log:
 "store lost", "answer not whole in time, 3063808 bytes of it came", age 8.978, and no "store regained" after it. A node
 that starts reads the newest values, and was well. Now a node whose watch is still arriving when its time is up does the
-same.
+same, and reads values for as long as bytes come: the longest value that the store takes needs 1.1 s over such a link,
+and was given up after 1.0 s each time.
 """
 
 from __future__ import annotations
@@ -23,6 +24,7 @@
 
 pytestmark = pytest.mark.anyio
 
+LONGEST_ROUTES = 4400  # a configuration of 1.03 MB; the store takes 1.05 MB
 VERSIONS = 12  # one of them is 626,500 bytes; all that were missed take 6 s of the link
 RECOVERY_TIME = 12.0  # seconds; the users' bound `recover_s`
 
@@ -53,3 +55,12 @@
         await anyio.sleep(0.2)
         answer = await narrow.ask("/check/1")
     assert answer.status_code == 200, answer.text
+
+
+async def test_node_reads_the_longest_value_over_the_slowest_link(narrow: Traffic) -> None:
+    await narrow.add_desk()
+    write_long(narrow, 2, 1400, more_routes=LONGEST_ROUTES)
+    assert len(narrow.fleet.store.items["op/config"].value) > 1_000_000
+    narrow.nodes[0].restart()
+    await narrow.nodes[0].wait_until_ready(narrow.client)
+    assert (await narrow.ask("/check/1")).status_code == 200
--- a/tests/system/platform/test_narrowlink.py
+++ b/tests/system/platform/test_narrowlink.py
@@ -39,11 +39,11 @@
         yield made
 
 
-def write_long(traffic: Traffic, version: int, timeout: int) -> None:
+def write_long(traffic: Traffic, version: int, timeout: int, more_routes: int = MORE_ROUTES) -> None:
     """Write a configuration with many routes; of two versions only the timeout of one route differs."""
     routes = make_configuration(1)["routes"]
     changed = {**routes[3], "timeout_ms": timeout}
-    more = make_more_routes(MORE_ROUTES, random.Random(1))
+    more = make_more_routes(more_routes, random.Random(1))
     configure(traffic.fleet.store, make_configuration(version, routes=[*routes[:3], changed, *routes[4:], *more]))
 
 
