Log which slots each map gives to whom, and show with tests that fail that nodes take slots of owners they have not met

Seen: test_owner_of_slots_that_is_cut_off failed once: three nodes wrote 17 maps within 0.1 s, and a cut node went on being served for 60 s. The logs said that a map was written and not what stood in it, so that a node left without slots could not be told from an owner that takes while it may not. They say it now, on writing and on reading, with the nodes that the writer knew.

--- a/packages/core/src/vaneturn_core/claims/slots.py
+++ b/packages/core/src/vaneturn_core/claims/slots.py
@@ -39,6 +39,11 @@
         """List the slots of a node."""
         return frozenset(slot for slot, index in enumerate(self.slots) if self.owners[index].node == node)
 
+    def count_slots(self) -> dict[NodeId, int]:
+        """Count the slots of each owner."""
+        counts = Counter(self.slots)
+        return {owner.node: counts[index] for index, owner in enumerate(self.owners)}
+
 
 def find_slot(customer: CustomerName, repeat_key: RepeatKey) -> int:
     """Find the slot of a key."""
--- a/packages/node/src/vaneturn_node/claims/ownership.py
+++ b/packages/node/src/vaneturn_node/claims/ownership.py
@@ -86,6 +86,8 @@
             self._drop_slots()
         self.map = slot_map
         own = slot_map.list_slots(self._table.own.node)
+        extra = {"epoch": slot_map.epoch, "slots": slot_map.count_slots(), "own": len(own)}
+        logger.info("slot map known", extra=extra)
         for slot in [slot for slot in self._accept_from if slot not in own]:
             del self._accept_from[slot]
             del self._ledgers[slot]
@@ -159,7 +161,9 @@
 
     async def _write(self, wanted: SlotMap) -> StoreVersion | Conflict | Unavailable:
         written = await self._store.write(SLOTS_KEY, msgspec.json.encode(wanted), self._version)
-        logger.info("slots assigned", extra={"epoch": wanted.epoch, "result": str(written)})
+        known = sorted(member.node for member in self._table.list_alive())
+        extra = {"epoch": wanted.epoch, "slots": wanted.count_slots(), "known": known, "result": str(written)}
+        logger.info("slots assigned", extra=extra)
         return written
 
     def find_owner(self, customer: CustomerName, repeat_key: RepeatKey) -> SlotOwner | None:
--- a/tests/node/test_ownership.py
+++ b/tests/node/test_ownership.py
@@ -230,3 +230,35 @@
 
 def _own(owner: SlotOwnership) -> SlotOwner:
     return SlotOwner(owner._table.own.node, owner._table.own.address)
+
+
+def make_newcomer(store: FakeStore) -> SlotOwnership:
+    """Make the part of a node that has met nobody yet."""
+    return SlotOwnership(store, MemberTable(make_member(7), Random(7), time.monotonic))
+
+
+@pytest.mark.anyio
+async def test_node_that_has_met_nobody_takes_no_slots_of_owners() -> None:
+    store = FakeStore()
+    make_owners(store, 3)
+    newcomer = make_newcomer(store)
+    with anyio.move_on_after(1.0):
+        await newcomer.run()
+    assert store.version == 1, newcomer.map.count_slots()
+
+
+@pytest.mark.anyio
+async def test_first_map_names_the_nodes_that_start_together() -> None:
+    store, members = FakeStore(), [make_member(index) for index in range(3)]
+    tables = [MemberTable(member, Random(7), time.monotonic) for member in members]
+    with anyio.move_on_after(6.0):
+        async with anyio.create_task_group() as tasks:
+            for table in tables:
+                tasks.start_soon(SlotOwnership(store, table).run)
+                await anyio.sleep(0.2)
+            for table in tables:
+                table.merge(members)
+            await anyio.sleep_forever()
+    slot_map = msgspec.json.decode(store.value, type=SlotMap)
+    assert slot_map.epoch == 1
+    assert len(slot_map.owners) == 3
