--- a/tests/rig/soakclients.py
+++ b/tests/rig/soakclients.py
@@ -36,6 +36,7 @@
     left_at: dict[str, float] = field(default_factory=dict)  # servers that said they leave
     troubles: list[tuple[float, float]] = field(default_factory=list)  # of nodes and the store, from and to
     cuts: list[Cut] = field(default_factory=list)  # of streams that had begun
+    stopped: list[Cut] = field(default_factory=list)  # of streams that a planned stop may have cut
     by_whom: Troubles = field(default_factory=Troubles)
 
 
@@ -56,7 +57,9 @@
         self._keys: dict[str, float] = {KEY: NEVER}  # and when each was taken away
         self._seen: defaultdict[tuple[int, int], int] = defaultdict(int)  # by node and process: newest version used
 
-    async def _ask(self, path: str, node: int, key: str = KEY) -> tuple[str, httpx.Response | None]:
+    async def _ask(
+        self, path: str, node: int, key: str = KEY, *, through_a_stop: bool = False
+    ) -> tuple[str, httpx.Response | None]:
         """Send one request; gives its id, and its whole answer unless it was cut."""
         request = f"soak-{random.getrandbits(60):x}"
         sent, answer = time.monotonic(), None
@@ -66,8 +69,12 @@
             await answer.aread()
         except httpx.TransportError as error:
             self.findings.counts["cut"] += 1
-            if answer is not None and answer.status_code == httpx.codes.OK and path in STREAMS:
-                self.findings.cuts.append(Cut(request, path, node, repr(error), sent, time.monotonic()))
+            has_begun = answer is not None and answer.status_code == httpx.codes.OK
+            cut = Cut(request, path, node, repr(error), sent, time.monotonic())
+            if has_begun and path in STREAMS:
+                self.findings.cuts.append(cut)
+            if through_a_stop:
+                self.findings.stopped.append(cut)
             return request, None
         self.findings.counts[f"{path.split('/')[1]} {answer.status_code}"] += 1
         if answer.status_code == httpx.codes.BAD_REQUEST:
--- a/tests/rig/soakfaults.py
+++ b/tests/rig/soakfaults.py
@@ -257,9 +257,7 @@
         tasks.start_soon(self._crash_until_noticed, server)
 
     async def _ask_through_a_stop(self, number: int) -> None:
-        _, answer = await self._ask("/letter/1", number)
-        if answer is None:
-            self.findings.faults.append("a planned stop cut a stream")
+        await self._ask("/letter/1", number, through_a_stop=True)
 
 
 __all__ = ["SoakFaults"]
--- a/tests/rig/trafficsoak.py
+++ b/tests/rig/trafficsoak.py
@@ -104,12 +104,19 @@
             findings.counts[f"begun and cut: {excuse or 'no excuse'}"] += 1
             if excuse is None:
                 findings.faults.append(self._describe_cut(cut))
+        for cut in findings.stopped:
+            findings.faults.append(f"a planned stop cut a stream: {self._describe_cut(cut)}")
 
     def _describe_cut(self, cut: Cut) -> str:
         lines = (line for line in self.traffic.nodes[cut.node].read_log() if line.get("request") == cut.request)
-        steps = next((line["steps"] for line in lines if "steps" in line), None)
+        ended = next((line for line in lines if "steps" in line), None)
+        told = f"{ended['ending']}, {ended['events']} events, {ended['steps']}" if ended else "not in the node's log"
+        servers = {
+            part.address for run in self.traffic.fleet.find_runs(cut.request) for one in run.chains for part in one
+        }
+        excuse = self.findings.by_whom.find_excuse(cut, servers) or "no excuse"
         took = cut.cut_at - cut.sent_at
-        return f"{cut.path} {cut.request} of node {cut.node} was cut after {took:.2f} s, {cut.cause}: {steps}"
+        return f"{cut.path} {cut.request} of node {cut.node} cut after {took:.2f} s, {cut.cause}, {excuse}: {told}"
 
     def _was_troubled(self, at: float) -> bool:
         """Tell whether a node or the store was in trouble in the time before."""
--- a/tests/system/platform/test_stopping.py
+++ b/tests/system/platform/test_stopping.py
@@ -69,3 +69,25 @@
     answer = await traffic.client.get(f"http://127.0.0.1:{traffic.nodes[0].metrics_port}/metrics")
     assert 'vaneturn_requests_total{ending="status 200"} 1.0' in answer.text
     assert 'customer="broker",route="once"' in answer.text
+
+
+@pytest.mark.parametrize("path", ["/letter/1", "/once/1"])
+async def test_request_that_has_arrived_with_the_signal_is_served(traffic: Traffic, path: str) -> None:
+    """On a kept connection and on a new one; the node is held up, so that both are there when it goes on."""
+    await traffic.add_chains()
+    await traffic.add_desk()
+    assert (await traffic.ask(path)).status_code == 200
+    node = traffic.nodes[0]
+    answers: list[httpx.Response] = []
+
+    async def ask() -> None:
+        answers.append(await traffic.ask(path))
+
+    async with anyio.create_task_group() as tasks:
+        node.process.send(signal.SIGSTOP)
+        for _ in range(3):
+            tasks.start_soon(ask)
+        await anyio.sleep(0.3)
+        node.process.send(signal.SIGTERM)
+        node.process.send(signal.SIGCONT)
+    assert [answer.status_code for answer in answers] == [200] * 3
