Read requests that have arrived when a planned stop begins, and judge begun streams of a stop like all others

Callers saw: a connection that ended without an answer, though their request had arrived before the node stopped.

Cause: the signal cancelled the wait for a request on each connection without one, and closed it, bytes there or not. Ruled out: streams that have begun (54 stops, none without another cause) and the end of the listener 2.6 s later.

Why the mend holds: what was sent before the client could see the stop is here in 0.05 s, and is read, with "connection: close" on its answer. A connection whose answer began before the signal, and could not tell, is looked at as well.

Begun streams are judged as all others are, with the same words; a request that had not begun stays a fault whatever else went wrong.

--- a/packages/node/src/vaneturn_node/http1/server.py
+++ b/packages/node/src/vaneturn_node/http1/server.py
@@ -17,6 +17,7 @@
 
 RECEIVE_BYTES: Final = 65536
 MAX_AHEAD_BYTES: Final = 65536  # of later requests that are read while one is answered
+LAST_LOOK: Final = 0.05  # seconds in which a request that was sent before its client could see a planned stop is here
 LINGER_TIME: Final = 0.5  # seconds in which a client may read the answer to a request that was not read whole
 HEADER_OVERHEAD: Final = 4  # bytes of a header line beside its name and value
 NO_BODY_STATUSES: Final = frozenset({204, 304})
@@ -127,6 +128,7 @@
         self._protocol = h11.Connection(our_role=h11.SERVER, max_incomplete_event_size=limits.header_bytes)
         self._is_stopping = is_stopping
         self._has_left = False  # the client
+        self._is_kept = False  # after an answer
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
@@ -158,9 +160,10 @@
         await self._answer(request, answer)
         if not answer.is_ended or self._protocol.our_state is not h11.DONE:
             return False
-        if self._has_left or answer.closes or self._is_stopping():
+        if self._has_left or answer.closes:
             return False
         self._protocol.start_next_cycle()
+        self._is_kept = True
         return True
 
     async def _answer(self, request: ClientRequest, answer: ClientAnswer) -> None:
@@ -203,15 +206,26 @@
         return Rejection(408, "the request took too long to arrive")
 
     async def _await_first_bytes(self) -> bool:
+        """Wait for a request; false when none comes.
+
+        A planned stop ends the wait, and a request may have arrived in the same moment, or be on its way to a
+        connection whose last answer did not tell that it ends: closing at once would cut a request that was never read.
+        """
+        is_ending = self._is_kept and self._is_stopping()
         with anyio.CancelScope() as scope:
             self._idle_scopes.add(scope)
             try:
-                with anyio.move_on_after(self._limits.idle_time):
-                    data = await self._receive()
-                    self._protocol.receive_data(data)
-                    return bool(data)
+                return await self._take_bytes(LAST_LOOK if is_ending else self._limits.idle_time)
             finally:
                 self._idle_scopes.discard(scope)
+        return await self._take_bytes(LAST_LOOK)
+
+    async def _take_bytes(self, limit: float) -> bool:
+        """Take what arrives first; false when nothing does in time, or the client has left."""
+        with anyio.move_on_after(limit):
+            data = await self._receive()
+            self._protocol.receive_data(data)
+            return bool(data)
         return False
 
     async def _read_body(self, head: h11.Request, arrived: float) -> ClientRequest | Rejection:
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -336,6 +336,11 @@
         "tests/node/traffic/following/test_follower.py::test_node_leaves_a_store_that_is_away_to_its_relays",
         (Edit(f"{TRAFFIC}/following/follower.py", "if read_clock() < self._direct_from:", "if False:"),),
     ),
+    Proof(
+        "a request that has arrived with the signal is read",
+        f"{SYSTEM}/test_stopping.py::test_request_that_has_arrived_with_the_signal_is_served",
+        (Edit("node/src/vaneturn_node/http1/server.py", "return await self._take_bytes(LAST_LOOK)", "return False"),),
+    ),
     Proof(
         "newest values are read in place of changes that are too long",
         f"{SYSTEM}/test_catchup.py::test_node_that_missed_many_long_versions_serves_again",
--- a/tests/rig/trafficsoak.py
+++ b/tests/rig/trafficsoak.py
@@ -104,8 +104,10 @@
             findings.counts[f"begun and cut: {excuse or 'no excuse'}"] += 1
             if excuse is None:
                 findings.faults.append(self._describe_cut(cut))
+        judged = {cut.request for cut in findings.cuts}  # those that had begun, above
         for cut in findings.stopped:
-            findings.faults.append(f"a planned stop cut a stream: {self._describe_cut(cut)}")
+            if cut.request not in judged:
+                findings.faults.append(f"a planned stop cut a stream: {self._describe_cut(cut)}")
 
     def _describe_cut(self, cut: Cut) -> str:
         lines = (line for line in self.traffic.nodes[cut.node].read_log() if line.get("request") == cut.request)
