--- a/packages/node/src/vaneturn_node/traffic/servers/firstreading.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/firstreading.py
@@ -19,6 +19,11 @@
         """Let all who wait go on: there is a configuration now, or none is on its way."""
         self._ended.set()
 
+    def describe(self) -> str:
+        """Describe it, for the log line of a request that got no configuration."""
+        state = "ended without a configuration" if self._ended.is_set() else "under way"
+        return f"first reading {state}, {read_clock() - self._began:.2f} s after its begin"
+
     async def wait(self) -> None:
         """Wait for its end, if that may still be worth waiting for."""
         longest = compute_first_wait(read_clock() - self._began, is_read=self._ended.is_set())
--- a/packages/node/src/vaneturn_node/traffic/serving/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answering.py
@@ -71,7 +71,7 @@
         """Find the route and the customer of a request, by the configuration in force now."""
         configuration = self._parts.view.configuration
         if configuration is None:
-            return refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY)
+            return refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY, self._parts.first_reading.describe())
         route = configuration.find_route(facts.host, request.path)
         are_valid = self._parts.view.are_keys_valid()
         if route is None:
--- a/tests/system/platform/test_starting.py
+++ b/tests/system/platform/test_starting.py
@@ -12,6 +12,7 @@
 pytestmark = pytest.mark.anyio
 
 READING_TIME = 0.4  # seconds, as of 1 MB over 20 Mbit/s
+LONGEST_READING_TIME = 1.1  # seconds, as of the longest value of the store over 10 Mbit/s
 
 
 async def ask_when_it_listens(traffic: Traffic, path: str) -> httpx.Response:
@@ -38,6 +39,17 @@
     assert messages.index("serving") < messages.index("configuration in force")
 
 
+async def test_request_waits_while_a_long_reading_makes_progress(traffic: Traffic) -> None:
+    await traffic.add_desk()
+    store, node = traffic.fleet.store, traffic.nodes[0]
+    store.put("other/long", b"x" * LONG_BYTES)
+    store.body_time = LONGEST_READING_TIME
+    node.process.end()
+    node.restart()
+    answer = await ask_when_it_listens(traffic, "/once/1")
+    assert answer.status_code == 200, answer.text
+
+
 async def test_nobody_waits_when_the_first_reading_has_failed(traffic: Traffic) -> None:
     await traffic.add_desk()
     node = traffic.nodes[0]
