Let requests of the first moment wait for as long as their clients bear while the configuration arrives

Callers saw: 503 from a node that starts, 0.002 to 0.342 s after they had come, though its configuration was arriving.

Cause: the wait was counted from the begin of the process to 0.6 s after it, a guess of how long a reading takes. A busy machine takes longer (6 of 12 runs beside twenty busy processes and a score: "first reading under way, 0.60 to 0.68 s after its begin"), and the longest value over 10 Mbit/s does anywhere. Ruled out by that line: a reading that had failed, and a server that is not listed.

Why the mend holds: the wait goes by the request's arrival and by what its client bears (half of its deadline, and 1.5 of the 2 s after which clients give a stream up); a reading ends by itself, by a silence of 0.5 s or no answer in 1.0 s, and then nobody waits. A request whose route's time is over by then was told that there is no server; it is told so now.

--- a/packages/node/src/vaneturn_node/traffic/servers/firstreading.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/firstreading.py
@@ -24,9 +24,13 @@
         state = "ended without a configuration" if self._ended.is_set() else "under way"
         return f"first reading {state}, {read_clock() - self._began:.2f} s after its begin"
 
-    async def wait(self) -> None:
-        """Wait for its end, if that may still be worth waiting for."""
-        longest = compute_first_wait(read_clock() - self._began, is_read=self._ended.is_set())
+    async def wait(self, deadline: float | None, arrived: float) -> None:
+        """Wait for its end, for as long as a client bears.
+
+        :param deadline: seconds that the client waits.
+        :param arrived: when its request did, by the steady clock.
+        """
+        longest = compute_first_wait(deadline, read_clock() - arrived, is_read=self._ended.is_set())
         with anyio.move_on_after(longest):
             await self._ended.wait()
 
--- a/packages/node/src/vaneturn_node/traffic/serving/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answering.py
@@ -55,7 +55,7 @@
         self.in_progress += 1
         try:
             if self._parts.view.configuration is None:
-                await self._parts.first_reading.wait()
+                await self._parts.first_reading.wait(facts.deadline, request.arrived)
             admitted = self._admit(request, facts)
             if isinstance(admitted, OwnAnswer):
                 result = admitted
@@ -104,8 +104,10 @@
 
     async def _forward_in_time(self, work: RequestInProgress, answer: ClientAnswer) -> Answered | OwnAnswer | None:
         """Forward a request; at the end of its time it gets its final answer, or is broken off."""
+        if work.left <= 0:  # it has waited for the first configuration
+            return refuse(Reason.TIMEOUT, OLD_KEYS_RETRY)
         result: Answered | OwnAnswer | None = None
-        with anyio.move_on_after(max(0.0, work.left)) as scope:
+        with anyio.move_on_after(work.left) as scope:
             self._open[scope] = work
             try:
                 result = await self._forward(work, answer)
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -329,7 +329,7 @@
     Proof(
         "requests of the first moments wait for the configuration",
         f"{SYSTEM}/test_starting.py::test_request_of_the_first_moment_waits_for_the_configuration",
-        (Edit(f"{CORE}/startup.py", "LONGEST_READING: Final = 0.6", "LONGEST_READING: Final = 0.0"),),
+        (Edit(f"{CORE}/startup.py", "WAIT_SHARE: Final = 0.5", "WAIT_SHARE: Final = 0.0"),),
     ),
     Proof(
         "a store that is away for all is left to the relays",
--- a/tests/system/platform/test_starting.py
+++ b/tests/system/platform/test_starting.py
@@ -1,4 +1,12 @@
-"""A node that starts while clients are there already, as after a loss of power of all VMs."""
+"""A node that starts while clients are there already, as after a loss of power of all VMs.
+
+A request of the first moment waited for the first reading of the store until 0.6 s after the begin of the process,
+however long it had waited itself, and however well the reading went. On a busy machine a reading of 0.4 s takes longer
+than that, and over 10 Mbit/s the longest value of the store does anywhere; who came late in the 0.6 s hardly waited at
+all. The refusals show it: "first reading under way, 0.61 s after its begin", of a request that had waited for 0.002 to
+0.342 s (6 of 12 runs beside twenty busy processes). Now it waits for as long as its client bears, while the reading is
+under way; a reading ends by itself when nothing arrives.
+"""
 
 from __future__ import annotations
 
@@ -46,10 +54,22 @@
     store.body_time = LONGEST_READING_TIME
     node.process.end()
     node.restart()
-    answer = await ask_when_it_listens(traffic, "/once/1")
+    answer = await ask_when_it_listens(traffic, "/check/1")  # its route may be held for longer than that
     assert answer.status_code == 200, answer.text
 
 
+async def test_request_whose_time_is_over_when_the_reading_ends_is_told_so(traffic: Traffic) -> None:
+    await traffic.add_desk()
+    store, node = traffic.fleet.store, traffic.nodes[0]
+    store.put("other/long", b"x" * LONG_BYTES)
+    store.body_time = LONGEST_READING_TIME
+    node.process.end()
+    node.restart()
+    answer = await ask_when_it_listens(traffic, "/once/1")
+    assert answer.status_code == 503
+    assert answer.json()["error"] == "timeout"
+
+
 async def test_nobody_waits_when_the_first_reading_has_failed(traffic: Traffic) -> None:
     await traffic.add_desk()
     node = traffic.nodes[0]
