--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,34 @@
+"""The own days under deploy/days/ can be played on any deployment."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+DAYS = sorted((Path(__file__).parents[1] / "deploy" / "days").glob("*.toml"))
+
+
+def list_troubles(path: Path) -> list[dict[str, Any]]:
+    return [
+        trouble
+        for day in tomllib.loads(path.read_text())["day"]
+        for part in ("plan", "faults")
+        for trouble in day.get(part, [])
+    ]
+
+
+@pytest.mark.parametrize("path", DAYS, ids=lambda path: path.stem)
+def test_day_names_services_and_classes_by_their_place(path: Path) -> None:
+    """A name of one deployment ends the play of the day, and with it a hunt, on all others."""
+    troubles = list_troubles(path)
+    assert troubles
+    for trouble in troubles:
+        for field in ("service", "class"):
+            assert str(trouble.get(field, "@")).startswith("@"), trouble
+
+
+def test_a_request_that_ends_its_servers_has_a_day() -> None:
+    assert any(trouble["kind"] == "poison" for path in DAYS for trouble in list_troubles(path))
