Show with a test that fails that a frozen engine holds up a rollout on all others

Seen once: the rollout of test_frozen_holder_that_thaws was not done in 30 s beside its frozen engine; nothing told where the time went. There the frozen engine comes last in the plan.

--- a/tests/system/test_placing.py
+++ b/tests/system/test_placing.py
@@ -232,3 +232,14 @@
     ordered.set_faults("kv")
     wait_until(lambda: hold(ordered, "runner-0a"))
     assert_orders_are_fenced(ordered)
+
+
+def test_rollout_goes_on_beside_a_frozen_engine_that_would_be_the_first(ordered: Installation) -> None:
+    frozen = "runner-0a"
+    ordered.processes[frozen].send(signal.SIGSTOP)
+    roll_out(ordered, "2", ordered.nodes[0])
+    wait_until(lambda: all(hold(ordered, name, "2") for name in list_engines(ordered) if name != frozen))
+    ordered.processes[frozen].send(signal.SIGCONT)
+    wait_until(lambda: hold(ordered, frozen, "2"))
+    assert_orders_are_fenced(ordered)
+    assert_store_was_spared(ordered)
