--- a/tests/system/platform/test_starting.py
+++ b/tests/system/platform/test_starting.py
@@ -47,24 +47,23 @@
     assert messages.index("serving") < messages.index("configuration in force")
 
 
-async def test_request_waits_while_a_long_reading_makes_progress(traffic: Traffic) -> None:
+async def restart_behind_a_long_reading(traffic: Traffic) -> None:
     await traffic.add_desk()
-    store, node = traffic.fleet.store, traffic.nodes[0]
+    store = traffic.fleet.store
     store.put("other/long", b"x" * LONG_BYTES)
     store.body_time = LONGEST_READING_TIME
-    node.process.end()
-    node.restart()
+    traffic.nodes[0].process.end()
+    traffic.nodes[0].restart()
+
+
+async def test_request_waits_while_a_long_reading_makes_progress(traffic: Traffic) -> None:
+    await restart_behind_a_long_reading(traffic)
     answer = await ask_when_it_listens(traffic, "/check/1")  # its route may be held for longer than that
     assert answer.status_code == 200, answer.text
 
 
 async def test_request_whose_time_is_over_when_the_reading_ends_is_told_so(traffic: Traffic) -> None:
-    await traffic.add_desk()
-    store, node = traffic.fleet.store, traffic.nodes[0]
-    store.put("other/long", b"x" * LONG_BYTES)
-    store.body_time = LONGEST_READING_TIME
-    node.process.end()
-    node.restart()
+    await restart_behind_a_long_reading(traffic)
     answer = await ask_when_it_listens(traffic, "/once/1")
     assert answer.status_code == 503
     assert answer.json()["error"] == "timeout"
