--- a/packages/node/src/vaneturn_node/answers/generation.py
+++ b/packages/node/src/vaneturn_node/answers/generation.py
@@ -22,7 +22,7 @@
 from vaneturn_node.answers.stagerun import HopFailure, StageRun
 from vaneturn_node.clock import read_clock
 from vaneturn_node.metrics import Metrics
-from vaneturn_node.stages.link import Lost
+from vaneturn_node.stages.steps import Lost
 
 CHUNK: Final = 256  # positions of a prompt in one step
 ROUTE_RETRY: Final = 0.1  # seconds between looks for a route while an answer in progress has none
--- a/packages/node/src/vaneturn_node/answers/stagerun.py
+++ b/packages/node/src/vaneturn_node/answers/stagerun.py
@@ -12,8 +12,9 @@
 from vaneturn_core.routing.recovery import MIN_STEP_TIMEOUT
 from vaneturn_core.tiling import assert_tiling
 from vaneturn_node.answers.request import AnswerRequest
-from vaneturn_node.stages.link import Lost, StageLink
+from vaneturn_node.stages.link import StageLink
 from vaneturn_node.stages.pool import LinkPool
+from vaneturn_node.stages.steps import Lost
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/vaneturn_node/stages/link.py
+++ b/packages/node/src/vaneturn_node/stages/link.py
@@ -5,7 +5,6 @@
 import logging
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
 import anyio
@@ -27,12 +26,12 @@
     Reply,
     Step,
 )
-from vaneturn_core.identifiers import SessionId
 from vaneturn_core.routing.health import LeavingSource, ServerHealths
 from vaneturn_core.routing.hops import Hop
 from vaneturn_node.clock import read_clock
 from vaneturn_node.metrics import Metrics
 from vaneturn_node.stages.holding import Holding
+from vaneturn_node.stages.steps import AwaitedStep, Lost, StepKey, StepResult, matches, name_step
 from vaneturn_node.stages.window import StepWindow
 
 CONNECT_TIMEOUT: Final = 1.0  # seconds
@@ -45,28 +44,6 @@
 
 logger = logging.getLogger(__name__)
 
-_StepKey = tuple[SessionId, int, int, bool]
-
-
-@dataclass(frozen=True)
-class Lost:
-    """No reply to a step."""
-
-    sent: bool  # whether the step may have reached the server
-
-
-StepResult = Done | Refused | Lost
-
-
-@dataclass
-class _Awaited:
-    """A step whose reply is awaited."""
-
-    step: Step
-    hop: Hop
-    done: anyio.Event
-    result: StepResult = Lost(sent=False)
-
 
 class StageLink:
     """Sends orders in batches and hands each reply to the step that awaits it."""
@@ -90,7 +67,7 @@
         self._metrics = metrics
         self._outgoing: list[Order] = []
         self._wake = anyio.Event()
-        self._awaited: dict[_StepKey, _Awaited] = {}
+        self._awaited: dict[StepKey, AwaitedStep] = {}
         self._connected = anyio.Event()
         self._on_holdings = on_holdings
         self.holding = Holding()
@@ -136,10 +113,10 @@
     async def _run_in_window(self, step: Step, hop: Hop, timeout: float) -> StepResult:  # noqa: ASYNC109 # see above
         if not self.is_connected:
             return Lost(sent=False)
-        key = _name_step(step)
+        key = name_step(step)
         if key in self._awaited:
             raise AssertionError(f"step awaited twice: {key}")
-        awaited = self._awaited[key] = _Awaited(step, hop, anyio.Event(), Lost(sent=True))
+        awaited = self._awaited[key] = AwaitedStep(step, hop, anyio.Event(), Lost(sent=True))
         health = self._healths[self.server.vm]
         health.in_progress += 1
         started = read_clock()
@@ -232,7 +209,7 @@
         if awaited is None or awaited.done.is_set():
             self._metrics.dropped.labels("late").inc()
             return True
-        if isinstance(reply, Done) and not _matches(reply, awaited):
+        if isinstance(reply, Done) and not matches(reply, awaited):
             self._metrics.dropped.labels("mismatch").inc()
             logger.error("reply names other work than its step", extra={"server": self.server.vm})
             return False
@@ -245,13 +222,4 @@
             awaited.done.set()
 
 
-def _name_step(step: Step) -> _StepKey:
-    return (step.session, step.attempt, step.position, step.rebuild)
-
-
-def _matches(reply: Done, awaited: _Awaited) -> bool:
-    step, hop = awaited.step, awaited.hop
-    return reply.count == step.count and reply.first == hop.first and reply.end == hop.end
-
-
 __all__ = ["Lost", "StageLink", "StepResult"]
--- a/tests/rig/mechanisms.py
+++ b/tests/rig/mechanisms.py
@@ -33,7 +33,7 @@
         "tests/system/test_stages.py::test_replies_go_wrong",
         (
             Edit(
-                f"{NODE}/stages/link.py",
+                f"{NODE}/stages/steps.py",
                 "return reply.count == step.count and reply.first == hop.first and reply.end == hop.end",
                 "return reply.count == step.count or hop is None",
             ),
