--- a/packages/node/src/vaneturn_node/http/answering.py
+++ b/packages/node/src/vaneturn_node/http/answering.py
@@ -10,8 +10,7 @@
 import anyio
 import msgspec
 import xxhash
-from starlette.responses import Response, StreamingResponse
-from starlette.types import Receive, Scope, Send
+from starlette.responses import Response
 
 from vaneturn_core.configuration.schema import Pipeline, WorkClass
 from vaneturn_core.engine.tokens import count_tokens
@@ -238,19 +237,4 @@
                 await self._runtime.claims.release(self._claim)
 
 
-class AnswerResponse(StreamingResponse):
-    """A streamed answer that is closed however the connection ends, even before its first event."""
-
-    def __init__(self, answer: Answer, first: Piece | None) -> None:
-        super().__init__(answer.stream(first), headers=answer.headers, media_type="text/event-stream")
-        self._answer = answer
-
-    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Send the stream."""
-        try:
-            await super().__call__(scope, receive, send)
-        finally:
-            await self._answer.close()
-
-
-__all__ = ["Answer", "AnswerResponse", "ChatCall"]
+__all__ = ["Answer", "ChatCall"]
--- a/packages/node/src/vaneturn_node/http/chat.py
+++ b/packages/node/src/vaneturn_node/http/chat.py
@@ -14,7 +14,8 @@
 from vaneturn_core.identifiers import PipelineName
 from vaneturn_core.outcomes import NotRun, Reason, Unknown
 from vaneturn_node.answers.resume import ResumeCodec, ResumePoint, digest_prompt
-from vaneturn_node.http.answering import Answer, AnswerResponse, ChatCall
+from vaneturn_node.http.answering import Answer, ChatCall
+from vaneturn_node.http.answerresponse import AnswerResponse
 from vaneturn_node.http.chatformat import ChatRequest, ModelCard, ModelList
 from vaneturn_node.http.errors import answer_error
 from vaneturn_node.http.reading import RESUME_HEADER, SESSION_HEADER, Call, Malformed, find_customer, read_call
