Give two things two names, and tell a purpose in place of a figure

"Introduce" named both a message between nodes and the callable that unmet owners are asked with; the callable is AskWho now.

--- a/packages/node/src/vaneturn_node/claims/ownership.py
+++ b/packages/node/src/vaneturn_node/claims/ownership.py
@@ -15,7 +15,7 @@
 from vaneturn_core.identifiers import CustomerName, RepeatKey, StoreVersion
 from vaneturn_core.membership.table import MemberTable
 from vaneturn_core.ports import Conflict, Entry, KeyValueService, Unavailable
-from vaneturn_node.claims.unmet import Introduce, UnmetOwners, ask_nobody
+from vaneturn_node.claims.unmet import AskWho, UnmetOwners, ask_nobody
 from vaneturn_node.clock import read_clock
 from vaneturn_node.peers.messages import HandOver
 from vaneturn_node.peers.requests import PeerClient
@@ -40,7 +40,7 @@
 class SlotOwnership:
     """Confirms the map with the key-value service; takes claims for the own slots while it is sure of them."""
 
-    def __init__(self, store: KeyValueService, table: MemberTable, introduce: Introduce = ask_nobody) -> None:
+    def __init__(self, store: KeyValueService, table: MemberTable, introduce: AskWho = ask_nobody) -> None:
         self._store = store
         self._table = table
         self._unmet = UnmetOwners(table, introduce)
--- a/packages/node/src/vaneturn_node/claims/unmet.py
+++ b/packages/node/src/vaneturn_node/claims/unmet.py
@@ -14,7 +14,7 @@
 from vaneturn_core.membership.table import MemberTable
 from vaneturn_node.clock import read_clock
 
-Introduce = Callable[[str], Awaitable[Member | None]]  # asks who has a peer address; none without an answer
+AskWho = Callable[[str], Awaitable[Member | None]]  # asks who has a peer address; none without an answer
 
 SETTLE_TIME: Final = 2.0  # seconds; a node that lost the race for the meeting point tries again after 1 s
 
@@ -33,7 +33,7 @@
     each other in turn.
     """
 
-    def __init__(self, table: MemberTable, introduce: Introduce) -> None:
+    def __init__(self, table: MemberTable, introduce: AskWho) -> None:
         self._table = table
         self._introduce = introduce
         self._unmet_since: dict[NodeId, float] = {}
@@ -69,4 +69,4 @@
         logger.info("owner of slots asked", extra=extra)
 
 
-__all__ = ["Introduce", "UnmetOwners", "ask_nobody"]
+__all__ = ["AskWho", "UnmetOwners", "ask_nobody"]
--- a/packages/node/src/vaneturn_node/stages/window.py
+++ b/packages/node/src/vaneturn_node/stages/window.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-SLACK: Final = 1.5  # measured against 1.0: the same at four stages, a seventh more throughput at eight
+SLACK: Final = 1.5  # steps beyond what keeps the server busy on average: replies do not come evenly
 
 
 class StepWindow:
