Read what servers ask of a node in their answers, and log it where it changes

Cause: three hypotheses on exceeded rate limits could not be told apart, as no log named a limit, a rest or a leaving. Change: the adapter decodes Server-Limit, Retry-After of a refusal and Server-Leaving into one type; refused values name field and bound, in one line a change. Nothing is decided by them yet.

--- /dev/null
+++ b/packages/node/src/vaneturn_node/platform/directives.py
@@ -0,0 +1,52 @@
+"""Headers by which a server limits, delays or ends the requests that a node sends to it."""
+
+from __future__ import annotations
+
+import re
+from typing import Final
+
+from vaneturn_core.faults import Fault
+from vaneturn_core.traffic.directives import ServerDirectives
+from vaneturn_node.http1.messages import Headers
+
+RATE_LIMIT: Final = b"server-limit"
+LEAVING: Final = b"server-leaving"
+RETRY_AFTER: Final = b"retry-after"
+MAX_RATE: Final = 1e6  # requests a second; a larger one is taken for an error of the server
+MAX_REST: Final = 3600.0  # seconds; longer rests are cut to it
+TURNED_AWAY: Final = frozenset({429, 503})
+_DECIMAL: Final = re.compile(rb"\d{1,12}(\.\d{1,12})?")
+
+
+def read_directives(status: int, headers: Headers) -> ServerDirectives:
+    """Read what an answer asks of this node; fields that cannot be read are left out and reported."""
+    faults: list[Fault] = []
+    rate = _read_decimal(headers, RATE_LIMIT, faults)
+    if rate is not None and not 0 < rate <= MAX_RATE:
+        faults.append(Fault("Server-Limit", f"more than 0, at most {MAX_RATE:.0f} requests a second"))
+        rate = None
+    rest = _read_decimal(headers, RETRY_AFTER, faults) if status in TURNED_AWAY else None
+    if rest is not None and rest > MAX_REST:
+        faults.append(Fault("Retry-After", f"at most {MAX_REST:.0f} seconds"))
+        rest = MAX_REST
+    leaving = _list_values(headers, LEAVING)
+    if leaving not in ([], [b"1"]):
+        faults.append(Fault("Server-Leaving", "1"))
+    return ServerDirectives(rate, rest, leaving == [b"1"], tuple(faults))
+
+
+def _read_decimal(headers: Headers, name: bytes, faults: list[Fault]) -> float | None:
+    values = _list_values(headers, name)
+    if not values:
+        return None
+    if len(values) > 1 or not _DECIMAL.fullmatch(values[0]):
+        faults.append(Fault(name.decode().title(), "one decimal number"))
+        return None
+    return float(values[0])
+
+
+def _list_values(headers: Headers, name: bytes) -> list[bytes]:
+    return [value.strip() for one, value in headers if one == name]
+
+
+__all__ = ["RETRY_AFTER", "read_directives"]
--- a/packages/node/src/vaneturn_node/platform/headers.py
+++ b/packages/node/src/vaneturn_node/platform/headers.py
@@ -8,8 +8,10 @@
 
 from vaneturn_core.identifiers import RequestId
 from vaneturn_core.traffic.chain import Chain, Part
+from vaneturn_core.traffic.directives import ServerDirectives
 from vaneturn_core.traffic.servers import ServerAddress, ServerName
 from vaneturn_node.http1.messages import Headers, find_header, list_connection_headers
+from vaneturn_node.platform.directives import read_directives
 
 REQUEST_ID: Final = b"x-request-id"
 DEADLINE: Final = b"x-deadline-ms"
@@ -25,7 +27,6 @@
 NOT_RUN: Final = b"x-not-executed"
 FAULTY_SERVER: Final = b"at-server"
 LOAD: Final = b"x-instance-load"
-RETRY_AFTER: Final = b"retry-after"
 WRONG_SERVER: Final = 421
 _OWN_TO_SERVERS: Final = frozenset(
     {KEY, DEADLINE, EXPECTED_SERVER, CUSTOMER, PRIORITY, CHAIN, LAST_EVENT, b"content-length", b"expect"}
@@ -56,6 +57,7 @@
     is_sealed: bool
     faulty: ServerAddress | None  # part of the chain at fault
     load: tuple[int, int, int] | None  # requests running, waiting, slots
+    directives: ServerDirectives
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +102,7 @@
         is_sealed=find_header(headers, SEAL) is not None,
         faulty=ServerAddress(faulty.decode("latin-1")) if faulty else None,
         load=_read_load(find_header(headers, LOAD)),
+        directives=read_directives(status, headers),
     )
 
 
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/servers/directivekeeper.py
@@ -0,0 +1,44 @@
+"""Takes what servers ask of this node, and logs what has changed."""
+
+from __future__ import annotations
+
+import logging
+from typing import Final
+
+from vaneturn_core.traffic.directives import ServerDirectives
+from vaneturn_core.traffic.servers import BackendServer, ServerId
+
+MAX_REMEMBERED: Final = 1024  # servers whose newest directives are remembered, so that each change is logged once
+
+logger = logging.getLogger(__name__)
+
+
+class DirectiveKeeper:
+    """What servers ask of this node."""
+
+    def __init__(self) -> None:
+        self._newest: dict[ServerId, ServerDirectives] = {}
+
+    def take(self, server: BackendServer, directives: ServerDirectives, sent_at: float) -> None:
+        """Take what an answer asks.
+
+        :param sent_at: steady time at which the request of the answer was sent.
+        """
+        if self._newest.get(server.id, ServerDirectives()) == directives:
+            return
+        if len(self._newest) >= MAX_REMEMBERED:
+            self._newest.clear()
+        self._newest[server.id] = directives
+        extra = {
+            "server": server.id,
+            "rate_limit": directives.rate_limit,
+            "rest": directives.rest,
+            "leaving": directives.is_leaving,
+            "sent_at": round(sent_at, 3),
+        }
+        logger.info("server directives changed", extra=extra)
+        for fault in directives.faults:
+            logger.warning("server directive not understood", extra={"server": server.id, "fault": str(fault)})
+
+
+__all__ = ["DirectiveKeeper"]
--- a/packages/node/src/vaneturn_node/traffic/servers/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/exchange.py
@@ -27,6 +27,7 @@
 from vaneturn_node.http1.pool import LinkPool
 from vaneturn_node.platform.servers import ServerCalls
 from vaneturn_node.traffic.servers.crashwatch import CrashWatch
+from vaneturn_node.traffic.servers.directivekeeper import DirectiveKeeper
 from vaneturn_node.traffic.servers.firstreading import FirstReading
 from vaneturn_node.traffic.servers.reports import JOIN_AGE, ReportBoard
 from vaneturn_node.traffic.servers.signals import Signal
@@ -53,6 +54,7 @@
     arrivals: ArrivalRate = field(default_factory=lambda: ArrivalRate(read_clock))  # of streams
     first_reading: FirstReading = field(default_factory=FirstReading)
     patience: Patience = field(default_factory=Patience)
+    directives: DirectiveKeeper = field(default_factory=DirectiveKeeper)
     budgets: dict[ServiceName, WindowedRetryBudget] = field(default_factory=dict)
     layer_maps: dict[ServiceName, LayerMap] = field(default_factory=dict)
     crashes: CrashBoard = field(init=False)
--- a/packages/node/src/vaneturn_node/traffic/serving/chainhold.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/chainhold.py
@@ -22,6 +22,7 @@
         self.chain = chain
         self.is_taken = False
         self.taken_at = 0.0  # steady time
+        self.sent_at = 0.0  # steady time at which the request went to the first server
         self.is_counted = False  # as a run
 
     @property
--- a/packages/node/src/vaneturn_node/traffic/serving/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plain.py
@@ -150,6 +150,7 @@
     ) -> TryOutcome:
         request = work.request
         headers = build_server_headers(request.headers, work.make_dispatch(server.name))
+        sent_at = read_clock()
         await link.send(request.method, request.target, headers, request.body, limit)
         head = await link.read_head(limit)
         facts = read_answer_facts(head.status, head.headers)
@@ -161,6 +162,8 @@
             belief.take_load(facts.load[0] + facts.load[1], read_clock())
         if facts.id is not None and facts.id != work.facts.id:
             raise LinkError("answer to another request", was_sent=True)
+        if not facts.is_wrong_server:
+            self._parts.directives.take(server, facts.directives, sent_at)
         if facts.was_refused:
             belief.is_replaced = belief.is_replaced or facts.is_wrong_server
             return NotRun(f"refused with {head.status}")
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -121,6 +121,7 @@
             self._first.name, self._hold.chain, self._client.last_event, is_resumed=self._client.is_begun
         )
         headers = build_server_headers(work.request.headers, dispatch)
+        self._hold.sent_at = read_clock()
         await link.send(work.request.method, work.request.target, headers, work.request.body, work.left)
         head = await self._wait_for(link.read_head, HEAD_OVERDUE)
         failure = await take_head(self._parts, work, self._hold, link, head)
--- a/tests/node/traffic/test_parsing.py
+++ b/tests/node/traffic/test_parsing.py
@@ -58,6 +58,9 @@
                 b"x-response-seal",
                 b"last-event-id",
                 b"connection",
+                b"server-limit",
+                b"server-leaving",
+                b"retry-after",
             ]
         ),
         st.binary(max_size=40),
