Show with a test that fails that nodes exceed the rate limit that a server names

The stand-ins of servers name limits, rests and leavings in their answers and record whom they told and who sent to them; a judge applies the three rules to that record.

--- /dev/null
+++ b/tests/standins/platform/directives.py
@@ -0,0 +1,53 @@
+"""What servers asked of the nodes, and the requests that reached them, as the servers saw it."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+
+class Arrival(NamedTuple):
+    """A request that reached a server."""
+
+    at: float
+    server: str
+    node: str  # the address that it came from
+
+
+class Directive(NamedTuple):
+    """What one answer asked of a node."""
+
+    at: float
+    server: str
+    node: str
+    rate_limit: float | None
+    rest: float | None  # seconds
+    is_leaving: bool
+
+
+@dataclass
+class DirectiveRecord:
+    """All of them, in the order of time."""
+
+    arrivals: list[Arrival] = field(default_factory=list)
+    directives: list[Directive] = field(default_factory=list)
+
+    def note_arrival(self, server: str, node: str) -> None:
+        self.arrivals.append(Arrival(time.monotonic(), server, node))
+
+    def note_answer(self, server: str, node: str, headers: dict[str, str]) -> None:
+        limit, rest = headers.get("Server-Limit"), headers.get("Retry-After")
+        if headers.keys() & {"Server-Limit", "Retry-After", "Server-Leaving"}:
+            directive = Directive(
+                time.monotonic(),
+                server,
+                node,
+                float(limit) if limit is not None else None,
+                float(rest) if rest is not None else None,
+                "Server-Leaving" in headers,
+            )
+            self.directives.append(directive)
+
+
+__all__ = ["Arrival", "Directive", "DirectiveRecord"]
--- a/tests/standins/platform/servers.py
+++ b/tests/standins/platform/servers.py
@@ -15,6 +15,7 @@
 import anyio.lowlevel
 from anyio.abc import Listener, SocketStream, TaskGroup
 
+from standins.platform.directives import DirectiveRecord
 from standins.platform.store import Store
 from standins.platform.wire import Exchange, FindLink, find_no_link, serve
 
@@ -64,6 +65,7 @@
         default_factory=list
     )  # addresses of servers that ended so, with the steady time
     runs: list[Run] = field(default_factory=list)
+    record: DirectiveRecord = field(default_factory=DirectiveRecord)
     servers: dict[str, Server] = field(default_factory=dict)  # by address
     _numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
 
@@ -118,6 +120,9 @@
     born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)  # Unix milliseconds
     spoil: Callable[[Exchange, Run], Any] | None = None  # in place of a sound answer
     work_time: float = 0.01  # of a plain service
+    rate_limit: float | None = None  # requests a second from all nodes, named in its answers
+    rest: float | None = None  # seconds of rest that it asks for as it turns requests away
+    says_leaving: bool = False  # in its answers, whatever the list says
     active: dict[str, Run] = field(default_factory=dict)  # the newest run of each request
     _listener: Listener[SocketStream] | None = None
     _open: set[Exchange] = field(default_factory=set)
@@ -162,11 +167,25 @@
             await exchange.reply_json(200, self._report())
         elif call.path == "/api/order":
             await self._take_order(exchange, json.loads(call.body))
+        else:
+            await self._serve(exchange)
+
+    async def _serve(self, exchange: Exchange) -> None:
+        self.fleet.record.note_arrival(self.id, exchange.caller)
+        if self.rest is not None:
+            headers = {"X-Not-Executed": "1", "X-Request-Id": exchange.call.headers["x-request-id"]}
+            headers |= {"Retry-After": str(self.rest), **self._list_directives()}
+            self.fleet.record.note_answer(self.id, exchange.caller, headers)
+            await exchange.reply(503, headers)
         elif self.kind is None:
             await self._serve_plain(exchange)
         else:
             await self._serve_stream(exchange)
 
+    def _list_directives(self) -> dict[str, str]:
+        directives = {"Server-Limit": str(self.rate_limit)} if self.rate_limit is not None else {}
+        return directives | ({"Server-Leaving": "1"} if self.says_leaving else {})
+
     def _report(self) -> dict[str, Any]:
         layers = [{"from": self.held[0], "target_version": self.held[1], "version": 1}] if self.held else []
         stalled = []
@@ -240,10 +259,13 @@
         if self.spoil is not None:
             await self.spoil(exchange, run)
             return
-        await exchange.reply(200, self._sign(run), b"answer to " + run.request.encode())
+        await exchange.reply(200, self._sign(exchange, run), b"answer to " + run.request.encode())
 
-    def _sign(self, run: Run) -> dict[str, str]:
-        return {"X-Request-Id": run.request, "X-Response-Seal": f"seal-{run.server}", "X-Instance-Load": "1,0,8"}
+    def _sign(self, exchange: Exchange, run: Run) -> dict[str, str]:
+        headers = {"X-Request-Id": run.request, "X-Response-Seal": f"seal-{run.server}", "X-Instance-Load": "1,0,8"}
+        headers |= self._list_directives()
+        self.fleet.record.note_answer(self.id, exchange.caller, headers)
+        return headers
 
     async def _serve_stream(self, exchange: Exchange) -> None:
         call = exchange.call
@@ -259,7 +281,7 @@
         self.active[request] = run
         try:
             if call.body == self.fleet.deadly:
-                await exchange.begin(200, {**self._sign(run), "Content-Type": "text/event-stream"})
+                await exchange.begin(200, {**self._sign(exchange, run), "Content-Type": "text/event-stream"})
                 await self._end_by(exchange)
             if self.spoil is not None:
                 await self.spoil(exchange, run)
@@ -284,7 +306,7 @@
             for number in range(start + 1, self.fleet.answer_tokens + 1):
                 await self._make_token(exchange, run)
                 if number == start + 1:
-                    await exchange.begin(200, {**self._sign(run), "Content-Type": "text/event-stream"})
+                    await exchange.begin(200, {**self._sign(exchange, run), "Content-Type": "text/event-stream"})
                 await exchange.send(f"id: {number}\ndata: token {number} of {run.request}\n\n".encode())
             await exchange.end()
             tasks.cancel_scope.cancel()
--- a/tests/standins/platform/wire.py
+++ b/tests/standins/platform/wire.py
@@ -46,6 +46,11 @@
         self._protocol = protocol
         self.call = call
 
+    @property
+    def caller(self) -> str:
+        """Give the IP number that the call came from."""
+        return str(self._stream.extra(SocketAttribute.remote_address)[0])  # noqa: S610 # no query
+
     async def reply(self, status: int, headers: dict[str, str] | None = None, body: bytes = b"") -> None:
         await self.begin(status, {**(headers or {}), "Content-Length": str(len(body))})
         if body:
--- /dev/null
+++ b/tests/system/platform/test_directives.py
@@ -0,0 +1,50 @@
+"""What servers ask of the nodes in their answers is kept by all nodes together, as the servers see it."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+
+import anyio
+import httpx
+import pytest
+
+from rig.directivejudge import find_breaches
+from rig.traffic import Traffic, open_traffic
+from standins.platform.servers import Server
+
+pytestmark = pytest.mark.anyio
+
+NODES = 4
+LINK_RATE = 1e9  # bytes a second; with links of their own, nodes have addresses of their own
+PAUSE = 0.2  # seconds between the requests of one client
+
+
+async def ask_everywhere(traffic: Traffic, path: str, seconds: float) -> list[httpx.Response]:
+    """Let one client at each node ask again and again."""
+    answers: list[httpx.Response] = []
+    until = time.monotonic() + seconds
+
+    async def repeat(node: int) -> None:
+        while time.monotonic() < until:
+            answers.append(await traffic.ask(path, node=node))
+            await anyio.sleep(PAUSE)
+
+    async with anyio.create_task_group() as tasks:
+        for node in range(len(traffic.nodes)):
+            tasks.start_soon(repeat, node)
+    return answers
+
+
+def find_first(servers: list[Server], hall: str) -> Server:
+    """Find the server of a hall that its chains begin at."""
+    return next(one for one in servers if one.hall == hall and one.held is not None and one.held[0] == 0)
+
+
+async def test_rate_limit_of_a_server_is_kept_by_all_nodes_together(tmp_path: Path) -> None:
+    async with open_traffic(tmp_path, nodes=NODES, link_rate=LINK_RATE) as traffic:
+        limited = find_first(await traffic.add_chains(), "east")
+        limited.rate_limit = 1.0
+        answers = await ask_everywhere(traffic, "/letter/1", 9.0)
+        assert find_breaches(traffic.fleet.record) == []
+        assert {answer.status_code for answer in answers} == {200}
