Keep to the rate limits that servers name, by permits from one node for each server

Cause: no node decoded the limit.

Change: the newest word on a limit is kept by start of a server; before each send to a limited server a node gets a permit from the node that issues them for it, ranked by a hash over the registered nodes. A second one stands in at a fifth of the rate where the first does not answer, and a node that has just become first issues that share for 4 s. The shares add up to 1.4 of the rate in the worst turn, 1.5 is allowed, so nobody has to agree on who is alive. A node without a permit chooses other servers until there may be one; when there are none it refuses at once and says when there will be room.

Evidence: own test 33 requests in 4 s before, kept now with all requests answered. Three mechanisms taken out, each makes its test fail.

--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -135,7 +135,8 @@
     def _list_firsts(self, loads: Mapping[ServerId, _Load]) -> list[BackendServer]:
         """List the servers that a chain may begin with."""
         holders = self._layer_map.everywhere.get(0, ())
-        return [options[0].part.server for options in holders if options[0].part.server.id in loads]
+        servers = [options[0].part.server for options in holders]
+        return [one for one in servers if one.id in loads and self._beliefs[one.id].may_take_request(self._now)]
 
     def _find_best(self, firsts: Collection[ServerId], loads: Mapping[ServerId, _Load]) -> _Way | None:
         """Find the cheapest way through all layers that begins with one of some servers."""
--- a/packages/core/src/vaneturn_core/traffic/retries.py
+++ b/packages/core/src/vaneturn_core/traffic/retries.py
@@ -42,6 +42,12 @@
         self._seconds.append(self._clock())
         return True
 
+    def take_back(self, *, is_first: bool) -> None:
+        """Take back the newest send, which was not made after all."""
+        times = self._firsts if is_first else self._seconds
+        if times:
+            times.pop()
+
     def compute_limit(self) -> float:
         """Compute how many second sends this node may make in the window."""
         return KEPT_SHARE * (self._ratio * len(self._firsts) + self._slack / max(1, self._count_nodes()))
--- a/packages/core/src/vaneturn_core/traffic/servers.py
+++ b/packages/core/src/vaneturn_core/traffic/servers.py
@@ -76,6 +76,11 @@
     software: str = ""  # version of what it runs
     born: int | None = None  # Unix milliseconds of its start; none on platforms that do not tell it
 
+    @property
+    def can_lead(self) -> bool:
+        """Tell whether requests may be sent to it: to a plain service, or to a holder of the first layer."""
+        return self.kind is None or any(layers.first == 0 for layers in self.layers)
+
     def compute_room(self, engine: EngineProfile) -> float:
         """Compute the memory that its layers leave, in tokens times layers."""
         kind = engine.kinds.get(self.kind or "")
@@ -98,6 +103,7 @@
     full_until: float = float("-inf")  # until when it rests for want of room
     told_until: float = float("-inf")  # until when it rests as other nodes have found it lost
     found_until: float = float("-inf")  # until when it rests after failures seen by this node
+    permit_at: float = float("-inf")  # when it may next have room for a request from this node, by its rate limit
     is_replaced: bool = False  # its address answered under another id
     slowness: float = 1.0  # told by the server: over 1, it is slower than its kind
     slowness_at: float = float("-inf")
@@ -111,6 +117,13 @@
         """Give the time until which it gets no new work."""
         return max(self.full_until, self.told_until, self.found_until)
 
+    def may_take_request(self, now: float) -> bool:
+        """Tell whether the server accepts requests from this node, by what it has asked for itself.
+
+        Parts of a chain after the first get their work from other servers, so this does not concern them.
+        """
+        return self.permit_at <= now
+
     def record_success(self, seconds: float) -> None:
         """Take an answer into the average; failures before it count no more."""
         self.failures = 0
--- a/packages/node/src/vaneturn_node/traffic/following/viewkeeping.py
+++ b/packages/node/src/vaneturn_node/traffic/following/viewkeeping.py
@@ -7,15 +7,14 @@
 
 from vaneturn_core.faults import Fault
 from vaneturn_core.identifiers import VmId
-from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerName
-from vaneturn_core.traffic.view import PlatformView
+from vaneturn_core.traffic.servers import BackendServer, ServerName
 from vaneturn_node.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from vaneturn_node.platform.servers import SERVERS_PREFIX
 from vaneturn_node.platform.store import StoreItem
 from vaneturn_node.traffic.duties.records import NODES_PREFIX, TENURE_KEY, decode_node
 from vaneturn_node.traffic.duties.tenure import Tenure
 from vaneturn_node.traffic.following.serverentries import ServerEntries
-from vaneturn_node.traffic.servers.crashwatch import CrashWatch
+from vaneturn_node.traffic.servers.exchange import TrafficParts
 
 logger = logging.getLogger(__name__)
 
@@ -23,19 +22,20 @@
 class ViewKeeper:
     """Decodes items and puts them into the view, one log line for each belief that changes."""
 
-    def __init__(self, view: PlatformView, beliefs: ServerBeliefs, tenure: Tenure, crashes: CrashWatch) -> None:
-        self._view = view
-        self._beliefs = beliefs
+    def __init__(self, tenure: Tenure, parts: TrafficParts) -> None:
         self._tenure = tenure
-        self._crashes = crashes
+        self._parts = parts
+        self._view = parts.view
         self._entries = ServerEntries()
 
     def forget_lapsed(self) -> None:
         """Remove the servers whose entries have not come back."""
         for server in self._view.expire_lapsed():
             logger.info("server removed", extra={"server": server, "cause": "entry did not come back"})
-        self._beliefs.forget_absent(self._view.servers)
-        self._crashes.note_listed()
+        self._parts.beliefs.forget_absent(self._view.servers)
+        self._parts.permits.forget_absent()
+        self._parts.node_history.note(self._view.nodes)
+        self._parts.crash_watch.note_listed()
 
     def replace_all(self, items: Mapping[str, StoreItem]) -> None:
         """Take the whole state of the store."""
--- a/packages/node/src/vaneturn_node/traffic/process/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/process/daemon.py
@@ -83,6 +83,7 @@
             calls,
             ReportBoard(calls, hearing),
             hearing,
+            caller,
         )
         ended = EndedTraffic()
         self._answerer = Answerer(parts, metrics, ended)
@@ -94,7 +95,14 @@
         losses = self._losses = LossSharing(settings.vm, parts, caller, log)
         crashes = self._crashes = CrashSharing(settings.vm, parts.crashes, self._view, caller)
         self._changes = ChangeServer(
-            log=log, view=self._view, times=times, beliefs=self._beliefs, board=board, losses=losses, crashes=crashes
+            log=log,
+            view=self._view,
+            times=times,
+            beliefs=self._beliefs,
+            board=board,
+            losses=losses,
+            crashes=crashes,
+            permits=parts.permits,
         )
         peers = ChangeClient(
             caller=caller,
@@ -111,7 +119,7 @@
             vm=settings.vm,
             store=self._store,
             view=self._view,
-            keeper=ViewKeeper(self._view, self._beliefs, self._tenure, parts.crash_watch),
+            keeper=ViewKeeper(self._tenure, parts),
             log=log,
             peers=peers,
             server=self._changes,
--- a/packages/node/src/vaneturn_node/traffic/servers/directivekeeper.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/directivekeeper.py
@@ -6,7 +6,9 @@
 from typing import Final
 
 from vaneturn_core.traffic.directives import ServerDirectives
+from vaneturn_core.traffic.ratelimits import RateLimits
 from vaneturn_core.traffic.servers import BackendServer, ServerId
+from vaneturn_node.clock import read_clock
 
 MAX_REMEMBERED: Final = 1024  # servers whose newest directives are remembered, so that each change is logged once
 
@@ -16,7 +18,8 @@
 class DirectiveKeeper:
     """What servers ask of this node."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: RateLimits) -> None:
+        self._limits = limits
         self._newest: dict[ServerId, ServerDirectives] = {}
 
     def take(self, server: BackendServer, directives: ServerDirectives, sent_at: float) -> None:
@@ -24,6 +27,8 @@
 
         :param sent_at: steady time at which the request of the answer was sent.
         """
+        if not _is_unreadable(directives, "Server-Limit"):
+            self._limits.note_answer(server.id, directives.rate_limit, sent_at, read_clock())
         if self._newest.get(server.id, ServerDirectives()) == directives:
             return
         if len(self._newest) >= MAX_REMEMBERED:
@@ -41,4 +46,8 @@
             logger.warning("server directive not understood", extra={"server": server.id, "fault": str(fault)})
 
 
+def _is_unreadable(directives: ServerDirectives, field: str) -> bool:
+    return any(fault.path == field for fault in directives.faults)
+
+
 __all__ = ["DirectiveKeeper"]
--- a/packages/node/src/vaneturn_node/traffic/servers/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/exchange.py
@@ -18,17 +18,20 @@
 from vaneturn_core.traffic.loads import LoadBoard
 from vaneturn_core.traffic.losses import LossBoard
 from vaneturn_core.traffic.patience import Patience
+from vaneturn_core.traffic.ratelimits import NodeHistory, PermitIssuer, RateLimits
 from vaneturn_core.traffic.retries import WindowedRetryBudget
 from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerId
 from vaneturn_core.traffic.settings import Bounds
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.clock import read_clock
+from vaneturn_node.http1.caller import Caller
 from vaneturn_node.http1.link import HttpLink
 from vaneturn_node.http1.pool import LinkPool
 from vaneturn_node.platform.servers import ServerCalls
 from vaneturn_node.traffic.servers.crashwatch import CrashWatch
 from vaneturn_node.traffic.servers.directivekeeper import DirectiveKeeper
 from vaneturn_node.traffic.servers.firstreading import FirstReading
+from vaneturn_node.traffic.servers.permits import Permits
 from vaneturn_node.traffic.servers.reports import JOIN_AGE, ReportBoard
 from vaneturn_node.traffic.servers.signals import Signal
 
@@ -48,13 +51,17 @@
     calls: ServerCalls
     reports: ReportBoard
     hearing: Hearing
+    caller: Caller
+    node_history: NodeHistory = field(default_factory=lambda: NodeHistory(read_clock))
     losses: LossBoard = field(default_factory=lambda: LossBoard(read_clock))
     loss_found: Signal = field(default_factory=Signal)
     board: LoadBoard = field(default_factory=lambda: LoadBoard(read_clock))
     arrivals: ArrivalRate = field(default_factory=lambda: ArrivalRate(read_clock))  # of streams
     first_reading: FirstReading = field(default_factory=FirstReading)
     patience: Patience = field(default_factory=Patience)
-    directives: DirectiveKeeper = field(default_factory=DirectiveKeeper)
+    limits: RateLimits = field(default_factory=RateLimits)
+    permits: Permits = field(init=False)
+    directives: DirectiveKeeper = field(init=False)
     budgets: dict[ServiceName, WindowedRetryBudget] = field(default_factory=dict)
     layer_maps: dict[ServiceName, LayerMap] = field(default_factory=dict)
     crashes: CrashBoard = field(init=False)
@@ -64,6 +71,15 @@
         """Make the parts that are made of the others."""
         self.crashes = CrashBoard(read_clock, self.view.list_software)
         self.crash_watch = CrashWatch(self.crashes, self.reports, self.view)
+        self.directives = DirectiveKeeper(self.limits)
+        self.permits = Permits(
+            vm=self.vm,
+            view=self.view,
+            beliefs=self.beliefs,
+            limits=self.limits,
+            issuer=PermitIssuer(self.vm, self.node_history, read_clock),
+            caller=self.caller,
+        )
 
     def find_budget(self, service: ServiceName) -> WindowedRetryBudget:
         """Find the retry budget of a service."""
@@ -90,6 +106,19 @@
         """List the servers of a service that may get new work."""
         return self.beliefs.list_choosable(self.view.list_servers(service), avoided, read_clock())
 
+    def list_accepting(self, service: ServiceName, avoided: Iterable[ServerId]) -> list[BackendServer]:
+        """List the choosable servers of a service that accept requests from this node."""
+        now = read_clock()
+        choosable = self.list_choosable(service, avoided)
+        return [server for server in choosable if self.beliefs[server.id].may_take_request(now)]
+
+    def compute_wait(self, service: ServiceName) -> float:
+        """Compute the seconds until a server of a service accepts requests again; 0 when one does, or none will."""
+        now = read_clock()
+        leading = [server for server in self.view.list_servers(service) if server.can_lead]
+        waits = [self.beliefs[server.id].permit_at - now for server in leading]
+        return max(0.0, min(waits, default=0.0))
+
     async def hears_others(self, but: Collection[ServerId], since: float) -> bool:
         """Tell whether this VM hears servers, others than some; asks a few of them if it has asked nobody since.
 
--- a/packages/node/src/vaneturn_node/traffic/serving/outcomes.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/outcomes.py
@@ -14,6 +14,7 @@
 
     cause: str
     is_silent: bool = False  # the server did not even take a connection
+    is_limited: bool = False  # it was not sent, as the server limits its requests
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +47,7 @@
     NO_SERVER = "no_server"
     NO_CHAIN = "no_chain"
     CROSSINGS_FULL = "crossings_full"
+    SERVERS_LIMITED = "servers_limited"
     NOT_RUN = "not_run"
     MAY_HAVE_RUN = "may_have_run"
     TIMEOUT = "timeout"
--- a/packages/node/src/vaneturn_node/traffic/serving/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plain.py
@@ -48,6 +48,10 @@
                 break
             if not work.sends:
                 budget.record_first()
+            if not await self._parts.permits.obtain(server.id):
+                budget.take_back(is_first=not work.sends)
+                work.note(f"{server.id} has no room by its rate limit")
+                continue
             last = await self._try(work, server)
             if isinstance(last, Answered):
                 self._parts.crash_watch.note_sound(server, work.content)
@@ -64,16 +68,17 @@
     def _give_up(self, work: RequestInProgress, last: TryOutcome | None) -> OwnAnswer:
         if work.may_have_run:
             return work.give_up_run(last.cause if isinstance(last, MayHaveRun | NotRun) else "")
-        retry_after = RETRY_AFTER * (1 + random.random())
+        wait = self._parts.compute_wait(work.service)
+        retry_after = wait + RETRY_AFTER * (1 + random.random())
         if not work.may_send():
             return refuse(Reason.KEYS_TOO_OLD, retry_after)
         if isinstance(last, NotRun):
             return refuse(Reason.NOT_RUN, retry_after, last.cause)
-        return refuse(Reason.NO_SERVER, retry_after)
+        return refuse(Reason.SERVERS_LIMITED if wait else Reason.NO_SERVER, retry_after)
 
     def _choose(self, work: RequestInProgress) -> BackendServer | None:
         """Choose the server that would answer soonest."""
-        choosable = self._parts.list_choosable(work.service, work.avoided)
+        choosable = self._parts.list_accepting(work.service, work.avoided)
         if not choosable:
             return None
         random.shuffle(choosable)
--- a/packages/node/src/vaneturn_node/traffic/serving/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streams.py
@@ -73,7 +73,7 @@
                 return None
             if isinstance(end, Answered) and not client.is_begun:
                 return end
-            refusals += isinstance(end, NotRun)
+            refusals += isinstance(end, NotRun) and not end.is_limited
             if not isinstance(end, NotRun) and not work.may_run_again:
                 break
         return self._give_up(work, client, end)
@@ -139,9 +139,12 @@
         cause = end.cause if isinstance(end, NotRun | MayHaveRun) else ""
         if work.may_have_run:
             return work.give_up_run(cause)
-        retry_after = RETRY_AFTER * (1 + random.random())
+        wait = self._parts.compute_wait(work.service)
+        retry_after = wait + RETRY_AFTER * (1 + random.random())
         if not work.may_send():
             return refuse(Reason.KEYS_TOO_OLD, retry_after, cause)
+        if wait:
+            return refuse(Reason.SERVERS_LIMITED, retry_after, cause)
         return refuse(Reason.NO_CHAIN if end is None else Reason.NOT_RUN, retry_after, cause)
 
 
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -111,6 +111,9 @@
 
     async def _converse(self) -> TryOutcome | None:
         work = self._work
+        if not await self._parts.permits.obtain(self._first.id):
+            self._parts.find_budget(work.service).take_back(is_first=not work.sends)
+            return NotRun(f"{self._first.id} has no room by its rate limit", is_limited=True)
         work.sends += 1
         self._client.pace.mark(Stage.WENT_ON, read_clock())
         self._hold.take()
--- a/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
@@ -20,6 +20,7 @@
 from vaneturn_node.http1.caller import Arrival
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
 from vaneturn_node.platform.store import BODY_TIME, SILENCE
+from vaneturn_node.traffic.servers.permits import PERMITS_PATH, Permits
 from vaneturn_node.traffic.sharing.changelog import ChangeLog
 from vaneturn_node.traffic.sharing.crashsharing import CRASHES_PATH, CrashSharing
 from vaneturn_node.traffic.sharing.longvalues import VALUE_PATH, LongValueServer
@@ -53,7 +54,9 @@
         board: LoadBoard,
         losses: LossSharing,
         crashes: CrashSharing,
+        permits: Permits,
     ) -> None:
+        self._permits = permits
         self._beliefs = beliefs
         self._board = board
         self._losses = losses
@@ -85,6 +88,10 @@
             self._crashes.take(request.body)
             await answer.send_whole(OK, [], b"")
             return
+        if request.path == PERMITS_PATH:
+            permit = self._permits.answer(request.body)
+            await answer.send_whole(OK if permit is not None else 400, _JSON, permit or b"")
+            return
         told = decode_told(request.body, self._view.servers)
         if told is not None:
             self._crashes.compare(told.vm, told.crashes)
--- a/tests/node/traffic/following/test_serverentries.py
+++ b/tests/node/traffic/following/test_serverentries.py
@@ -61,7 +61,7 @@
         self.parts = make_parts("entry-1", self.view, self.beliefs, caller)
         store = PlatformStore(caller, make_server(1, None).address)
         tenure = Tenure(store, NodeId("n"), VmId("entry-1"), lambda: None)
-        self.keeper = ViewKeeper(self.view, self.beliefs, tenure, self.parts.crash_watch)
+        self.keeper = ViewKeeper(tenure, self.parts)
         self.revision = 0
         self.configure()
 
--- a/tests/node/traffic/samples.py
+++ b/tests/node/traffic/samples.py
@@ -38,7 +38,9 @@
     calls = ServerCalls(caller)
     hearing = Hearing(time.monotonic)
     reports = ReportBoard(calls, hearing)
-    return TrafficParts(VmId(vm), DataHall("east"), Bounds(), view, beliefs, LinkPool(), calls, reports, hearing)
+    return TrafficParts(
+        VmId(vm), DataHall("east"), Bounds(), view, beliefs, LinkPool(), calls, reports, hearing, caller
+    )
 
 
 def make_crash_sharing(vm: str, view: PlatformView, caller: Caller) -> CrashSharing:
--- a/tests/node/traffic/sharing/test_changes.py
+++ b/tests/node/traffic/sharing/test_changes.py
@@ -72,6 +72,7 @@
             board=self.board,
             losses=self.losses,
             crashes=make_crash_sharing("entry-1", self.view, Caller(LinkPool())),
+            permits=self.parts.permits,
         )
 
     def hear(self, *items: StoreItem, revision: int) -> None:
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -15,6 +15,27 @@
         f"{SYSTEM}/test_keys.py::test_keys_close_when_the_store_is_away_and_public_routes_do_not",
         (Edit(f"{CORE}/view.py", "return self.age < self._keys_valid", "return self.configuration is not None"),),
     ),
+    Proof(
+        "requests to a limited server need a permit",
+        f"{SYSTEM}/test_directives.py::test_rate_limit_of_a_server_is_kept_by_all_nodes_together",
+        (
+            Edit(
+                f"{TRAFFIC}/serving/streamtry.py",
+                "if not await self._parts.permits.obtain(self._first.id):",
+                "if self._first.id is None:",
+            ),
+        ),
+    ),
+    Proof(
+        "a node that has just become the issuer issues a small share",
+        "tests/core/traffic/test_ratelimits.py::test_limit_holds_while_nodes_come_and_go",
+        (Edit(f"{CORE}/ratelimits.py", "all(ranked[:1] == [self._vm] for ranked in ranks)", "ranks"),),
+    ),
+    Proof(
+        "an older answer does not raise a limit",
+        "tests/core/traffic/test_ratelimits.py::test_answer_to_an_older_request_neither_raises_nor_ends_a_limit",
+        (Edit(f"{CORE}/ratelimits.py", "if is_lower or sent_at > known.at:", "if known:"),),
+    ),
     Proof(
         "entries that lapsed in an outage are held",
         "tests/core/traffic/test_view.py::test_entry_that_lapsed_in_an_outage_stays_until_it_should_be_back",
