--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -28,7 +28,7 @@
     ),
     Proof(
         "a node that has just become the issuer issues a small share",
-        "tests/core/traffic/test_ratelimits.py::test_limit_holds_while_nodes_come_and_go",
+        "tests/core/traffic/test_ratelimits.py::test_node_that_has_just_become_first_issues_a_small_share_until_all_know",
         (Edit(f"{CORE}/ratelimits.py", "all(ranked[:1] == [self._vm] for ranked in ranks)", "ranks"),),
     ),
     Proof(
--- a/tests/system/platform/test_directives.py
+++ b/tests/system/platform/test_directives.py
@@ -48,3 +48,42 @@
         answers = await ask_everywhere(traffic, "/letter/1", 9.0)
         assert find_breaches(traffic.fleet.record) == []
         assert {answer.status_code for answer in answers} == {200}
+
+
+async def test_server_that_asked_for_rest_gets_no_more_requests(tmp_path: Path) -> None:
+    async with open_traffic(tmp_path, nodes=NODES, link_rate=LINK_RATE) as traffic:
+        resting = find_first(await traffic.add_chains(), "east")
+        resting.rest = 3.0
+        answers = await ask_everywhere(traffic, "/letter/1", 5.0)
+        assert find_breaches(traffic.fleet.record) == []
+        assert {answer.status_code for answer in answers} == {200}
+
+
+async def test_plain_service_that_asked_for_rest_gets_no_more_requests(tmp_path: Path) -> None:
+    async with open_traffic(tmp_path, nodes=NODES, link_rate=LINK_RATE) as traffic:
+        resting = await traffic.add_desk()
+        (await traffic.add_desk()).work_time = 0.1  # so that the other one seems to be sooner
+        resting.rest = 3.0
+        answers = await ask_everywhere(traffic, "/check/1", 5.0)
+        assert find_breaches(traffic.fleet.record) == []
+        assert {answer.status_code for answer in answers} == {200}
+
+
+async def test_requests_are_refused_at_once_while_all_servers_rest(tmp_path: Path) -> None:
+    async with open_traffic(tmp_path, nodes=NODES, link_rate=LINK_RATE) as traffic:
+        for server in await traffic.add_chains():
+            server.rest = 2.0
+        answers = await ask_everywhere(traffic, "/letter/1", 3.0)
+        assert find_breaches(traffic.fleet.record) == []
+        assert {answer.status_code for answer in answers} == {503}
+        assert max(float(answer.headers["retry-after"]) for answer in answers) > 1.0
+        assert max(answer.elapsed.total_seconds() for answer in answers) < 1.0
+
+
+async def test_server_that_says_it_leaves_gets_no_more_requests(tmp_path: Path) -> None:
+    async with open_traffic(tmp_path, nodes=NODES, link_rate=LINK_RATE) as traffic:
+        leaving = find_first(await traffic.add_chains(), "east")
+        leaving.says_leaving = True
+        answers = await ask_everywhere(traffic, "/letter/1", 4.0)
+        assert find_breaches(traffic.fleet.record) == []
+        assert {answer.status_code for answer in answers} == {200}
