Send no request to a server during the rest that it has asked for

Cause: the Retry-After of a refusal was not decoded, and a refusal that names no part at fault left nothing behind but the server's id among those that the one request avoids. Ruled out: the rest of a full server that is overridden when half of them rest (no belief was touched at all).

Change: a belief holds the latest end of the rests that a server asked this node for, on the clock that goes on during a suspension. One function says whether a server takes requests; the choice asks it, and so does every send once it has its connection. Unlike rest after failures it is not overridden when most servers rest. After it, one request at a time goes there, 0.3 s apart, until one was taken; the ends are spread over 0.3 s. When no server takes requests a request is refused at once, with the earliest time at which one does. Later parts of a chain get no requests of a node, so a rest and a rate limit concern the first server alone. Operators see limit, rest and leaving of each server, and two gauges.

--- a/packages/cli/src/vaneturn_cli/traffic.py
+++ b/packages/cli/src/vaneturn_cli/traffic.py
@@ -14,6 +14,10 @@
 
 TIMEOUT: Final = 3.0  # seconds; a node answers from memory
 STEP_INDENT: Final = "  "
+SERVER_COLUMNS: Final = (
+    "server", "service", "data hall", "address", "state", "layers", "in progress", "rests s", "slowness", "limit /s",
+    "asked rest s", "leaves",
+)  # fmt: skip
 
 _Body = TypeVar("_Body")
 
@@ -60,16 +64,16 @@
         return nodes
     servers = tabulate(
         [_list_cells(server) for server in sorted(states[0].servers, key=lambda one: (one.service, one.data_hall))],
-        headers=("server", "service", "data hall", "address", "state", "layers", "in progress", "rests s", "slowness"),
+        headers=SERVER_COLUMNS,
     )
     return f"{nodes}\n\nservers as {states[0].vm} sees them\n{servers}"
 
 
-def _list_cells(server: SeenServer) -> tuple[str | int | float, ...]:
+def _list_cells(server: SeenServer) -> tuple[str | float | None, ...]:
     layers = " ".join(f"[{first},{end})" for first, end in server.layers)
     return (
         server.id, server.service, server.data_hall, server.address, server.state, layers, server.in_progress,
-        server.resting, server.slowness,
+        server.resting, server.slowness, server.rate_limit, server.asked_rest, server.is_leaving,
     )  # fmt: skip
 
 
--- a/packages/core/src/vaneturn_core/traffic/servers.py
+++ b/packages/core/src/vaneturn_core/traffic/servers.py
@@ -27,6 +27,7 @@
 SLOWNESS_MEMORY: Final = 4.0  # seconds
 TOLD_AGE: Final = 1.5  # seconds for which a told load is compared with the own
 MAX_SHARE: Final = 3.0  # of the equal share: what was told may be as old as the time above
+RETURN_GAP: Final = 0.3  # seconds between requests to a server that asked for rest, until it has taken one
 MAX_RESTING_SHARE: Final = 0.5  # of the servers that could be chosen; beyond it, rest counts for nothing
 
 
@@ -104,6 +105,10 @@
     told_until: float = float("-inf")  # until when it rests as other nodes have found it lost
     found_until: float = float("-inf")  # until when it rests after failures seen by this node
     permit_at: float = float("-inf")  # when it may next have room for a request from this node, by its rate limit
+    rest_until: float = float("-inf")  # until when it asked for no request from this node
+    returned_at: float = float("-inf")  # when a request last went there after a rest, to see whether it takes any
+    is_returning: bool = False  # it has not taken a request since it asked for rest
+    is_leaving: bool = False  # it said so in an answer; the list may show that later
     is_replaced: bool = False  # its address answered under another id
     slowness: float = 1.0  # told by the server: over 1, it is slower than its kind
     slowness_at: float = float("-inf")
@@ -122,7 +127,35 @@
 
         Parts of a chain after the first get their work from other servers, so this does not concern them.
         """
-        return self.permit_at <= now
+        return self.permit_at <= now and not self.is_closed(now)
+
+    def is_closed(self, now: float) -> bool:
+        """Tell whether it asked for no requests, or is tried by a first one after that."""
+        is_tried = self.is_returning and now < self.returned_at + RETURN_GAP
+        return self.is_leaving or now < self.rest_until or is_tried
+
+    def compute_wait(self, now: float) -> float:
+        """Compute the seconds until it may take a request, unless it leaves."""
+        returns_at = self.returned_at + RETURN_GAP if self.is_returning else self.rest_until
+        return max(0.0, max(self.permit_at, self.rest_until, returns_at) - now)
+
+    def claim_send(self, now: float) -> bool:
+        """Ask right before a send whether it may be made; false when it may not."""
+        if self.is_closed(now):
+            return False
+        if self.is_returning:
+            self.returned_at = now
+        return True
+
+    def take_rest(self, until: float) -> None:
+        """Take note that the server wants no request from this node until a time; the latest time holds."""
+        self.rest_until = max(self.rest_until, until)
+        self.is_returning = True
+
+    def note_taken(self, sent_at: float) -> None:
+        """Take note that the server has taken a request that was sent at a time."""
+        if sent_at >= self.rest_until:
+            self.is_returning = False
 
     def record_success(self, seconds: float) -> None:
         """Take an answer into the average; failures before it count no more."""
@@ -233,6 +266,10 @@
         for server in [one for one, belief in self._beliefs.items() if one not in present and not belief.in_progress]:
             del self._beliefs[server]
 
+    def _is_out(self, server: ServerId) -> bool:
+        belief = self[server]
+        return belief.is_replaced or belief.is_leaving
+
     def list_choosable(
         self, servers: Iterable[BackendServer], avoided: Iterable[ServerId], now: float
     ) -> list[BackendServer]:
@@ -241,7 +278,7 @@
         able = [
             server
             for server in servers
-            if server.state is ServerState.READY and server.id not in excluded and not self[server.id].is_replaced
+            if server.state is ServerState.READY and server.id not in excluded and not self._is_out(server.id)
         ]
         awake = [server for server in able if self[server.id].resting_until <= now]
         return awake if len(awake) >= MAX_RESTING_SHARE * len(able) else able
--- a/packages/core/src/vaneturn_core/traffic/state.py
+++ b/packages/core/src/vaneturn_core/traffic/state.py
@@ -18,6 +18,9 @@
     failures: int  # in a row
     resting: float  # seconds for which it gets no new work
     slowness: float  # over 1: slower than its kind, by its own word
+    rate_limit: float | None = None  # requests a second from all nodes that it takes, by its own word
+    asked_rest: float = 0.0  # seconds for which it wants no request from this node
+    is_leaving: bool = False  # by its own word
 
 
 class TrafficState(Struct, frozen=True):
--- a/packages/node/src/vaneturn_node/traffic/process/inspection.py
+++ b/packages/node/src/vaneturn_node/traffic/process/inspection.py
@@ -64,7 +64,14 @@
         from vaneturn_node.traffic.process.metricstext import Gauges, render_metrics  # noqa: PLC0415 # see there
 
         view = self._parts.view
-        gauges = Gauges(view.told_age, len(self._parts.crashes.list_ends()), len(view.servers))
+        beliefs, now = self._parts.beliefs, read_clock()
+        gauges = Gauges(
+            age=view.told_age,
+            ends=len(self._parts.crashes.list_ends()),
+            servers=len(view.servers),
+            limited=len(self._parts.limits.list_limited()),
+            closed=sum(beliefs[server].is_closed(now) for server in view.servers),
+        )
         return render_metrics(self._metrics, gauges)
 
     def _describe(self) -> TrafficState:
@@ -97,6 +104,9 @@
             failures=belief.failures,
             resting=round(max(0.0, belief.resting_until - now), 3),
             slowness=belief.read_slowness(now),
+            rate_limit=self._parts.limits.list_limited().get(server.id),
+            asked_rest=round(max(0.0, belief.rest_until - now), 3),
+            is_leaving=belief.is_leaving,
         )
 
 
--- a/packages/node/src/vaneturn_node/traffic/process/metricstext.py
+++ b/packages/node/src/vaneturn_node/traffic/process/metricstext.py
@@ -24,6 +24,8 @@
     age: float  # seconds since the store confirmed what is believed
     ends: int  # of servers, that count against requests
     servers: int  # in the list
+    limited: int  # servers that limit the rate of requests
+    closed: int  # servers that asked this node for rest, or said that they leave
 
 
 class TrafficCollector(Collector):
@@ -44,6 +46,8 @@
         yield GaugeMetricFamily("vaneturn_view_age_seconds", "Age of what is believed of the platform", gauges.age)
         yield GaugeMetricFamily("vaneturn_server_ends", "Ends of servers that count against requests", gauges.ends)
         yield GaugeMetricFamily("vaneturn_backend_servers", "Backend servers in the list", gauges.servers)
+        yield GaugeMetricFamily("vaneturn_rate_limited_servers", "Backend servers with a rate limit", gauges.limited)
+        yield GaugeMetricFamily("vaneturn_closed_servers", "Backend servers that want no requests", gauges.closed)
 
     def _collect_seconds(self) -> HistogramMetricFamily:
         labels = ["route", "customer"]
--- a/packages/node/src/vaneturn_node/traffic/servers/directivekeeper.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/directivekeeper.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import logging
+import random
 from typing import Final
 
 from vaneturn_core.traffic.directives import ServerDirectives
 from vaneturn_core.traffic.ratelimits import RateLimits
-from vaneturn_core.traffic.servers import BackendServer, ServerId
+from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerId
 from vaneturn_node.clock import read_clock
 
+MAX_SPREAD: Final = 0.3  # seconds over which nodes that were asked for rest at once return
 MAX_REMEMBERED: Final = 1024  # servers whose newest directives are remembered, so that each change is logged once
 
 logger = logging.getLogger(__name__)
@@ -18,7 +20,8 @@
 class DirectiveKeeper:
     """What servers ask of this node."""
 
-    def __init__(self, limits: RateLimits) -> None:
+    def __init__(self, beliefs: ServerBeliefs, limits: RateLimits) -> None:
+        self._beliefs = beliefs
         self._limits = limits
         self._newest: dict[ServerId, ServerDirectives] = {}
 
@@ -27,8 +30,13 @@
 
         :param sent_at: steady time at which the request of the answer was sent.
         """
+        now, belief = read_clock(), self._beliefs[server.id]
         if not _is_unreadable(directives, "Server-Limit"):
-            self._limits.note_answer(server.id, directives.rate_limit, sent_at, read_clock())
+            self._limits.note_answer(server.id, directives.rate_limit, sent_at, now)
+        if directives.rest is not None:
+            belief.take_rest(now + directives.rest + random.uniform(0.0, min(MAX_SPREAD, directives.rest)))
+        else:
+            belief.note_taken(sent_at)
         if self._newest.get(server.id, ServerDirectives()) == directives:
             return
         if len(self._newest) >= MAX_REMEMBERED:
--- a/packages/node/src/vaneturn_node/traffic/servers/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/exchange.py
@@ -71,7 +71,7 @@
         """Make the parts that are made of the others."""
         self.crashes = CrashBoard(read_clock, self.view.list_software)
         self.crash_watch = CrashWatch(self.crashes, self.reports, self.view)
-        self.directives = DirectiveKeeper(self.limits)
+        self.directives = DirectiveKeeper(self.beliefs, self.limits)
         self.permits = Permits(
             vm=self.vm,
             view=self.view,
@@ -116,8 +116,8 @@
         """Compute the seconds until a server of a service accepts requests again; 0 when one does, or none will."""
         now = read_clock()
         leading = [server for server in self.view.list_servers(service) if server.can_lead]
-        waits = [self.beliefs[server.id].permit_at - now for server in leading]
-        return max(0.0, min(waits, default=0.0))
+        staying = [belief for belief in (self.beliefs[server.id] for server in leading) if not belief.is_leaving]
+        return min((belief.compute_wait(now) for belief in staying), default=0.0)
 
     async def hears_others(self, but: Collection[ServerId], since: float) -> bool:
         """Tell whether this VM hears servers, others than some; asks a few of them if it has asked nobody since.
--- a/packages/node/src/vaneturn_node/traffic/serving/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plain.py
@@ -129,8 +129,9 @@
             with anyio.fail_after(limit):
                 longest = ANY_IDLE_TIME if work.route.may_repeat else UNSAFE_IDLE
                 link = await self._parts.pool.take(server.address, longest)
-                if not work.may_send():
-                    return NotRun("keys too old")
+                obstacle = work.find_obstacle(self._parts.beliefs[server.id])
+                if obstacle is not None:
+                    return NotRun(obstacle)
                 outcome = await self._converse(work, server, link, limit)
                 is_whole = isinstance(outcome, Answered | NotRun)
                 return outcome
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -14,7 +14,7 @@
 from vaneturn_core.traffic.contents import Content, digest_content
 from vaneturn_core.traffic.crashes import CrashBoard
 from vaneturn_core.traffic.pace import Pause
-from vaneturn_core.traffic.servers import ServerId, ServerName
+from vaneturn_core.traffic.servers import ServerBelief, ServerId, ServerName
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.server import ClientRequest
 from vaneturn_node.platform.headers import Dispatch, RequestFacts
@@ -69,6 +69,12 @@
         """
         return self.has_key() and not self.is_barred
 
+    def find_obstacle(self, belief: ServerBelief) -> str | None:
+        """Find right before a send to a server what forbids it; none when it may be made now."""
+        if not self.may_send():
+            return "keys too old"
+        return None if belief.claim_send(read_clock()) else "the server asked for no more requests"
+
     @property
     def ends(self) -> float:
         """Give the steady time at which it must be answered."""
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -118,8 +118,9 @@
         self._client.pace.mark(Stage.WENT_ON, read_clock())
         self._hold.take()
         self._link = link = await self._parts.pool.take(self._first.address)
-        if not work.may_send():
-            return NotRun("keys too old")
+        obstacle = work.find_obstacle(self._parts.beliefs[self._first.id])
+        if obstacle is not None:
+            return NotRun(obstacle)
         dispatch = work.make_dispatch(
             self._first.name, self._hold.chain, self._client.last_event, is_resumed=self._client.is_begun
         )
--- a/tests/core/traffic/test_servers.py
+++ b/tests/core/traffic/test_servers.py
@@ -5,7 +5,16 @@
 import pytest
 
 from core.traffic.samples import make_server
-from vaneturn_core.traffic.servers import ALIVE_AGE, FIRST_REST, FULL_REST, MAX_REST, MAX_SHARE, ServerBeliefs
+from vaneturn_core.traffic.servers import (
+    ALIVE_AGE,
+    FIRST_REST,
+    FULL_REST,
+    MAX_REST,
+    MAX_SHARE,
+    RETURN_GAP,
+    ServerBelief,
+    ServerBeliefs,
+)
 
 
 def test_rest_grows_with_failures_in_a_row_up_to_a_limit() -> None:
@@ -80,3 +89,50 @@
     belief.leading = 5
     belief.take_load(40, 100.0)
     assert beliefs.estimate_share(6, 110.0) == 6.0
+
+
+def test_rest_that_a_server_asked_for_holds_also_when_all_rest() -> None:
+    beliefs = ServerBeliefs()
+    servers = [make_server(number, "l4") for number in range(1, 4)]
+    for server in servers:
+        beliefs[server.id].take_rest(103.0)
+    assert len(beliefs.list_choosable(servers, [], 101.0)) == 3  # as later parts of chains
+    assert not any(beliefs[server.id].may_take_request(101.0) for server in servers)
+
+
+def test_latest_end_of_several_rests_holds_and_a_success_between_does_not_end_it() -> None:
+    belief = ServerBelief()
+    belief.take_rest(105.0)
+    belief.take_rest(103.0)
+    belief.note_taken(sent_at=101.0)  # sent before the rest was asked for
+    assert not belief.claim_send(104.9)
+    assert belief.claim_send(105.0)
+
+
+def test_server_is_tried_by_one_request_at_a_time_after_its_rest() -> None:
+    belief = ServerBelief()
+    belief.take_rest(103.0)
+    assert belief.claim_send(103.0)
+    assert not belief.claim_send(103.0 + RETURN_GAP / 2)
+    assert belief.claim_send(103.0 + RETURN_GAP)  # the first one had no answer
+    belief.note_taken(sent_at=103.0)
+    assert belief.claim_send(103.0 + RETURN_GAP)
+
+
+def test_wait_for_a_server_is_the_longest_of_what_it_asks() -> None:
+    belief = ServerBelief()
+    assert belief.compute_wait(100.0) == 0
+    belief.permit_at = 100.5
+    assert belief.compute_wait(100.0) == 0.5
+    belief.take_rest(103.0)
+    assert belief.compute_wait(100.0) == 3.0
+    assert belief.claim_send(104.0)
+    assert belief.compute_wait(104.0) == pytest.approx(RETURN_GAP)
+
+
+def test_server_that_leaves_is_no_part_of_any_chain() -> None:
+    beliefs = ServerBeliefs()
+    server = make_server(1, "l4")
+    beliefs[server.id].is_leaving = True
+    assert beliefs.list_choosable([server], [], 100.0) == []
+    assert not beliefs[server.id].may_take_request(100.0)
--- a/tests/node/traffic/process/test_metricstext.py
+++ b/tests/node/traffic/process/test_metricstext.py
@@ -10,7 +10,7 @@
 
 
 def render(metrics: TrafficMetrics) -> list[str]:
-    return render_metrics(metrics, Gauges(age=0.5, ends=2, servers=33)).decode().splitlines()
+    return render_metrics(metrics, Gauges(age=0.5, ends=2, servers=33, limited=3, closed=1)).decode().splitlines()
 
 
 def test_requests_are_counted_by_ending_and_timed_by_route_and_customer() -> None:
@@ -34,6 +34,8 @@
     assert "vaneturn_view_age_seconds 0.5" in text
     assert "vaneturn_server_ends 2.0" in text
     assert "vaneturn_backend_servers 33.0" in text
+    assert "vaneturn_rate_limited_servers 3.0" in text
+    assert "vaneturn_closed_servers 1.0" in text
 
 
 def test_labels_are_bounded() -> None:
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -26,6 +26,16 @@
             ),
         ),
     ),
+    Proof(
+        "a server that asked for rest gets no request",
+        f"{SYSTEM}/test_directives.py::test_server_that_asked_for_rest_gets_no_more_requests",
+        (Edit(f"{CORE}/servers.py", "return self.is_leaving or now < self.rest_until or is_tried", "return False"),),
+    ),
+    Proof(
+        "nodes look again right before a send",
+        "tests/core/traffic/test_servers.py::test_server_is_tried_by_one_request_at_a_time_after_its_rest",
+        (Edit(f"{CORE}/servers.py", "        if self.is_closed(now):\n            return False\n", ""),),
+    ),
     Proof(
         "a node that has just become the issuer issues a small share",
         "tests/core/traffic/test_ratelimits.py::test_node_that_has_just_become_first_issues_a_small_share_until_all_know",
