Send nothing to a server that says in its answers that it leaves

Callers saw nothing yet; the rule is new: no request later than drain_ms after a node has passed on such an answer.

Cause: the same as for rests: the header was not decoded, the list alone decided, which may show it later or not at all. Change: the first such answer takes the server out of the choices of this node, first or later part, for good: what is believed ends with its start, so a new start under the same id is a new server. Streams under way go on. Evidence: the test, four nodes and a server that the list goes on to show as ready, failed before and passes; taken out, it fails.

--- a/packages/node/src/vaneturn_node/traffic/servers/directivekeeper.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/directivekeeper.py
@@ -33,6 +33,7 @@
         now, belief = read_clock(), self._beliefs[server.id]
         if not _is_unreadable(directives, "Server-Limit"):
             self._limits.note_answer(server.id, directives.rate_limit, sent_at, now)
+        belief.is_leaving = belief.is_leaving or directives.is_leaving
         if directives.rest is not None:
             belief.take_rest(now + directives.rest + random.uniform(0.0, min(MAX_SPREAD, directives.rest)))
         else:
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -31,6 +31,17 @@
         f"{SYSTEM}/test_directives.py::test_server_that_asked_for_rest_gets_no_more_requests",
         (Edit(f"{CORE}/servers.py", "return self.is_leaving or now < self.rest_until or is_tried", "return False"),),
     ),
+    Proof(
+        "a server that says it leaves gets no request",
+        f"{SYSTEM}/test_directives.py::test_server_that_says_it_leaves_gets_no_more_requests",
+        (
+            Edit(
+                f"{TRAFFIC}/servers/directivekeeper.py",
+                "belief.is_leaving = belief.is_leaving or directives.is_leaving",
+                "belief.is_leaving = False",
+            ),
+        ),
+    ),
     Proof(
         "nodes look again right before a send",
         "tests/core/traffic/test_servers.py::test_server_is_tried_by_one_request_at_a_time_after_its_rest",
