Tell other nodes of rate limits that have changed, over the relays

Callers saw nothing; servers did: a node that had not met a limit itself went on sending as before until its first answer named it, one request of each node and more while answers were on their way, and an end of a limit reached others only with a permit that they got in turn.

Change: words on loads and answers of relays carry the limits that changed within 5 s. Nothing is added to them while no limit changes; permits carry the newest word on as before, so that a lost one costs no more than it did. An unsound row (unknown server, rate not above 0, age below 0) is left out.

--- a/packages/core/src/vaneturn_core/traffic/ratelimits.py
+++ b/packages/core/src/vaneturn_core/traffic/ratelimits.py
@@ -21,6 +21,7 @@
 STAND_IN_SHARE: Final = 0.2  # of the rate, for a node that is not known to be the only first one
 SETTLE_TIME: Final = 4.0  # seconds until all nodes know of a node that came or left, and have used their last permits
 ISSUERS: Final = 2  # nodes that issue permits for a server
+NEWS_TIME: Final = 5.0  # seconds for which nodes tell others of a change; permits carry it to those that missed it
 ASK_ANOTHER: Final = 0.5  # seconds after which a node asks again that asked one that does not issue
 
 
@@ -30,6 +31,7 @@
 
     rate: float | None  # requests a second; none when the server has ended its limit
     at: float  # steady time of that word
+    since: float  # steady time of the first word that named the same rate
 
 
 class RateLimits:
@@ -46,6 +48,10 @@
         """List the servers that limit requests now."""
         return {server: limit.rate for server, limit in self._limits.items() if limit.rate is not None}
 
+    def list_news(self, now: float) -> dict[ServerId, RateLimit]:
+        """List the limits that have changed lately, for other nodes."""
+        return {server: limit for server, limit in self._limits.items() if limit.since > now - NEWS_TIME}
+
     def note_answer(self, server: ServerId, rate: float | None, sent_at: float, now: float) -> None:
         """Take what an answer says.
 
@@ -56,18 +62,23 @@
         known = self._limits.get(server)
         if known is None:
             if rate is not None:
-                self._limits[server] = RateLimit(rate, now)
+                self._limits[server] = RateLimit(rate, now, now)
             return
         is_lower = rate is not None and (known.rate is None or rate <= known.rate)
         if is_lower or sent_at > known.at:
-            self._limits[server] = RateLimit(rate, now)
+            self._limits[server] = RateLimit(rate, now, known.since if rate == known.rate else now)
+
+    def take_told(self, server: ServerId, rate: float | None, at: float, now: float) -> RateLimit:
+        """Take what another node knows; gives the newer word.
 
-    def take_told(self, server: ServerId, told: RateLimit) -> RateLimit:
-        """Take what another node knows; gives the newer word."""
+        :param at: steady time of that word.
+        """
         known = self._limits.get(server)
-        if known is None or known.at < told.at:
-            known = self._limits[server] = told
-        return known
+        if known is not None and known.at >= at:
+            return known
+        since = known.since if known is not None and known.rate == rate else now
+        newer = self._limits[server] = RateLimit(rate, at, since)
+        return newer
 
     def forget_absent(self, present: Collection[ServerId]) -> None:
         """Forget the servers that have left the list."""
--- a/packages/node/src/vaneturn_node/traffic/process/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/process/daemon.py
@@ -113,6 +113,7 @@
             board=board,
             losses=losses,
             crashes=crashes,
+            permits=parts.permits,
         )
         self._sharing = LoadSharing(vm=settings.vm, view=self._view, beliefs=self._beliefs, board=board, peers=peers)
         self._follower = StoreFollower(
--- a/packages/node/src/vaneturn_node/traffic/servers/permits.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/permits.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from collections.abc import Iterable
 from typing import Final
 
 import msgspec
@@ -42,6 +43,14 @@
     age: float
 
 
+class ToldLimit(Struct, array_like=True):
+    """What a node tells others of a limit that has changed."""
+
+    server: str
+    rate: float | None
+    age: float
+
+
 class Permits:
     """The limits that this node knows, and its permits."""
 
@@ -62,23 +71,19 @@
         self._issuer = issuer
         self._caller = caller
         self._left_until: dict[VmId, float] = {}
-        self._ends_told: dict[ServerId, float] = {}  # times of the ends of limits that the issuer knows
 
     async def obtain(self, server: ServerId) -> bool:
         """Get a permit for one request; without one the server is not chosen until there may be one."""
         limit = self._limits.find(server)
-        if limit is None or (limit.rate is None and self._ends_told.get(server) == limit.at):
+        if limit is None or limit.rate is None:
             return True
         reply = await self._ask(server, limit)
-        if reply is None and limit.rate is None:
-            return True
         if reply is None:
             logger.info("no node issues permits", extra={"server": server, "rate_limit": limit.rate})
             self._beliefs[server].permit_at = read_clock() + NO_ISSUER_WAIT
             return False
-        newest = self._limits.take_told(server, RateLimit(reply.rate, read_clock() - reply.age))
-        if newest.rate is None:
-            self._ends_told[server] = newest.at
+        now = read_clock()
+        if self._limits.take_told(server, reply.rate, now - reply.age, now).rate is None:
             return True
         self._beliefs[server].permit_at = read_clock() + min(reply.wait, MAX_WAIT)
         return reply.wait <= 0
@@ -87,8 +92,26 @@
         """Forget the servers that have left the list."""
         self._limits.forget_absent(self._view.servers)
         self._issuer.forget_absent(self._view.servers)
-        for server in [one for one in self._ends_told if one not in self._view.servers]:
-            del self._ends_told[server]
+
+    def list_news(self) -> list[ToldLimit]:
+        """List the limits that have changed lately."""
+        now = read_clock()
+        news = self._limits.list_news(now)
+        return [ToldLimit(server, limit.rate, max(0.0, now - limit.at)) for server, limit in news.items()]
+
+    def take_news(self, told: Iterable[ToldLimit]) -> None:
+        """Take what another node tells; what is not sound is left out."""
+        now = read_clock()
+        for one in told:
+            server = ServerId(one.server)
+            if self._is_sound(server, one.rate, one.age):
+                self._limits.take_told(server, one.rate, now - one.age, now)
+
+    def _is_sound(self, server: ServerId, rate: float | None, age: float) -> bool:
+        if server in self._view.servers and age >= 0 and (rate is None or 0 < rate < math.inf):
+            return True
+        logger.debug("word on a rate limit left out", extra={"server": server, "rate_limit": rate, "age": age})
+        return False
 
     def answer(self, body: bytes) -> bytes | None:
         """Answer another node; none when its question is not understood."""
@@ -98,14 +121,13 @@
             logger.warning("question for a permit not understood", extra={"fault": str(error)})
             return None
         server = ServerId(asked.server)
-        is_sound = asked.age >= 0 and (asked.rate is None or 0 < asked.rate < math.inf)
-        if server not in self._view.servers or not is_sound:
-            logger.warning("question for a permit refused", extra={"server": server, "rate_limit": asked.rate})
+        if not self._is_sound(server, asked.rate, asked.age):
             return None
-        return msgspec.json.encode(self._issue(server, RateLimit(asked.rate, read_clock() - asked.age)))
+        return msgspec.json.encode(self._issue(server, asked.rate, asked.age))
 
-    def _issue(self, server: ServerId, told: RateLimit) -> PermitReply:
-        newest = self._limits.take_told(server, told)
+    def _issue(self, server: ServerId, rate: float | None, age: float) -> PermitReply:
+        now = read_clock()
+        newest = self._limits.take_told(server, rate, now - age, now)
         wait = self._issuer.issue(server, newest.rate) if newest.rate is not None else 0.0
         return PermitReply(wait, newest.rate, max(0.0, read_clock() - newest.at))
 
@@ -114,7 +136,7 @@
         nodes = self._view.nodes
         for issuer in rank_issuers(server, nodes):
             if issuer == self._vm:
-                return self._issue(server, limit)
+                return self._issue(server, limit.rate, read_clock() - limit.at)
             address = nodes[issuer]
             if address is None or self._left_until.get(issuer, 0.0) > read_clock():
                 continue
@@ -136,4 +158,4 @@
             return None
 
 
-__all__ = ["PERMITS_PATH", "PermitReply", "PermitRequest", "Permits"]
+__all__ = ["PERMITS_PATH", "PermitReply", "PermitRequest", "Permits", "ToldLimit"]
--- a/packages/node/src/vaneturn_node/traffic/sharing/changeclient.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/changeclient.py
@@ -15,6 +15,7 @@
 from vaneturn_core.traffic.view import PlatformView, StoreContact
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.caller import Caller, Reply
+from vaneturn_node.traffic.servers.permits import Permits
 from vaneturn_node.traffic.sharing.changelog import Change
 from vaneturn_node.traffic.sharing.changeserver import CHANGES_PATH, LOADS_PATH, OUT_OF_TOUCH
 from vaneturn_node.traffic.sharing.crashsharing import CrashSharing
@@ -61,7 +62,9 @@
         board: LoadBoard,
         losses: LossSharing,
         crashes: CrashSharing,
+        permits: Permits,
     ) -> None:
+        self._permits = permits
         self._losses = losses
         self._crashes = crashes
         self._vm = vm
@@ -75,7 +78,7 @@
         """Wait for changes after a revision."""
         started = read_clock()
         loads = self._beliefs.list_loads()
-        body = msgspec.json.encode(ToldLoads(self._vm, pack_loads(loads), self._crashes.check))
+        body = msgspec.json.encode(self._make_word(loads))
         reply = await self._caller.call(address, "POST", f"{CHANGES_PATH}?since={since}", self._times.ask, body=body)
         if isinstance(reply, Reply) and reply.status == OUT_OF_TOUCH:
             return NoChanges.OUT_OF_TOUCH
@@ -94,12 +97,15 @@
         if total is not None:
             self._board.take_total(total, loads)
         self._losses.take_confirmed(word.losses, address)
+        self._permits.take_news(word.limits)
         return RelayedChanges(word.revision, word.changes, contact)
 
     async def tell_loads(self, address: str, loads: Loads) -> None:
         """Tell another relay what this one and those that ask it have in progress; a lost word is told anew soon."""
-        word = ToldLoads(self._vm, pack_loads(loads), self._crashes.check)
-        await send_word(self._caller, address, LOADS_PATH, TELL_TIME, word)
+        await send_word(self._caller, address, LOADS_PATH, TELL_TIME, self._make_word(loads))
+
+    def _make_word(self, loads: Loads) -> ToldLoads:
+        return ToldLoads(self._vm, pack_loads(loads), self._crashes.check, self._permits.list_news())
 
 
 def _compute_time(now: float, age: float | None) -> float:
--- a/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
@@ -95,6 +95,7 @@
         told = decode_told(request.body, self._view.servers)
         if told is not None:
             self._crashes.compare(told.vm, told.crashes)
+            self._permits.take_news(told.limits)
         if request.path == LOADS_PATH and told is not None:
             self._board.take_relay(told.vm, told.loads)
             await answer.send_whole(OK, [], b"")
@@ -133,6 +134,7 @@
             returned_age=_compute_age(now, contact.returned_at),
             loads=self._pack_all(now),
             losses=self._losses.pack_confirmed(now),
+            limits=self._permits.list_news(),
         )
         await answer.send_whole(OK, _JSON, msgspec.json.encode(word))
 
--- a/packages/node/src/vaneturn_node/traffic/sharing/peerwords.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/peerwords.py
@@ -14,6 +14,7 @@
 from vaneturn_core.traffic.loads import Loads
 from vaneturn_core.traffic.servers import ServerId
 from vaneturn_node.http1.caller import Caller, Failed, Reply
+from vaneturn_node.traffic.servers.permits import ToldLimit
 from vaneturn_node.traffic.sharing.changelog import Change
 from vaneturn_node.traffic.sharing.serverrows import unpack_loads
 
@@ -30,6 +31,7 @@
     vm: VmId
     loads: bytes  # packed
     crashes: int = 0  # checksum of what it knows of servers that ended
+    limits: list[ToldLimit] = []  # rate limits of servers that have changed lately
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +41,7 @@
     vm: VmId
     loads: Loads
     crashes: int
+    limits: list[ToldLimit]
 
 
 class RelayWord(Struct):
@@ -52,6 +55,7 @@
     returned_age: float | None
     loads: bytes = b""  # of all nodes, packed
     losses: bytes = b""  # servers that two nodes or more have found lost, packed
+    limits: list[ToldLimit] = []  # rate limits of servers that have changed lately
 
 
 async def send_word(caller: Caller, address: str, path: str, limit: float, word: Struct) -> None:
@@ -80,7 +84,7 @@
         logger.warning("word on loads not understood", extra={"fault": str(error)})
         return None
     loads = unpack_total(told.loads, known) if told is not None else None
-    return Told(told.vm, loads, told.crashes) if told is not None and loads is not None else None
+    return Told(told.vm, loads, told.crashes, told.limits) if told is not None and loads is not None else None
 
 
 def unpack_total(data: bytes, known: Iterable[ServerId]) -> Loads | None:
--- a/tests/node/traffic/servers/test_permits.py
+++ b/tests/node/traffic/servers/test_permits.py
@@ -118,6 +118,7 @@
     await count_permits(network, ASKER, 3)
     network.tell(SECOND, None)
     assert await count_permits(network, SECOND, 3) == 3
+    network.nodes[FIRST].permits.take_news(network.nodes[SECOND].permits.list_news())
     assert await count_permits(network, ASKER, 3) == 3
 
 
--- a/tests/node/traffic/sharing/test_changes.py
+++ b/tests/node/traffic/sharing/test_changes.py
@@ -20,6 +20,7 @@
 from vaneturn_node.http1.pool import LinkPool
 from vaneturn_node.http1.server import ClientRequest
 from vaneturn_node.platform.store import StoreItem
+from vaneturn_node.traffic.servers.permits import ToldLimit
 from vaneturn_node.traffic.sharing.changeclient import ChangeClient, NoChanges, RelayedChanges
 from vaneturn_node.traffic.sharing.changelog import ChangeLog
 from vaneturn_node.traffic.sharing.changeserver import CHANGES_PATH, ChangeServer
@@ -96,6 +97,7 @@
         board=board,
         losses=losses,
         crashes=make_crash_sharing(name, view, caller),
+        permits=make_parts(name, view, beliefs, caller).permits,
     )
     return client, board
 
@@ -132,6 +134,22 @@
     assert relay.board.find_others(BUSY) == ServerLoad(7, 7 * RESERVED)
 
 
+async def test_rate_limit_that_one_node_was_told_reaches_all_others() -> None:
+    """Each node went on sending as before until an answer named the limit to it."""
+    relay, other = Relay(), Relay()
+    teller, _ = make_client(Wire(relay.server), "entry-2")
+    teller._permits.take_news([ToldLimit("i-1", 2.5, 0.0), ToldLimit("i-9", 2.5, 0.0), ToldLimit("i-1", -1.0, 0.0)])
+    relay.hear(StoreItem("servers/i-1", b"entry", 6), revision=6)
+    await teller.ask("relay", 5)
+    asker, _ = make_client(Wire(relay.server), "entry-3")
+    await asker.ask("relay", 5)
+    assert [(one.server, one.rate) for one in asker._permits.list_news()] == [("i-1", 2.5)]
+    between_relays, _ = make_client(Wire(other.server), "entry-1")
+    between_relays._permits.take_news(relay.parts.permits.list_news())
+    await between_relays.tell_loads("relay", {})
+    assert other.parts.limits.list_limited() == {BUSY: 2.5}
+
+
 async def test_word_on_loads_that_is_not_understood_does_not_hide_changes() -> None:
     relay = Relay()
     relay.hear(StoreItem("servers/i-1", b"entry", 6), revision=6)
--- a/tests/node/traffic/test_parsing.py
+++ b/tests/node/traffic/test_parsing.py
@@ -12,7 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from node.traffic.samples import make_crash_sharing, make_sharing
+from node.traffic.samples import make_crash_sharing, make_parts, make_sharing
 from vaneturn_core.faults import Fault
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.configuration import TrafficConfiguration
@@ -34,7 +34,7 @@
 NAMES = [
     "service", "addr", "zone", "state", "slots", "route_type", "layers", "from", "target_version", "version", "routes",
     "services", "limits", "tenants", "engine", "models", "kinds", "entries", "events", "at", "key", "value", "revision",
-    "gone", "host", "path_prefix", "changes", "held", "confirmed_age",
+    "gone", "host", "path_prefix", "changes", "held", "confirmed_age", "limits", "server", "rate", "age", "wait",
 ]  # fmt: skip
 SCALARS = st.none() | st.booleans() | st.integers(-5, 10**9) | st.floats(allow_nan=False) | st.text(max_size=8)
 DOCUMENTS = st.recursive(
@@ -136,6 +136,7 @@
             board=LoadBoard(time.monotonic),
             losses=losses,
             crashes=make_crash_sharing("entry-1", view, caller),
+            permits=make_parts("entry-1", view, beliefs, caller).permits,
         )
         losses.take(body)
         assert isinstance(await client.ask("relay", 1), RelayedChanges | NoChanges)
