Let servers limit, rest and leave in the randomised run, and check the three rules over all nodes

Cause: no stand-in asked for anything in its answers, so no run could see it ignored. The checks are as they were.

--- a/tests/rig/deadlysoak.py
+++ b/tests/rig/deadlysoak.py
@@ -42,7 +42,7 @@
         """Let a server end by itself and start again under its name."""
         await anyio.sleep(rng.uniform(4.0, 9.0))
         fleet = self.traffic.fleet
-        server = rng.choice([one for one in fleet.servers.values() if one.state == "ready" and not one.is_crashed])
+        server = self._pick_server(rng)
         self.findings.counts["fault: server starts again"] += 1
         await self._crash(server)
         await anyio.sleep(rng.uniform(0.2, 2.0))
--- a/tests/rig/soakclients.py
+++ b/tests/rig/soakclients.py
@@ -12,7 +12,7 @@
 import httpx
 
 from rig.traffic import Traffic, list_ids
-from rig.trafficjudge import Cut, Troubles
+from rig.trafficjudge import Cut, Span, Troubles
 from standins.platform.operator import KEY
 
 NODES = 5
@@ -38,6 +38,7 @@
     cuts: list[Cut] = field(default_factory=list)  # of streams that had begun
     stopped: list[Cut] = field(default_factory=list)  # of streams that a planned stop may have cut
     by_whom: Troubles = field(default_factory=Troubles)
+    restarts: defaultdict[int, list[Span]] = field(default_factory=lambda: defaultdict(list))  # planned ones, by node
 
 
 class SoakClients:
--- a/tests/rig/soakfaults.py
+++ b/tests/rig/soakfaults.py
@@ -23,6 +23,7 @@
 
 STOP_TIME = 8.0  # seconds of grace
 SHORT = (0.2, 0.8)  # seconds; silences and full links that may not cut a stream
+LEAVES_WITH_WORD = 0.5  # share of leaving servers that the list shows as such before they are gone
 LONG_AGAIN = 0.7  # share of long configurations after which it is short again
 
 
@@ -34,6 +35,7 @@
         return [
             self._fail_node, self._fail_store, self._fail_server, self._change, self._stop_node,
             self._change_often, self._silence_many, self._fill_links, self._stop_in_trouble,
+            self._limit_server, self._rest_server, self._tell_leaving,
         ]  # fmt: skip
 
     @asynccontextmanager
@@ -118,9 +120,7 @@
 
     async def _fail_server(self, rng: random.Random) -> None:
         await anyio.sleep(rng.uniform(0.5, 3.0))
-        fleet = self.traffic.fleet
-        listed = [one for one in fleet.servers.values() if one.state == "ready" and not one.is_crashed]
-        server = rng.choice(listed)
+        server = self._pick_server(rng)
         kind = rng.choice(["crash", "dark", "leave", "leave without a word"])
         self.findings.counts[f"fault: server {kind}"] += 1
         if kind == "dark":
@@ -149,6 +149,43 @@
         await wait_for(lambda: not server.active, limit=10.0)
         await self._crash(server, is_listed=False)
 
+    def _list_staying(self) -> list[Server]:
+        """List the servers that have not ended and do not leave: each of them ends once."""
+        servers = self.traffic.fleet.servers.values()
+        return [one for one in servers if one.state == "ready" and not (one.is_crashed or one.says_leaving)]
+
+    def _pick_server(self, rng: random.Random) -> Server:
+        return rng.choice(self._list_staying())
+
+    async def _limit_server(self, rng: random.Random) -> None:
+        """Let a server name a rate limit, change it, and end it."""
+        await anyio.sleep(rng.uniform(0.5, 2.0))
+        server = self._pick_server(rng)
+        self.findings.counts["fault: server limited"] += 1
+        for _ in range(rng.randint(1, 2)):
+            server.rate_limit = rng.choice([0.5, 1.0, 3.0])
+            await anyio.sleep(rng.uniform(4.0, 8.0))
+        server.rate_limit = None
+
+    async def _rest_server(self, rng: random.Random) -> None:
+        """Let a server turn requests away and ask for rest."""
+        await anyio.sleep(rng.uniform(1.0, 4.0))
+        server = self._pick_server(rng)
+        self.findings.counts["fault: server asks for rest"] += 1
+        server.rest = round(rng.uniform(0.6, 3.0), 2)
+        await anyio.sleep(rng.uniform(0.3, 2.0))
+        server.rest = None
+
+    async def _tell_leaving(self, rng: random.Random) -> None:
+        """Let a server say in its answers that it leaves, before the list says so."""
+        await anyio.sleep(rng.uniform(3.0, 8.0))
+        server = self._pick_server(rng)
+        self.findings.counts["fault: server says that it leaves"] += 1
+        await self.traffic.fleet.add(f"127.0.0.1:{find_port()}", server.service, server.hall, server.kind)
+        server.says_leaving = True
+        await anyio.sleep(rng.uniform(1.0, 4.0))
+        await self._leave(server, has_word=rng.random() < LEAVES_WITH_WORD)
+
     async def _silence_many(self, rng: random.Random) -> None:
         """Let some or all servers be silent at once, for less than a stream may be cut for."""
         await anyio.sleep(rng.uniform(1.5, 5.0))
@@ -232,6 +269,7 @@
             await asyncio.to_thread(node.process.popen.wait)
         node.restart()
         self.findings.troubles.append((time.monotonic(), time.monotonic()))
+        self.findings.restarts[self.traffic.nodes.index(node)].append(Span(time.monotonic(), time.monotonic()))
 
     async def _stop_in_trouble(self, rng: random.Random) -> None:
         """Stop a node as planned, with streams under way, beside a change and the loss of a server."""
@@ -251,8 +289,7 @@
 
     async def _replace_lost(self, rng: random.Random, tasks: TaskGroup) -> None:
         fleet = self.traffic.fleet
-        engines = [one for one in fleet.servers.values() if one.kind and one.state == "ready" and not one.is_crashed]
-        server = rng.choice(engines)
+        server = rng.choice([one for one in self._list_staying() if one.kind])
         await fleet.add(f"127.0.0.1:{find_port()}", server.service, server.hall, server.kind)
         tasks.start_soon(self._crash_until_noticed, server)
 
--- a/tests/rig/traffic.py
+++ b/tests/rig/traffic.py
@@ -37,6 +37,11 @@
             assert layers == list(range(fleet.layers)), f"token of {run.request} over {chain}"
 
 
+def get_address(node: int) -> str:
+    """Give the IP number that the connections of a node with a link of its own come from."""
+    return f"127.0.1.{node + 1}"
+
+
 async def wait_for(condition: Any, limit: float = START_TIME) -> None:
     with anyio.fail_after(limit):
         while True:
@@ -134,7 +139,7 @@
         path.write_text(json.dumps(settings))
         module, arguments = "vaneturn_node", ["--platform", "--settings", str(path)]
         if link is not None:
-            address = f"127.0.1.{len(self.nodes) + 1}"  # that its connections come from
+            address = get_address(len(self.nodes))
             self._links[address] = link
             module, arguments = "standins.vm", [address, module, *arguments]
         process = Process(module, arguments, self.folder / f"{name}.log")
@@ -207,4 +212,4 @@
             await anyio.sleep(ACCEPT_TIME)
 
 
-__all__ = ["Node", "Traffic", "assert_layers_once_in_order", "list_ids", "open_traffic", "wait_for"]
+__all__ = ["Node", "Traffic", "assert_layers_once_in_order", "get_address", "list_ids", "open_traffic", "wait_for"]
--- a/tests/rig/trafficsoak.py
+++ b/tests/rig/trafficsoak.py
@@ -16,9 +16,10 @@
 import anyio
 import httpx
 
+from rig.directivejudge import find_breaches
 from rig.soakclients import DRAIN_TIME, NEVER, NODES, SLACK, TOKENS, Findings
 from rig.soakfaults import SoakFaults
-from rig.traffic import assert_layers_once_in_order, open_traffic
+from rig.traffic import assert_layers_once_in_order, get_address, open_traffic
 from rig.trafficjudge import Cut, Span, find_pauses
 
 CONTACT_TIME = 3.0  # seconds without trouble after which the bounds hold
@@ -49,6 +50,13 @@
             watch.cancel_scope.cancel()
         self._check_runs()
         self._check_cuts()
+        self.findings.faults += find_breaches(self.traffic.fleet.record, self._was_interrupted)
+
+    def _was_interrupted(self, address: str, start: float, end: float) -> bool:
+        """Tell whether a node was killed, frozen or started again in a time."""
+        number = next(index for index in range(NODES) if get_address(index) == address)
+        spans = [*self.findings.by_whom.nodes[number], *self.findings.restarts[number]]
+        return any(span.meets(Span(start, end)) for span in spans)
 
     async def _look_at_the_clock(self) -> None:
         while True:
