Leave plain services of the own interface alone that turn a call away and ask for rest

Callers saw: a call passed to a server that had just turned another one away with Retry-After, and an answer without the time that the server had named.

Cause: the same as on the platform's face: Retry-After of a 429 or 503 was read by nobody. Found by looking for the class elsewhere. Engines refuse in messages of their own, which name no time; the weight store is asked by engines, not by nodes.

Change: the health of a server holds the latest end of its rests; it is not ranked meanwhile, and while all rest calls are refused as not run with the earliest end. Retry-After is passed on. The number is parsed in one place for both faces; the belief is not shared: one face knows servers by VM, the other by start.

--- a/packages/core/src/vaneturn_core/outcomes.py
+++ b/packages/core/src/vaneturn_core/outcomes.py
@@ -38,6 +38,7 @@
     status: int
     content_type: str
     body: bytes
+    retry_after: str | None = None  # as the server said it
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/vaneturn_core/routing/health.py
+++ b/packages/core/src/vaneturn_core/routing/health.py
@@ -49,6 +49,7 @@
     failed_at: float = float("-inf")  # the last failure that counted
     ejections: int = 0  # in a row
     ejected_until: float = 0.0
+    rest_until: float = 0.0  # until when it asked for no new work
     leaving: set[LeavingSource] = field(default_factory=set)
 
     def compute_timeout(self, positions: int, shortest: float, longest: float) -> float:
@@ -161,6 +162,14 @@
         """List the servers that must not get new work because they leave."""
         return frozenset(vm for vm, health in self._servers.items() if health.leaving)
 
+    def take_rest(self, vm: VmId, seconds: float) -> None:
+        """Take note that a server wants no new work for a time; the latest end holds."""
+        self[vm].rest_until = max(self[vm].rest_until, self._clock() + seconds)
+
+    def compute_rest(self, vm: VmId) -> float:
+        """Compute the seconds for which a server still wants no new work."""
+        return max(0.0, self[vm].rest_until - self._clock())
+
     def list_ejected(self) -> frozenset[VmId]:
         """List the servers that are ejected for their failures."""
         return frozenset(vm for vm, health in self._servers.items() if self._is_ejected(health))
--- a/packages/node/src/vaneturn_node/http/services.py
+++ b/packages/node/src/vaneturn_node/http/services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from typing import Final
 
@@ -18,15 +19,20 @@
 from vaneturn_node.http.accounting import Account
 from vaneturn_node.http.errors import answer_error
 from vaneturn_node.http.reading import Call, Malformed, find_customer, read_call
+from vaneturn_node.http1.messages import MAX_REST, parse_decimal
 from vaneturn_node.runtime import Runtime, open_account
 
 CONNECT_TIMEOUT: Final = 1.0  # seconds
 MAX_TRIES: Final = 3
+RETRY_AFTER: Final = "Retry-After"
 BACKOFF: Final = 0.05  # seconds, times the number of tries before
+_TURNED_AWAY: Final = (httpx.codes.TOO_MANY_REQUESTS, httpx.codes.SERVICE_UNAVAILABLE)
 _PASSED_HEADERS: Final = ("Accept", "Content-Type", "Idempotency-Key")
 # raised before any byte of the request was written
 _NOT_SENT: Final = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout, httpx.UnsupportedProtocol)
 
+logger = logging.getLogger(__name__)
+
 
 async def call_service(request: Request, runtime: Runtime) -> Response:
     """Pass a call to one of the service's servers."""
@@ -53,7 +59,8 @@
 
 def _answer(outcome: Outcome, request: RequestId) -> Response:
     if isinstance(outcome, Completed):
-        return Response(outcome.body, outcome.status, media_type=outcome.content_type)
+        headers = {RETRY_AFTER: outcome.retry_after} if outcome.retry_after is not None else {}
+        return Response(outcome.body, outcome.status, headers, outcome.content_type)
     return answer_error(outcome, request=request)
 
 
@@ -90,6 +97,9 @@
     async def _try_servers(self, *, repeatable: bool) -> Outcome:
         """Try servers in turn: after no run always, after an unknown run only if the call may be repeated."""
         outcome: Outcome = NotRun(Reason.NO_ROUTE)
+        rests = [self._runtime.healths.compute_rest(vm) for vm in self._service.servers]
+        if rests and min(rests) > 0:
+            return NotRun(Reason.OVERLOAD, retry_after=min(rests))
         budget = self._runtime.retry_budget
         budget.earn()
         for tried, vm in enumerate(self._rank_servers()[:MAX_TRIES]):
@@ -105,7 +115,7 @@
         """Rank the usable servers: the less loaded of two random ones first."""
         healths = self._runtime.healths
         leaving = healths.list_leaving()
-        usable = [vm for vm in self._service.servers if vm not in leaving]
+        usable = [vm for vm in self._service.servers if vm not in leaving and not healths.compute_rest(vm)]
         random.shuffle(usable)
         usable[:2] = sorted(usable[:2], key=lambda vm: healths[vm].in_progress)
         ejected = healths.list_ejected()
@@ -135,7 +145,12 @@
         finally:
             health.in_progress -= 1
         self._runtime.healths.record_reply(vm, read_clock() - started)
-        return Completed(response.status_code, response.headers.get("Content-Type", ""), response.content)
+        retry_after = response.headers.get(RETRY_AFTER)
+        seconds = parse_decimal(retry_after.encode()) if retry_after is not None else None
+        if response.status_code in _TURNED_AWAY and seconds is not None:
+            self._runtime.healths.take_rest(vm, min(seconds, MAX_REST))
+            logger.info("server asked for rest", extra={"vm": vm, "seconds": seconds})
+        return Completed(response.status_code, response.headers.get("Content-Type", ""), response.content, retry_after)
 
 
 __all__ = ["call_service"]
--- a/packages/node/src/vaneturn_node/platform/directives.py
+++ b/packages/node/src/vaneturn_node/platform/directives.py
@@ -2,20 +2,17 @@
 
 from __future__ import annotations
 
-import re
 from typing import Final
 
 from vaneturn_core.faults import Fault
 from vaneturn_core.traffic.directives import ServerDirectives
-from vaneturn_node.http1.messages import Headers
+from vaneturn_node.http1.messages import MAX_REST, Headers, parse_decimal
 
 RATE_LIMIT: Final = b"server-limit"
 LEAVING: Final = b"server-leaving"
 RETRY_AFTER: Final = b"retry-after"
 MAX_RATE: Final = 1e6  # requests a second; a larger one is taken for an error of the server
-MAX_REST: Final = 3600.0  # seconds; longer rests are cut to it
 TURNED_AWAY: Final = frozenset({429, 503})
-_DECIMAL: Final = re.compile(rb"\d{1,12}(\.\d{1,12})?")
 
 
 def read_directives(status: int, headers: Headers) -> ServerDirectives:
@@ -39,10 +36,10 @@
     values = _list_values(headers, name)
     if not values:
         return None
-    if len(values) > 1 or not _DECIMAL.fullmatch(values[0]):
+    number = parse_decimal(values[0]) if len(values) == 1 else None
+    if number is None:
         faults.append(Fault(name.decode().title(), "one decimal number"))
-        return None
-    return float(values[0])
+    return number
 
 
 def _list_values(headers: Headers, name: bytes) -> list[bytes]:
--- a/tests/node/traffic/test_directives.py
+++ b/tests/node/traffic/test_directives.py
@@ -5,7 +5,8 @@
 import pytest
 
 from vaneturn_core.traffic.directives import ServerDirectives
-from vaneturn_node.platform.directives import MAX_REST, read_directives
+from vaneturn_node.http1.messages import MAX_REST
+from vaneturn_node.platform.directives import read_directives
 
 
 def test_directives_are_read() -> None:
--- a/tests/standins/plainservice.py
+++ b/tests/standins/plainservice.py
@@ -20,6 +20,7 @@
     """What goes wrong now; the counts are used up."""
 
     delay: float = 0.0  # seconds before a call runs
+    rest: float = 0.0  # turn calls away, and ask for so many seconds without any
     lose_replies: int = 0  # run the call, never answer
     truncate_replies: int = 0  # promise a longer body than is sent, then close
 
@@ -32,6 +33,9 @@
         if state["faults"].delay:
             await anyio.sleep(state["faults"].delay)
         key = request.headers.get("Idempotency-Key", "")
+        if state["faults"].rest:
+            journal.write(event="turned away", method=request.method, path=request.url.path)
+            return Response(status_code=503, headers={"Retry-After": str(state["faults"].rest)})
         journal.write(event="call", method=request.method, path=request.url.path, key=key, body=body.decode())
         if state["faults"].lose_replies:
             state["faults"].lose_replies -= 1
