Log when a node's process was held up, and whether it computed or stood still meanwhile

Change: a look that comes over 1 s late is logged with its seconds and the processor time used in them. Result: the test tells both apart.

--- a/packages/node/src/vaneturn_node/clock.py
+++ b/packages/node/src/vaneturn_node/clock.py
@@ -16,6 +16,7 @@
 
 LOOK_INTERVAL: Final = 0.1  # seconds between looks whether this process was suspended
 SHORTEST: Final = 0.05  # seconds of a suspension that is noticed; the two clocks are read microseconds apart
+HELD_UP: Final = 1.0  # seconds from one look to the next, from which operators are told
 
 logger = logging.getLogger(__name__)
 
@@ -29,7 +30,12 @@
     """Tell of each suspension of this VM once it is over, with its seconds, until cancelled."""
     known = read_clock() - time.monotonic()
     while True:
+        looked_at, used = read_clock(), time.process_time()
         await anyio.sleep(LOOK_INTERVAL)
+        took = read_clock() - looked_at
+        if took >= HELD_UP:  # processor time tells a process that computed for so long from one that stood still
+            extra = {"seconds": round(took, 3), "processor_seconds": round(time.process_time() - used, 3)}
+            logger.warning("held up", extra=extra)
         offset = read_clock() - time.monotonic()
         suspended, known = offset - known, offset
         if suspended >= SHORTEST:
--- a/tests/node/traffic/test_suspension.py
+++ b/tests/node/traffic/test_suspension.py
@@ -159,3 +159,23 @@
         await anyio.sleep(0.35)
         tasks.cancel_scope.cancel()
     assert [round(seconds, 2) for seconds in told] == [2.5]
+
+
+async def test_process_that_computed_for_long_is_told_from_one_that_stood_still(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    suspensions: list[float] = []
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch_suspensions, suspensions.append)
+        await anyio.sleep(0.05)
+        time.sleep(1.2)  # noqa: ASYNC251 # as a process that is not scheduled
+        await anyio.sleep(0.15)
+        until = time.process_time() + 1.2
+        while time.process_time() < until:
+            pass
+        await anyio.sleep(0.15)
+        tasks.cancel_scope.cancel()
+    told = [record for record in caplog.records if record.message == "held up"]
+    stood_still, computed = (getattr(record, "processor_seconds") for record in told)  # noqa: B009
+    assert stood_still < 0.6
+    assert computed > 1.0
