Let the client of a test leave once the next try has opened, not after a fixed time

Cause: nothing was open yet to be cut. Shown on purpose: a client that leaves after 0.2 or 0.25 s makes the old test fail in the same way, after 0.3 s it passes; the first look at a silent server is due after about 0.2 s. Ruled out as far as seen: an open second try that is not ended (none in 15 runs).

--- a/tests/rig/traffic.py
+++ b/tests/rig/traffic.py
@@ -212,4 +212,13 @@
             await anyio.sleep(ACCEPT_TIME)
 
 
-__all__ = ["Node", "Traffic", "assert_layers_once_in_order", "get_address", "list_ids", "open_traffic", "wait_for"]
+__all__ = [
+    "START_TIME",
+    "Node",
+    "Traffic",
+    "assert_layers_once_in_order",
+    "get_address",
+    "list_ids",
+    "open_traffic",
+    "wait_for",
+]
--- a/tests/system/platform/test_kepttries.py
+++ b/tests/system/platform/test_kepttries.py
@@ -17,7 +17,7 @@
 import anyio
 import pytest
 
-from rig.traffic import Traffic, list_ids, open_traffic, wait_for
+from rig.traffic import START_TIME, Traffic, list_ids, open_traffic, wait_for
 from standins.platform.servers import Run, Server
 from standins.platform.wire import Exchange
 
@@ -125,15 +125,23 @@
     servers = await rich.add_chains()
     rich.fleet.answer_tokens, rich.fleet.token_time = 60, 0.02
     cut: list[float] = []
+    opened = anyio.Event()
 
     async def wait_long(exchange: Exchange, _run: Run) -> None:
+        opened.set()
         await exchange.watch_client()
         cut.append(time.monotonic())
 
+    async def ask() -> None:
+        await rich.ask("/letter/1", X_Deadline_Ms="15000", X_Request_Id="leaves")
+
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(silence_first, rich, servers, wait_long)
-        with anyio.move_on_after(1.2):
-            await rich.ask("/letter/1", X_Deadline_Ms="15000", X_Request_Id="leaves")
+        async with anyio.create_task_group() as client:
+            client.start_soon(ask)
+            with anyio.fail_after(START_TIME):
+                await opened.wait()
+            client.cancel_scope.cancel()
         left = time.monotonic()
     await wait_for(lambda: bool(cut) and rich.fleet.runs[0].was_cut, 3.0)
     assert cut[0] - left < 0.3
