--- a/tests/system/platform/test_relays.py
+++ b/tests/system/platform/test_relays.py
@@ -23,6 +23,8 @@
 
 NODES = 5
 WATCH = ("GET", "/api/kv-watch")
+CONTACT_TIME = 3.0  # seconds after an outage of the store from which all nodes are in touch
+HEARD_AGE = 2.5  # seconds since the store confirmed what a node believes, over which it is out of touch
 DRAIN_TIME = 2.0  # seconds after which no node may send to a server that leaves
 LONG_ROUTES = 60  # make a configuration longer than what is passed on
 LONGEST_ROUTES = 1200  # make one longer than that when it is packed
@@ -36,14 +38,19 @@
         yield made
 
 
-async def read_relays(traffic: Traffic) -> list[str | None]:
-    """Read the relay of each node that answers."""
-    relays = []
+async def read_states(traffic: Traffic) -> list[dict[str, Any]]:
+    """Read the state of each node that answers."""
+    states = []
     for node in traffic.nodes:
         if node.process.popen.poll() is None:
             state = await traffic.client.get(f"http://127.0.0.1:{node.metrics_port}/state", timeout=5.0)
-            relays.append(state.json()["relay"])
-    return relays
+            states.append(state.json())
+    return states
+
+
+async def read_relays(traffic: Traffic) -> list[str | None]:
+    """Read the relay of each node that answers."""
+    return [state["relay"] for state in await read_states(traffic)]
 
 
 async def wait_for_relays(traffic: Traffic) -> None:
@@ -54,6 +61,15 @@
             await anyio.sleep(0.1)
 
 
+async def wait_until_heard(traffic: Traffic) -> None:
+    """Wait until every node has heard of the store, relays among them: one may still wait for a call of the outage."""
+    with anyio.fail_after(CONTACT_TIME):
+        while True:
+            if all(state["age"] < HEARD_AGE for state in await read_states(traffic)):
+                return
+            await anyio.sleep(0.1)
+
+
 async def find_relay(traffic: Traffic) -> Node:
     """Find the relay that most nodes ask."""
     relays = [relay for relay in await read_relays(traffic) if relay is not None]
@@ -228,6 +244,7 @@
     assert [answer.status_code for answer in answers] == [httpx.codes.SERVICE_UNAVAILABLE] * NODES
     traffic.fleet.store.set_mode(Mode.SOUND)
     await wait_for_relays(traffic)
+    await wait_until_heard(traffic)
     assert [answer.status_code for answer in await ask_all(traffic)] == [httpx.codes.OK] * NODES
 
 
