Let nodes without a permit return one after the other, and remember who issues

Change: the wait grows with the questions since the newest permit; the ranking is remembered for a set of nodes.

--- a/packages/core/src/vaneturn_core/traffic/ratelimits.py
+++ b/packages/core/src/vaneturn_core/traffic/ratelimits.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Final
 
 from vaneturn_core.identifiers import VmId
@@ -21,6 +22,7 @@
 STAND_IN_SHARE: Final = 0.2  # of the rate, for a node that is not known to be the only first one
 SETTLE_TIME: Final = 4.0  # seconds until all nodes know of a node that came or left, and have used their last permits
 ISSUERS: Final = 2  # nodes that issue permits for a server
+MAX_RANKED: Final = 1024  # servers and sets of nodes whose issuers are remembered
 NEWS_TIME: Final = 5.0  # seconds for which nodes tell others of a change; permits carry it to those that missed it
 ASK_ANOTHER: Final = 0.5  # seconds after which a node asks again that asked one that does not issue
 
@@ -115,6 +117,7 @@
         self._history = history
         self._clock = clock
         self._next_at: dict[ServerId, float] = {}
+        self._refused: Counter[ServerId] = Counter()  # questions since the newest permit
 
     def issue(self, server: ServerId, rate: float) -> float:
         """Issue a permit for one request to a server.
@@ -128,7 +131,10 @@
         saved = (BURST - 1) * interval if share == WHOLE else 0.0
         next_at = max(self._next_at.get(server, now), now - saved)
         if next_at > now:
-            return next_at - now
+            wait = next_at - now + self._refused[server] * interval  # they return one after the other
+            self._refused[server] += 1
+            return wait
+        self._refused[server] = 0
         self._next_at[server] = next_at + interval
         return 0.0
 
@@ -136,6 +142,7 @@
         """Forget the servers that have left the list."""
         for server in [one for one in self._next_at if one not in present]:
             del self._next_at[server]
+            del self._refused[server]
 
     def _find_share(self, server: ServerId) -> float:
         """Find the share of the rate that this node issues; the whole of it only when no other node may do so."""
@@ -145,7 +152,8 @@
         return WHOLE if all(ranked[:1] == [self._vm] for ranked in ranks) else STAND_IN_SHARE
 
 
-def rank_issuers(server: ServerId, nodes: Collection[VmId]) -> list[VmId]:
+@lru_cache(maxsize=MAX_RANKED)
+def rank_issuers(server: ServerId, nodes: frozenset[VmId]) -> list[VmId]:
     """Rank the nodes that issue permits for a server: the next one is asked where the one before does not answer."""
     return sorted(nodes, key=lambda node: (hash_text(f"{server} {node}"), node))[:ISSUERS]
 
--- a/packages/node/src/vaneturn_node/traffic/servers/permits.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/permits.py
@@ -134,7 +134,7 @@
     async def _ask(self, server: ServerId, limit: RateLimit) -> PermitReply | None:
         """Ask the first issuer that answers."""
         nodes = self._view.nodes
-        for issuer in rank_issuers(server, nodes):
+        for issuer in rank_issuers(server, frozenset(nodes)):
             if issuer == self._vm:
                 return self._issue(server, limit.rate, read_clock() - limit.at)
             address = nodes[issuer]
--- a/tests/core/traffic/test_ratelimits.py
+++ b/tests/core/traffic/test_ratelimits.py
@@ -24,6 +24,7 @@
 
 SERVER = ServerId("i-1")
 WINDOW = 4.0  # seconds in which a server counts
+MAX_WAIT = 5.0  # seconds after which a node asks again
 STEP = 0.025  # seconds
 NEWS_TIME = 1.5  # seconds until all nodes know of a change, at most
 
@@ -49,6 +50,7 @@
         self.held_until = dict.fromkeys(self.members, 0.0)
         self.sent: deque[float] = deque()
         self.served = 0
+        self.asked = 0
         self.most = 0
 
     def change(self, vm: VmId) -> None:
@@ -86,7 +88,8 @@
         if not answering:
             return
         wait = self.issuers[answering[0]].issue(SERVER, rate)
-        self.held_until[vm] = self.now + wait
+        self.asked += 1
+        self.held_until[vm] = self.now + min(wait, MAX_WAIT)
         if wait:
             return
         self.sent.append(self.now)
@@ -144,6 +147,20 @@
     assert [issuer.issue(SERVER, 10.0) for _ in range(3)] == [0, 0, pytest.approx(0.1)]
 
 
+def test_nodes_without_a_permit_return_one_after_the_other() -> None:
+    """All of them came back for the same permit."""
+    issuer = make_settled_issuer()
+    assert [issuer.issue(SERVER, 10.0) for _ in range(4)] == [0, *(pytest.approx(number / 10) for number in (1, 2, 3))]
+
+
+def make_settled_issuer() -> PermitIssuer:
+    now = 0.0
+    history = NodeHistory(lambda: now)
+    history.note([VmId("entry-1")])
+    now = SETTLE_TIME + 0.1
+    return PermitIssuer(VmId("entry-1"), history, lambda: now)
+
+
 def test_answer_to_an_older_request_neither_raises_nor_ends_a_limit() -> None:
     limits = RateLimits()
     limits.note_answer(SERVER, 2.0, sent_at=1.0, now=5.0)
--- a/tests/node/traffic/servers/test_permits.py
+++ b/tests/node/traffic/servers/test_permits.py
@@ -24,7 +24,7 @@
 
 SERVER = make_server(1, "a100")
 NODES = [VmId(f"entry-{number}") for number in range(4)]
-FIRST, SECOND = rank_issuers(SERVER.id, NODES)
+FIRST, SECOND = rank_issuers(SERVER.id, frozenset(NODES))
 ASKER = next(node for node in NODES if node not in {FIRST, SECOND})
 
 
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -47,6 +47,21 @@
         "tests/core/traffic/test_servers.py::test_server_is_tried_by_one_request_at_a_time_after_its_rest",
         (Edit(f"{CORE}/servers.py", "        if self.is_closed(now):\n            return False\n", ""),),
     ),
+    Proof(
+        "a server is tried by one request at a time after its rest",
+        "tests/core/traffic/test_servers.py::test_server_is_tried_by_one_request_at_a_time_after_its_rest",
+        (Edit(f"{CORE}/servers.py", "is_tried = self.is_returning and", "is_tried = False and"),),
+    ),
+    Proof(
+        "nodes without a permit return one after the other",
+        "tests/core/traffic/test_ratelimits.py::test_nodes_without_a_permit_return_one_after_the_other",
+        (Edit(f"{CORE}/ratelimits.py", " + self._refused[server] * interval", ""),),
+    ),
+    Proof(
+        "nodes tell each other of rate limits",
+        "tests/node/traffic/sharing/test_changes.py::test_rate_limit_that_one_node_was_told_reaches_all_others",
+        (Edit(f"{TRAFFIC}/sharing/changeserver.py", "            limits=self._permits.list_news(),\n", ""),),
+    ),
     Proof(
         "a node that has just become the issuer issues a small share",
         "tests/core/traffic/test_ratelimits.py::test_node_that_has_just_become_first_issues_a_small_share_until_all_know",
