Tell other nodes of 64 rate limits at most in one word

Cause: all servers that name limits at once would be 37 KB in each answer of a relay at 810 servers, for 5 s. Change: the newest 64 are told, 2.9 KB; the others are met by the first answer of each server, as before they were told. Result: one test; those of the limits and of words between nodes pass.

--- a/packages/core/src/vaneturn_core/traffic/ratelimits.py
+++ b/packages/core/src/vaneturn_core/traffic/ratelimits.py
@@ -24,6 +24,7 @@
 ISSUERS: Final = 2  # nodes that issue permits for a server
 MAX_RANKED: Final = 1024  # servers and sets of nodes whose issuers are remembered
 NEWS_TIME: Final = 5.0  # seconds for which nodes tell others of a change; permits carry it to those that missed it
+MAX_NEWS: Final = 64  # limits in a word between nodes
 ASK_ANOTHER: Final = 0.5  # seconds after which a node asks again that asked one that does not issue
 
 
@@ -51,8 +52,9 @@
         return {server: limit.rate for server, limit in self._limits.items() if limit.rate is not None}
 
     def list_news(self, now: float) -> dict[ServerId, RateLimit]:
-        """List the limits that have changed lately, for other nodes."""
-        return {server: limit for server, limit in self._limits.items() if limit.since > now - NEWS_TIME}
+        """List the limits that have changed lately, the newest first, for other nodes."""
+        news = [(server, limit) for server, limit in self._limits.items() if limit.since > now - NEWS_TIME]
+        return dict(sorted(news, key=lambda item: item[1].since, reverse=True)[:MAX_NEWS])
 
     def note_answer(self, server: ServerId, rate: float | None, sent_at: float, now: float) -> None:
         """Take what an answer says.
@@ -160,6 +162,7 @@
 
 __all__ = [
     "BURST",
+    "MAX_NEWS",
     "SETTLE_TIME",
     "STAND_IN_SHARE",
     "WHOLE",
--- a/tests/core/traffic/test_ratelimits.py
+++ b/tests/core/traffic/test_ratelimits.py
@@ -12,6 +12,7 @@
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.ratelimits import (
     BURST,
+    MAX_NEWS,
     SETTLE_TIME,
     STAND_IN_SHARE,
     WHOLE,
@@ -173,6 +174,15 @@
     assert limits.list_limited() == {}
 
 
+def test_news_are_the_newest_changes_and_bounded() -> None:
+    limits = RateLimits()
+    for number in range(2 * MAX_NEWS):
+        limits.note_answer(ServerId(f"i-{number}"), 2.0, sent_at=0.0, now=100.0 + number / 100)
+    assert len(limits.list_news(now=102.0)) == MAX_NEWS
+    assert next(iter(limits.list_news(now=102.0))) == f"i-{2 * MAX_NEWS - 1}"
+    assert limits.list_news(now=110.0) == {}
+
+
 def test_limits_of_absent_servers_are_forgotten() -> None:
     limits = RateLimits()
     limits.note_answer(SERVER, 2.0, sent_at=1.0, now=5.0)
