Part what a node has seen of servers from what servers are, and keep wire names in the adapter

The keeper of directives compared the name of a header; the adapter says now whether a limit could not be read. A cached ranking is a tuple.

--- a/packages/core/src/vaneturn_core/traffic/chains.py
+++ b/packages/core/src/vaneturn_core/traffic/chains.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from vaneturn_core.identifiers import DataHall, VmId
+from vaneturn_core.traffic.beliefs import ServerBeliefs
 from vaneturn_core.traffic.chain import Chain
 from vaneturn_core.traffic.configuration import EngineProfile
 from vaneturn_core.traffic.crossings import compute_crossing_share
@@ -16,7 +17,7 @@
 from vaneturn_core.traffic.firsts import pick_firsts
 from vaneturn_core.traffic.layermap import Boundaries, HolderOptions, LayerMap, Option, Part, index_options
 from vaneturn_core.traffic.loads import LoadBoard
-from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerId
+from vaneturn_core.traffic.servers import BackendServer, ServerId
 
 GROWTH_WEIGHT: Final = 2.0  # of a step's growth by the requests there: one more slows them all by as much again
 PIPE_WEIGHT: Final = 4.0  # of the time that a prompt takes a pipe between halls: all who share it wait as well
--- a/packages/core/src/vaneturn_core/traffic/ratelimits.py
+++ b/packages/core/src/vaneturn_core/traffic/ratelimits.py
@@ -151,13 +151,13 @@
         ranks = [rank_issuers(server, nodes) for nodes in self._history.list_recent()]
         if self._vm not in ranks[-1]:
             return 0.0
-        return WHOLE if all(ranked[:1] == [self._vm] for ranked in ranks) else STAND_IN_SHARE
+        return WHOLE if all(ranked[:1] == (self._vm,) for ranked in ranks) else STAND_IN_SHARE
 
 
 @lru_cache(maxsize=MAX_RANKED)
-def rank_issuers(server: ServerId, nodes: frozenset[VmId]) -> list[VmId]:
+def rank_issuers(server: ServerId, nodes: frozenset[VmId]) -> tuple[VmId, ...]:
     """Rank the nodes that issue permits for a server: the next one is asked where the one before does not answer."""
-    return sorted(nodes, key=lambda node: (hash_text(f"{server} {node}"), node))[:ISSUERS]
+    return tuple(sorted(nodes, key=lambda node: (hash_text(f"{server} {node}"), node))[:ISSUERS])
 
 
 __all__ = [
--- a/packages/node/src/vaneturn_node/platform/directives.py
+++ b/packages/node/src/vaneturn_node/platform/directives.py
@@ -29,7 +29,13 @@
     leaving = _list_values(headers, LEAVING)
     if leaving not in ([], [b"1"]):
         faults.append(Fault("Server-Leaving", "1"))
-    return ServerDirectives(rate, rest, leaving == [b"1"], tuple(faults))
+    return ServerDirectives(
+        rate_limit=rate,
+        is_rate_unreadable=rate is None and bool(_list_values(headers, RATE_LIMIT)),
+        rest=rest,
+        is_leaving=leaving == [b"1"],
+        faults=tuple(faults),
+    )
 
 
 def _read_decimal(headers: Headers, name: bytes, faults: list[Fault]) -> float | None:
--- a/packages/node/src/vaneturn_node/traffic/process/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/process/daemon.py
@@ -14,10 +14,11 @@
 
 from vaneturn_core.faults import Fault
 from vaneturn_core.identifiers import DataHall, NodeId
+from vaneturn_core.traffic.beliefs import ServerBeliefs
 from vaneturn_core.traffic.configuration import ClientLimits
 from vaneturn_core.traffic.hearing import Hearing
 from vaneturn_core.traffic.relays import RelayTimes, rank_candidate
-from vaneturn_core.traffic.servers import ServerAddress, ServerBeliefs
+from vaneturn_core.traffic.servers import ServerAddress
 from vaneturn_core.traffic.settings import TrafficSettings, load_traffic_settings
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.clock import read_clock, watch_suspensions
@@ -73,17 +74,9 @@
         calls = ServerCalls(caller)
         hall = DataHall(settings.data_hall)
         hearing = Hearing(read_clock)
+        reports = ReportBoard(calls, hearing)
         parts = TrafficParts(
-            settings.vm,
-            hall,
-            bounds,
-            self._view,
-            self._beliefs,
-            self._pool,
-            calls,
-            ReportBoard(calls, hearing),
-            hearing,
-            caller,
+            settings.vm, hall, bounds, self._view, self._beliefs, self._pool, calls, reports, hearing, caller
         )
         ended = EndedTraffic()
         self._answerer = Answerer(parts, metrics, ended)
--- a/packages/node/src/vaneturn_node/traffic/servers/directivekeeper.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/directivekeeper.py
@@ -6,9 +6,10 @@
 import random
 from typing import Final
 
+from vaneturn_core.traffic.beliefs import ServerBeliefs
 from vaneturn_core.traffic.directives import ServerDirectives
 from vaneturn_core.traffic.ratelimits import RateLimits
-from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerId
+from vaneturn_core.traffic.servers import BackendServer, ServerId
 from vaneturn_node.clock import read_clock
 
 MAX_SPREAD: Final = 0.3  # seconds over which nodes that were asked for rest at once return
@@ -31,7 +32,7 @@
         :param sent_at: steady time at which the request of the answer was sent.
         """
         now, belief = read_clock(), self._beliefs[server.id]
-        if not _is_unreadable(directives, "Server-Limit"):
+        if not directives.is_rate_unreadable:
             self._limits.note_answer(server.id, directives.rate_limit, sent_at, now)
         belief.is_leaving = belief.is_leaving or directives.is_leaving
         if directives.rest is not None:
@@ -55,8 +56,4 @@
             logger.warning("server directive not understood", extra={"server": server.id, "fault": str(fault)})
 
 
-def _is_unreadable(directives: ServerDirectives, field: str) -> bool:
-    return any(fault.path == field for fault in directives.faults)
-
-
 __all__ = ["DirectiveKeeper"]
--- a/packages/node/src/vaneturn_node/traffic/servers/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/exchange.py
@@ -11,6 +11,7 @@
 
 from vaneturn_core.identifiers import DataHall, ServiceName, VmId
 from vaneturn_core.traffic.arrivals import ArrivalRate
+from vaneturn_core.traffic.beliefs import ServerBeliefs
 from vaneturn_core.traffic.configuration import EngineProfile
 from vaneturn_core.traffic.crashes import CrashBoard
 from vaneturn_core.traffic.hearing import Hearing
@@ -20,7 +21,7 @@
 from vaneturn_core.traffic.patience import Patience
 from vaneturn_core.traffic.ratelimits import NodeHistory, PermitIssuer, RateLimits
 from vaneturn_core.traffic.retries import WindowedRetryBudget
-from vaneturn_core.traffic.servers import BackendServer, ServerBeliefs, ServerId
+from vaneturn_core.traffic.servers import BackendServer, ServerId
 from vaneturn_core.traffic.settings import Bounds
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.clock import read_clock
--- a/tests/core/traffic/test_losses.py
+++ b/tests/core/traffic/test_losses.py
@@ -5,8 +5,9 @@
 import pytest
 
 from vaneturn_core.identifiers import VmId
+from vaneturn_core.traffic.beliefs import ALIVE_AGE, LIKELY_FULL, ServerBeliefs
 from vaneturn_core.traffic.losses import WORD_AGE, Finding, LossBoard
-from vaneturn_core.traffic.servers import ALIVE_AGE, LIKELY_FULL, ServerBeliefs, ServerId
+from vaneturn_core.traffic.servers import ServerId
 
 LOST, OTHER = ServerId("i-1"), ServerId("i-2")
 
--- a/tests/core/traffic/test_servers.py
+++ b/tests/core/traffic/test_servers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from core.traffic.samples import make_server
-from vaneturn_core.traffic.servers import (
+from vaneturn_core.traffic.beliefs import (
     ALIVE_AGE,
     FIRST_REST,
     FULL_REST,
--- a/tests/node/traffic/sharing/test_changes.py
+++ b/tests/node/traffic/sharing/test_changes.py
@@ -12,9 +12,10 @@
 from core.traffic.samples import make_server
 from node.traffic.samples import Answer, make_crash_sharing, make_parts, make_sharing
 from vaneturn_core.identifiers import VmId
+from vaneturn_core.traffic.beliefs import ServerBeliefs
 from vaneturn_core.traffic.loads import SUM_AGE, LoadBoard
 from vaneturn_core.traffic.relays import RelayTimes
-from vaneturn_core.traffic.servers import ServerBeliefs, ServerId, ServerLoad
+from vaneturn_core.traffic.servers import ServerId, ServerLoad
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
--- a/tests/node/traffic/test_directives.py
+++ b/tests/node/traffic/test_directives.py
@@ -11,7 +11,7 @@
 
 def test_directives_are_read() -> None:
     headers = [(b"server-limit", b"2.2"), (b"retry-after", b"3"), (b"server-leaving", b"1")]
-    assert read_directives(503, headers) == ServerDirectives(2.2, 3.0, is_leaving=True)
+    assert read_directives(503, headers) == ServerDirectives(2.2, rest=3.0, is_leaving=True)
 
 
 def test_retry_after_is_a_rest_only_where_a_request_was_turned_away() -> None:
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -29,7 +29,7 @@
     Proof(
         "a server that asked for rest gets no request",
         f"{SYSTEM}/test_directives.py::test_server_that_asked_for_rest_gets_no_more_requests",
-        (Edit(f"{CORE}/servers.py", "return self.is_leaving or now < self.rest_until or is_tried", "return False"),),
+        (Edit(f"{CORE}/beliefs.py", "return self.is_leaving or now < self.rest_until or is_tried", "return False"),),
     ),
     Proof(
         "a server that says it leaves gets no request",
@@ -45,12 +45,12 @@
     Proof(
         "nodes look again right before a send",
         "tests/core/traffic/test_servers.py::test_server_is_tried_by_one_request_at_a_time_after_its_rest",
-        (Edit(f"{CORE}/servers.py", "        if self.is_closed(now):\n            return False\n", ""),),
+        (Edit(f"{CORE}/beliefs.py", "        if self.is_closed(now):\n            return False\n", ""),),
     ),
     Proof(
         "a server is tried by one request at a time after its rest",
         "tests/core/traffic/test_servers.py::test_server_is_tried_by_one_request_at_a_time_after_its_rest",
-        (Edit(f"{CORE}/servers.py", "is_tried = self.is_returning and", "is_tried = False and"),),
+        (Edit(f"{CORE}/beliefs.py", "is_tried = self.is_returning and", "is_tried = False and"),),
     ),
     Proof(
         "nodes without a permit return one after the other",
@@ -65,7 +65,7 @@
     Proof(
         "a node that has just become the issuer issues a small share",
         "tests/core/traffic/test_ratelimits.py::test_node_that_has_just_become_first_issues_a_small_share_until_all_know",
-        (Edit(f"{CORE}/ratelimits.py", "all(ranked[:1] == [self._vm] for ranked in ranks)", "ranks"),),
+        (Edit(f"{CORE}/ratelimits.py", "all(ranked[:1] == (self._vm,) for ranked in ranks)", "ranks"),),
     ),
     Proof(
         "an older answer does not raise a limit",
@@ -108,7 +108,7 @@
     Proof(
         "a server that drains gets no new work",
         f"{SYSTEM}/test_plain.py::test_draining_server_gets_no_new_work",
-        (Edit(f"{CORE}/servers.py", "if server.state is ServerState.READY and", "if"),),
+        (Edit(f"{CORE}/beliefs.py", "if server.state is ServerState.READY and", "if"),),
     ),
     Proof(
         "an event is passed on only when it is whole",
@@ -284,7 +284,7 @@
         "tests/node/traffic/sharing/test_losssharing.py::test_loss_found_behind_two_relays_is_known_to_all_relays",
         (
             Edit(f"{TRAFFIC}/sharing/losssharing.py", "if taken:", "if False:"),
-            Edit(f"{CORE}/servers.py", "self.told_until = until\n", "pass\n"),
+            Edit(f"{CORE}/beliefs.py", "self.told_until = until\n", "pass\n"),
         ),
     ),
     Proof(
@@ -360,7 +360,7 @@
     Proof(
         "a new start of a server has nothing of the one before",
         "tests/node/traffic/following/test_serverentries.py::test_new_start_has_nothing_of_the_one_before",
-        (Edit(f"{CORE}/servers.py", 'name if born is None else f"{name}@{born}"', "name"),),
+        (Edit(f"{CORE}/beliefs.py", 'name if born is None else f"{name}@{born}"', "name"),),
     ),
     Proof(
         "a silence is borne for what the caller leaves",
