Let the randomised run see when a node waited for a processor, and name beliefs where the mechanisms stand now

Change: the rig reads the run delay that the scheduler counts for each node; a second and more of it around a cut is an excuse of its own name, 'node without a processor'. The other checks are as they were.

--- a/tests/rig/ablation.py
+++ b/tests/rig/ablation.py
@@ -55,7 +55,7 @@
         "new work for a server that has just failed",
         (
             Edit(
-                f"{CORE}/servers.py",
+                f"{CORE}/beliefs.py",
                 "[server for server in able if self[server.id].resting_until <= now]",
                 "able",
             ),
@@ -64,7 +64,7 @@
     Mechanism(
         "short-rest-of-full",
         "long rest of a server that only lacks room",
-        (Edit(f"{CORE}/servers.py", "if now - self.heard_at > ALIVE_AGE and", "if now > float('-inf') and"),),
+        (Edit(f"{CORE}/beliefs.py", "if now - self.heard_at > ALIVE_AGE and", "if now > float('-inf') and"),),
     ),
     Mechanism(
         "detour",
--- a/tests/rig/processes.py
+++ b/tests/rig/processes.py
@@ -48,6 +48,13 @@
     def send(self, number: signal.Signals) -> None:
         self.popen.send_signal(number)
 
+    def read_run_delay(self) -> float:
+        """Read the seconds that the process has waited for a processor, as the machine's scheduler counts them."""
+        try:
+            return int(Path(f"/proc/{self.popen.pid}/schedstat").read_text().split()[1]) / 1e9
+        except (OSError, IndexError):  # it has ended, or this machine does not count them
+            return 0.0
+
     def kill(self) -> None:
         self.send(signal.SIGKILL)
         self.popen.wait()
--- a/tests/rig/trafficjudge.py
+++ b/tests/rig/trafficjudge.py
@@ -42,6 +42,9 @@
     nodes: defaultdict[int, list[Span]] = field(default_factory=lambda: defaultdict(list))  # killed or frozen
     stores: defaultdict[int, list[Span]] = field(default_factory=lambda: defaultdict(list))  # out of reach, by node
     silences: defaultdict[str, list[Span]] = field(default_factory=lambda: defaultdict(list))  # of servers
+    stalls: defaultdict[int, list[Span]] = field(
+        default_factory=lambda: defaultdict(list)
+    )  # without a processor, by node
     lost_at: dict[str, float] = field(default_factory=dict)  # servers that have ended
     waits: dict[int, list[Span]] = field(default_factory=dict)  # of what was sent over the link of each node
     pauses: list[Span] = field(default_factory=list)  # of the stand-ins: all were silent
@@ -59,6 +62,9 @@
             return "store long out of reach"
         if any(self.lost_at.get(server, cut.cut_at) < cut.cut_at for server in servers):
             return "server ended"
+        stalls = join(self.stalls[cut.node])
+        if any(span.end - span.start >= SHORT_SILENCE and span.meets(looked_at) for span in stalls):
+            return "node without a processor"
         spans = [*self.pauses, *self.waits.get(cut.node, ()), *(one for each in servers for one in self.silences[each])]
         if any(span.end - span.start >= SHORT_SILENCE and span.meets(looked_at) for span in join(spans)):
             return "long silence"
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -360,7 +360,7 @@
     Proof(
         "a new start of a server has nothing of the one before",
         "tests/node/traffic/following/test_serverentries.py::test_new_start_has_nothing_of_the_one_before",
-        (Edit(f"{CORE}/beliefs.py", 'name if born is None else f"{name}@{born}"', "name"),),
+        (Edit(f"{CORE}/servers.py", 'name if born is None else f"{name}@{born}"', "name"),),
     ),
     Proof(
         "a silence is borne for what the caller leaves",
--- a/tests/rig/trafficsoak.py
+++ b/tests/rig/trafficsoak.py
@@ -59,8 +59,15 @@
         return any(span.meets(Span(start, end)) for span in spans)
 
     async def _look_at_the_clock(self) -> None:
+        waits = [0.0] * NODES
         while True:
             self._looks.append(time.monotonic())
+            for number, node in enumerate(self.traffic.nodes):
+                waited = node.process.read_run_delay()
+                if waited - waits[number] >= PAUSE:
+                    now = time.monotonic()
+                    self.findings.by_whom.stalls[number].append(Span(now - (waited - waits[number]), now))
+                waits[number] = waited
             await anyio.sleep(LOOK_GAP)
 
     async def _repeat(self, step: Callable[[random.Random], Awaitable[None]], rng: random.Random) -> None:
