Take no permit that names an unsound limit

Found by reading: a reply with a rate of 0 was believed, and an own permit for it would have divided by it; questions and words of relays were checked, replies were not. The check is the same one now, with four cases; the nodes that did not answer are forgotten with the list.

--- a/packages/node/src/vaneturn_node/traffic/servers/permits.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/permits.py
@@ -93,6 +93,7 @@
         """Forget the servers that have left the list."""
         self._limits.forget_absent(self._view.servers)
         self._issuer.forget_absent(self._view.servers)
+        self._left_until = {vm: until for vm, until in self._left_until.items() if vm in self._view.nodes}
 
     def list_news(self) -> list[ToldLimit]:
         """List the limits that have changed lately."""
@@ -153,10 +154,11 @@
         if not isinstance(reply, Reply) or reply.status != _OK:
             return None
         try:
-            return msgspec.json.decode(reply.body, type=PermitReply)
+            permit = msgspec.json.decode(reply.body, type=PermitReply)
         except msgspec.DecodeError as error:
             logger.warning("permit not understood", extra={"node": address, "fault": str(error)})
             return None
+        return permit if self._is_sound(server, permit.rate, permit.age) else None
 
 
 __all__ = ["PERMITS_PATH", "PermitReply", "PermitRequest", "Permits", "ToldLimit"]
--- a/tests/node/traffic/servers/test_permits.py
+++ b/tests/node/traffic/servers/test_permits.py
@@ -34,6 +34,7 @@
     def __init__(self) -> None:
         super().__init__(LinkPool())
         self.silent: set[VmId] = set()
+        self.spoilt: bytes | None = None  # in place of all permits
         self.asked: list[VmId] = []
         self.nodes = {node: self._make_node(node) for node in NODES}
 
@@ -52,6 +53,8 @@
         self.asked.append(VmId(address))
         if address in self.silent:
             return Failed("no answer in time", was_sent=True)
+        if self.spoilt is not None:
+            return Reply(200, self.spoilt)
         body = self.nodes[VmId(address)].permits.answer(sent["body"])
         return Reply(200, body) if body is not None else Reply(400, b"")
 
@@ -142,3 +145,13 @@
     issuer = network.nodes[FIRST]
     assert issuer.permits.answer(body) is None
     assert issuer.limits.list_limited() == {}
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b'{"wait":0,"rate":0,"age":0}', b'{"wait":0,"rate":-2,"age":0}', b'{"wait":0,"rate":1,"age":-9}']
+)
+async def test_permit_that_is_not_understood_is_none(network: Network, body: bytes) -> None:
+    network.tell(ASKER, 50.0)
+    network.spoilt = body
+    assert await count_permits(network, ASKER, 1) == 0
+    assert network.nodes[ASKER].limits.list_limited() == {SERVER.id: 50.0}
