Log the store's epoch, and revisions below the known one

The logs could not tell whether the store states that it was restored from a copy, nor which revision a relay had when it confirmed the view of a node.

A node now logs each change of the epoch that the store states in its responses, the revision known and read at each whole reading, and each answer whose revision is below its own. Nothing is decided by it yet.

--- a/packages/node/src/vaneturn_node/http1/caller.py
+++ b/packages/node/src/vaneturn_node/http1/caller.py
@@ -18,6 +18,7 @@
 
     status: int
     body: bytes
+    headers: Headers = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +83,7 @@
             await _abort(link)
             raise
         await self._pool.release(link, address)
-        return Reply(answer.status, b"".join(parts))
+        return Reply(answer.status, b"".join(parts), answer.headers)
 
 
 async def _read_body(link: HttpLink, limit: float, arrival: BodyArrival | None, parts: list[bytes]) -> None:
--- a/packages/node/src/vaneturn_node/platform/store.py
+++ b/packages/node/src/vaneturn_node/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -11,8 +12,10 @@
 import msgspec
 from msgspec import Struct
 
+from vaneturn_core.faults import Fault
 from vaneturn_core.traffic.servers import ServerAddress
 from vaneturn_node.http1.caller import BodyArrival, Caller, Failed, Reply
+from vaneturn_node.platform.epochs import read_epoch
 
 TIMEOUT_S: Final = 1.0  # default for a call; a healthy store answers in milliseconds
 WATCH_MARGIN_S: Final = 0.5  # beyond the wait of a watch until the head of the response is due
@@ -25,6 +28,8 @@
 _HISTORY_GONE: Final = 410
 _NOT_DONE_STATUSES: Final = frozenset({429, 503})
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class StoreItem:
@@ -118,6 +123,7 @@
     def __init__(self, caller: Caller, address: ServerAddress) -> None:
         self._caller = caller
         self._address = address
+        self.epoch: int | None = None  # as last stated by the store
 
     async def read_range(self, prefix: str, after: str = "") -> StorePage | NotDone:
         """Read a page of the items under a prefix, beginning after a key."""
@@ -208,10 +214,16 @@
         reply = await self._caller.call(self._address, method, target, limit, body=body, arrival=arrival)
         if isinstance(reply, Failed):
             return MaybeDone(reply.cause, reply.is_unfinished) if reply.was_sent else NotDone(reply.cause)
+        self._note_epoch(read_epoch(reply.headers))
         if reply.status in _NOT_DONE_STATUSES:
             return NotDone(f"status {reply.status}")
         return reply
 
+    def _note_epoch(self, epoch: int | Fault | None) -> None:
+        if epoch is not None and epoch != self.epoch:
+            logger.info("store epoch", extra={"known": self.epoch, "stated": str(epoch)})
+            self.epoch = epoch if isinstance(epoch, int) else self.epoch
+
 
 def _convert_page(page: _Page, items: Sequence[_Item]) -> StorePage:
     return StorePage(tuple(_convert_item(item) for item in items), page.at, page.more)
--- a/packages/node/src/vaneturn_node/traffic/following/follower.py
+++ b/packages/node/src/vaneturn_node/traffic/following/follower.py
@@ -85,7 +85,7 @@
     def _log_store_contact(self, *, is_answered: bool) -> None:
         if is_answered != self._is_store_reached:
             self._is_store_reached = is_answered
-            extra = {"age": round(self._view.age, 3), "revision": self._revision}
+            extra = {"age": round(self._view.age, 3), "revision": self._revision, "epoch": self._store.epoch}
             if is_answered:
                 logger.info("store regained", extra=extra)
             else:
@@ -186,6 +186,8 @@
             if isinstance(page, NotDone):
                 return self._record_failure(page)
         self._keeper.replace_all(items)
+        extra = {"known": self._revision, "revision": revision, "epoch": self._store.epoch}
+        logger.info("store read anew", extra=extra)
         self._revision = revision
         self._view.confirm(started)
         self._log.replace(items.values(), revision)
@@ -226,6 +228,9 @@
         return min(self._times.watch, max(MIN_WATCH_S, self._times.hold_arriving - self._view.age))
 
     def _apply(self, items: Sequence[StoreItem], revision: int) -> None:
+        if self._revision is not None and revision < self._revision:
+            extra = {"known": self._revision, "stated": revision, "relay": self.followed, "epoch": self._store.epoch}
+            logger.info("revision below the known one", extra=extra)
         for item in items:
             self._keeper.apply(item)
         self._revision = max(self._revision or 0, revision)
--- a/tests/node/traffic/following/test_follower.py
+++ b/tests/node/traffic/following/test_follower.py
@@ -27,6 +27,8 @@
 class Store:
     """Refuses each call, and counts them."""
 
+    epoch = None
+
     def __init__(self) -> None:
         self.calls = 0
 
