--- a/tests/standins/platform/store.py
+++ b/tests/standins/platform/store.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import base64
-import itertools
 import json
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
@@ -18,6 +17,8 @@
 
 SLOW_BODY_BYTES = 16384  # answers with longer bodies are sent over body_time
 SLOW_BODY_PARTS = 10  # parts in which such a body is sent
+FIRST_LEASE = 100
+FOREIGN_PREFIXES = ("op/", "servers/")  # keys of the operator and the servers, which write them again after a restore
 
 
 class Mode(Enum):
@@ -45,6 +46,16 @@
         }  # fmt: skip
 
 
+class Copy(NamedTuple):
+    """The state of the store at some time, to restore it from."""
+
+    items: dict[str, Item]
+    revision: int
+    events: list[dict[str, Any]]
+    leases: dict[int, tuple[float, float]]
+    next_lease: int
+
+
 @dataclass
 class Store:
     """All state in memory; the operator and the servers write through put and remove."""
@@ -59,7 +70,8 @@
     leases: dict[int, tuple[float, float]] = field(default_factory=dict)  # id: expiry, time to live; seconds
     body_time: float = 0.0  # seconds over which a long body is sent, as on a slow link
     calls: list[tuple[str, str]] = field(default_factory=list)
-    _lease_ids: itertools.count[int] = field(default_factory=lambda: itertools.count(100))
+    epoch: int | None = None  # stated in all answers; rises with each restore
+    next_lease: int = FIRST_LEASE
     _changed: anyio.Event = field(default_factory=anyio.Event)
 
     def set_mode(self, mode: Mode) -> None:
@@ -94,6 +106,32 @@
         self.events.clear()
         self._wake()
 
+    def copy(self) -> Copy:
+        return Copy(dict(self.items), self.revision, list(self.events), dict(self.leases), self.next_lease)
+
+    def restore(self, saved: Copy, *, rewrites: bool = True) -> None:
+        """Restore a copy: later writes and leases of the nodes are gone, and their revisions are given out again.
+
+        :param rewrites: whether the operator and the servers write their lost changes again at once.
+        """
+        lost = [event for event in self.events if event["revision"] > saved.revision]
+        current = self.items
+        self.items, self.revision, self.next_lease = dict(saved.items), saved.revision, saved.next_lease
+        self.events, self.leases = list(saved.events), dict(saved.leases)
+        self.oldest = min(self.oldest, self.revision)
+        self.epoch = (self.epoch or 0) + 1
+        self._wake()
+        if rewrites:
+            for key in dict.fromkeys(event["key"] for event in lost if event["key"].startswith(FOREIGN_PREFIXES)):
+                self.rewrite(key, current.get(key))
+
+    def rewrite(self, key: str, item: Item | None) -> None:
+        """Write a lost change of the operator or a server again."""
+        if item is not None:
+            self.put(key, item.value)
+        else:
+            self.remove(key)
+
     def _record_event(self, event: dict[str, Any]) -> None:
         self.events.append(event)
         self._wake()
@@ -121,7 +159,7 @@
         self.calls.append((call.method, call.path))
         mode = self.choose_mode(exchange) or self.mode
         if mode is Mode.BUSY:
-            await exchange.reply(503)
+            await exchange.reply(503, self._state_epoch())
             return
         if mode is Mode.RESET:
             await exchange.reset()
@@ -137,8 +175,12 @@
             await exchange.close()
         await self._reply(exchange, status, json.dumps(value).encode())
 
+    def _state_epoch(self) -> dict[str, str]:
+        return {"Store-Era": str(self.epoch)} if self.epoch is not None else {}
+
     async def _reply(self, exchange: Exchange, status: int, body: bytes) -> None:
-        await exchange.begin(status, {"Content-Type": "application/json", "Content-Length": str(len(body))})
+        headers = {"Content-Type": "application/json", "Content-Length": str(len(body))}
+        await exchange.begin(status, headers | self._state_epoch())
         parts = SLOW_BODY_PARTS if len(body) > SLOW_BODY_BYTES and self.body_time else 1
         size = -(-len(body) // parts)
         for first in range(0, len(body), size):
@@ -179,7 +221,7 @@
         since = at = int(query["since_rev"])
         with anyio.move_on_after(int(query["wait_ms"]) / 1000):
             while True:
-                if since < self.oldest:
+                if since < self.oldest or since > self.revision:
                     return 410, {}
                 if self.is_down:
                     return 503, {}
@@ -208,9 +250,9 @@
         return 200, {"revision": self.revision}
 
     def _grant(self, held: float) -> tuple[int, Any]:
-        lease = next(self._lease_ids)
+        lease, self.next_lease = self.next_lease, self.next_lease + 1
         self.leases[lease] = (time.monotonic() + held, held)
         return 200, {"lease": lease, "ttl_ms": held * 1000}
 
 
-__all__ = ["Mode", "Store"]
+__all__ = ["Copy", "Mode", "Store"]
