Compare states of the store by epoch and revision, not by revision alone

What callers saw: requests were sent to a backend server 2.1 and 2.7 s after it had said that it leaves (2 s are allowed), and a key that was taken away was accepted for more than its 5 s.

Cause: the store came back from a copy and gave out revisions again. A relay that was told so (410) read everything anew and stood at 109; a node that had already been told of 111 kept asking it for changes after 111. The relay compared the numbers and answered with no changes and a fresh confirmation, so that the changes with the new 110 and 111, among them the leave, never reached that node. A node that asks the store itself has the same hole, without any 410, when the store has written past the old number. A change log reloaded at a lower revision kept the larger number.

Fix: the store's responses state an epoch that rises with each restore. The adapter decodes it once and combines it with the revision into a StoreState, an ordered number; whatever was compared as a revision (a node's own position, the change log, the question to a relay, bases of differences, long values, fences) is now compared as a state. A node reads the whole state when the epoch of an answer is not its own. A relay in an older epoch than the asker is out of touch for it. A malformed or falling epoch rejects the response; a store that states none is served as before, since epoch 0 leaves the bare revision, also in messages to nodes of an older build.

--- a/packages/node/src/vaneturn_node/platform/store.py
+++ b/packages/node/src/vaneturn_node/platform/store.py
@@ -2,52 +2,39 @@
 
 from __future__ import annotations
 
-import logging
 import math
-from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Final, TypeVar
+from typing import Final
 from urllib.parse import urlencode
 
 import msgspec
-from msgspec import Struct
 
-from vaneturn_core.faults import Fault
 from vaneturn_core.traffic.servers import ServerAddress
 from vaneturn_node.http1.caller import BodyArrival, Caller, Failed, Reply
-from vaneturn_node.platform.epochs import read_epoch
+from vaneturn_node.platform.epochs import EpochTracker, StoreState, get_number, make_state
+from vaneturn_node.platform.storemessages import (
+    Granted,
+    Item,
+    NotDone,
+    Page,
+    StoreItem,
+    StorePage,
+    Written,
+    convert_item,
+    convert_page,
+    decode_reply,
+)
 
 TIMEOUT_S: Final = 1.0  # default for a call; a healthy store answers in milliseconds
 WATCH_MARGIN_S: Final = 0.5  # beyond the wait of a watch until the head of the response is due
 MAX_SILENCE_S: Final = 0.5  # the longest pause within the body of a response
 BODY_EXTRA_TIME_S: Final = 0.6  # added for the body of a watch's response; the longest value takes 0.56 s at 20 Mbit/s
-_OK: Final = 200
 _NO_LEASE: Final = 404
 _NO_KEY: Final = 404
 _CONFLICT: Final = 412
 _HISTORY_GONE: Final = 410
 _NOT_DONE_STATUSES: Final = frozenset({429, 503})
 
-logger = logging.getLogger(__name__)
-
-
-@dataclass(frozen=True, slots=True)
-class StoreItem:
-    """A version of a key; a value of None means that the key was removed."""
-
-    key: str
-    value: bytes | None
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class StorePage:
-    """Items, and the revision of the store at the time of the response."""
-
-    items: tuple[StoreItem, ...]
-    revision: int
-    has_more: bool = False
-
 
 @dataclass(frozen=True, slots=True)
 class Lease:
@@ -55,6 +42,7 @@
 
     id: int
     duration_s: float
+    epoch: int = 0  # in which it was granted or renewed; in a later one, its number may belong to another lease
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,13 +67,6 @@
     """The lease no longer exists."""
 
 
-@dataclass(frozen=True, slots=True)
-class NotDone:
-    """The store did nothing."""
-
-    cause: str
-
-
 @dataclass(frozen=True, slots=True)
 class MaybeDone:
     """No response: the store may have done it already, or may do it seconds later."""
@@ -94,36 +75,18 @@
     is_unfinished: bool = False  # the response was still arriving
 
 
-class _Item(Struct):
-    key: str
-    revision: int
-    value: bytes | None = None  # standard base64 on the wire
-    gone: bool = False
-
-
-class _Page(Struct):
-    at: int
-    entries: list[_Item] = []
-    events: list[_Item] = []
-    more: bool = False
-
-
-class _Written(Struct):
-    revision: int
-
-
-class _Granted(Struct):
-    ttl_ms: float
-    lease: int = 0
-
-
 class PlatformStore:
     """The platform's metadata store."""
 
     def __init__(self, caller: Caller, address: ServerAddress) -> None:
         self._caller = caller
         self._address = address
-        self.epoch: int | None = None  # as last stated by the store
+        self._epochs = EpochTracker()
+
+    @property
+    def epoch(self) -> int:
+        """The newest epoch that the store has stated in a response; 0 if it states none."""
+        return self._epochs.current
 
     async def read_range(self, prefix: str, after: str = "") -> StorePage | NotDone:
         """Read a page of the items under a prefix, beginning after a key."""
@@ -133,8 +96,8 @@
         reply = await self._read(f"/api/kv-range?{urlencode(query)}")
         if not isinstance(reply, Reply):
             return NotDone(reply.cause)
-        page = _decode(reply, _Page)
-        return page if isinstance(page, NotDone) else _convert_page(page, page.entries)
+        page = decode_reply(reply, Page)
+        return page if isinstance(page, NotDone) else convert_page(page, page.entries, self.epoch)
 
     async def read_key(self, key: str) -> StoreItem | NotDone:
         """Read one key; for an absent key the value is None."""
@@ -142,19 +105,20 @@
         if not isinstance(reply, Reply):
             return NotDone(reply.cause)
         if reply.status == _NO_KEY:
-            return StoreItem(key, None, 0)
-        item = _decode(reply, _Item)
-        return item if isinstance(item, NotDone) else _convert_item(item)
+            return StoreItem(key, None, make_state(self.epoch, 0))
+        item = decode_reply(reply, Item)
+        return item if isinstance(item, NotDone) else convert_item(item, self.epoch)
 
     async def watch(
-        self, prefix: str, revision: int, wait: float, arrival: BodyArrival | None = None
+        self, prefix: str, since: StoreState, wait: float, arrival: BodyArrival | None = None
     ) -> StorePage | HistoryGone | WatchTooLong | NotDone:
-        """Wait up to some seconds for changes after a revision; the arrival is updated while a long response comes in.
+        """Wait up to some seconds for changes after a state; the arrival is updated while a long response comes in.
 
-        The response holds every version since the revision. If it is too long to arrive in time, do not repeat the
-        call, since the next response would be even longer; read the newest values instead.
+        The response holds every version since that state. If it is too long to arrive in time, do not repeat the
+        call, since the next response would be even longer; read the newest values instead. A response of a later epoch
+        may lack changes, since the store takes the number for one of that epoch.
         """
-        query = urlencode({"path_prefix": prefix, "since_rev": revision, "wait_ms": int(wait * 1000)})
+        query = urlencode({"path_prefix": prefix, "since_rev": get_number(since), "wait_ms": int(wait * 1000)})
         reply = await self._call("GET", f"/api/kv-watch?{query}", wait + WATCH_MARGIN_S, arrival=arrival)
         if isinstance(reply, MaybeDone) and reply.is_unfinished:
             return WatchTooLong(reply.cause)
@@ -162,15 +126,15 @@
             return NotDone(reply.cause)
         if reply.status == _HISTORY_GONE:
             return HistoryGone()
-        page = _decode(reply, _Page)
-        return page if isinstance(page, NotDone) else _convert_page(page, page.events)
+        page = decode_reply(reply, Page)
+        return page if isinstance(page, NotDone) else convert_page(page, page.events, self.epoch)
 
     async def write(
-        self, key: str, value: bytes, expected: int | None, lease: int = 0
-    ) -> int | StoreConflict | LeaseExpired | NotDone | MaybeDone:
-        """Write a key if it has the expected revision (0: absent), and return the revision of the write."""
+        self, key: str, value: bytes, expected: StoreState | None, lease: int = 0
+    ) -> StoreState | StoreConflict | LeaseExpired | NotDone | MaybeDone:
+        """Write a key if it has the expected revision (NO_STATE: absent), and return the state after the write."""
         put = [{"key": key, "value": value, "lease": lease}]
-        rows = [] if expected is None else [{"key": key, "revision": expected}]
+        rows = [] if expected is None else [{"key": key, "revision": get_number(expected)}]
         body = msgspec.json.encode({"expected_rev": rows, "put": put, "remove": []})
         reply = await self._call("POST", "/api/kv-txn", body=body)
         if not isinstance(reply, Reply):
@@ -179,16 +143,16 @@
             return StoreConflict()
         if reply.status == _NO_LEASE:
             return LeaseExpired()
-        written = _decode(reply, _Written)
-        return written if isinstance(written, NotDone) else written.revision
+        written = decode_reply(reply, Written)
+        return written if isinstance(written, NotDone) else make_state(self.epoch, written.revision)
 
     async def grant_lease(self, ttl_s: float) -> Lease | NotDone | MaybeDone:
         """Request a lease of some seconds."""
         reply = await self._call("POST", "/api/kv-lease", body=msgspec.json.encode({"ttl_ms": int(ttl_s * 1000)}))
         if not isinstance(reply, Reply):
             return reply
-        granted = _decode(reply, _Granted)
-        return granted if isinstance(granted, NotDone) else Lease(granted.lease, granted.ttl_ms / 1000)
+        granted = decode_reply(reply, Granted)
+        return granted if isinstance(granted, NotDone) else Lease(granted.lease, granted.ttl_ms / 1000, self.epoch)
 
     async def renew_lease(self, lease: int) -> Lease | LeaseExpired | NotDone | MaybeDone:
         """Renew a lease."""
@@ -197,8 +161,8 @@
             return reply
         if reply.status == _NO_LEASE:
             return LeaseExpired()
-        granted = _decode(reply, _Granted)
-        return granted if isinstance(granted, NotDone) else Lease(lease, granted.ttl_ms / 1000)
+        granted = decode_reply(reply, Granted)
+        return granted if isinstance(granted, NotDone) else Lease(lease, granted.ttl_ms / 1000, self.epoch)
 
     async def end_lease(self, lease: int) -> None:
         """End a lease; if the call gets no response, the lease runs out by itself."""
@@ -214,36 +178,13 @@
         reply = await self._caller.call(self._address, method, target, limit, body=body, arrival=arrival)
         if isinstance(reply, Failed):
             return MaybeDone(reply.cause, reply.is_unfinished) if reply.was_sent else NotDone(reply.cause)
-        self._note_epoch(read_epoch(reply.headers))
+        fault = self._epochs.check(reply.headers)
+        if fault is not None:
+            return MaybeDone(str(fault))
         if reply.status in _NOT_DONE_STATUSES:
             return NotDone(f"status {reply.status}")
         return reply
 
-    def _note_epoch(self, epoch: int | Fault | None) -> None:
-        if epoch is not None and epoch != self.epoch:
-            logger.info("store epoch", extra={"known": self.epoch, "stated": str(epoch)})
-            self.epoch = epoch if isinstance(epoch, int) else self.epoch
-
-
-def _convert_page(page: _Page, items: Sequence[_Item]) -> StorePage:
-    return StorePage(tuple(_convert_item(item) for item in items), page.at, page.more)
-
-
-def _convert_item(item: _Item) -> StoreItem:
-    return StoreItem(item.key, None if item.gone else item.value or b"", item.revision)
-
-
-T = TypeVar("T")
-
-
-def _decode(reply: Reply, type_: type[T]) -> T | NotDone:
-    if reply.status != _OK:
-        return NotDone(f"status {reply.status}")
-    try:
-        return msgspec.json.decode(reply.body, type=type_)
-    except msgspec.DecodeError as error:
-        return NotDone(f"malformed response: {error}")
-
 
 __all__ = [
     "BODY_EXTRA_TIME_S",
--- a/packages/node/src/vaneturn_node/traffic/duties/tenure.py
+++ b/packages/node/src/vaneturn_node/traffic/duties/tenure.py
@@ -15,6 +15,7 @@
 
 from vaneturn_core.identifiers import NodeId, VmId
 from vaneturn_node.clock import read_clock
+from vaneturn_node.platform.epochs import NO_STATE, StoreState
 from vaneturn_node.platform.store import Lease, LeaseExpired, MaybeDone, NotDone, PlatformStore, StoreConflict
 from vaneturn_node.traffic.duties.records import TENURE_KEY, TenureHolder, decode_holder, encode_holder
 
@@ -46,7 +47,7 @@
         self._own_record = TenureHolder(node, vm)
         self._lease: int | None = None
         self._valid_until = float("-inf")
-        self._record_revision = 0
+        self._record_revision = NO_STATE
         self._holder: TenureHolder | None = None
         self._is_record_known = False  # the record, or its absence, has been read
         self._is_stopping = False
@@ -60,11 +61,11 @@
         """Tell whether this node alone may send orders, for long enough that one sent now arrives in time."""
         return self._is_holder() and read_clock() < self._valid_until - ORDER_MARGIN_S
 
-    def note_holder(self, value: bytes | None, revision: int) -> None:
+    def note_holder(self, value: bytes | None, revision: StoreState) -> None:
         """Take over the record from the store; a value of None means that nobody holds the tenure."""
         self._is_record_known = True
         self._holder = decode_holder(value) if value is not None else None
-        self._record_revision = revision if self._holder is not None else 0
+        self._record_revision = revision if self._holder is not None else NO_STATE
 
     def note_fenced(self) -> None:
         """End this tenure, since a server has seen a newer fence."""
@@ -111,7 +112,7 @@
         lease = await self._store.grant_lease(LEASE_TTL_S)
         if not isinstance(lease, Lease):
             return
-        written = await self._store.write(TENURE_KEY, encode_holder(self._own_record), 0, lease.id)
+        written = await self._store.write(TENURE_KEY, encode_holder(self._own_record), NO_STATE, lease.id)
         if isinstance(written, StoreConflict | LeaseExpired | NotDone):
             await self._store.end_lease(lease.id)
             return
--- a/packages/node/src/vaneturn_node/traffic/following/follower.py
+++ b/packages/node/src/vaneturn_node/traffic/following/follower.py
@@ -13,6 +13,7 @@
 from vaneturn_core.traffic.relays import RelayTimes, rank_relays
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.clock import read_clock
+from vaneturn_node.platform.epochs import NO_STATE, StoreState, get_epoch, get_number
 from vaneturn_node.platform.store import HistoryGone, NotDone, PlatformStore, StoreItem, WatchTooLong
 from vaneturn_node.traffic.following.viewkeeping import ViewKeeper
 from vaneturn_node.traffic.servers.firstreading import FirstReading
@@ -58,7 +59,7 @@
         self._reader = reader
         self._times = times
         self._first_reading = first_reading
-        self._revision: int | None = None
+        self._revision: StoreState | None = None
         self._is_store_reached = False
         self._cause = ""  # of the latest failure
         self._failures = 0  # in a row
@@ -85,7 +86,8 @@
     def _log_store_contact(self, *, is_answered: bool) -> None:
         if is_answered != self._is_store_reached:
             self._is_store_reached = is_answered
-            extra = {"age": round(self._view.age, 3), "revision": self._revision, "epoch": self._store.epoch}
+            revision = self._revision or NO_STATE
+            extra = {"age": round(self._view.age, 3), "revision": get_number(revision), "epoch": get_epoch(revision)}
             if is_answered:
                 logger.info("store regained", extra=extra)
             else:
@@ -124,7 +126,7 @@
         backed_off = [relay for relay, until in self._backoffs.items() if until > now]
         return next(iter(rank_relays(self._vm, self._view.nodes, backed_off)), None)
 
-    async def _ask_relay(self, relay: VmId, revision: int) -> bool:
+    async def _ask_relay(self, relay: VmId, revision: StoreState) -> bool:
         address = self._view.nodes[relay]
         answer = await self._peers.ask(address, revision) if address is not None else NoChanges.NO_ANSWER
         if isinstance(answer, NoChanges):
@@ -178,33 +180,36 @@
         if isinstance(page, NotDone):
             return self._record_failure(page)
         revision = page.revision
-        while True:
+        while get_epoch(page.revision) == get_epoch(revision):
             items.update((item.key, item) for item in page.items)
             if not page.has_more or not page.items:
                 break
             page = await self._store.read_range(ALL_KEYS, page.items[-1].key)
             if isinstance(page, NotDone):
                 return self._record_failure(page)
+        else:
+            return self._record_failure(NotDone("restored while it was read"))
+        self._log_restore(revision)
         self._keeper.replace_all(items)
-        extra = {"known": self._revision, "revision": revision, "epoch": self._store.epoch}
-        logger.info("store read anew", extra=extra)
         self._revision = revision
         self._view.confirm(started)
         self._log.replace(items.values(), revision)
         return True
 
-    async def _watch(self, revision: int) -> bool:
+    async def _watch(self, revision: StoreState) -> bool:
         wait = self._choose_watch_time()
         started = read_clock()
         page = await self._store.watch(ALL_KEYS, revision, wait, self._server.arrival)
         if isinstance(page, HistoryGone):
-            logger.info("store history gone", extra={"revision": revision})
+            logger.info("store history gone", extra={"revision": get_number(revision)})
             return await self._reload()
         if isinstance(page, WatchTooLong):
-            logger.info("store watch too long", extra={"revision": revision, "cause": page.cause})
+            logger.info("store watch too long", extra={"revision": get_number(revision), "cause": page.cause})
             return await self._reload()
         if isinstance(page, NotDone):
             return self._record_failure(page)
+        if get_epoch(page.revision) != get_epoch(revision):
+            return await self._reload()  # the store took the number for one of its new epoch, and left changes out
         has_waited = not page.items and read_clock() - started >= wait
         self._view.confirm(started + wait if has_waited else started)
         self._apply(page.items, page.revision)
@@ -227,22 +232,34 @@
             return WATCH_TIME_S
         return min(self._times.watch, max(MIN_WATCH_S, self._times.hold_arriving - self._view.age))
 
-    def _apply(self, items: Sequence[StoreItem], revision: int) -> None:
-        if self._revision is not None and revision < self._revision:
-            extra = {"known": self._revision, "stated": revision, "relay": self.followed, "epoch": self._store.epoch}
-            logger.info("revision below the known one", extra=extra)
+    def _apply(self, items: Sequence[StoreItem], revision: StoreState) -> None:
+        self._log_restore(revision)
         for item in items:
             self._keeper.apply(item)
-        self._revision = max(self._revision or 0, revision)
+        self._revision = max(self._revision or NO_STATE, revision)
         self._log.append(items, self._revision)
 
+    def _log_restore(self, revision: StoreState) -> None:
+        """Log that the store was restored, if a state is the first one known of a later epoch."""
+        known = self._revision
+        if known is None or get_epoch(revision) == get_epoch(known):
+            return
+        extra = {
+            "known_epoch": get_epoch(known),
+            "known_revision": get_number(known),
+            "epoch": get_epoch(revision),
+            "revision": get_number(revision),
+            "relay": self.followed,
+        }
+        logger.info("store restored from an older copy", extra=extra)
+
 
 def _unpack(change: Change) -> StoreItem | None:
     """Return the item of a change; None if its value has to be obtained separately."""
     if change.is_left_out:
         return None
     try:
-        return StoreItem(change.key, change.unpack(), change.revision)
+        return StoreItem(change.key, change.unpack(), StoreState(change.revision))
     except ValueError as error:
         logger.warning("value from a relay not understood", extra={"key": change.key, "fault": str(error)})
         return None
--- a/packages/node/src/vaneturn_node/traffic/following/viewkeeping.py
+++ b/packages/node/src/vaneturn_node/traffic/following/viewkeeping.py
@@ -9,6 +9,7 @@
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.servers import BackendServer, ServerName
 from vaneturn_node.platform.configuration import CONFIGURATION_KEY, decode_configuration
+from vaneturn_node.platform.epochs import NO_STATE, get_number
 from vaneturn_node.platform.servers import SERVERS_PREFIX
 from vaneturn_node.platform.store import StoreItem
 from vaneturn_node.traffic.duties.records import NODES_PREFIX, TENURE_KEY, decode_node
@@ -42,7 +43,7 @@
         servers: list[BackendServer] = []
         self._view.nodes = {}
         if TENURE_KEY not in items:
-            self._tenure.note_holder(None, 0)
+            self._tenure.note_holder(None, NO_STATE)
         for item in items.values():
             if not item.key.startswith(SERVERS_PREFIX):
                 self.apply(item)
@@ -88,7 +89,11 @@
             logger.error("configuration not understood", extra={"fault": str(configuration)})
             return
         if self._view.take_configuration(configuration):
-            extra = {"version": configuration.version, "routes": len(configuration.routes), "revision": item.revision}
+            extra = {
+                "version": configuration.version,
+                "routes": len(configuration.routes),
+                "revision": get_number(item.revision),
+            }
             logger.info("configuration in force", extra=extra)
             added, dropped = self._entries.recheck(configuration, self._view.servers.values())
             for server in added:
--- a/packages/node/src/vaneturn_node/traffic/sharing/changeclient.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/changeclient.py
@@ -15,6 +15,7 @@
 from vaneturn_core.traffic.view import PlatformView, StoreContact
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.caller import Caller, Reply
+from vaneturn_node.platform.epochs import StoreState, get_epoch
 from vaneturn_node.traffic.servers.permits import Permits
 from vaneturn_node.traffic.sharing.changelog import Change
 from vaneturn_node.traffic.sharing.changeserver import CHANGES_PATH, LOADS_PATH, OUT_OF_TOUCH
@@ -36,7 +37,7 @@
 class RelayedChanges:
     """The changes after a revision, as a relay knows them."""
 
-    revision: int
+    revision: StoreState
     changes: list[Change]
     contact: StoreContact
 
@@ -44,7 +45,7 @@
 class NoChanges(Enum):
     """Why a relay sent no changes."""
 
-    OUT_OF_TOUCH = "out of touch"  # it answered that it cannot reach the store either
+    OUT_OF_TOUCH = "out of touch"  # it cannot reach the store either, or has not since the store was restored
     NO_ANSWER = "no answer"  # timeout, invalid answer, or the relay no longer keeps the changes
 
 
@@ -74,7 +75,7 @@
         self._caller = caller
         self._times = times
 
-    async def ask(self, address: str, since: int) -> RelayedChanges | NoChanges:
+    async def ask(self, address: str, since: StoreState) -> RelayedChanges | NoChanges:
         """Ask a relay for the changes after a revision, and wait until it has some."""
         started = read_clock()
         loads = self._beliefs.list_loads()
@@ -85,6 +86,9 @@
         answer = decode_reply(reply, RelayAnswer)
         if answer is None:
             return NoChanges.NO_ANSWER
+        revision = StoreState(answer.revision)
+        if get_epoch(revision) < get_epoch(since):
+            return NoChanges.OUT_OF_TOUCH
         sent_at = started + max(0.0, answer.held)
         contact = StoreContact(
             _compute_time(sent_at, answer.confirmed_age),
@@ -98,7 +102,7 @@
             self._board.record_total(total, loads)
         self._losses.take_confirmed(answer.losses, address)
         self._permits.apply_limits(answer.limits)
-        return RelayedChanges(answer.revision, answer.changes, contact)
+        return RelayedChanges(revision, answer.changes, contact)
 
     async def report_loads(self, address: str, loads: Loads) -> None:
         """Report the load of this relay and its followers to another relay; the next report replaces a lost one."""
--- a/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
@@ -19,6 +19,7 @@
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.caller import BodyArrival
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
+from vaneturn_node.platform.epochs import StoreState, get_epoch
 from vaneturn_node.platform.store import BODY_EXTRA_TIME_S, MAX_SILENCE_S
 from vaneturn_node.traffic.servers.permits import PERMITS_PATH, Permits
 from vaneturn_node.traffic.sharing.changelog import ChangeLog
@@ -109,11 +110,14 @@
             return
         if report is not None:
             self._board.record_follower(report.vm, report.loads)
-        await self._answer_changes(int(since), request.arrived, answer)
+        await self._answer_changes(StoreState(int(since)), request.arrived, answer)
 
-    async def _answer_changes(self, since: int, arrived: float, answer: ClientAnswer) -> None:
+    async def _answer_changes(self, since: StoreState, arrived: float, answer: ClientAnswer) -> None:
         """Answer once there are changes, a newer confirmation that there are none, a loss, or a store failure."""
         self._asked_at = read_clock()
+        if get_epoch(since) > get_epoch(self._log.revision):
+            await answer.send_whole(OUT_OF_TOUCH, [], b"")
+            return
         losses = self._losses.version
         confirmed_at = self._view.contact.confirmed_at
         has_news = await self._wait_for_news(since, confirmed_at, losses, self._times.hold)
@@ -143,7 +147,7 @@
         )
         await answer.send_whole(OK, _JSON, msgspec.json.encode(message))
 
-    async def _wait_for_news(self, since: int, confirmed_at: float, losses: int, limit: float) -> bool:
+    async def _wait_for_news(self, since: StoreState, confirmed_at: float, losses: int, limit: float) -> bool:
         """Wait until there is news to send; return False on timeout."""
         with anyio.move_on_after(limit):
             while self._log.list_since(since) == [] and not self._has_news(confirmed_at, losses):
--- a/packages/node/src/vaneturn_node/traffic/sharing/longvalues.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/longvalues.py
@@ -17,6 +17,7 @@
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.caller import Caller, Reply
 from vaneturn_node.http1.server import ClientAnswer
+from vaneturn_node.platform.epochs import StoreState, get_epoch
 from vaneturn_node.platform.store import PlatformStore, StoreItem
 from vaneturn_node.traffic.sharing.changelog import Change, ChangeLog
 from vaneturn_node.traffic.sharing.difference import apply_difference, pack, unpack
@@ -36,7 +37,7 @@
 class PackedValue(Struct):
     """A whole long value, compressed."""
 
-    revision: int
+    revision: int  # a StoreState
     packed: bytes
 
 
@@ -90,7 +91,7 @@
         item, relay = await self._ask_relays(change, address)
         if item is None:
             fetched = await self._store.read_key(change.key)
-            item = fetched if isinstance(fetched, StoreItem) else None
+            item = fetched if isinstance(fetched, StoreItem) and _fits(fetched, change) else None
         extra = {
             "key": change.key,
             "bytes": len(item.value or b"") if item is not None else None,
@@ -109,13 +110,13 @@
         except ValueError as error:
             logger.warning("difference from a relay not understood", extra={"key": change.key, "fault": str(error)})
             return None
-        return StoreItem(change.key, value, change.revision)
+        return StoreItem(change.key, value, StoreState(change.revision))
 
     async def _ask_relays(self, change: Change, address: str) -> tuple[StoreItem | None, str | None]:
         with anyio.move_on_after(ALL_RELAYS_TIMEOUT_S):
             for relay in self._list_relays(address):
                 item = await self._ask(relay, change.key)
-                if item is not None and item.revision >= change.revision:
+                if item is not None and _fits(item, change):
                     return item, relay
         return None, None
 
@@ -133,10 +134,17 @@
             return None
         try:
             found = msgspec.msgpack.decode(reply.body, type=PackedValue)
-            return StoreItem(key, unpack(found.packed), found.revision)
+            return StoreItem(key, unpack(found.packed), StoreState(found.revision))
         except (ValueError, msgspec.DecodeError) as error:
             logger.warning("value from a relay not understood", extra={"key": key, "fault": str(error)})
             return None
 
 
+def _fits(item: StoreItem, change: Change) -> bool:
+    """Check whether an item, or its absence, is the change or a newer one, in the epoch of the change."""
+    revision = StoreState(change.revision)
+    is_recent = item.value is None or item.revision >= revision
+    return is_recent and get_epoch(item.revision) == get_epoch(revision)
+
+
 __all__ = ["VALUE_PATH", "LongValueReader", "LongValueServer"]
--- a/packages/node/src/vaneturn_node/traffic/sharing/peerwords.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/peerwords.py
@@ -47,7 +47,7 @@
 class RelayAnswer(Struct):
     """An answer of a relay; ages are in seconds, None for events that never occurred."""
 
-    revision: int
+    revision: int  # a StoreState
     changes: list[Change]
     held: float
     confirmed_age: float | None
--- a/tests/node/test_caller.py
+++ b/tests/node/test_caller.py
@@ -13,6 +13,7 @@
 from vaneturn_core.traffic.servers import ServerAddress
 from vaneturn_node.http1.caller import BodyArrival, Caller
 from vaneturn_node.http1.pool import LinkPool
+from vaneturn_node.platform.epochs import StoreState
 from vaneturn_node.platform.store import NotDone, PlatformStore, StorePage, WatchTooLong
 
 pytestmark = pytest.mark.anyio
@@ -28,7 +29,7 @@
         await store.listen(address, tasks)
         store.put("op/config", b"x" * 50_000)
         began = time.monotonic()
-        page = await PlatformStore(Caller(LinkPool()), address).watch("", 1, WAIT, arrival)
+        page = await PlatformStore(Caller(LinkPool()), address).watch("", StoreState(1), WAIT, arrival)
         assert isinstance(page, StorePage)
         assert [len(item.value or b"") for item in page.items] == [50_000]
         assert began < arrival.last_data_at <= time.monotonic()
@@ -48,7 +49,9 @@
         await serve(address, stop_halfway, tasks)
         with anyio.fail_after(5.0):
             store = PlatformStore(Caller(LinkPool()), address)
-            assert isinstance(await store.watch("", 1, WAIT, BodyArrival(extra_time=30.0, stall_timeout=0.2)), NotDone)
+            assert isinstance(
+                await store.watch("", StoreState(1), WAIT, BodyArrival(extra_time=30.0, stall_timeout=0.2)), NotDone
+            )
         tasks.cancel_scope.cancel()
 
 
@@ -58,7 +61,7 @@
         await store.listen(address, tasks)
         store.put("op/config", b"x" * 50_000)
         page = await PlatformStore(Caller(LinkPool()), address).watch(
-            "", 1, WAIT, BodyArrival(extra_time=0.2, stall_timeout=0.5)
+            "", StoreState(1), WAIT, BodyArrival(extra_time=0.2, stall_timeout=0.5)
         )
         assert isinstance(page, WatchTooLong)
         tasks.cancel_scope.cancel()
--- a/tests/node/traffic/duties/test_candidacy.py
+++ b/tests/node/traffic/duties/test_candidacy.py
@@ -10,6 +10,7 @@
 from vaneturn_core.traffic.servers import ServerAddress
 from vaneturn_node.http1.caller import Caller
 from vaneturn_node.http1.pool import LinkPool
+from vaneturn_node.platform.epochs import StoreState
 from vaneturn_node.platform.store import Lease, PlatformStore, StoreConflict
 from vaneturn_node.traffic.duties.tenure import MAX_CANDIDACY_DELAY_S, RANK_DELAY_S, Tenure
 
@@ -32,7 +33,9 @@
         self.calls += 1
         return Lease(self.calls, ttl_s)
 
-    async def write(self, key: str, value: bytes, expected: int | None, lease: int = 0) -> int | StoreConflict:
+    async def write(
+        self, key: str, value: bytes, expected: StoreState | None, lease: int = 0
+    ) -> StoreState | StoreConflict:
         assert key
         assert lease
         self.calls += 1
@@ -40,7 +43,7 @@
             return StoreConflict()
         self.record = value
         self.is_written.set()
-        return 1
+        return StoreState(1)
 
     async def renew_lease(self, lease: int) -> Lease:
         return Lease(lease, 4.0)
@@ -58,13 +61,13 @@
         for name in NAMES
     ]
     for tenure in tenures:
-        tenure.note_holder(None, 0)
+        tenure.note_holder(None, StoreState(0))
 
     async def report_record() -> None:
         await store.is_written.wait()
         await anyio.sleep(NEWS_DELAY_S)
         for tenure in tenures:
-            tenure.note_holder(store.record, 1)
+            tenure.note_holder(store.record, StoreState(1))
 
     with anyio.move_on_after(seconds):
         async with anyio.create_task_group() as tasks:
--- a/tests/node/traffic/following/test_follower.py
+++ b/tests/node/traffic/following/test_follower.py
@@ -12,7 +12,8 @@
 from vaneturn_core.traffic.outage import MAX_RETRY_DELAY_S, RELAY_RETRY_DELAY_S
 from vaneturn_core.traffic.relays import RelayTimes, list_relays
 from vaneturn_core.traffic.view import PlatformView, StoreContact
-from vaneturn_node.platform.store import HistoryGone, NotDone, StorePage, WatchTooLong
+from vaneturn_node.platform.epochs import StoreState, make_state
+from vaneturn_node.platform.store import HistoryGone, NotDone, StoreItem, StorePage, WatchTooLong
 from vaneturn_node.traffic.following.follower import StoreFollower
 from vaneturn_node.traffic.servers.firstreading import FirstReading
 from vaneturn_node.traffic.sharing.changeclient import NoChanges, RelayedChanges
@@ -27,8 +28,6 @@
 class Store:
     """Refuses each call, and counts them."""
 
-    epoch = None
-
     def __init__(self) -> None:
         self.calls = 0
 
@@ -85,7 +84,7 @@
         times=RelayTimes.derive(3.0),
         first_reading=FirstReading(),
     )
-    follower._revision = 5
+    follower._revision = StoreState(5)
     return follower, view
 
 
@@ -114,7 +113,7 @@
         tasks.start_soon(follower.run)
         await anyio.sleep(0.5)
         now = time.monotonic()
-        relays.default_answer = RelayedChanges(6, [], StoreContact(now, now - 0.1, now))
+        relays.default_answer = RelayedChanges(StoreState(6), [], StoreContact(now, now - 0.1, now))
         await anyio.sleep(RELAY_RETRY_DELAY_S + MAX_RETRY_DELAY_S)
         tasks.cancel_scope.cancel()
     assert not view.contact.is_in_trouble
@@ -128,7 +127,7 @@
     follower, _ = make_follower(store, relays)
     out = list_relays(NODES)
     relays.answers = {f"{relay}:1": NoChanges.OUT_OF_TOUCH for relay in out}
-    relays.default_answer = RelayedChanges(6, [], StoreContact(time.monotonic()))
+    relays.default_answer = RelayedChanges(StoreState(6), [], StoreContact(time.monotonic()))
     with anyio.move_on_after(0.5):
         await follower.run()
     assert store.calls == 0
@@ -136,6 +135,45 @@
     assert relays.asked[0] in relays.answers
 
 
+class RestoredStore(Store):
+    """Answers a watch in a later epoch, in which the number of the asked state belongs to another change."""
+
+    async def watch(self, *_: Any) -> StorePage:  # type: ignore[override]
+        return StorePage((), make_state(2, 6))
+
+    async def read_range(self, *_: Any) -> StorePage:
+        return StorePage((StoreItem("servers/i-1", b"hidden", make_state(2, 5)),), make_state(2, 6))
+
+
+async def test_whole_state_is_read_when_a_watch_is_answered_after_a_restore() -> None:
+    """A store that has written past the known revision does not answer 410; it leaves out what came before."""
+    follower, _ = make_follower(RestoredStore(), Relays())
+    follower._log.replace([], make_state(1, 5))
+    assert await follower._watch(make_state(1, 5))
+    assert follower._revision == make_state(2, 6)
+    assert [change.key for change in follower._log.list_since(make_state(1, 5)) or []] == ["servers/i-1"]
+
+
+class TwiceRestoredStore(RestoredStore):
+    """Is restored again between two pages."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._pages = [
+            StorePage((StoreItem("servers/i-1", b"", make_state(2, 5)),), make_state(2, 6), has_more=True),
+            StorePage((), make_state(3, 6)),
+        ]
+
+    async def read_range(self, *_: Any) -> StorePage:
+        return self._pages.pop(0)
+
+
+async def test_pages_of_two_epochs_are_not_taken_for_one_state() -> None:
+    follower, _ = make_follower(TwiceRestoredStore(), Relays())
+    assert not await follower._watch(make_state(1, 5))
+    assert follower._revision == StoreState(5)
+
+
 class LongStore(Store):
     """Cannot give changes, as they take too long or are no longer kept, but gives the latest values."""
 
@@ -162,8 +200,8 @@
 async def test_newest_values_are_read_when_changes_cannot_be(answer: HistoryGone | WatchTooLong) -> None:
     relays = Relays()
     relays.default_answer = NoChanges.NO_ANSWER
-    follower, view = make_follower(LongStore(answer, StorePage((), 90)), relays)
-    assert await follower._watch(5)
+    follower, view = make_follower(LongStore(answer, StorePage((), StoreState(90))), relays)
+    assert await follower._watch(StoreState(5))
     assert follower._revision == 90
     assert view.age < 1.0
 
@@ -174,7 +212,7 @@
     relays = Relays()
     relays.default_answer = NoChanges.NO_ANSWER
     follower, _ = make_follower(LongStore(answer, NotDone("status 503")), relays)
-    assert not await follower._watch(5)
-    relays.default_answer = RelayedChanges(6, [], StoreContact(time.monotonic()))
+    assert not await follower._watch(StoreState(5))
+    relays.default_answer = RelayedChanges(StoreState(6), [], StoreContact(time.monotonic()))
     assert await follower._ask()
     assert follower.followed is not None
--- a/tests/node/traffic/following/test_serverentries.py
+++ b/tests/node/traffic/following/test_serverentries.py
@@ -29,6 +29,7 @@
 from vaneturn_core.traffic.view import PlatformView, StoreContact
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
+from vaneturn_node.platform.epochs import StoreState
 from vaneturn_node.platform.servers import MAX_ENTRY_BYTES, ServerCalls, ServerReport, decode_server
 from vaneturn_node.platform.store import PlatformStore, StoreItem
 from vaneturn_node.traffic.duties.tenure import Tenure
@@ -73,7 +74,7 @@
         self.revision += 1
         document = {**value, **changes} if isinstance(value, dict) else value
         data = document if isinstance(document, bytes | None) else json.dumps(document).encode()
-        self.keeper.apply(StoreItem(key, data, self.revision))
+        self.keeper.apply(StoreItem(key, data, StoreState(self.revision)))
 
     def list_names(self) -> list[str]:
         return sorted(server.name for server in self.view.list_servers(make_server(1, None).service))
@@ -174,7 +175,7 @@
     node.put("servers/i-1", SOUND, born=1000)
     (server,) = node.view.servers.values()
     assert (server.born, server.layers) == (2000, ())
-    items = [StoreItem("servers/i-1", encode(born=1000), 9)]
+    items = [StoreItem("servers/i-1", encode(born=1000), StoreState(9))]
     node.keeper.replace_all({item.key: item for item in items})
     assert [one.born for one in node.view.servers.values()] == [2000]
 
--- a/tests/node/traffic/sharing/test_changes.py
+++ b/tests/node/traffic/sharing/test_changes.py
@@ -20,12 +20,14 @@
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
 from vaneturn_node.http1.server import ClientRequest
+from vaneturn_node.platform.epochs import StoreState, make_state
 from vaneturn_node.platform.store import StoreItem
 from vaneturn_node.traffic.servers.permits import LimitRow
 from vaneturn_node.traffic.sharing.changeclient import ChangeClient, NoChanges, RelayedChanges
 from vaneturn_node.traffic.sharing.changelog import ChangeLog
 from vaneturn_node.traffic.sharing.changeserver import CHANGES_PATH, ChangeServer
 from vaneturn_node.traffic.sharing.losssharing import LossSharing
+from vaneturn_node.traffic.sharing.peerwords import RelayAnswer
 from vaneturn_node.traffic.sharing.serverrows import RESERVED_UNIT
 
 pytestmark = pytest.mark.anyio
@@ -60,7 +62,7 @@
         self.view = PlatformView(5.0, time.monotonic)
         self.view.put_server(make_server(1, "a100", "east"))
         self.log = ChangeLog()
-        self.log.replace([], 5)
+        self.log.replace([], StoreState(5))
         self.view.confirm(time.monotonic())
         self.beliefs = ServerStatuses()
         self.board = LoadBoard(time.monotonic)
@@ -79,7 +81,7 @@
 
     def hear(self, *items: StoreItem, revision: int) -> None:
         self.view.confirm(time.monotonic())
-        self.log.append(items, revision)
+        self.log.append(items, StoreState(revision))
 
 
 def make_client(caller: Caller, name: str = "entry-2", busy: int = 0) -> tuple[ChangeClient, LoadBoard]:
@@ -110,20 +112,20 @@
 
 
 async def ask(caller: Caller) -> RelayedChanges | NoChanges:
-    return await make_client(caller)[0].ask("relay", 5)
+    return await make_client(caller)[0].ask("relay", StoreState(5))
 
 
 async def test_nodes_learn_what_all_others_have_in_progress() -> None:
     """If each assumes that the others' load is like its own, chains of other halls seem full and its own ones free."""
     relay, other = Relay(), Relay()
     lead(relay.beliefs, 1)
-    await make_client(Transport(other.server), "entry-4", busy=20)[0].ask("relay", 4)
+    await make_client(Transport(other.server), "entry-4", busy=20)[0].ask("relay", StoreState(4))
     relay.board.record_relay(VmId("entry-9"), other.board.sum_followers({}))
     for name, busy in (("entry-2", 3), ("entry-3", 5)):
-        relay.hear(StoreItem("servers/i-1", b"entry", 6), revision=6)
+        relay.hear(StoreItem("servers/i-1", b"entry", StoreState(6)), revision=6)
         await anyio.sleep(MAX_SUM_AGE_S)  # requests at about the same time share one sum
         client, board = make_client(Transport(relay.server), name, busy)
-        assert await client.ask("relay", 5) is not None
+        assert await client.ask("relay", StoreState(5)) is not None
     assert board.get_others(BUSY) == ServerLoad(1 + 3 + 20, 24 * RESERVED)
     assert relay.board.get_others(BUSY) == ServerLoad(3 + 5 + 20, 28 * RESERVED)
     assert relay.board.get_others(ServerId("i-2")) == ServerLoad(0, 0.0)
@@ -140,10 +142,10 @@
     relay, other = Relay(), Relay()
     reporter, _ = make_client(Transport(relay.server), "entry-2")
     reporter._permits.apply_limits([LimitRow("i-1", 2.5, 0.0), LimitRow("i-9", 2.5, 0.0), LimitRow("i-1", -1.0, 0.0)])
-    relay.hear(StoreItem("servers/i-1", b"entry", 6), revision=6)
-    await reporter.ask("relay", 5)
+    relay.hear(StoreItem("servers/i-1", b"entry", StoreState(6)), revision=6)
+    await reporter.ask("relay", StoreState(5))
     asker, _ = make_client(Transport(relay.server), "entry-3")
-    await asker.ask("relay", 5)
+    await asker.ask("relay", StoreState(5))
     assert [(one.server, one.rate) for one in asker._permits.list_changed_limits()] == [("i-1", 2.5)]
     between_relays, _ = make_client(Transport(other.server), "entry-1")
     between_relays._permits.apply_limits(relay.parts.permits.list_changed_limits())
@@ -153,7 +155,7 @@
 
 async def test_word_on_loads_that_is_not_understood_does_not_hide_changes() -> None:
     relay = Relay()
-    relay.hear(StoreItem("servers/i-1", b"entry", 6), revision=6)
+    relay.hear(StoreItem("servers/i-1", b"entry", StoreState(6)), revision=6)
     answer = Answer()
     request = ClientRequest("POST", f"{CHANGES_PATH}?since=5", CHANGES_PATH, [], b"{", time.monotonic())
     await relay.server.answer(request, answer)
@@ -162,7 +164,7 @@
 
 async def test_changes_are_told_at_once() -> None:
     relay = Relay()
-    relay.hear(StoreItem("servers/i-1", b"entry", 6), revision=6)
+    relay.hear(StoreItem("servers/i-1", b"entry", StoreState(6)), revision=6)
     received = await ask(Transport(relay.server))
     assert isinstance(received, RelayedChanges)
     assert received.revision == 6
@@ -188,7 +190,7 @@
 async def test_time_of_the_word_is_never_taken_for_later_than_it_was() -> None:
     relay = Relay()
     confirmed_at = relay.view.contact.confirmed_at
-    relay.log.append([StoreItem("servers/i-1", b"entry", 6)], 6)
+    relay.log.append([StoreItem("servers/i-1", b"entry", StoreState(6))], StoreState(6))
     await anyio.sleep(0.1)
     received = await ask(Transport(relay.server, delay=0.2))
     assert isinstance(received, RelayedChanges)
@@ -226,7 +228,7 @@
 async def test_troubles_of_the_store_are_told_with_their_times() -> None:
     relay = Relay()
     relay.view.note_failure()
-    relay.hear(StoreItem("servers/i-1", None, 6), revision=6)
+    relay.hear(StoreItem("servers/i-1", None, StoreState(6)), revision=6)
     received = await ask(Transport(relay.server))
     assert isinstance(received, RelayedChanges)
     assert not received.contact.is_in_trouble
@@ -272,3 +274,28 @@
         relay.hear(revision=6)
     assert isinstance(received[0], RelayedChanges)
     assert received[0].revision == 6
+
+
+async def test_relay_that_has_not_read_the_restored_store_is_out_of_touch() -> None:
+    """Its confirmation of an older epoch says nothing of what a node has read since."""
+    relay = Relay()
+    client, _ = make_client(Transport(relay.server))
+    with anyio.fail_after(TIMES.hold / 2):
+        assert await client.ask("relay", make_state(1, 5)) is NoChanges.OUT_OF_TOUCH
+
+
+async def test_answer_of_a_relay_that_knows_no_epochs_counts_for_nothing_after_a_restore() -> None:
+    """Nodes of an older build answer with the bare revision."""
+
+    class OlderBuild(Caller):
+        def __init__(self) -> None:
+            super().__init__(LinkPool())
+
+        async def call(self, address: str, *_: object, **__: object) -> Reply | Failed:
+            assert address
+            answer = RelayAnswer(9, [], held=0.0, confirmed_age=0.0, failed_age=None, returned_age=None)
+            return Reply(200, msgspec.json.encode(answer))
+
+    client, _ = make_client(OlderBuild())
+    assert await client.ask("relay", make_state(1, 5)) is NoChanges.OUT_OF_TOUCH
+    assert isinstance(await client.ask("relay", make_state(0, 5)), RelayedChanges)
--- a/tests/node/traffic/sharing/test_longvalues.py
+++ b/tests/node/traffic/sharing/test_longvalues.py
@@ -16,6 +16,7 @@
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
+from vaneturn_node.platform.epochs import StoreState
 from vaneturn_node.platform.store import PlatformStore, StoreItem
 from vaneturn_node.traffic.sharing.changelog import Change, ChangeLog
 from vaneturn_node.traffic.sharing.difference import pack
@@ -40,7 +41,7 @@
         f'{{"name": "{texts.randbytes(12).hex()}", "note": "{text if number == 700 else ""}"}}'
         for number in range(1500)
     ]
-    return StoreItem(KEY, f"[{', '.join(routes)}]".encode(), revision)
+    return StoreItem(KEY, f"[{', '.join(routes)}]".encode(), StoreState(revision))
 
 
 def make_log(*items: StoreItem) -> ChangeLog:
@@ -52,7 +53,7 @@
 
 
 def tell(log: ChangeLog, since: int) -> Change:
-    changes = log.list_since(since)
+    changes = log.list_since(StoreState(since))
     assert changes is not None
     assert len(changes) == 1
     return changes[0]
@@ -116,7 +117,7 @@
     relay = make_log(make_item(3), newest)
     transport = Transport({"relay": relay})
     change = tell(relay, 4)
-    another = StoreItem(KEY, b" " + (make_item(3).value or b""), 3)  # differs in a piece that is copied
+    another = StoreItem(KEY, b" " + (make_item(3).value or b""), StoreState(3))  # differs in a piece that is copied
     assert await make_reader(make_log(another), transport).read(change, "relay") == newest
     assert transport.asked == ["relay"]
 
--- a/tests/node/traffic/test_parsing.py
+++ b/tests/node/traffic/test_parsing.py
@@ -24,6 +24,7 @@
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
 from vaneturn_node.platform.configuration import decode_configuration
+from vaneturn_node.platform.epochs import StoreState
 from vaneturn_node.platform.headers import AnswerFacts, RequestFacts, read_answer_facts, read_request_facts
 from vaneturn_node.platform.servers import decode_server
 from vaneturn_node.platform.store import HistoryGone, NotDone, PlatformStore, StoreItem, StorePage
@@ -112,10 +113,10 @@
 def test_responses_of_the_store(status: int, body: bytes) -> None:
     async def call() -> None:
         store = PlatformStore(FixedCaller(status, body), ServerAddress("store"))
-        assert isinstance(await store.watch("", 1, 1.0), StorePage | HistoryGone | NotDone)
+        assert isinstance(await store.watch("", StoreState(1), 1.0), StorePage | HistoryGone | NotDone)
         assert isinstance(await store.read_range(""), StorePage | NotDone)
         await store.read_key("key")
-        await store.write("key", b"value", 0)
+        await store.write("key", b"value", StoreState(0))
         await store.grant_lease(1.0)
         await store.renew_lease(1)
 
@@ -140,7 +141,7 @@
             permits=make_parts("entry-1", view, beliefs, caller).permits,
         )
         losses.take(body)
-        assert isinstance(await client.ask("relay", 1), RelayedChanges | NoChanges)
+        assert isinstance(await client.ask("relay", StoreState(1)), RelayedChanges | NoChanges)
 
     anyio.run(ask)
 
@@ -152,7 +153,7 @@
 def test_long_values_of_relays(status: int, body: bytes) -> None:
     async def read() -> None:
         caller, log = FixedCaller(status, body), ChangeLog()
-        log.replace([StoreItem("op/config", b"x" * 20_000, 3)], 3)
+        log.replace([StoreItem("op/config", b"x" * 20_000, StoreState(3))], StoreState(3))
         store, view = PlatformStore(caller, ServerAddress("store")), PlatformView(5.0, time.monotonic)
         reader = LongValueReader(vm=VmId("entry-1"), store=store, view=view, log=log, caller=caller)
         change = Change("op/config", 9, None, is_left_out=True, base=3, difference=body, digest=b"12345678")
@@ -167,7 +168,7 @@
     body = json.dumps({"at": 3, "events": [{"key": "op/config", "revision": 2, "value": value}]}).encode()
 
     async def call() -> None:
-        page = await PlatformStore(FixedCaller(200, body), ServerAddress("store")).watch("", 1, 1.0)
+        page = await PlatformStore(FixedCaller(200, body), ServerAddress("store")).watch("", StoreState(1), 1.0)
         assert isinstance(page, NotDone)
 
     anyio.run(call)
