Confirm no state to a node that knows a later one

What callers saw: the same late requests to a leaving server, if the restored store states no epoch.

Cause: a relay answered a node that knew a later revision with no changes and a fresh confirmation. After a step back without an epoch that is wrong until the store has written its way up again; a relay that read everything anew even kept the larger number.

Fix: a relay holds such a question until it has reached the asker's state, which takes a moment where it was just behind; after the usual hold it counts as out of touch, and the asker turns to the store, which tells it that the state does not exist. A change log that is read whole at a lower revision of the same epoch starts again.

What remains: a store that states no epoch and has written past the old revision before anybody asks it hides those changes, as nothing tells that it went back.

--- a/packages/node/src/vaneturn_node/traffic/sharing/changelog.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/changelog.py
@@ -68,6 +68,8 @@
         Values are compared too, as a restored store gives out the same number for another value.
         """
         state = {item.key: item for item in items}
+        if revision < self.revision:
+            self._clear()
         self._enter_epoch(revision)
         if self._complete_after is None:
             self._complete_after = revision
@@ -110,6 +112,13 @@
         self._updated.set()
         self._updated = anyio.Event()
 
+    def _clear(self) -> None:
+        """Forget all changes, since the store has gone back without stating an epoch."""
+        for by_key in (self._changes, self._prepared, self._bases, self._state, self._long):
+            by_key.clear()
+        self._complete_after = None
+        self.revision = NO_STATE
+
     def _enter_epoch(self, revision: StoreState) -> None:
         """Carry what is kept over to a later epoch, before its first changes."""
         epoch = get_epoch(revision)
--- a/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
@@ -148,9 +148,16 @@
         await answer.send_whole(OK, _JSON, msgspec.json.encode(message))
 
     async def _wait_for_news(self, since: StoreState, confirmed_at: float, losses: int, limit: float) -> bool:
-        """Wait until there is news to send; return False on timeout."""
+        """Wait until there is news to send; return False on timeout.
+
+        A node that knows a later state gets no answer before this one has reached it. Either this node is behind for a
+        moment, or the store has gone back without stating an epoch, and its next changes have numbers that the other
+        node takes for known ones.
+        """
         with anyio.move_on_after(limit):
-            while self._log.list_since(since) == [] and not self._has_news(confirmed_at, losses):
+            while self._log.list_since(since) == [] and not (
+                self._has_store_failed() or (self._log.revision >= since and self._has_news(confirmed_at, losses))
+            ):
                 await self._log.wait()
             return True
         return False
--- a/tests/node/traffic/sharing/test_changelog.py
+++ b/tests/node/traffic/sharing/test_changelog.py
@@ -254,6 +254,18 @@
             known = store.get_values()
 
 
+def test_log_starts_again_when_the_store_goes_back_without_stating_an_epoch() -> None:
+    """The log kept the larger number, and then listed no change up to it."""
+    log = ChangeLog()
+    log.replace([make_item(99)], StoreState(101))
+    log.append([make_item(102)], StoreState(102))
+    log.replace([make_item(99)], StoreState(101))
+    assert log.revision == 101
+    log.append([make_item(102, b"other")], StoreState(102))
+    assert log.list_since(StoreState(101)) == [Change("servers/i-102", 102, b"other")]
+    assert log.list_since(StoreState(100)) is None
+
+
 def test_other_value_under_a_revision_that_was_given_out_again_is_listed() -> None:
     log = ChangeLog()
     log.replace([], make_state(1, 100))
--- a/tests/node/traffic/sharing/test_changes.py
+++ b/tests/node/traffic/sharing/test_changes.py
@@ -299,3 +299,35 @@
     client, _ = make_client(OlderBuild())
     assert await client.ask("relay", make_state(1, 5)) is NoChanges.OUT_OF_TOUCH
     assert isinstance(await client.ask("relay", make_state(0, 5)), RelayedChanges)
+
+
+async def test_node_ahead_of_its_relay_gets_no_answer_before_the_relay_has_caught_up() -> None:
+    """If the store went back without stating an epoch, the next changes have numbers that the node takes for known."""
+    relay = Relay()
+    received: list[RelayedChanges | NoChanges] = []
+
+    async def follow() -> None:
+        received.append(await make_client(Transport(relay.server))[0].ask("relay", StoreState(7)))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follow)
+        for revision in (5, 6):
+            await anyio.sleep(0.05)
+            relay.hear(revision=revision)
+        await anyio.sleep(0.05)
+        assert not received
+        relay.hear(StoreItem("servers/i-1", b"entry", StoreState(8)), revision=8)
+    assert isinstance(received[0], RelayedChanges)
+    assert received[0].revision == 8
+
+
+async def test_node_is_refused_at_once_by_a_relay_that_has_not_read_the_store() -> None:
+    relay = Relay()
+    relay.log = relay.server._log = ChangeLog()
+    with anyio.fail_after(TIMES.hold / 2):
+        assert await make_client(Transport(relay.server))[0].ask("relay", StoreState(7)) is NoChanges.NO_ANSWER
+
+
+async def test_node_ahead_of_a_relay_that_stays_behind_leaves_it() -> None:
+    relay = Relay()
+    assert await make_client(Transport(relay.server))[0].ask("relay", StoreState(7)) is NoChanges.OUT_OF_TOUCH
--- a/tests/standins/platform/store.py
+++ b/tests/standins/platform/store.py
@@ -70,7 +70,7 @@
     leases: dict[int, tuple[float, float]] = field(default_factory=dict)  # id: expiry, time to live; seconds
     body_time: float = 0.0  # seconds over which a long body is sent, as on a slow link
     calls: list[tuple[str, str]] = field(default_factory=list)
-    epoch: int | None = None  # stated in all answers; rises with each restore
+    epoch: int | None = None  # rises with each restore; stated in all answers, unless it is None
     next_lease: int = FIRST_LEASE
     _changed: anyio.Event = field(default_factory=anyio.Event)
 
@@ -119,7 +119,7 @@
         self.items, self.revision, self.next_lease = dict(saved.items), saved.revision, saved.next_lease
         self.events, self.leases = list(saved.events), dict(saved.leases)
         self.oldest = min(self.oldest, self.revision)
-        self.epoch = (self.epoch or 0) + 1
+        self.epoch = self.epoch + 1 if self.epoch is not None else None
         self._wake()
         if rewrites:
             for key in dict.fromkeys(event["key"] for event in lost if event["key"].startswith(FOREIGN_PREFIXES)):
--- a/tests/system/platform/test_restores.py
+++ b/tests/system/platform/test_restores.py
@@ -21,13 +21,13 @@
 LOST_WRITES = 20  # of nodes, since the copy
 DRAIN_TIME = 2.0  # seconds after which no node may send requests to a leaving server
 KEY_REMOVAL_TIME = 5.0  # seconds after which no node may accept a removed key
+RELAYS_ASKED_TIME = 2.0  # seconds after a restore, in which a node asks its relays again
 RECENT_AGE = 1.5  # seconds since the last confirmation of the view
 
 
 @pytest.fixture
 async def traffic(tmp_path: Path) -> AsyncIterator[Traffic]:
     async with open_traffic(tmp_path, nodes=NODES) as made:
-        made.fleet.store.epoch = 1
         await made.add_desk()
         await made.add_desk()
         await wait_for_relays(made)
@@ -56,7 +56,8 @@
 async def restore_store(traffic: Traffic) -> None:
     """Restore the store from a copy that lacks the latest writes of nodes, which all nodes have read.
 
-    From then on the store turns away the nodes that follow relays, so that none of them reads the whole state.
+    From then on the store turns away the nodes that follow relays, so that none of them reads the whole state; if it
+    states no epoch, only until they have asked their relays.
     """
     store = traffic.fleet.store
     turned_away = {node.store_address for node in list_followers(traffic, await read_states(traffic))}
@@ -69,6 +70,9 @@
     await anyio.sleep(OUTAGE_TIME)
     store.restore(saved)
     store.set_mode(Mode.HEALTHY)
+    if store.epoch is None:
+        await anyio.sleep(RELAYS_ASKED_TIME)
+        turned_away.clear()
     await wait_for_relays(traffic)
 
 
@@ -76,8 +80,12 @@
     return [await traffic.ask("/check/1", method="GET", node=number, **headers) for number in range(NODES)]
 
 
-async def test_leaving_server_gets_no_requests_after_the_store_was_restored(traffic: Traffic) -> None:
+@pytest.mark.parametrize("epoch", [1, None], ids=["epoch stated", "no epoch stated"])
+async def test_leaving_server_gets_no_requests_after_the_store_was_restored(
+    traffic: Traffic, epoch: int | None
+) -> None:
     """Nodes that stood at a later revision missed the leave, because its revision had been given out before."""
+    traffic.fleet.store.epoch = epoch
     await restore_store(traffic)
     leaving = next(iter(traffic.fleet.servers.values()))
     leaving.state = "draining"
@@ -89,8 +97,10 @@
     assert leaving.id not in {run.server for run in traffic.fleet.runs[left_at:]}
 
 
-async def test_removed_key_is_rejected_after_the_store_was_restored(traffic: Traffic) -> None:
+@pytest.mark.parametrize("epoch", [1, None], ids=["epoch stated", "no epoch stated"])
+async def test_removed_key_is_rejected_after_the_store_was_restored(traffic: Traffic, epoch: int | None) -> None:
     """The change that removed the key had a revision that nodes already stood at, so that they kept the key."""
+    traffic.fleet.store.epoch = epoch
     await restore_store(traffic)
     configure(traffic.fleet.store, make_configuration(2, tenants=[{"name": "broker", "api_keys": ["other"]}]))
     await anyio.sleep(KEY_REMOVAL_TIME)
