Keep tenure and registration right over a restore of the store

What operators would see: after the store came back from a copy, all orders to servers refused until its revisions had caught up (fences are revisions), or two nodes that both count on a lease of the lost part; limits shared among fewer nodes than there are until each one's next renewal, up to 6 s later.

Both duties held a bare revision or lease number for something that names one state for ever. A restored store gives out both again, so that a renewal of a lost lease can succeed, for somebody else.

Change: a fence is a state of the store, so that it rises with the epoch. The tenure counts only in the epoch in which its record was read. If the record is lost, the holder writes it again at once; all others wait for the time of a lease. A record under a lease that may be another node's is written anew. A lease of an earlier epoch is not ended at a planned stop.

--- a/packages/node/src/vaneturn_node/traffic/duties/tenure.py
+++ b/packages/node/src/vaneturn_node/traffic/duties/tenure.py
@@ -1,11 +1,17 @@
 """The tenure of the one node that orders servers: a record under a lease in the platform's store.
 
-Orders carry the revision of the record as their fence; it only grows. The holder counts its lease from the moment
-before it sends the renewal, so for the holder the lease ends no later than for the store.
+Orders carry the state of the store at which the record was written as their fence; it only grows, also when the store
+is restored. The holder counts its lease from the moment before it sends the renewal, so for the holder the lease ends
+no later than for the store.
+
+A restored store may lack the record, or hold an older one, and may give the number of a lost lease to another lease. So
+the tenure counts only in the epoch in which the record was read, and nodes that find it free wait for as long as a
+holder of the earlier epoch may still count on its lease.
 """
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 import random
 from collections.abc import Callable
@@ -15,7 +21,7 @@
 
 from vaneturn_core.identifiers import NodeId, VmId
 from vaneturn_node.clock import read_clock
-from vaneturn_node.platform.epochs import NO_STATE, StoreState
+from vaneturn_node.platform.epochs import NO_STATE, StoreState, get_epoch, get_number, move_to_epoch
 from vaneturn_node.platform.store import Lease, LeaseExpired, MaybeDone, NotDone, PlatformStore, StoreConflict
 from vaneturn_node.traffic.duties.records import TENURE_KEY, TenureHolder, decode_holder, encode_holder
 
@@ -45,33 +51,56 @@
         self._store = store
         self._rank = rank
         self._own_record = TenureHolder(node, vm)
-        self._lease: int | None = None
+        self._lease: Lease | None = None
         self._valid_until = float("-inf")
         self._record_revision = NO_STATE
+        self._read_revision = NO_STATE  # of the record as the store has shown it, not as this node wrote it
+        self._free_at = float("-inf")  # earliest time to take the tenure
         self._holder: TenureHolder | None = None
         self._is_record_known = False  # the record, or its absence, has been read
         self._is_stopping = False
 
     @property
-    def fence(self) -> int:
+    def fence(self) -> StoreState:
         """The fence for orders of this node."""
         return self._record_revision
 
     def is_valid(self) -> bool:
         """Tell whether this node alone may send orders, for long enough that one sent now arrives in time."""
-        return self._is_holder() and read_clock() < self._valid_until - ORDER_MARGIN_S
+        is_current = get_epoch(self._record_revision) == self._store.epoch
+        return is_current and self._is_holder() and read_clock() < self._valid_until - ORDER_MARGIN_S
 
     def note_holder(self, value: bytes | None, revision: StoreState) -> None:
         """Take over the record from the store; a value of None means that nobody holds the tenure."""
         self._is_record_known = True
         self._holder = decode_holder(value) if value is not None else None
-        self._record_revision = revision if self._holder is not None else NO_STATE
+        known, self._record_revision = self._record_revision, revision if self._holder is not None else NO_STATE
+        self._read_revision = self._record_revision
+        is_restored = NO_STATE not in (known, self._record_revision) and get_epoch(known) != get_epoch(revision)
+        if is_restored and get_number(known) != get_number(revision):
+            self._lease = None  # it belonged to a record that the store has lost
+            self._valid_until = float("-inf")
+
+    def enter_epoch(self, epoch: int) -> None:
+        """Continue in a later epoch of the store, once the changes that led to its state were noted."""
+        if get_epoch(self._record_revision) != epoch:
+            if self._record_revision != self._read_revision:  # written by this node, and lost
+                self._holder = None
+            self._record_revision = self._read_revision = move_to_epoch(self._read_revision, epoch)
+        if self._holder is not None:
+            self._lease = dataclasses.replace(self._lease, epoch=epoch) if self._lease is not None else None
+            return
+        was_held_here = read_clock() < self._valid_until
+        self._free_at = float("-inf") if was_held_here else read_clock() + LEASE_TTL_S
+        self._lease, self._record_revision = None, NO_STATE
+        self._valid_until = float("-inf")
 
     def note_fenced(self) -> None:
         """End this tenure, since a server has seen a newer fence."""
         logger.warning("server has seen a newer fence; giving up the tenure", extra={"fence": self.fence})
         self._valid_until = float("-inf")
         self._lease = None
+        self._free_at = read_clock() + LEASE_TTL_S
 
     def _is_holder(self) -> bool:
         return self._holder is not None and self._holder.node == self._own_record.node
@@ -92,12 +121,19 @@
                 await self._take()
 
     def _is_free(self) -> bool:
-        """Tell whether, as far as this node knows, nobody holds the tenure, and this node is not stopping."""
-        return self._is_record_known and self._holder is None and not self._is_stopping
+        """Tell whether, as far as this node knows, the tenure may be taken, and this node is not stopping.
+
+        A record of this node that none of its leases keeps is from an older copy of the store, or was written under a
+        lease that became another node's in a restore.
+        """
+        is_unused = self._holder is None or (self._is_holder() and self._lease is None)
+        return self._is_record_known and is_unused and read_clock() >= self._free_at and not self._is_stopping
 
-    async def _renew(self, lease: int) -> None:
+    async def _renew(self, lease: Lease) -> None:
         started = read_clock()
-        renewed = await self._store.renew_lease(lease)
+        renewed = await self._store.renew_lease(lease.id)
+        if self._lease is None:
+            return  # given up meanwhile
         if isinstance(renewed, Lease):
             self._valid_until = started + renewed.duration_s
             return
@@ -112,11 +148,14 @@
         lease = await self._store.grant_lease(LEASE_TTL_S)
         if not isinstance(lease, Lease):
             return
-        written = await self._store.write(TENURE_KEY, encode_holder(self._own_record), NO_STATE, lease.id)
+        expected = self._record_revision if self._holder is not None else NO_STATE
+        written = await self._store.write(TENURE_KEY, encode_holder(self._own_record), expected, lease.id)
         if isinstance(written, StoreConflict | LeaseExpired | NotDone):
             await self._store.end_lease(lease.id)
             return
-        self._lease = lease.id
+        if not isinstance(written, MaybeDone) and get_epoch(written) != lease.epoch:
+            return  # the number of the lease may be another node's now; the record is written again
+        self._lease = lease
         self._valid_until = started + lease.duration_s
         if isinstance(written, MaybeDone):
             return  # the watch of the store will show whether the record was written
@@ -129,8 +168,8 @@
         self._is_stopping = True
         lease, self._lease = self._lease, None
         self._valid_until = float("-inf")
-        if lease is not None:
-            await self._store.end_lease(lease)
+        if lease is not None and lease.epoch == self._store.epoch:
+            await self._store.end_lease(lease.id)
 
 
 __all__ = ["Tenure"]
--- a/packages/node/src/vaneturn_node/traffic/following/follower.py
+++ b/packages/node/src/vaneturn_node/traffic/following/follower.py
@@ -189,8 +189,10 @@
                 return self._record_failure(page)
         else:
             return self._record_failure(NotDone("restored while it was read"))
-        self._log_restore(revision)
+        is_restored = self._is_new_epoch(revision)
         self._keeper.replace_all(items)
+        if is_restored:
+            self._keeper.enter_epoch(get_epoch(revision))
         self._revision = revision
         self._view.confirm(started)
         self._log.replace(items.values(), revision)
@@ -233,17 +235,19 @@
         return min(self._times.watch, max(MIN_WATCH_S, self._times.hold_arriving - self._view.age))
 
     def _apply(self, items: Sequence[StoreItem], revision: StoreState) -> None:
-        self._log_restore(revision)
+        is_restored = self._is_new_epoch(revision)
         for item in items:
             self._keeper.apply(item)
+        if is_restored:
+            self._keeper.enter_epoch(get_epoch(revision))
         self._revision = max(self._revision or NO_STATE, revision)
         self._log.append(items, self._revision)
 
-    def _log_restore(self, revision: StoreState) -> None:
-        """Log that the store was restored, if a state is the first one known of a later epoch."""
+    def _is_new_epoch(self, revision: StoreState) -> bool:
+        """Check whether a state is the first one known of a later epoch, and log that the store was restored."""
         known = self._revision
         if known is None or get_epoch(revision) == get_epoch(known):
-            return
+            return False
         extra = {
             "known_epoch": get_epoch(known),
             "known_revision": get_number(known),
@@ -252,6 +256,7 @@
             "relay": self.followed,
         }
         logger.info("store restored from an older copy", extra=extra)
+        return True
 
 
 def _unpack(change: Change) -> StoreItem | None:
--- a/packages/node/src/vaneturn_node/traffic/following/viewkeeping.py
+++ b/packages/node/src/vaneturn_node/traffic/following/viewkeeping.py
@@ -13,6 +13,7 @@
 from vaneturn_node.platform.servers import SERVERS_PREFIX
 from vaneturn_node.platform.store import StoreItem
 from vaneturn_node.traffic.duties.records import NODES_PREFIX, TENURE_KEY, decode_node
+from vaneturn_node.traffic.duties.registration import Registration
 from vaneturn_node.traffic.duties.tenure import Tenure
 from vaneturn_node.traffic.following.serverentries import ServerEntries
 from vaneturn_node.traffic.servers.exchange import TrafficParts
@@ -23,8 +24,9 @@
 class ViewKeeper:
     """Decodes items and applies them to the view, with one log line per change."""
 
-    def __init__(self, tenure: Tenure, parts: TrafficParts) -> None:
+    def __init__(self, tenure: Tenure, registration: Registration, parts: TrafficParts) -> None:
         self._tenure = tenure
+        self._registration = registration
         self._parts = parts
         self._view = parts.view
         self._entries = ServerEntries()
@@ -44,6 +46,8 @@
         self._view.nodes = {}
         if TENURE_KEY not in items:
             self._tenure.note_holder(None, NO_STATE)
+        if NODES_PREFIX + self._parts.vm not in items:
+            self._registration.note_record(NO_STATE)
         for item in items.values():
             if not item.key.startswith(SERVERS_PREFIX):
                 self.apply(item)
@@ -70,8 +74,15 @@
         elif item.key.startswith(SERVERS_PREFIX):
             self._apply_server(item)
 
+    def enter_epoch(self, epoch: int) -> None:
+        """Continue the duties of this node in a later epoch of the store, whose changes have been applied."""
+        self._tenure.enter_epoch(epoch)
+        self._registration.enter_epoch(epoch)
+
     def _apply_node(self, item: StoreItem) -> None:
         vm = VmId(item.key.removeprefix(NODES_PREFIX))
+        if vm == self._parts.vm:
+            self._registration.note_record(item.revision if item.value is not None else NO_STATE)
         record = decode_node(item.value) if item.value is not None else None
         if record is not None:
             self._view.nodes[vm] = record.peer_address
--- a/packages/node/src/vaneturn_node/traffic/process/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/process/daemon.py
@@ -115,7 +115,7 @@
             vm=settings.vm,
             store=self._store,
             view=self._view,
-            keeper=ViewKeeper(self._tenure, parts),
+            keeper=ViewKeeper(self._tenure, self._registration, parts),
             log=change_log,
             peers=change_client,
             server=self._change_server,
--- a/tests/node/traffic/duties/test_candidacy.py
+++ b/tests/node/traffic/duties/test_candidacy.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import anyio
 import pytest
 
@@ -10,9 +12,9 @@
 from vaneturn_core.traffic.servers import ServerAddress
 from vaneturn_node.http1.caller import Caller
 from vaneturn_node.http1.pool import LinkPool
-from vaneturn_node.platform.epochs import StoreState
-from vaneturn_node.platform.store import Lease, PlatformStore, StoreConflict
-from vaneturn_node.traffic.duties.tenure import MAX_CANDIDACY_DELAY_S, RANK_DELAY_S, Tenure
+from vaneturn_node.platform.epochs import NO_STATE, StoreState, get_number, make_state
+from vaneturn_node.platform.store import Lease, NotDone, PlatformStore, StoreConflict
+from vaneturn_node.traffic.duties.tenure import LEASE_TTL_S, MAX_CANDIDACY_DELAY_S, RANK_DELAY_S, Tenure
 
 pytestmark = pytest.mark.anyio
 
@@ -88,3 +90,163 @@
     store, holders = await run_candidates([], MAX_CANDIDACY_DELAY_S + RANK_DELAY_S)
     assert holders == 0
     assert store.calls == 0
+
+
+class Shared:
+    """The record and the leases of a store that can be restored from an empty copy."""
+
+    def __init__(self) -> None:
+        self.epoch = 1
+        self.number = 100
+        self.record: tuple[bytes, int, int] | None = None  # value, revision number, lease
+        self.next_lease = 1
+        self.tenures: list[Tenure] = []
+
+    def restore(self, record: tuple[bytes, int, int] | None = None) -> None:
+        """Go back to a copy with a given record; the numbers of later revisions and leases are given out again."""
+        self.epoch += 1
+        self.number, self.next_lease, self.record = 50, 1, record
+
+    def show(self) -> None:
+        """Show the record to all nodes."""
+        for tenure in self.tenures:
+            if self.record is None:
+                tenure.note_holder(None, NO_STATE)
+            else:
+                tenure.note_holder(self.record[0], make_state(self.epoch, self.record[1]))
+
+    def enter_epoch(self) -> None:
+        self.show()
+        for tenure in self.tenures:
+            tenure.enter_epoch(self.epoch)
+
+
+class SharedStore(PlatformStore):
+    """The access of one node to the shared record."""
+
+    def __init__(self, shared: Shared) -> None:
+        super().__init__(Caller(LinkPool()), ServerAddress("store"))
+        self._shared = shared
+        self.is_reached = True
+
+    def _answer(self) -> bool:
+        if self.is_reached:
+            self._epochs.current = self._shared.epoch
+        return self.is_reached
+
+    async def grant_lease(self, ttl_s: float) -> Lease | NotDone:
+        if not self._answer():
+            return NotDone("not reached")
+        self._shared.next_lease += 1
+        return Lease(self._shared.next_lease, ttl_s, self.epoch)
+
+    async def write(
+        self, key: str, value: bytes, expected: StoreState | None, lease: int = 0
+    ) -> StoreState | StoreConflict | NotDone:
+        assert key
+        if not self._answer():
+            return NotDone("not reached")
+        shared = self._shared
+        if get_number(expected or NO_STATE) != (shared.record[1] if shared.record else 0):
+            return StoreConflict()
+        shared.number += 1
+        shared.record = (value, shared.number, lease)
+        return make_state(shared.epoch, shared.number)
+
+    async def renew_lease(self, lease: int) -> Lease | NotDone:
+        return Lease(lease, 4.0, self.epoch) if self._answer() else NotDone("not reached")
+
+    async def end_lease(self, lease: int) -> None:
+        assert lease
+
+
+async def wait_for_tenure(tenure: Tenure, limit: float) -> None:
+    with anyio.fail_after(limit):
+        while True:
+            if tenure.is_valid():
+                return
+            await anyio.sleep(0.01)
+
+
+async def hold_tenure(shared: Shared, tasks: anyio.abc.TaskGroup) -> tuple[Tenure, Tenure, SharedStore]:
+    """Start two nodes, and wait until the first one holds the tenure."""
+    stores = [SharedStore(shared) for _ in range(2)]
+    shared.tenures = [
+        Tenure(store, NodeId(name), VmId(name), lambda: 0) for store, name in zip(stores, "ab", strict=True)
+    ]
+    first, second = shared.tenures
+    shared.show()
+    tasks.start_soon(first.run)
+    await wait_for_tenure(first, 2.0)
+    shared.show()
+    tasks.start_soon(second.run)
+    return first, second, stores[0]
+
+
+async def test_tenure_does_not_count_after_a_restore_before_the_record_is_read() -> None:
+    """Both the former and the next holder sent orders: the first because its renewal was answered for another lease."""
+    shared = Shared()
+    async with anyio.create_task_group() as tasks:
+        first, second, store = await hold_tenure(shared, tasks)
+        shared.restore()
+        assert await store.renew_lease(2)
+        assert not first.is_valid()
+        shared.enter_epoch()
+        assert not first.is_valid()
+        assert not second.is_valid()
+        tasks.cancel_scope.cancel()
+
+
+async def test_fence_rises_over_a_restore_and_the_holder_continues() -> None:
+    """Each new fence was below the last one that servers had seen, so that they refused all orders."""
+    shared = Shared()
+    async with anyio.create_task_group() as tasks:
+        first, second, _ = await hold_tenure(shared, tasks)
+        fence = first.fence
+        shared.restore()
+        shared.enter_epoch()
+        await wait_for_tenure(first, LEASE_TTL_S / 2)
+        assert get_number(first.fence) < get_number(fence)
+        assert first.fence > fence
+        assert not second.is_valid()
+        tasks.cancel_scope.cancel()
+
+
+async def test_tenure_in_the_copy_is_kept_without_a_write() -> None:
+    shared = Shared()
+    async with anyio.create_task_group() as tasks:
+        first, _, _ = await hold_tenure(shared, tasks)
+        shared.restore(shared.record)
+        shared.enter_epoch()
+        await wait_for_tenure(first, 2.0)
+        assert get_number(first.fence) == 101
+        assert shared.number == 50
+        tasks.cancel_scope.cancel()
+
+
+async def test_older_record_of_the_holder_is_written_again_under_a_new_lease() -> None:
+    """The lease of the lost record may be another node's now, and that of the older one may have ended."""
+    shared = Shared()
+    async with anyio.create_task_group() as tasks:
+        first, _, _ = await hold_tenure(shared, tasks)
+        assert shared.record is not None
+        shared.restore((shared.record[0], 40, 1))
+        shared.enter_epoch()
+        await wait_for_tenure(first, 2.0)
+        assert get_number(first.fence) == 51
+        tasks.cancel_scope.cancel()
+
+
+async def test_next_holder_waits_until_the_lease_of_a_lost_holder_is_over() -> None:
+    shared = Shared()
+    async with anyio.create_task_group() as tasks:
+        first, second, store = await hold_tenure(shared, tasks)
+        store.is_reached = False
+        shared.restore()
+        second.note_holder(None, NO_STATE)
+        second.enter_epoch(shared.epoch)
+        restored = time.monotonic()
+        await wait_for_tenure(second, LEASE_TTL_S + 2.0)
+        assert time.monotonic() - restored >= LEASE_TTL_S
+        assert not first.is_valid()
+        tasks.cancel_scope.cancel()
--- a/tests/node/traffic/following/test_follower.py
+++ b/tests/node/traffic/following/test_follower.py
@@ -57,6 +57,9 @@
     def replace_all(self, _: Any) -> None:
         pass
 
+    def enter_epoch(self, epoch: int) -> None:
+        pass
+
 
 class Server:
     arrival = None
