Apply short changes before the long values of the same answer

What callers would see: requests to a server that leaves, for as long as a node obtains the configuration that was written beside the leave: up to 1 s from relays of which the first is silent, then the time of a read from the store; and if no value was to be had, the leave was discarded with it, to be asked for again elsewhere.

Reproduced by the new test, which failed on the code before (nothing applied while a value is obtained; two cases).

Fix: the changes that an answer includes are applied at once; the position and the confirmation advance only with all of them, so that keys stay as old as they are.

--- a/packages/core/src/vaneturn_core/traffic/view.py
+++ b/packages/core/src/vaneturn_core/traffic/view.py
@@ -92,9 +92,9 @@
         """Record that a call to the store failed."""
         self.contact = dataclasses.replace(self.contact, failed_at=self._clock())
 
-    def withdraw_confirmation(self, confirmed_at: float) -> None:
-        """Restore the time of the last confirmation, since the latest one does not cover the whole view."""
-        self.contact = dataclasses.replace(self.contact, confirmed_at=confirmed_at)
+    def advance_confirmation(self, at: float) -> None:
+        """Record that the whole view was true at a time or later, as another node knows it from the store."""
+        self.contact = dataclasses.replace(self.contact, confirmed_at=max(self.contact.confirmed_at, at))
 
     def merge_contact(self, contact: StoreContact) -> None:
         """Merge the contact that another node has had with the store.
--- a/packages/node/src/vaneturn_node/traffic/following/follower.py
+++ b/packages/node/src/vaneturn_node/traffic/following/follower.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Final
 
 import anyio
@@ -18,10 +19,10 @@
 from vaneturn_node.traffic.following.relaychoice import RelayChoice
 from vaneturn_node.traffic.following.viewkeeping import ViewKeeper
 from vaneturn_node.traffic.servers.firstreading import FirstReading
-from vaneturn_node.traffic.sharing.changeclient import ChangeClient, NoChanges
-from vaneturn_node.traffic.sharing.changelog import Change, ChangeLog
+from vaneturn_node.traffic.sharing.changeclient import ChangeClient, NoChanges, RelayedChanges
+from vaneturn_node.traffic.sharing.changelog import ChangeLog
 from vaneturn_node.traffic.sharing.changeserver import ChangeServer
-from vaneturn_node.traffic.sharing.longvalues import LongValueReader
+from vaneturn_node.traffic.sharing.longvalues import LongValueReader, split_changes
 
 WATCH_TIME_S: Final = 1.6  # each answer confirms the API keys, which stay valid for a few seconds
 MIN_WATCH_S: Final = 0.2
@@ -119,30 +120,35 @@
         if isinstance(answer, NoChanges):
             self._relays.back_off(relay, is_out_of_touch=answer is NoChanges.OUT_OF_TOUCH)
             return False
-        items = await self._fetch_values(answer.changes, address or "")
-        if items is None:
+        self._view.merge_contact(dataclasses.replace(answer.contact, confirmed_at=float("-inf")))
+        if not await self._apply_changes(answer, address or ""):
             self._relays.back_off(relay, is_out_of_touch=False)
             return False
         self._relays.note_answer()
         self._log_followed(relay)
-        confirmed_at = self._view.contact.confirmed_at
-        self._view.merge_contact(answer.contact)
-        self._apply(items, answer.revision)
-        if not self._keeper.has_newest_configuration():
-            self._view.withdraw_confirmation(confirmed_at)
-        if items:
+        if self._keeper.has_newest_configuration():
+            self._view.advance_confirmation(answer.contact.confirmed_at)
+        if answer.changes:
             await anyio.sleep(self._times.gather)
         return True
 
-    async def _fetch_values(self, changes: list[Change], address: str) -> list[StoreItem] | None:
-        """Obtain the values that were too long to be included; return None if one of them is not available."""
-        items: list[StoreItem] = []
-        for change in changes:
-            item = _unpack(change) or await self._reader.read(change, address)
-            if item is None:
-                return None
-            items.append(item)
-        return items
+    async def _apply_changes(self, answer: RelayedChanges, address: str) -> bool:
+        """Apply changes, the short ones first; False if a value that was too long to be included is not available.
+
+        Another relay or the store may have to be asked for a long value, and a leaving server must not get requests
+        meanwhile.
+        """
+        short, left_out = split_changes(answer.changes)
+        is_early = bool(left_out) and not self._is_new_epoch(answer.revision)
+        if is_early:
+            for item in short:
+                self._keeper.apply(item)
+        values = [await self._reader.read(change, address) for change in left_out]
+        if None in values:
+            return False
+        items = sorted([*short, *filter(None, values)], key=lambda item: item.revision)
+        self._apply(items, answer.revision, applied=short if is_early else [])
+        return True
 
     def _log_followed(self, relay: VmId | None, lost: VmId | None = None) -> None:
         if relay == self.followed:
@@ -167,9 +173,7 @@
                 return self._record_failure(page)
         else:
             return self._record_failure(NotDone("restored while it was read"))
-        is_restored = self._is_new_epoch(revision)
-        if is_restored:
-            self._keeper.note_restore()
+        is_restored = self._begin_epoch(revision)
         self._keeper.replace_all(items, revision)
         if is_restored:
             self._keeper.enter_epoch(get_epoch(revision))
@@ -218,42 +222,30 @@
             return WATCH_TIME_S
         return min(self._times.watch, max(MIN_WATCH_S, self._times.hold_arriving - self._view.age))
 
-    def _apply(self, items: Sequence[StoreItem], revision: StoreState) -> None:
-        is_restored = self._is_new_epoch(revision)
-        if is_restored:
-            self._keeper.note_restore()
+    def _apply(self, items: Sequence[StoreItem], revision: StoreState, applied: Collection[StoreItem] = ()) -> None:
+        is_restored = self._begin_epoch(revision)
         for item in items:
-            self._keeper.apply(item)
+            if item not in applied:
+                self._keeper.apply(item)
         if is_restored:
             self._keeper.enter_epoch(get_epoch(revision))
         self._revision = max(self._revision or NO_STATE, revision)
         self._log.append(items, self._revision)
 
     def _is_new_epoch(self, revision: StoreState) -> bool:
-        """Check whether a state is the first one known of a later epoch, and log that the store was restored."""
-        known = self._revision
-        if known is None or get_epoch(revision) == get_epoch(known):
+        """Check whether a state is the first one known of a later epoch: the store was restored."""
+        return self._revision is not None and get_epoch(revision) != get_epoch(self._revision)
+
+    def _begin_epoch(self, revision: StoreState) -> bool:
+        """Prepare for the first state of a later epoch; False if it is of the same one."""
+        if not self._is_new_epoch(revision):
             return False
-        extra = {
-            "known_epoch": get_epoch(known),
-            "known_revision": get_number(known),
-            "epoch": get_epoch(revision),
-            "revision": get_number(revision),
-            "relay": self.followed,
-        }
+        known = self._revision or NO_STATE
+        extra = {"known_epoch": get_epoch(known), "known_revision": get_number(known), "relay": self.followed}
+        extra |= {"epoch": get_epoch(revision), "revision": get_number(revision)}
         logger.info("store restored from an older copy", extra=extra)
+        self._keeper.note_restore()
         return True
 
 
-def _unpack(change: Change) -> StoreItem | None:
-    """Return the item of a change; None if its value has to be obtained separately."""
-    if change.is_left_out:
-        return None
-    try:
-        return StoreItem(change.key, change.unpack(), StoreState(change.revision))
-    except ValueError as error:
-        logger.warning("value from a relay not understood", extra={"key": change.key, "fault": str(error)})
-        return None
-
-
 __all__ = ["StoreFollower"]
--- a/packages/node/src/vaneturn_node/traffic/sharing/longvalues.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/longvalues.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Final
 from urllib.parse import urlencode
 
@@ -140,6 +140,29 @@
             return None
 
 
+def split_changes(changes: Iterable[Change]) -> tuple[list[StoreItem], list[Change]]:
+    """Split changes into the items that they include, and those whose values have to be obtained separately."""
+    items: list[StoreItem] = []
+    left_out: list[Change] = []
+    for change in changes:
+        item = _unpack(change)
+        if item is not None:
+            items.append(item)
+        else:
+            left_out.append(change)
+    return items, left_out
+
+
+def _unpack(change: Change) -> StoreItem | None:
+    if change.is_left_out:
+        return None
+    try:
+        return StoreItem(change.key, change.unpack(), StoreState(change.revision))
+    except ValueError as error:
+        logger.warning("value from a relay not understood", extra={"key": change.key, "fault": str(error)})
+        return None
+
+
 def _fits(item: StoreItem, change: Change) -> bool:
     """Check whether an item, or its absence, is the change or a newer one, in the epoch of the change."""
     revision = StoreState(change.revision)
@@ -147,4 +170,4 @@
     return is_recent and get_epoch(item.revision) == get_epoch(revision)
 
 
-__all__ = ["VALUE_PATH", "LongValueReader", "LongValueServer"]
+__all__ = ["VALUE_PATH", "LongValueReader", "LongValueServer", "split_changes"]
--- a/tests/node/traffic/following/test_follower.py
+++ b/tests/node/traffic/following/test_follower.py
@@ -17,7 +17,7 @@
 from vaneturn_node.traffic.following.follower import StoreFollower
 from vaneturn_node.traffic.servers.firstreading import FirstReading
 from vaneturn_node.traffic.sharing.changeclient import NoChanges, RelayedChanges
-from vaneturn_node.traffic.sharing.changelog import ChangeLog
+from vaneturn_node.traffic.sharing.changelog import Change, ChangeLog
 
 pytestmark = pytest.mark.anyio
 
@@ -244,3 +244,49 @@
     assert await follower._ask()
     assert follower.followed is not None
     assert view.age > 1000
+
+
+class RecordingKeeper(Keeper):
+    """Records the keys of the applied items."""
+
+    def __init__(self) -> None:
+        self.applied: list[str] = []
+
+    def apply(self, item: StoreItem) -> None:
+        self.applied.append(item.key)
+
+
+class SlowReader:
+    """Obtains a long value after some time, or not at all."""
+
+    def __init__(self, *, is_available: bool) -> None:
+        self.may_end = anyio.Event()
+        self._is_available = is_available
+
+    async def read(self, change: Change, _: str) -> StoreItem | None:
+        await self.may_end.wait()
+        return StoreItem(change.key, b"long", StoreState(change.revision)) if self._is_available else None
+
+
+@pytest.mark.parametrize("is_available", [True, False], ids=["read", "not available"])
+async def test_leave_in_the_same_answer_as_a_long_value_does_not_wait_for_it(*, is_available: bool) -> None:
+    """A node whose relay had fallen silent asked a second one and then the store, before it applied anything."""
+    relays, keeper, reader = Relays(), RecordingKeeper(), SlowReader(is_available=is_available)
+    changes = [Change("op/config", 6, None, is_left_out=True), Change("servers/i-1", 7, b"draining")]
+    relays.default_answer = RelayedChanges(StoreState(7), changes, StoreContact(time.monotonic()))
+    follower, view = make_follower(Store(), relays)
+    follower._log.replace([], StoreState(5))
+    in_place: Any = keeper
+    read_by: Any = reader
+    follower._keeper, follower._reader = in_place, read_by
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(follower._ask)
+        await anyio.sleep(0.1)
+        assert keeper.applied == ["servers/i-1"]
+        assert follower._revision == StoreState(5)
+        assert view.age > 1000
+        reader.may_end.set()
+    assert keeper.applied.count("op/config") == is_available
+    assert follower._revision == StoreState(7 if is_available else 5)
+    listed = follower._log.list_since(StoreState(5)) or []
+    assert [change.key for change in listed] == (["op/config", "servers/i-1"] if is_available else [])
