Show the epoch of the store as a metric

Operators could not tell from the metrics that the store had come back from a copy. vaneturn_store_epoch is the epoch that a node's view is from; it differs between nodes while some of them have not read the restored store. The log line of a restore is held to its fields by a test with nodes as processes. The length of a watch is chosen beside the choice of relays; nothing else changes.

--- a/packages/node/src/vaneturn_node/traffic/following/follower.py
+++ b/packages/node/src/vaneturn_node/traffic/following/follower.py
@@ -16,7 +16,7 @@
 from vaneturn_node.clock import read_clock
 from vaneturn_node.platform.epochs import NO_STATE, StoreState, get_epoch, get_number
 from vaneturn_node.platform.store import HistoryGone, NotDone, PlatformStore, StoreItem, WatchTooLong
-from vaneturn_node.traffic.following.relaychoice import RelayChoice
+from vaneturn_node.traffic.following.relaychoice import RelayChoice, choose_watch_time
 from vaneturn_node.traffic.following.viewkeeping import ViewKeeper
 from vaneturn_node.traffic.servers.firstreading import FirstReading
 from vaneturn_node.traffic.sharing.changeclient import ChangeClient, NoChanges, RelayedChanges
@@ -24,8 +24,6 @@
 from vaneturn_node.traffic.sharing.changeserver import ChangeServer
 from vaneturn_node.traffic.sharing.longvalues import LongValueReader, split_changes
 
-WATCH_TIME_S: Final = 1.6  # each answer confirms the API keys, which stay valid for a few seconds
-MIN_WATCH_S: Final = 0.2
 MAX_RELAYS: Final = 4  # asked in turn before the store, as long as each answers at once that it is out of touch
 IMMEDIATE_ANSWER_S: Final = 0.1  # answers by then count as "at once"; a relay that waited for news takes longer
 ALL_KEYS: Final = ""
@@ -67,6 +65,11 @@
         self._relays = RelayChoice(vm, view, times)
         self.followed: VmId | None = None  # the relay that answered last; None if it was the store
 
+    @property
+    def epoch(self) -> int:
+        """The epoch of the store that the view is from."""
+        return get_epoch(self._revision or NO_STATE)
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
@@ -85,8 +88,8 @@
     def _log_store_contact(self, *, is_answered: bool) -> None:
         if is_answered != self._is_store_reached:
             self._is_store_reached = is_answered
-            revision = self._revision or NO_STATE
-            extra = {"age": round(self._view.age, 3), "revision": get_number(revision), "epoch": get_epoch(revision)}
+            number = get_number(self._revision or NO_STATE)
+            extra = {"age": round(self._view.age, 3), "revision": number, "epoch": self.epoch}
             if is_answered:
                 logger.info("store regained", extra=extra)
             else:
@@ -183,7 +186,7 @@
         return True
 
     async def _watch(self, revision: StoreState) -> bool:
-        wait = self._choose_watch_time()
+        wait = choose_watch_time(self._times, self._view.age, has_followers=self._server.has_followers())
         started = read_clock()
         page = await self._store.watch(ALL_KEYS, revision, wait, self._server.arrival)
         if isinstance(page, HistoryGone):
@@ -213,15 +216,6 @@
         logger.debug("call of the store failed", extra={"cause": page.cause})
         return False
 
-    def _choose_watch_time(self) -> float:
-        """Choose how long to wait for changes, so that the state for followers does not get too old in the meantime.
-
-        After reading a long value it is already 0.9 s old, and would be 1.9 s old after another full watch.
-        """
-        if not self._server.has_followers():
-            return WATCH_TIME_S
-        return min(self._times.watch, max(MIN_WATCH_S, self._times.hold_arriving - self._view.age))
-
     def _apply(self, items: Sequence[StoreItem], revision: StoreState, applied: Collection[StoreItem] = ()) -> None:
         is_restored = self._begin_epoch(revision)
         for item in items:
@@ -234,14 +228,14 @@
 
     def _is_new_epoch(self, revision: StoreState) -> bool:
         """Check whether a state is the first one known of a later epoch: the store was restored."""
-        return self._revision is not None and get_epoch(revision) != get_epoch(self._revision)
+        return self._revision is not None and get_epoch(revision) != self.epoch
 
     def _begin_epoch(self, revision: StoreState) -> bool:
         """Prepare for the first state of a later epoch; False if it is of the same one."""
         if not self._is_new_epoch(revision):
             return False
-        known = self._revision or NO_STATE
-        extra = {"known_epoch": get_epoch(known), "known_revision": get_number(known), "relay": self.followed}
+        number = get_number(self._revision or NO_STATE)
+        extra = {"known_epoch": self.epoch, "known_revision": number, "relay": self.followed}
         extra |= {"epoch": get_epoch(revision), "revision": get_number(revision)}
         logger.info("store restored from an older copy", extra=extra)
         self._keeper.note_restore()
--- a/packages/node/src/vaneturn_node/traffic/following/relaychoice.py
+++ b/packages/node/src/vaneturn_node/traffic/following/relaychoice.py
@@ -1,4 +1,4 @@
-"""The relay that a node asks, and when the node may ask the store itself."""
+"""The relay that a node asks, and when and for how long the node may ask the store itself."""
 
 from __future__ import annotations
 
@@ -11,6 +11,8 @@
 from vaneturn_node.clock import read_clock
 
 RELAY_BACKOFF_S: Final = 4.0  # time for which a relay that failed is not asked
+WATCH_TIME_S: Final = 1.6  # each answer confirms the API keys, which stay valid for a few seconds
+MIN_WATCH_S: Final = 0.2
 
 
 class RelayChoice:
@@ -59,4 +61,14 @@
         self._backoffs.update(dict.fromkeys(self._out_of_touch, now + RELAY_RETRY_DELAY_S))
 
 
-__all__ = ["RelayChoice"]
+def choose_watch_time(times: RelayTimes, age: float, *, has_followers: bool) -> float:
+    """Choose how long to wait for changes, so that the state for followers does not get too old in the meantime.
+
+    After reading a long value it is already 0.9 s old, and would be 1.9 s old after another full watch.
+    """
+    if not has_followers:
+        return WATCH_TIME_S
+    return min(times.watch, max(MIN_WATCH_S, times.hold_arriving - age))
+
+
+__all__ = ["RelayChoice", "choose_watch_time"]
--- a/packages/node/src/vaneturn_node/traffic/process/inspection.py
+++ b/packages/node/src/vaneturn_node/traffic/process/inspection.py
@@ -67,6 +67,7 @@
         statuses, now = self._parts.beliefs, read_clock()
         gauges = Gauges(
             view_age=view.finite_age,
+            epoch=self._follower.epoch,
             crashes=len(self._parts.crashes.list_crashes()),
             servers=len(view.servers),
             limited=len(self._parts.limits.list_limited()),
--- a/packages/node/src/vaneturn_node/traffic/process/metricstext.py
+++ b/packages/node/src/vaneturn_node/traffic/process/metricstext.py
@@ -25,6 +25,7 @@
     crashes: int  # crashes of servers that count against requests
     servers: int  # listed backend servers
     limited: int  # servers with a rate limit
+    epoch: int  # of the store; rises with each restore
     closed: int  # servers that asked this node for a rest or announced that they leave
 
 
@@ -44,6 +45,7 @@
         yield self._collect_latencies()
         gauges = self._gauges
         yield GaugeMetricFamily("vaneturn_view_age_seconds", "Age of what is believed of the platform", gauges.view_age)
+        yield GaugeMetricFamily("vaneturn_store_epoch", "Epoch of the store, which rises with restores", gauges.epoch)
         yield GaugeMetricFamily("vaneturn_server_ends", "Ends of servers that count against requests", gauges.crashes)
         yield GaugeMetricFamily("vaneturn_backend_servers", "Backend servers in the list", gauges.servers)
         yield GaugeMetricFamily("vaneturn_rate_limited_servers", "Backend servers with a rate limit", gauges.limited)
--- a/tests/node/traffic/process/test_metricstext.py
+++ b/tests/node/traffic/process/test_metricstext.py
@@ -11,7 +11,9 @@
 
 def render(metrics: TrafficMetrics) -> list[str]:
     return (
-        render_metrics(metrics, Gauges(view_age=0.5, crashes=2, servers=33, limited=3, closed=1)).decode().splitlines()
+        render_metrics(metrics, Gauges(view_age=0.5, crashes=2, servers=33, limited=3, epoch=4, closed=1))
+        .decode()
+        .splitlines()
     )
 
 
@@ -35,6 +37,7 @@
     text = render(TrafficMetrics())
     assert "vaneturn_view_age_seconds 0.5" in text
     assert "vaneturn_server_ends 2.0" in text
+    assert "vaneturn_store_epoch 4.0" in text
     assert "vaneturn_backend_servers 33.0" in text
     assert "vaneturn_rate_limited_servers 3.0" in text
     assert "vaneturn_closed_servers 1.0" in text
--- a/tests/system/platform/test_restores.py
+++ b/tests/system/platform/test_restores.py
@@ -106,3 +106,25 @@
     await anyio.sleep(KEY_REMOVAL_TIME)
     assert {answer.status_code for answer in await ask_all(traffic)} == {httpx.codes.UNAUTHORIZED}
     assert {answer.status_code for answer in await ask_all(traffic, Authorization="Token other")} == {httpx.codes.OK}
+
+
+async def test_restore_is_logged_and_counted_in_the_epoch_of_each_node(traffic: Traffic) -> None:
+    traffic.fleet.store.epoch = 1
+    await wait_for_epoch(traffic, 1)
+    await restore_store(traffic)
+    await wait_for_epoch(traffic, 2)
+    for node in traffic.nodes:
+        last = [line for line in node.read_log() if line["message"] == "store restored from an older copy"][-1]
+        assert (last["known_epoch"], last["epoch"]) == (1, 2)
+        assert last["known_revision"] > last["revision"]
+
+
+async def wait_for_epoch(traffic: Traffic, epoch: int) -> None:
+    with anyio.fail_after(20):
+        while True:
+            texts = [
+                await traffic.client.get(f"http://127.0.0.1:{node.metrics_port}/metrics") for node in traffic.nodes
+            ]
+            if all(f"vaneturn_store_epoch {epoch}.0" in text.text for text in texts):
+                return
+            await anyio.sleep(0.1)
