--- a/tests/rig/soakfaults.py
+++ b/tests/rig/soakfaults.py
@@ -35,7 +35,7 @@
         return [
             self._fail_node, self._fail_store, self._fail_server, self._change, self._stop_node,
             self._change_often, self._silence_many, self._fill_links, self._stop_in_trouble,
-            self._limit_server, self._rest_server, self._announce_leaving,
+            self._limit_server, self._rest_server, self._announce_leaving, self._restore_store,
         ]  # fmt: skip
 
     @asynccontextmanager
@@ -118,6 +118,21 @@
             await anyio.sleep(rng.uniform(0.3, 5.0))
             store.set_mode(Mode.HEALTHY)
 
+    async def _restore_store(self, rng: random.Random) -> None:
+        """Restore the store from a copy that is some seconds old, at times twice in a row."""
+        store = self.traffic.fleet.store
+        for _ in range(rng.choice([1, 1, 2])):
+            saved = store.copy()
+            await anyio.sleep(rng.uniform(0.5, 4.0))
+            async with self._fault_lock, self._record_trouble() as records:
+                records += [self.findings.troubles_by_source.stores[number] for number in range(NODES)]
+                self.findings.counts["fault: store restored"] += 1
+                store.set_mode(rng.choice([Mode.BUSY, Mode.RESET, Mode.SILENT]))
+                await anyio.sleep(rng.uniform(0.05, 1.5))
+                store.restore(saved)
+                store.set_mode(Mode.HEALTHY)
+        await anyio.sleep(rng.uniform(2.0, 8.0))
+
     async def _fail_server(self, rng: random.Random) -> None:
         await anyio.sleep(rng.uniform(0.5, 3.0))
         server = self._pick_server(rng)
--- a/tests/rig/trafficsoak.py
+++ b/tests/rig/trafficsoak.py
@@ -35,6 +35,7 @@
     async def run(self) -> None:
         """Run clients and faults until the time is over, then check the guarantees."""
         traffic = self.traffic
+        traffic.fleet.store.epoch = 1
         traffic.fleet.answer_tokens, traffic.fleet.token_time = TOKENS, 0.02
         await traffic.add_chains(per_hall=3)
         for _ in range(3):
--- a/tests/standins/platform/store.py
+++ b/tests/standins/platform/store.py
@@ -109,24 +109,22 @@
     def copy(self) -> Copy:
         return Copy(dict(self.items), self.revision, list(self.events), dict(self.leases), self.next_lease)
 
-    def restore(self, saved: Copy, *, rewrites: bool = True) -> None:
+    def restore(self, saved: Copy) -> None:
         """Restore a copy: later writes and leases of the nodes are gone, and their revisions are given out again.
 
-        :param rewrites: whether the operator and the servers write their lost changes again at once.
+        The operator and the servers write again at once what the copy lacks.
         """
-        lost = [event for event in self.events if event["revision"] > saved.revision]
         current = self.items
         self.items, self.revision, self.next_lease = dict(saved.items), saved.revision, saved.next_lease
         self.events, self.leases = list(saved.events), dict(saved.leases)
         self.oldest = min(self.oldest, self.revision)
         self.epoch = self.epoch + 1 if self.epoch is not None else None
         self._wake()
-        if rewrites:
-            for key in dict.fromkeys(event["key"] for event in lost if event["key"].startswith(FOREIGN_PREFIXES)):
-                self.rewrite(key, current.get(key))
+        for key in sorted({*saved.items, *current}):
+            if key.startswith(FOREIGN_PREFIXES) and current.get(key) != saved.items.get(key):
+                self._rewrite(key, current.get(key))
 
-    def rewrite(self, key: str, item: Item | None) -> None:
-        """Write a lost change of the operator or a server again."""
+    def _rewrite(self, key: str, item: Item | None) -> None:
         if item is not None:
             self.put(key, item.value)
         else:
