Take epochs of up to 15 digits

The limit of four digits was a guess. A store that begins its epochs at a larger number, as a time would be, would have had all its responses rejected as malformed, and no node would get ready. Long values between nodes carry epoch and number apart, since their encoding has 64 bits; a fence beyond 64 bits is the bare number, as before. Changes applied early are told apart by key.

--- a/packages/node/src/vaneturn_node/platform/epochs.py
+++ b/packages/node/src/vaneturn_node/platform/epochs.py
@@ -19,7 +19,8 @@
 EPOCH: Final = b"store-era"
 NUMBER_BITS: Final = 40
 MAX_NUMBER: Final = (1 << NUMBER_BITS) - 1
-MAX_EPOCH_DIGITS: Final = 4  # with it, a state fits in 53 bits, so that servers may read fences as floating point
+MAX_EPOCH_DIGITS: Final = 15
+MAX_FENCE: Final = (1 << 63) - 1
 
 NO_STATE: Final = StoreState(0)
 
@@ -46,6 +47,14 @@
     return make_state(epoch, get_number(state))
 
 
+def make_fence(state: StoreState) -> int:
+    """Return the fence for orders of the node whose record was written at a state.
+
+    Servers take 64 bits. In a store with a larger epoch, fences are bare numbers, which fall with a restore.
+    """
+    return state if state <= MAX_FENCE else get_number(state)
+
+
 class EpochTracker:
     """Keeps the newest epoch that the store has stated, and rejects responses of older ones."""
 
@@ -86,6 +95,7 @@
     "StoreState",
     "get_epoch",
     "get_number",
+    "make_fence",
     "make_state",
     "move_to_epoch",
 ]
--- a/packages/node/src/vaneturn_node/traffic/duties/tenure.py
+++ b/packages/node/src/vaneturn_node/traffic/duties/tenure.py
@@ -21,7 +21,7 @@
 
 from vaneturn_core.identifiers import NodeId, VmId
 from vaneturn_node.clock import read_clock
-from vaneturn_node.platform.epochs import NO_STATE, StoreState, get_epoch, get_number, move_to_epoch
+from vaneturn_node.platform.epochs import NO_STATE, StoreState, get_epoch, get_number, make_fence, move_to_epoch
 from vaneturn_node.platform.store import Lease, LeaseExpired, MaybeDone, NotDone, PlatformStore, StoreConflict
 from vaneturn_node.traffic.duties.records import TENURE_KEY, TenureHolder, decode_holder, encode_holder
 
@@ -61,9 +61,9 @@
         self._is_stopping = False
 
     @property
-    def fence(self) -> StoreState:
+    def fence(self) -> int:
         """The fence for orders of this node."""
-        return self._record_revision
+        return make_fence(self._record_revision)
 
     def is_valid(self) -> bool:
         """Tell whether this node alone may send orders, for long enough that one sent now arrives in time."""
@@ -161,7 +161,7 @@
             return  # the watch of the store will show whether the record was written
         self._holder = self._own_record
         self._record_revision = written
-        logger.info("tenure taken", extra={"fence": written})
+        logger.info("tenure taken", extra={"fence": self.fence})
 
     async def release(self) -> None:
         """Give up the tenure at a planned stop, so that the next node need not wait for the lease to run out."""
--- a/packages/node/src/vaneturn_node/traffic/following/follower.py
+++ b/packages/node/src/vaneturn_node/traffic/following/follower.py
@@ -150,7 +150,7 @@
         if None in values:
             return False
         items = sorted([*short, *filter(None, values)], key=lambda item: item.revision)
-        self._apply(items, answer.revision, applied=short if is_early else [])
+        self._apply(items, answer.revision, applied={item.key for item in short} if is_early else set())
         return True
 
     def _log_followed(self, relay: VmId | None, lost: VmId | None = None) -> None:
@@ -216,10 +216,10 @@
         logger.debug("call of the store failed", extra={"cause": page.cause})
         return False
 
-    def _apply(self, items: Sequence[StoreItem], revision: StoreState, applied: Collection[StoreItem] = ()) -> None:
+    def _apply(self, items: Sequence[StoreItem], revision: StoreState, applied: Collection[str] = ()) -> None:
         is_restored = self._begin_epoch(revision)
         for item in items:
-            if item not in applied:
+            if item.key not in applied:
                 self._keeper.apply(item)
         if is_restored:
             self._keeper.enter_epoch(get_epoch(revision))
--- a/packages/node/src/vaneturn_node/traffic/sharing/longvalues.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/longvalues.py
@@ -17,7 +17,7 @@
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.caller import Caller, Reply
 from vaneturn_node.http1.server import ClientAnswer
-from vaneturn_node.platform.epochs import StoreState, get_epoch
+from vaneturn_node.platform.epochs import StoreState, get_epoch, get_number, make_state
 from vaneturn_node.platform.store import PlatformStore, StoreItem
 from vaneturn_node.traffic.sharing.changelog import Change, ChangeLog
 from vaneturn_node.traffic.sharing.difference import apply_difference, pack, unpack
@@ -37,8 +37,9 @@
 class PackedValue(Struct):
     """A whole long value, compressed."""
 
-    revision: int  # a StoreState
+    revision: int  # its number
     packed: bytes
+    epoch: int = 0
 
 
 class LongValueServer:
@@ -60,7 +61,8 @@
         if turn_at - now > MAX_TURN_WAIT_S:
             await answer.send_whole(_BUSY, [], b"")
             return
-        body = msgspec.msgpack.encode(PackedValue(item.revision, self._pack(item, item.value)))
+        packed = PackedValue(get_number(item.revision), self._pack(item, item.value), get_epoch(item.revision))
+        body = msgspec.msgpack.encode(packed)
         self._free_at = turn_at + len(body) / MAX_BYTES_PER_S
         await anyio.sleep(turn_at - now)
         await answer.send_whole(OK, [(b"content-type", b"application/msgpack")], body)
@@ -134,7 +136,7 @@
             return None
         try:
             found = msgspec.msgpack.decode(reply.body, type=PackedValue)
-            return StoreItem(key, unpack(found.packed), StoreState(found.revision))
+            return StoreItem(key, unpack(found.packed), make_state(found.epoch, found.revision))
         except (ValueError, msgspec.DecodeError) as error:
             logger.warning("value from a relay not understood", extra={"key": key, "fault": str(error)})
             return None
--- a/tests/node/traffic/sharing/test_longvalues.py
+++ b/tests/node/traffic/sharing/test_longvalues.py
@@ -16,7 +16,7 @@
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
-from vaneturn_node.platform.epochs import StoreState
+from vaneturn_node.platform.epochs import StoreState, make_state
 from vaneturn_node.platform.store import PlatformStore, StoreItem
 from vaneturn_node.traffic.sharing.changelog import Change, ChangeLog
 from vaneturn_node.traffic.sharing.difference import pack
@@ -184,3 +184,17 @@
         assert at >= sent / MAX_BYTES_PER_S - 0.01  # not before the time that the previous ones need at this rate
         sent += size
     assert sent / MAX_BYTES_PER_S >= MAX_TURN_WAIT_S
+
+
+async def test_value_of_another_epoch_is_not_taken() -> None:
+    """A relay that has not read the restored store may hold another value under a later number."""
+    lost, newest = make_item(9, "lost"), make_item(5, "changed")
+    relay = ChangeLog()
+    relay.replace([StoreItem(KEY, lost.value, make_state(1, 9))], make_state(1, 9))
+    other = ChangeLog()
+    other.replace([StoreItem(KEY, newest.value, make_state(2, 5))], make_state(2, 5))
+    names = [f"entry-{number}" for number in range(1, 9)]
+    transport = Transport({"relay": relay, **dict.fromkeys(names, other)})
+    change = Change(KEY, make_state(2, 5), None, is_left_out=True)
+    read = await make_reader(make_log(make_item(3)), transport).read(change, "relay")
+    assert read == StoreItem(KEY, newest.value, make_state(2, 5))
