Expect no other node's record when taking the tenure

What operators would see: two nodes that take the tenure 0.26 s after one another, the second over the first one's record.

The new test failed on the code before. Fix: what is expected is read before the grant, and only of this node's own record.

--- a/packages/node/src/vaneturn_node/traffic/duties/tenure.py
+++ b/packages/node/src/vaneturn_node/traffic/duties/tenure.py
@@ -145,10 +145,10 @@
 
     async def _take(self) -> None:
         started = read_clock()
+        expected = self._record_revision if self._is_holder() else NO_STATE  # another node's record may come meanwhile
         lease = await self._store.grant_lease(LEASE_TTL_S)
         if not isinstance(lease, Lease):
             return
-        expected = self._record_revision if self._holder is not None else NO_STATE
         written = await self._store.write(TENURE_KEY, encode_holder(self._own_record), expected, lease.id)
         if isinstance(written, StoreConflict | LeaseExpired | NotDone):
             await self._store.end_lease(lease.id)
--- a/tests/node/traffic/duties/test_candidacy.py
+++ b/tests/node/traffic/duties/test_candidacy.py
@@ -250,3 +250,23 @@
         assert time.monotonic() - restored >= LEASE_TTL_S
         assert not first.is_valid()
         tasks.cancel_scope.cancel()
+
+
+async def test_record_of_another_node_is_not_overwritten_when_it_appears_during_the_grant() -> None:
+    """The write expected the record that had just been read, so that two nodes took the tenure within 0.3 s."""
+    shared = Shared()
+    first, second = SharedStore(shared), SharedStore(shared)
+    tenures = [Tenure(store, NodeId(name), VmId(name)) for store, name in ((first, "a"), (second, "b"))]
+    shared.tenures = tenures
+    shared.show()
+    granted = second.grant_lease
+
+    async def grant_late(ttl_s: float) -> Lease | NotDone:
+        await tenures[0]._take()
+        shared.show()
+        return await granted(ttl_s)
+
+    second.grant_lease = grant_late  # type: ignore[method-assign]
+    await tenures[1]._take()
+    assert tenures[0].is_valid()
+    assert not tenures[1].is_valid()
