Keep the number of a leave over an older entry of the copy

What callers would see: after two restores in a row, requests to a server that this node has read as leaving.

Cause: an outdated entry in the whole state leaves the server as it is known, leaving, and that was then noted as a leave at the entry's own lower number. A copy of a second restore with a number between the two was taken. Found by reading the change. The new test failed before; now only entries that are taken are noted. 246 tests of following and mechanisms pass, linter and types clean.

--- a/packages/node/src/vaneturn_node/traffic/following/viewkeeping.py
+++ b/packages/node/src/vaneturn_node/traffic/following/viewkeeping.py
@@ -102,9 +102,10 @@
             server = self._read_server(item) if item.key.startswith(SERVERS_PREFIX) else None
             if server is not None and self._is_outdated(server, item):
                 server = self._view.find_server(server.name)
+            elif server is not None:
+                self._note_if_leaving(server, item)
             if server is not None:
                 servers.append(server)
-                self._note_if_leaving(server, item)
         return servers
 
     def apply(self, item: StoreItem) -> None:
--- a/tests/node/traffic/following/test_restores.py
+++ b/tests/node/traffic/following/test_restores.py
@@ -111,6 +111,15 @@
     assert node.list_ready() == []
 
 
+def test_server_that_left_is_not_ready_again_by_the_copy_of_a_second_restore(node: Node) -> None:
+    """The first copy's older entry lowered the number that later ones were compared with."""
+    node.put(1, 40, SERVER, ENTRY)
+    node.put(1, 60, SERVER, LEAVING)
+    node.restore(make_item(2, 40, SERVER, ENTRY))
+    node.restore(make_item(3, 55, SERVER, ENTRY))
+    assert node.list_ready() == []
+
+
 def test_server_that_returned_after_the_copy_is_ready(node: Node) -> None:
     """Its entry had lapsed behind a cut, long before the copy was made."""
     node.put(1, 40, SERVER, ENTRY)
