Log when a sum of demand holds more nodes than are listed

Callers were refused after an outage of the store while six streams were in progress, because nodes decided by sums of 30 to 200 times the truth. Neither logs nor metrics told how many nodes a sum holds, so a wrong projection and a node counted twice looked alike.

Change: a node notes the number of nodes in its latest sum of demand (vaneturn_reported_nodes) and logs, once a minute, a sum that holds more nodes than are listed, with the nodes in the report of each sender. A node without a list logs nothing.

--- a/packages/core/src/vaneturn_core/traffic/admission/demandboard.py
+++ b/packages/core/src/vaneturn_core/traffic/admission/demandboard.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Hashable
 from typing import Final, TypeVar
 
-from vaneturn_core.identifiers import ServiceName
+from vaneturn_core.identifiers import ServiceName, VmId
 from vaneturn_core.traffic.admission.demand import (
     NO_ROWS,
     CustomerKey,
@@ -37,6 +37,10 @@
         """Drop the services, priorities and customers that the configuration no longer has."""
         self.replace_figures(lambda rows: restrict_rows(rows, scope))
 
+    def count_reported_nodes(self) -> dict[VmId, int]:
+        """Count the nodes in the recent report of each sender."""
+        return {vm: rows.nodes for vm, rows in self.list_recent().items()}
+
     def read(self, service: ServiceName, own: DemandRows, nodes: int) -> ServiceDemand:
         """Read the demand of all nodes for a service, scaled to the nodes in the list.
 
--- a/packages/core/src/vaneturn_core/traffic/reportsums.py
+++ b/packages/core/src/vaneturn_core/traffic/reportsums.py
@@ -79,6 +79,11 @@
         """List the relays that reported recently."""
         return list(self._expire(self._relays))
 
+    def list_recent(self) -> dict[VmId, _Figures]:
+        """List the recent reports of followers and relays by their sender."""
+        reports = {**self._expire(self._followers), **self._expire(self._relays)}
+        return {vm: figures for vm, (_, figures) in reports.items()}
+
     def sum_followers(self, own: _Figures) -> _Figures:
         """Sum the figures of this node and of its followers."""
         followers = _list_figures(self._expire(self._followers))
--- a/packages/node/src/vaneturn_node/traffic/process/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/process/daemon.py
@@ -146,6 +146,7 @@
             tenure=self._tenure,
             follower=self._follower,
             lifecycle=self._lifecycle,
+            demand=demand,
         )
 
     async def run(self) -> None:
--- a/packages/node/src/vaneturn_node/traffic/process/inspection.py
+++ b/packages/node/src/vaneturn_node/traffic/process/inspection.py
@@ -18,6 +18,7 @@
 from vaneturn_node.traffic.serving.admitting import StreamAdmitter
 from vaneturn_node.traffic.serving.metrics import TrafficMetrics
 from vaneturn_node.traffic.serving.requesthistory import RequestHistory
+from vaneturn_node.traffic.sharing.demandsharing import DemandSharing
 
 REQUESTS_PATH: Final = "/requests/"
 _JSON: Final = [(b"content-type", b"application/json")]
@@ -39,6 +40,7 @@
         tenure: Tenure,
         follower: StoreFollower,
         lifecycle: Lifecycle,
+        demand: DemandSharing,
     ) -> None:
         self._vm = vm
         self._node = node
@@ -49,6 +51,7 @@
         self._tenure = tenure
         self._follower = follower
         self._lifecycle = lifecycle
+        self._demand = demand
         self.in_progress = 0  # requests; set before each request to this handler
 
     async def answer(self, request: ClientRequest, answer: ClientAnswer) -> None:
@@ -75,6 +78,7 @@
             servers=len(view.servers),
             limited=len(self._parts.limits.list_limited()),
             closed=sum(statuses[server].is_closed(now) for server in view.servers),
+            reported_nodes=self._demand.reported_nodes,
             services=self._admitter.describe_services(),
         )
         return render_metrics(self._metrics, gauges)
--- a/packages/node/src/vaneturn_node/traffic/sharing/demandsharing.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/demandsharing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Mapping
 from typing import Final
 
 from msgspec import UNSET, UnsetType
@@ -15,7 +16,7 @@
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.sharing.demandrows import DemandCodec
 
-FAULT_LOG_GAP_S: Final = 60.0  # between two log lines about invalid reports of one sender
+FAULT_LOG_GAP_S: Final = 60.0  # between two log lines about invalid reports of one sender, or about excess nodes
 
 Packed = bytes | UnsetType  # unset in messages of nodes without prioritized services, and of older builds
 
@@ -35,6 +36,8 @@
         self._packed: Packed = UNSET  # the demand of all nodes
         self._packed_at = float("-inf")
         self._logged_at: dict[str, float] = {}  # by sender of an invalid report
+        self._excess_logged_at = float("-inf")
+        self.reported_nodes = 0  # whose figures the latest sum of all nodes holds
 
     def list_own(self) -> DemandRows:
         """List the rows of this node."""
@@ -58,7 +61,9 @@
             return UNSET
         now = read_clock()
         if now - self._packed_at >= MAX_SUM_AGE_S or self._scope is not self._parts.demand_scope:
-            self._packed = self.pack(self._parts.demand_board.sum_all(self.list_own()))
+            rows = self._parts.demand_board.sum_all(self.list_own())
+            self._note_nodes(rows.nodes, self._parts.demand_board.count_reported_nodes())
+            self._packed = self.pack(rows)
             self._packed_at = now
         return self._packed
 
@@ -78,6 +83,7 @@
         """Record the demand of all nodes from the answer of a relay, less what this node had reported to it."""
         rows = self._unpack(address, packed)
         if rows is not None:
+            self._note_nodes(rows.nodes, {})
             self._parts.demand_board.record_total(rows, reported)
 
     def _unpack(self, sender: str, packed: Packed) -> DemandRows | None:
@@ -90,6 +96,16 @@
             return None
         return rows if rows.nodes else None
 
+    def _note_nodes(self, reported: int, by_sender: Mapping[VmId, int]) -> None:
+        """Note how many nodes a sum holds, and log a sum that holds more nodes than are listed."""
+        self.reported_nodes = reported
+        listed, now = len(self._parts.view.nodes), read_clock()
+        if not listed or reported <= listed or now - self._excess_logged_at < FAULT_LOG_GAP_S:
+            return
+        self._excess_logged_at = now
+        extra = {"reported": reported, "listed": listed, "senders": by_sender}
+        logger.warning("sum of demand holds too many nodes", extra=extra)
+
     def _log_fault(self, sender: str, fault: Fault) -> None:
         now = read_clock()
         self._logged_at = {one: at for one, at in self._logged_at.items() if now - at < FAULT_LOG_GAP_S}
--- a/tests/node/traffic/process/test_metricstext.py
+++ b/tests/node/traffic/process/test_metricstext.py
@@ -14,7 +14,9 @@
 
 def render(metrics: TrafficMetrics) -> list[str]:
     return (
-        render_metrics(metrics, Gauges(view_age=0.5, crashes=2, servers=33, limited=3, epoch=4, closed=1))
+        render_metrics(
+            metrics, Gauges(view_age=0.5, crashes=2, servers=33, limited=3, epoch=4, closed=1, reported_nodes=8)
+        )
         .decode()
         .splitlines()
     )
@@ -44,6 +46,7 @@
     assert "vaneturn_backend_servers 33.0" in text
     assert "vaneturn_rate_limited_servers 3.0" in text
     assert "vaneturn_closed_servers 1.0" in text
+    assert "vaneturn_reported_nodes 8.0" in text
 
 
 def test_admissions_are_counted_while_the_configuration_has_their_priority() -> None:
--- a/tests/node/traffic/sharing/test_demandsharing.py
+++ b/tests/node/traffic/sharing/test_demandsharing.py
@@ -240,3 +240,25 @@
     assert read(relay.parts, 2).by_priority == {}
     await ask_after_news(node, relay)  # a node that has not got the change yet
     assert read(relay.parts, 2).by_priority == {}
+
+
+async def test_sum_that_holds_more_nodes_than_are_listed_is_logged_with_its_senders(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """A node that is counted twice looks like demand; the log tells which report holds it."""
+    relay = make_relay(1)
+    relay.view.nodes = dict.fromkeys(map(VmId, ("entry-1", "entry-2", "entry-3")), None)
+    rows = DemandRows({make_key(): Demand(1.0, 1, 0, 0.0)}, {}, 2)
+    relay.parts.demand_board.record_relay(VmId("entry-3"), rows)
+    sharing = DemandSharing(relay.parts)
+    with caplog.at_level(logging.WARNING):
+        sharing.pack_all()
+        assert sharing.reported_nodes == 3
+        assert not caplog.records
+        relay.parts.demand_board.record_follower(VmId("entry-2"), rows)
+        await anyio.sleep(MAX_SUM_AGE_S)
+        sharing.pack_all()
+    assert sharing.reported_nodes == 5
+    (line,) = caplog.records
+    assert (line.__dict__["reported"], line.__dict__["listed"]) == (5, 3)
+    assert line.__dict__["senders"] == {"entry-2": 2, "entry-3": 2}
