Count each node once in the sums of loads and demand

What callers saw: while the store was away, and for some seconds after it, nodes chose servers by loads of many times the truth, on every deployment, and with admission control refused requests while a handful were in progress.

Cause: a node whose relay is out of touch asks others in turn. Each of them recorded its report as that of a follower, also where the answer was "out of touch", counted it for 3 s, and passed it on, with its own followers' reports, wherever it asked itself. A report thus arrived over many paths, and each path counted.

Evidence: nodes with the real follower, client, server and report task on virtual time (test_countedonce.py), each with one request in progress.

Change: a node reports to one relay at a time (ReportTarget), to another one only when its last report has expired; to all others it says is_counted: false. A relay that is out of touch sends its sums with that answer, so that nodes keep the true figures in an outage and don't fall back on their own load times the nodes; they are read from the followed relay only, as others know few nodes then. A node that replaced a relay and follows one again withdraws what it reported to the others. Weighed and left: counting on a good answer only, which leaves no sums at all in an outage.

Messages are the same in quiet times. Older builds ignore the new field, and the body of an answer out of touch. The log line about too many nodes comes every 5 s now; once a minute, a restart before an outage hid the outage.

Not reached: sums are too low, or absent, for some seconds after a node has left its relay, as they were before.

--- a/packages/core/src/vaneturn_core/traffic/reportsums.py
+++ b/packages/core/src/vaneturn_core/traffic/reportsums.py
@@ -2,7 +2,7 @@
 
 A follower may be a relay for others while it replaces one that they left. It adds their figures to its own reports, and
 passes on to them the total that it got. Nodes follow only nodes before them in the order of relays, so no report comes
-back to its sender.
+back to its sender. Each node reports to one relay at a time (`ReportTarget`), so no report arrives over two paths.
 """
 
 from __future__ import annotations
@@ -59,6 +59,11 @@
         self._relays[vm] = (self._clock(), figures)
         self._note_report()
 
+    def forget_relay(self, vm: VmId) -> None:
+        """Drop the figures of a node that exchanges sums no longer, since it follows a relay that counts them."""
+        if self._relays.pop(vm, None) is not None:
+            self._note_report()
+
     def record_total(self, total: _Figures, reported: _Figures) -> None:
         """Record the figures of all nodes as given by a relay, less what this node had reported to it."""
         self._rest = self._subtract(total, reported)
@@ -75,6 +80,10 @@
         """Tell whether other nodes report to this one as their relay."""
         return bool(self._expire(self._followers))
 
+    def replaces_relay(self) -> bool:
+        """Tell whether this node has followers and follows no relay, so that it exchanges sums as a relay does."""
+        return self.has_followers() and not self.follows_relay()
+
     def list_reporters(self) -> list[VmId]:
         """List the relays that reported recently."""
         return list(self._expire(self._relays))
--- a/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
@@ -22,13 +22,14 @@
 from vaneturn_node.platform.epochs import StoreState, get_epoch
 from vaneturn_node.platform.store import BODY_EXTRA_TIME_S, MAX_SILENCE_S
 from vaneturn_node.traffic.servers.permits import PERMITS_PATH, Permits
-from vaneturn_node.traffic.sharing.changelog import ChangeLog
+from vaneturn_node.traffic.sharing.changelog import Change, ChangeLog
 from vaneturn_node.traffic.sharing.crashsharing import CRASHES_PATH, CrashSharing
 from vaneturn_node.traffic.sharing.demandsharing import DemandSharing
 from vaneturn_node.traffic.sharing.longvalues import VALUE_PATH, LongValueServer
 from vaneturn_node.traffic.sharing.losssharing import LOSSES_PATH, LossSharing
 from vaneturn_node.traffic.sharing.peerwords import (
     OK,
+    ReceivedReport,
     RelayAnswer,
     decode_load_report,
 )
@@ -106,25 +107,36 @@
             self._permits.apply_limits(report.limits)
             apply_packed_slowness(self._beliefs, report.slow, self._view.servers)
         if request.path == LOADS_PATH and report is not None:
-            self._board.record_relay(report.vm, report.loads)
-            self._demand.take_relay(report.vm, report.demand)
+            self._take_relay(report)
             await answer.send_whole(OK, [], b"")
             return
         since = query.get("since", [""])[0]
         if request.path != CHANGES_PATH or not since.isdigit():
             await answer.send_whole(404, [], b"")
             return
-        if report is not None:
+        if report is not None and report.is_counted:
             self._board.record_follower(report.vm, report.loads)
             self._demand.take_follower(report.vm, report.demand)
-        await self._answer_changes(StoreState(int(since)), request.arrived, answer)
+        status, changes = await self._find_changes(StoreState(int(since)))
+        body = b"" if status == _GONE else msgspec.json.encode(self._make_answer(changes, request.arrived))
+        await answer.send_whole(status, _JSON, body)
+
+    def _take_relay(self, report: ReceivedReport) -> None:
+        if report.is_counted:
+            self._board.record_relay(report.vm, report.loads)
+            self._demand.take_relay(report.vm, report.demand)
+        else:
+            self._board.forget_relay(report.vm)
+            self._demand.forget_relay(report.vm)
 
-    async def _answer_changes(self, since: StoreState, arrived: float, answer: ClientAnswer) -> None:
-        """Answer once there are changes, a newer confirmation that there are none, a loss, or a store failure."""
+    async def _find_changes(self, since: StoreState) -> tuple[int, list[Change]]:
+        """Wait for changes, a newer confirmation that there are none, a loss, or a store failure.
+
+        :return: the status of the answer, and the changes.
+        """
         self._asked_at = read_clock()
         if get_epoch(since) > get_epoch(self._log.revision):
-            await answer.send_whole(OUT_OF_TOUCH, [], b"")
-            return
+            return OUT_OF_TOUCH, []
         losses = self._losses.version
         confirmed_at = self._view.contact.confirmed_at
         has_news = await self._wait_for_news(since, confirmed_at, losses, self._times.hold)
@@ -134,14 +146,15 @@
             )
         changes = self._log.list_since(since)
         if changes is None:
-            await answer.send_whole(_GONE, [], b"")
-            return
+            return _GONE, []
         if not has_news or self._has_store_failed():
-            await answer.send_whole(OUT_OF_TOUCH, [], b"")
-            return
+            return OUT_OF_TOUCH, []
+        return OK, changes
+
+    def _make_answer(self, changes: list[Change], arrived: float) -> RelayAnswer:
         now = read_clock()
         contact = self._view.contact
-        message = RelayAnswer(
+        return RelayAnswer(
             revision=self._log.revision,
             changes=changes,
             held=now - arrived,
@@ -154,7 +167,6 @@
             demand=self._demand.pack_all(),
             slow=pack_known_slowness(self._beliefs),
         )
-        await answer.send_whole(OK, _JSON, msgspec.json.encode(message))
 
     async def _wait_for_news(self, since: StoreState, confirmed_at: float, losses: int, limit: float) -> bool:
         """Wait until there is news to send; return False on timeout.
--- a/packages/node/src/vaneturn_node/traffic/sharing/demandsharing.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/demandsharing.py
@@ -16,7 +16,8 @@
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.sharing.demandrows import DemandCodec
 
-FAULT_LOG_GAP_S: Final = 60.0  # between two log lines about invalid reports of one sender, or about excess nodes
+FAULT_LOG_GAP_S: Final = 60.0  # between two log lines about invalid reports of one sender
+EXCESS_LOG_GAP_S: Final = 5.0  # between two log lines about sums that hold too many nodes
 
 Packed = bytes | UnsetType  # unset in messages of nodes without prioritized services, and of older builds
 
@@ -79,6 +80,10 @@
         if rows is not None:
             self._parts.demand_board.record_relay(vm, rows)
 
+    def forget_relay(self, vm: VmId) -> None:
+        """Drop the report of a node that exchanges sums no longer."""
+        self._parts.demand_board.forget_relay(vm)
+
     def take_total(self, address: str, packed: Packed, reported: DemandRows) -> None:
         """Record the demand of all nodes from the answer of a relay, less what this node had reported to it."""
         rows = self._unpack(address, packed)
@@ -100,7 +105,7 @@
         """Note how many nodes a sum holds, and log a sum that holds more nodes than are listed."""
         self.reported_nodes = reported
         listed, now = len(self._parts.view.nodes), read_clock()
-        if not listed or reported <= listed or now - self._excess_logged_at < FAULT_LOG_GAP_S:
+        if not listed or reported <= listed or now - self._excess_logged_at < EXCESS_LOG_GAP_S:
             return
         self._excess_logged_at = now
         extra = {"reported": reported, "listed": listed, "senders": by_sender}
--- a/packages/node/src/vaneturn_node/traffic/sharing/peerwords.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/peerwords.py
@@ -34,6 +34,7 @@
     limits: list[LimitRow] = []  # recently changed rate limits of servers
     demand: bytes | UnsetType = UNSET  # for prioritized services, packed; left out without such services
     slow: bytes | UnsetType = UNSET  # slowness of servers, packed; left out while none is slow
+    is_counted: bool | UnsetType = UNSET  # false while another relay counts the node; left out otherwise
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,10 +47,14 @@
     limits: list[LimitRow]
     demand: bytes | UnsetType  # packed
     slow: bytes | UnsetType  # packed
+    is_counted: bool  # whether the receiver adds the figures to its sums
 
 
 class RelayAnswer(Struct):
-    """An answer of a relay; ages are in seconds, None for events that never occurred."""
+    """An answer of a relay; ages are in seconds, None for events that never occurred.
+
+    A relay that cannot reach the store sends it with status 503: its sums count, and there are no changes.
+    """
 
     revision: int  # a StoreState
     changes: list[Change]
@@ -71,9 +76,9 @@
         logger.debug("message not sent", extra={"node": address, "path": path, "cause": reply.cause})
 
 
-def decode_reply(reply: Reply | Failed, message_type: type[_Message]) -> _Message | None:
-    """Decode the answer of a relay; None if the call failed or the answer is invalid."""
-    if not isinstance(reply, Reply) or reply.status != OK:
+def decode_reply(reply: Reply | Failed, message_type: type[_Message], status: int = OK) -> _Message | None:
+    """Decode the answer of a relay; None if the call failed, has another status or an invalid body."""
+    if not isinstance(reply, Reply) or reply.status != status:
         return None
     try:
         return msgspec.json.decode(reply.body, type=message_type)
@@ -91,7 +96,15 @@
         return None
     loads = unpack_total(report.loads, known) if report is not None else None
     return (
-        ReceivedReport(report.vm, loads, report.crashes, report.limits, report.demand, report.slow)
+        ReceivedReport(
+            report.vm,
+            loads,
+            report.crashes,
+            report.limits,
+            report.demand,
+            report.slow,
+            report.is_counted is not False,
+        )
         if report is not None and loads is not None
         else None
     )
--- a/tests/node/traffic/sharing/samples.py
+++ b/tests/node/traffic/sharing/samples.py
@@ -42,7 +42,7 @@
 
     async def call(self, address: str, method: str, target: str, limit: float, **sent: object) -> Reply | Failed:
         assert limit > 0
-        assert address == "relay"
+        assert address in {"relay", "second"}
         answer = Answer()
         request = ClientRequest(method, target, target.partition("?")[0], [], sent["body"], time.monotonic())  # type: ignore[arg-type]
         await self._server.answer(request, answer)
--- a/tests/node/traffic/sharing/test_changes.py
+++ b/tests/node/traffic/sharing/test_changes.py
@@ -250,3 +250,40 @@
 async def test_node_ahead_of_a_relay_that_stays_behind_leaves_it() -> None:
     relay = Relay()
     assert await make_client(Transport(relay.server))[0].ask("relay", StoreState(7)) is NoChanges.OUT_OF_TOUCH
+
+
+async def test_relay_that_cannot_reach_the_store_sends_its_sums_to_the_nodes_that_follow_it() -> None:
+    """Otherwise each node multiplies its own load by the number of nodes for as long as the store is away."""
+    relay = Relay()
+    lead(relay.beliefs, 3)
+    client, board = make_client(Transport(relay.server), busy=1)
+    relay.hear(StoreItem("servers/i-1", b"entry", StoreState(6)), revision=6)
+    assert isinstance(await client.ask("relay", StoreState(5)), RelayedChanges)
+    relay.view.note_failure()
+    lead(relay.beliefs, 7)
+    await anyio.sleep(MAX_SUM_AGE_S)
+    assert await client.ask("relay", StoreState(6)) is NoChanges.OUT_OF_TOUCH
+    assert board.get_others(BUSY) == ServerLoad(7, 7 * RESERVED)
+
+
+async def test_sums_of_a_relay_out_of_touch_that_is_not_followed_are_not_believed() -> None:
+    """It knows few nodes while the others ask the store, so servers would look empty."""
+    relay = Relay()
+    relay.view.note_failure()
+    client, board = make_client(Transport(relay.server), busy=1)
+    assert await client.ask("relay", StoreState(5)) is NoChanges.OUT_OF_TOUCH
+    assert board.get_others(BUSY) is None
+
+
+async def test_relay_does_not_count_a_node_that_another_relay_counts() -> None:
+    first, second = Relay(), Relay()
+    for relay in (first, second):
+        relay.hear(StoreItem("servers/i-1", b"entry", StoreState(6)), revision=6)
+    client, board = make_client(Transport(first.server), busy=4)
+    assert isinstance(await client.ask("relay", StoreState(5)), RelayedChanges)
+    client._caller = Transport(second.server)
+    lead(second.beliefs, 2)
+    assert isinstance(await client.ask("second", StoreState(5)), RelayedChanges)
+    assert first.board.get_others(BUSY) == ServerLoad(4, 4 * RESERVED)
+    assert second.board.get_others(BUSY) is None
+    assert board.get_others(BUSY) == ServerLoad(2, 2 * RESERVED)
--- a/tests/node/traffic/sharing/test_loadsharing.py
+++ b/tests/node/traffic/sharing/test_loadsharing.py
@@ -9,10 +9,11 @@
 
 from core.traffic.samples import make_server
 from node.traffic.samples import Answer, make_crash_sharing, make_parts
-from node.traffic.sharing.samples import BUSY, TIMES, lead
+from node.traffic.sharing.samples import BUSY, RESERVED, TIMES, lead
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.beliefs import ServerStatuses
 from vaneturn_core.traffic.relays import hash_text, list_relays
+from vaneturn_core.traffic.servers import ServerLoad
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
@@ -156,3 +157,19 @@
     fleet = make_fleet(RELAY, REPLACEMENT, OTHER)
     await exchange(fleet, {})
     assert fleet.reports == []
+
+
+async def test_replacement_that_follows_a_relay_again_withdraws_its_sums() -> None:
+    """The relays held them for 3 s more, and counted its former followers twice meanwhile."""
+    fleet = make_fleet(LOST, RELAY, REPLACEMENT, FOLLOWER)
+    replacement = fleet.nodes[REPLACEMENT].parts.board
+    async with anyio.create_task_group() as tasks:
+        for node in fleet.nodes.values():
+            tasks.start_soon(node.sharing.run)
+        replacement.record_follower(FOLLOWER, {BUSY: ServerLoad(8, 8 * RESERVED)})
+        await anyio.sleep(1.5 * REPORT_GAP_S)
+        assert all(REPLACEMENT in fleet.nodes[vm].parts.board.list_reporters() for vm in (LOST, RELAY))
+        replacement.record_total({}, {})
+        await anyio.sleep(1.5 * REPORT_GAP_S)
+        assert not any(REPLACEMENT in fleet.nodes[vm].parts.board.list_reporters() for vm in (LOST, RELAY))
+        tasks.cancel_scope.cancel()
--- a/tests/rig/overloadmechanisms.py
+++ b/tests/rig/overloadmechanisms.py
@@ -6,6 +6,7 @@
 
 CORE = "core/src/vaneturn_core/traffic"
 TRAFFIC = "node/src/vaneturn_node/traffic"
+SHARING = f"{TRAFFIC}/sharing"
 ADMISSION_TESTS = "tests/core/traffic/admission"
 
 OVERLOAD_PROOFS = (
@@ -72,6 +73,29 @@
         "tests/core/traffic/test_chains.py::test_fast_server_that_is_little_used_goes_before_an_empty_slow_one",
         (Edit(f"{CORE}/crowding.py", "MEMORY_PENALTY_S * share**3", "2 * MEMORY_PENALTY_S * share"),),
     ),
+    Proof(
+        "one relay at a time counts a node",
+        "tests/node/traffic/sharing/test_countedonce.py::test_all_nodes_see_the_true_number_while_the_store_is_away",
+        (
+            Edit(
+                f"{CORE}/reporttarget.py",
+                "if address != self._address and not is_expired:\n            return Counting.NONE\n",
+                "if address != self._address:\n            return Counting.BEGINS\n",
+            ),
+        ),
+    ),
+    Proof(
+        "a relay without the store sends its sums",
+        "tests/node/traffic/sharing/test_changes.py"
+        "::test_relay_that_cannot_reach_the_store_sends_its_sums_to_the_nodes_that_follow_it",
+        (Edit(f"{SHARING}/changeclient.py", "if report.counting is Counting.CONTINUES:", "if False:"),),
+    ),
+    Proof(
+        "a replacement of a relay withdraws its sums",
+        "tests/node/traffic/sharing/test_loadsharing.py"
+        "::test_replacement_that_follows_a_relay_again_withdraws_its_sums",
+        (Edit(f"{SHARING}/loadsharing.py", "left = self._reported - set(peers)", "left: set[VmId] = set()"),),
+    ),
 )
 
 __all__ = ["OVERLOAD_PROOFS"]
