Count a loss reported over two relays as found by one node

What callers could see: all nodes leave a healthy server alone for up to 8 s when two nodes have found it lost; a single node that cannot reach it was enough if it had just changed its relay, or had become a relay.

Cause: a finding carried no name, so the same one in two reports counted as two. Found while the other things that travel like the sums of loads were looked at; slowness, rate limits and ends of servers don't count nodes.

Evidence: two tests of the real exchange with one finder, a relay that has gone and a follower that becomes a relay; both confirmed the loss on.

Change: reports name their finders with a checksum in a field of its own; findings of one finder count once. Findings of older builds count as those of different nodes, as before. Tests: node/traffic/sharing, core/traffic/test_losses.py and rig pass.

--- a/packages/core/src/vaneturn_core/traffic/losses.py
+++ b/packages/core/src/vaneturn_core/traffic/losses.py
@@ -7,13 +7,16 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, NewType
 
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.servers import ServerId
 
+FinderChecksum = NewType("FinderChecksum", int)  # of a node's name, 1 to 65535
+UNKNOWN_FINDER: Final = FinderChecksum(0)  # in reports of older builds; each counts as another node
 MAX_REPORT_AGE_S: Final = 2.0  # time for which the report of a node counts; it reports again when it finds more
 
 
@@ -22,11 +25,19 @@
 
     latest: float
     second: float = float("-inf")  # second latest, of another node
+    finder: FinderChecksum = UNKNOWN_FINDER
+    second_finder: FinderChecksum = UNKNOWN_FINDER
 
     def join(self, other: Finding) -> Finding:
-        """Merge the findings of different nodes."""
-        latest, second = sorted((*self, *other))[:-3:-1]
-        return Finding(latest, second)
+        """Merge findings; those of one node, which may arrive over two relays, count as one."""
+        ends = sorted((*self._list_ends(), *other._list_ends()), reverse=True)
+        latest, finder = ends[0]
+        others = (end for end in ends[1:] if finder == UNKNOWN_FINDER or end[1] != finder)
+        second, second_finder = next(others, (float("-inf"), UNKNOWN_FINDER))
+        return Finding(latest, second, finder, second_finder)
+
+    def _list_ends(self) -> tuple[tuple[float, FinderChecksum], tuple[float, FinderChecksum]]:
+        return (self.latest, self.finder), (self.second, self.second_finder)
 
 
 Findings = Mapping[ServerId, Finding]
@@ -74,6 +85,11 @@
         return [findings for at, findings in reports.values() if at >= oldest]
 
 
+def compute_finder(vm: VmId) -> FinderChecksum:
+    """Compute the checksum of a node; two nodes with the same one count as one, which delays a confirmation."""
+    return FinderChecksum(zlib.crc32(vm.encode()) % 0xFFFF + 1)
+
+
 def _join(parts: Iterable[Findings]) -> dict[ServerId, Finding]:
     joined: defaultdict[ServerId, Finding] = defaultdict(lambda: Finding(float("-inf")))
     for findings in parts:
@@ -82,4 +98,4 @@
     return dict(joined)
 
 
-__all__ = ["Finding", "Findings", "LossBoard"]
+__all__ = ["UNKNOWN_FINDER", "FinderChecksum", "Finding", "Findings", "LossBoard", "compute_finder"]
--- a/packages/node/src/vaneturn_node/traffic/sharing/losssharing.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/losssharing.py
@@ -10,7 +10,7 @@
 from msgspec import Struct
 
 from vaneturn_core.identifiers import VmId
-from vaneturn_core.traffic.losses import Finding, Findings
+from vaneturn_core.traffic.losses import Finding, Findings, compute_finder
 from vaneturn_core.traffic.relays import list_relays, rank_relays
 from vaneturn_core.traffic.servers import ServerId
 from vaneturn_node.clock import read_clock
@@ -18,7 +18,7 @@
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.sharing.changelog import ChangeLog
 from vaneturn_node.traffic.sharing.peerwords import send_message
-from vaneturn_node.traffic.sharing.serverrows import pack_findings, unpack_findings
+from vaneturn_node.traffic.sharing.serverrows import pack_finders, pack_findings, unpack_findings
 
 LOSSES_PATH: Final = "/losses"
 GATHER_TIME_S: Final = 0.02  # time from a finding to its report; all requests on a server notice its loss together
@@ -33,6 +33,7 @@
 
     vm: VmId
     findings: bytes  # packed
+    finders: bytes = b""  # packed; empty in reports of older builds
 
 
 class LossSharing:
@@ -40,6 +41,7 @@
 
     def __init__(self, vm: VmId, parts: TrafficParts, caller: Caller, log: ChangeLog) -> None:
         self._vm = vm
+        self._finder = compute_finder(vm)
         self._parts = parts
         self._caller = caller
         self._log = log
@@ -63,7 +65,7 @@
         """Handle the report of another node; a relay forwards the reports of its followers."""
         try:
             report = msgspec.json.decode(body, type=LossReport)
-            findings = unpack_findings(report.findings, self._parts.view.servers, read_clock())
+            findings = unpack_findings(report.findings, self._parts.view.servers, read_clock(), report.finders)
         except (msgspec.DecodeError, ValueError) as error:
             logger.warning("report of losses not understood", extra={"fault": str(error)})
             return
@@ -105,7 +107,7 @@
 
     def _list_own(self) -> Findings:
         found = self._parts.beliefs.list_failed(read_clock())
-        return {server: Finding(until) for server, until in found.items()}
+        return {server: Finding(until, finder=self._finder) for server, until in found.items()}
 
     async def _send_reports(self) -> None:
         nodes = self._parts.view.nodes
@@ -115,7 +117,7 @@
         if not findings and not self._has_reported:
             return
         self._has_reported = bool(findings)
-        report = LossReport(self._vm, pack_findings(findings, read_clock()))
+        report = LossReport(self._vm, pack_findings(findings, read_clock()), pack_finders(findings))
         async with anyio.create_task_group() as tasks:
             for target in targets:
                 address = nodes[target]
--- a/packages/node/src/vaneturn_node/traffic/sharing/serverrows.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/serverrows.py
@@ -7,10 +7,10 @@
 
 import struct
 import zlib
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import Final
 
-from vaneturn_core.traffic.losses import Finding, Findings
+from vaneturn_core.traffic.losses import UNKNOWN_FINDER, FinderChecksum, Finding, Findings
 from vaneturn_core.traffic.servers import ServerId, ServerLoad, Slowness
 
 RESERVED_UNIT: Final = 64.0  # tokens times layers; a request reserves 9,000 on a server with nine layers
@@ -43,15 +43,33 @@
     )
 
 
-def unpack_findings(data: bytes, known: Iterable[ServerId], now: float) -> dict[ServerId, Finding]:
-    """Unpack the remaining backoff of lost servers, counted from a monotonic time.
+def pack_finders(findings: Findings) -> bytes:
+    """Pack which nodes have found servers lost."""
+    return b"".join(
+        _pack(server, finding.finder, finding.second_finder)
+        for server, finding in findings.items()
+        if finding.finder != UNKNOWN_FINDER
+    )
 
-    :raises ValueError: the length is not a multiple of the row size.
+
+def unpack_findings(
+    data: bytes, known: Collection[ServerId], now: float, finders: bytes = b""
+) -> dict[ServerId, Finding]:
+    """Unpack the remaining backoff of lost servers, counted from a monotonic time, and which nodes found them.
+
+    :raises ValueError: a length is not a multiple of the row size.
     """
-    return {
-        server: Finding(now + first * BACKOFF_UNIT_S, now + second * BACKOFF_UNIT_S if second else float("-inf"))
-        for server, first, second in _unpack(data, known)
-    }
+    found_by = {server: (first, second) for server, first, second in _unpack(finders, known)}
+    findings: dict[ServerId, Finding] = {}
+    for server, first, second in _unpack(data, known):
+        finder, second_finder = found_by.get(server, (UNKNOWN_FINDER, UNKNOWN_FINDER))
+        findings[server] = Finding(
+            now + first * BACKOFF_UNIT_S,
+            now + second * BACKOFF_UNIT_S if second else float("-inf"),
+            FinderChecksum(finder),
+            FinderChecksum(second_finder),
+        )
+    return findings
 
 
 def pack_slowness(slow: Mapping[ServerId, Slowness], now: float) -> bytes:
@@ -98,6 +116,7 @@
 __all__ = [
     "MAX_SLOW_SERVERS",
     "RESERVED_UNIT",
+    "pack_finders",
     "pack_findings",
     "pack_loads",
     "pack_slowness",
--- a/tests/core/traffic/test_losses.py
+++ b/tests/core/traffic/test_losses.py
@@ -6,7 +6,7 @@
 
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.beliefs import ALIVE_AGE_S, LIKELY_FULL_SHARE, ServerStatuses
-from vaneturn_core.traffic.losses import MAX_REPORT_AGE_S, Finding, LossBoard
+from vaneturn_core.traffic.losses import MAX_REPORT_AGE_S, FinderChecksum, Finding, LossBoard, compute_finder
 from vaneturn_core.traffic.servers import ServerId
 
 LOST, OTHER = ServerId("i-1"), ServerId("i-2")
@@ -45,6 +45,22 @@
     assert board.list_confirmed(own) == {LOST: 100.7}
 
 
+def test_finding_that_arrives_over_two_relays_confirms_nothing(board: LossBoard) -> None:
+    """A node that has changed its relay is in the reports of both for 2 s."""
+    finding = Finding(103.0, finder=compute_finder(VmId("entry-2")))
+    board.record_relay(VmId("entry-8"), {LOST: finding}, {})
+    board.record_relay(VmId("entry-9"), {LOST: finding._replace(latest=102.5)}, {})
+    assert board.list_confirmed({}) == {}
+    board.record_relay(VmId("entry-9"), {LOST: Finding(102.5, 101.0, finding.finder, FinderChecksum(9))}, {})
+    assert board.list_confirmed({}) == {LOST: 101.0}
+
+
+def test_finders_of_older_builds_count_as_different_nodes(board: LossBoard) -> None:
+    board.record_relay(VmId("entry-8"), {LOST: Finding(103.0)}, {})
+    board.record_relay(VmId("entry-9"), {LOST: Finding(102.0, finder=compute_finder(VmId("entry-2")))}, {})
+    assert board.list_confirmed({}) == {LOST: 102.0}
+
+
 def test_nodes_behind_two_relays_confirm_a_loss(board: LossBoard) -> None:
     board.record_relay(VmId("entry-8"), {LOST: Finding(103.0)}, {})
     board.record_relay(VmId("entry-9"), {LOST: Finding(102.0)}, {})
--- a/tests/node/traffic/sharing/test_losssharing.py
+++ b/tests/node/traffic/sharing/test_losssharing.py
@@ -141,3 +141,37 @@
     confirmed = [node.parts.losses.list_confirmed({}) for node in fleet.nodes.values()]
     assert not any(confirmed)
     assert not fleet.nodes[one].is_resting()
+
+
+def move_to_other_relay(fleet: Fleet, finder: VmId, lost: VmId) -> VmId:
+    """Take a relay off the list of all nodes, and return the one that the finder reports to then."""
+    for node in fleet.nodes.values():
+        del node.view.nodes[lost]
+    return rank_relays(finder, fleet.nodes[finder].view.nodes)[0]
+
+
+async def test_node_whose_relay_has_gone_is_one_finder_at_the_next_one() -> None:
+    """The next relay also held its finding in the last report of the old one, and took a healthy server for lost."""
+    fleet = Fleet()
+    lost, other = list_relays(NODES)
+    finder = next(vm for vm in list_followers(lost) if rank_relays(vm, set(NODES) - {lost})[0] == other)
+    for vm in {lost, finder, *list_relays(set(NODES) - {lost})}:
+        Node(vm, fleet)
+    await lose_at(fleet, [finder])
+    assert move_to_other_relay(fleet, finder, lost) == other
+    await lose_at(fleet, [finder])
+    assert fleet.nodes[other].parts.losses.list_confirmed({}) == {}
+    assert not fleet.nodes[other].is_resting()
+
+
+async def test_follower_that_becomes_a_relay_is_one_finder() -> None:
+    fleet = Fleet()
+    first, second = list_relays(NODES)
+    follower = list_followers(first)[0]
+    relay, _, _ = (Node(vm, fleet) for vm in (first, second, follower))
+    await lose_at(fleet, [follower])
+    for node in fleet.nodes.values():
+        node.view.nodes = {vm: str(vm) for vm in (first, follower)}
+    await lose_at(fleet, [follower])
+    assert follower in relay.parts.losses._relays
+    assert relay.parts.losses.list_confirmed({}) == {}
--- a/tests/node/traffic/sharing/test_serverrows.py
+++ b/tests/node/traffic/sharing/test_serverrows.py
@@ -6,11 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from vaneturn_core.traffic.losses import Finding
+from vaneturn_core.identifiers import VmId
+from vaneturn_core.traffic.losses import Finding, compute_finder
 from vaneturn_core.traffic.servers import ServerId, ServerLoad, Slowness
 from vaneturn_node.traffic.sharing.serverrows import (
     MAX_SLOW_SERVERS,
     RESERVED_UNIT,
+    pack_finders,
     pack_findings,
     pack_loads,
     pack_slowness,
@@ -57,6 +59,16 @@
     assert told == {SERVERS[0]: Finding(502.5, 501.0), SERVERS[1]: Finding(500.7)}
 
 
+def test_finders_come_back_with_their_findings() -> None:
+    one, other = compute_finder(VmId("entry-1")), compute_finder(VmId("entry-2"))
+    found = {
+        SERVERS[0]: Finding(12.5, 11.0, one, other),
+        SERVERS[1]: Finding(10.7, finder=one),
+        SERVERS[2]: Finding(11.0),
+    }
+    assert unpack_findings(pack_findings(found, now=10.0), SERVERS, 10.0, pack_finders(found)) == found
+
+
 def test_slowness_keeps_its_age() -> None:
     """An old slowness that counted as new would keep a recovered server out of use for as long as nodes repeat it."""
     packed = pack_slowness({SERVERS[0]: Slowness(12.0, 8.5)}, now=10.0)
--- a/tests/rig/overloadmechanisms.py
+++ b/tests/rig/overloadmechanisms.py
@@ -84,6 +84,11 @@
             ),
         ),
     ),
+    Proof(
+        "a finding that arrives over two relays is of one node",
+        "tests/node/traffic/sharing/test_losssharing.py::test_node_whose_relay_has_gone_is_one_finder_at_the_next_one",
+        (Edit(f"{CORE}/losses.py", "if finder == UNKNOWN_FINDER or end[1] != finder", "if True"),),
+    ),
     Proof(
         "a relay without the store sends its sums",
         "tests/node/traffic/sharing/test_changes.py"
