Log when the newest event of a stream came, and what servers produced for a cut one

The load soak found streams cut without an excuse, and the log of a node said only how long the longest pause was: whether an answer was slow throughout, stood still, or had all events and lacked its end could not be told.

Change: "request ended" and explain give last_event, seconds from the arrival to the newest event. The description of a cut in the randomised runs gives the same, and for each server the tokens that it produced, from when to when, with the longest gap.

--- a/packages/cli/src/vaneturn_cli/traffic.py
+++ b/packages/cli/src/vaneturn_cli/traffic.py
@@ -142,7 +142,8 @@
         *(STEP_INDENT + step for step in request.steps),
     ]
     if request.events:
-        pauses = f"the first after {request.first_event:.3f} s, longest pause {request.longest_pause:.3f} s"
+        span = f"the first after {request.first_event:.3f} s, the last after {request.last_event:.3f} s"
+        pauses = f"{span}, longest pause {request.longest_pause:.3f} s"
         lines.append(f"{request.events} events, {pauses}")
     if request.cause:
         lines.append(f"cause: {request.cause}")
--- a/packages/core/src/vaneturn_core/traffic/state.py
+++ b/packages/core/src/vaneturn_core/traffic/state.py
@@ -87,6 +87,7 @@
     cause: str = ""
     events: int = 0  # of a stream, passed on to the client
     first_event: float = 0.0  # seconds from the arrival of the request
+    last_event: float = 0.0  # the same of the newest event
     longest_pause: float = 0.0  # seconds between two events
     looked: float = 0.0  # seconds from the beginning of that pause until its servers were probed; 0 if they were not
     found: float = 0.0  # the same until one of them was known to be lost or stalled
--- a/packages/node/src/vaneturn_node/traffic/serving/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answering.py
@@ -190,6 +190,7 @@
             cause=result.cause if isinstance(result, OwnAnswer) else "",
             events=context.events if context is not None else 0,
             first_event=round(context.first_event, 3) if context is not None else 0.0,
+            last_event=round(context.last_event, 3) if context is not None else 0.0,
             longest_pause=round(pause.length, 3),
             looked=round(pause.looked, 3),
             found=round(pause.found, 3),
--- a/packages/node/src/vaneturn_node/traffic/serving/clientstream.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/clientstream.py
@@ -26,6 +26,7 @@
         self.is_begun = False  # the client has received a part of the answer
         self._head: AnswerHead | None = None  # of the newest try; sent with the first event
         self.first_event_at: float | None = None  # monotonic time at which the first event was relayed
+        self.last_event_at: float | None = None  # the same of the newest event
         self.pace = StreamPace()
 
     def set_head(self, head: AnswerHead) -> None:
@@ -50,6 +51,7 @@
         now = read_clock()
         if self.first_event_at is None:
             self.first_event_at = now
+        self.last_event_at = now
         pause = self.pace.record_event(now)
         if pause is not None:
             self._on_pause(pause)
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -44,6 +44,7 @@
     avoided: set[ServerId] = field(default_factory=set)
     events: int = 0  # of a stream, relayed to the client
     first_event: float = 0.0  # seconds from the request's arrival to the first event of a stream
+    last_event: float = 0.0  # the same to the newest event
     longest_pause: Pause | None = None  # between two events of a stream
     # one draw for all tries, which decides whether the request belongs to a given share of requests
     draw: float = field(default_factory=random.random)
--- a/packages/node/src/vaneturn_node/traffic/serving/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streams.py
@@ -64,8 +64,9 @@
             if client.is_begun:
                 self._parts.durations[context.service].record(read_clock() - started_at)
             context.longest_pause = client.pace.longest
-            if client.first_event_at is not None:
+            if client.first_event_at is not None and client.last_event_at is not None:
                 context.first_event = client.first_event_at - context.request.arrived
+                context.last_event = client.last_event_at - context.request.arrived
 
     async def _forward(
         self, context: RequestContext, engine: EngineProfile, client: ClientStream
--- a/tests/rig/trafficsoak.py
+++ b/tests/rig/trafficsoak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import itertools
 import random
 import shutil
 import signal
@@ -21,6 +22,7 @@
 from rig.soakfaults import SoakFaults
 from rig.traffic import assert_layers_once_in_order, get_address, open_traffic
 from rig.trafficjudge import Cut, Span, find_pauses
+from standins.platform.servers import Run
 
 SETTLING_TIME_S = 3.0  # seconds after the end of a fault; the time bounds hold again from then on
 RECOVERY_TIME_S = 12.0  # seconds after the last fault; then every node must serve again
@@ -141,10 +143,13 @@
     def _describe_cut(self, cut: Cut) -> str:
         lines = (line for line in self.traffic.nodes[cut.node].read_log() if line.get("request") == cut.request)
         ended = next((line for line in lines if "steps" in line), None)
-        details = f"{ended['ending']}, {ended['events']} events, {ended['steps']}" if ended else "not in the node's log"
-        servers = {
-            part.address for run in self.traffic.fleet.find_runs(cut.request) for chain in run.chains for part in chain
-        }
+        details = "not in the node's log"
+        if ended:
+            span = f"from {ended['first_event']} to {ended['last_event']} s"
+            details = f"{ended['ending']}, {ended['events']} events {span}, {ended['steps']}"
+        runs = self.traffic.fleet.find_runs(cut.request)
+        servers = {part.address for run in runs for chain in run.chains for part in chain}
+        details += "".join(_describe_run(run, cut.sent_at) for run in runs)
         excuse = self.findings.troubles_by_source.find_excuse(cut, servers) or "no excuse"
         took = cut.cut_at - cut.sent_at
         return f"{cut.path} {cut.request} of node {cut.node} cut after {took:.2f} s, {cut.cause}, {excuse}: {details}"
@@ -156,6 +161,14 @@
         )
 
 
+def _describe_run(run: Run, sent_at: float) -> str:
+    times = [at - sent_at for at in run.token_times]
+    if not times:
+        return f"; {run.server} produced nothing"
+    gap = max((end - start for start, end in itertools.pairwise(times)), default=0.0)
+    return f"; {run.server} produced {len(times)} from {times[0]:.2f} to {times[-1]:.2f} s, longest gap {gap:.2f} s"
+
+
 async def run_traffic_soak(folder: Path, seconds: float, seed: int, kind: type[TrafficSoak] = TrafficSoak) -> Findings:
     """Run one seed and return the findings."""
     async with open_traffic(folder, nodes=NODES, link_rate=LINK_RATE_BYTES_PER_S) as traffic:
--- a/tests/standins/platform/servers.py
+++ b/tests/standins/platform/servers.py
@@ -45,6 +45,7 @@
     chains: list[list[Part]] = field(default_factory=list)  # chains assigned to the request; the last one is in force
     was_cut: bool = False
     started: float = field(default_factory=time.monotonic)
+    token_times: list[float] = field(default_factory=list)  # monotonic, when each token was produced
 
 
 @dataclass
@@ -323,6 +324,7 @@
                 await exchange.reset()
             await anyio.sleep(self.fleet.token_time)
         run.tokens.append(run.chains[-1])
+        run.token_times.append(time.monotonic())
 
 
 @asynccontextmanager
