Move a stream that its first server has lost to another server

What callers saw: a stream without a first event for seconds, cut at its deadline or answered 504, while other requests to the same servers went well.

Cause: a server that drops a request, or a connection that goes silent for good, shows to nobody but that request. Probes use connections of their own; they were answered, and the servers' list of stalled requests names those that they know. The node looked at nothing else.

Change: after 1 s without an event while probes are answered, the node orders the first server to keep the request on its chain. "No such request" moves it to another server, with the first connection kept until that one accepts.

--- a/packages/node/src/vaneturn_node/platform/servers.py
+++ b/packages/node/src/vaneturn_node/platform/servers.py
@@ -85,6 +85,7 @@
     TAKEN = "taken"
     CONFLICT = "conflict"  # does not fit the server's state, or another order was begun before it
     FENCED = "fenced"  # a newer holder of the tenure has sent an order
+    NOT_FOUND = "not found"  # the server does not run the request
     REFUSED = "refused"  # the address belongs to another server, or the order is invalid
     UNKNOWN = "unknown"  # no response; the order may be taken, even later
 
@@ -212,6 +213,7 @@
         outcomes = {
             200: OrderOutcome.TAKEN,
             202: OrderOutcome.TAKEN,
+            404: OrderOutcome.NOT_FOUND,
             409: OrderOutcome.CONFLICT,
             412: OrderOutcome.FENCED,
         }
--- a/packages/node/src/vaneturn_node/traffic/serving/chainreservation.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/chainreservation.py
@@ -102,6 +102,13 @@
             parts += replacement
         return Chain(self.chain.layers, tuple(parts))
 
+    async def is_known_to_server(self) -> bool:
+        """Ask the first server whether it runs the request; true unless it says that it does not."""
+        assert self._context.facts.id is not None  # noqa: S101 # a request without an id is not admitted
+        parts = list(self.chain.parts)  # ordered to stay on its chain, a request runs on as before
+        outcome = await self._parts.calls.reroute_request(self.first_server, self._context.facts.id, parts)
+        return outcome is not OrderOutcome.NOT_FOUND
+
     async def order_detour(self, chain: Chain) -> OrderOutcome:
         """Order the first server to run the rest of the request over another chain."""
         assert self._context.facts.id is not None  # noqa: S101 # a request without an id is not admitted
--- a/packages/node/src/vaneturn_node/traffic/serving/repair.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/repair.py
@@ -16,6 +16,7 @@
 from vaneturn_node.traffic.serving.requests import RequestContext
 
 MAX_DETOURS: Final = 3
+LOST_REQUEST_AGE_S: Final = 1.0  # without an event; half of the time after which clients leave
 
 
 class TryEndedError(Exception):
@@ -54,6 +55,7 @@
         self._client = client
         self._move = move
         self._finder = LossFinder(parts, context.facts.id)
+        self._asked_at = float("-inf")  # monotonic time at which the first server was asked for the request
         self._probes_slowness_at = float("-inf")  # monotonic time of the next probes for slowness
 
     @property
@@ -78,6 +80,23 @@
             await self._move("first server stalls", is_first_lost=False)
         elif losses.parts:
             await self._replace_parts(losses.parts)
+        else:
+            await self._find_lost_request()
+
+    async def _find_lost_request(self) -> None:
+        """Move to another try if the first server, which answers probes, does not know the request.
+
+        It may have lost the request with a connection that went silent, which no other request shows.
+
+        :raises TryEndedError: another try has replaced this one, or this one cannot continue.
+        """
+        now = read_clock()
+        heard_at = max(self._reservation.sent_at, self._client.last_event_at or float("-inf"), self._asked_at)
+        if now - heard_at < LOST_REQUEST_AGE_S:
+            return
+        self._asked_at = now
+        if not await self._reservation.is_known_to_server():
+            await self._move("first server does not know the request", is_first_lost=False)
 
     async def measure_slowness(self) -> None:
         """Ask the parts for their slowness, at most once in `SLOWNESS_AGE_S`, so that later requests avoid slow ones.
--- a/tests/rig/overloadmechanisms.py
+++ b/tests/rig/overloadmechanisms.py
@@ -89,6 +89,11 @@
         "tests/node/traffic/sharing/test_losssharing.py::test_node_whose_relay_has_gone_is_one_finder_at_the_next_one",
         (Edit(f"{CORE}/losses.py", "if finder == UNKNOWN_FINDER or end[1] != finder", "if True"),),
     ),
+    Proof(
+        "a stream that its first server does not know moves to another",
+        "tests/system/platform/test_lostrequests.py::test_stream_that_its_first_server_does_not_know_moves_to_another",
+        (Edit(f"{TRAFFIC}/serving/repair.py", "if now - heard_at < LOST_REQUEST_AGE_S:", "if now:"),),
+    ),
     Proof(
         "a relay without the store sends its sums",
         "tests/node/traffic/sharing/test_changes.py"
