Keep the logs of the processes of a failed test

Four entries of KNOWN-RED.txt were each seen once beside heavy load, and their logs were gone with the temporary folder.

Checked with a test that fails on purpose: the node's log and settings are kept.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
-from collections.abc import Iterator
+import re
+import shutil
+from collections.abc import Generator, Iterator
 from pathlib import Path
 
 import pytest
@@ -12,7 +14,10 @@
 settings.load_profile("same-verdict")
 
 
-KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"  # one line each: test, cause, issue
+ROOT = Path(__file__).parents[1]
+KEPT_LOGS = ROOT / "failed-tests"
+MAX_NAME_LENGTH = 120
+KNOWN_RED = ROOT / "KNOWN-RED.txt"  # one line each: test, cause, issue
 
 
 def read_known_red() -> dict[str, str]:
@@ -29,6 +34,19 @@
             item.add_marker(pytest.mark.xfail(reason=f"KNOWN-RED: {known_red[item.nodeid]}", strict=False))
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(item: pytest.Item) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    """Keep the logs of the processes of a failed test, also of a listed one."""
+    report = yield
+    folder = getattr(item, "funcargs", {}).get("tmp_path")
+    if report.when == "call" and not report.passed and isinstance(folder, Path):
+        kept = KEPT_LOGS / re.sub(r"[^\w.-]+", "-", item.nodeid)[-MAX_NAME_LENGTH:]
+        shutil.copytree(folder, kept, dirs_exist_ok=True, ignore=shutil.ignore_patterns("*.sock"))
+        (kept / "failure.txt").write_text(f"{item.nodeid}\n{report.longreprtext}\n")
+        report.sections.append(("logs", f"kept in {kept.relative_to(ROOT)}"))
+    return report
+
+
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     """Print the listed tests."""
     for test, cause in read_known_red().items():
