Wait in the rig until nodes list an added server

What was seen: test_request_is_answered_at_the_end_of_its_time got 503 in place of 504, once beside heavy load.

Cause: the rig slept 0.3 s after it had added a server. A node that does not run for that time knows of no server, and refuses at once and truly. Shown by a run of the test with the node stopped for 0.295 s: 503 no_server, 3 of 3. That the listed run failed like this is likely, its logs are gone.

Change: the rig waits until the nodes list the server with its layers, 5 s at most. No test changed.

--- a/tests/rig/traffic.py
+++ b/tests/rig/traffic.py
@@ -23,6 +23,8 @@
 from standins.relay import Path as NetworkPath
 
 ACCEPT_TIME_S = 0.02  # seconds for the stand-ins to accept the last connections of nodes that have ended
+LISTING_TIME_S = 0.3  # in which nodes usually read a new entry
+MAX_LISTING_TIME_S = 5.0
 START_TIME = 20.0  # seconds; generous, for busy machines
 
 
@@ -77,6 +79,15 @@
             return False
         return answer.status_code == httpx.codes.OK
 
+    async def lists(self, servers: list[Server], client: httpx.AsyncClient) -> bool:
+        """Tell whether the node lists servers with the layers that they hold."""
+        try:
+            answer = await client.get(f"http://127.0.0.1:{self.metrics_port}/state", timeout=1.0)
+        except httpx.HTTPError:
+            return False
+        listed = {one["id"]: [tuple(layers) for layers in one["layers"]] for one in answer.json()["servers"]}
+        return all(listed.get(server.id) == ([server.held] if server.held else []) for server in servers)
+
     async def wait_until_ready(self, client: httpx.AsyncClient) -> None:
         with anyio.fail_after(START_TIME):
             while True:
@@ -158,14 +169,26 @@
             for _ in range(per_hall)
         ]
         await wait_for(lambda: all(server.held for server in servers))
-        await anyio.sleep(0.3)  # for the node to read which layers they hold now
+        await self._wait_until_listed(servers)
         return servers
 
     async def add_desk(self) -> Server:
         server = await self.fleet.add(f"127.0.0.1:{find_port()}", "desk", "east", None)
-        await anyio.sleep(0.3)
+        await self._wait_until_listed([server])
         return server
 
+    async def _wait_until_listed(self, servers: list[Server]) -> None:
+        """Wait until the nodes have read the entries of servers, with the layers that these hold.
+
+        A node that did not run for the usual 0.3 s refused the first request of a test, as it knew of no server.
+        """
+        await anyio.sleep(LISTING_TIME_S)
+        with anyio.move_on_after(MAX_LISTING_TIME_S):  # a test may have nodes that cannot read the store
+            while True:
+                if all([await node.lists(servers, self.client) for node in self.nodes]):
+                    return
+                await anyio.sleep(0.05)
+
     async def ask(self, path: str, method: str = "POST", node: int = 0, **headers: str) -> httpx.Response:
         """Send a request and read the complete answer; underscores in names of headers become dashes."""
         return await self.client.send(self.build(path, method, node, **headers))
