Keep streams of an unlisted server through a short silence

What callers saw: answers broken off in the middle although their server still produced events.

Cause: a begun answer that cannot move waits for its first server unless that has ended, and a server whose entry is gone counted as ended. One that leaves without a word serves on without its entry, so its first short silence cut its streams.

Change: without its entry a server counts as ended after 1 s of silence, or at once when nobody listens at its address.

--- a/packages/node/src/vaneturn_node/traffic/serving/repair.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/repair.py
@@ -16,6 +16,7 @@
 from vaneturn_node.traffic.serving.requests import RequestContext
 
 MAX_DETOURS: Final = 3
+ENDED_SILENCE_S: Final = 1.0  # of a first server whose entry is gone; an answer survives shorter silences
 LOST_REQUEST_AGE_S: Final = 1.0  # without an event; half of the time after which clients leave
 
 
@@ -91,8 +92,7 @@
         :raises TryEndedError: another try has replaced this one, or this one cannot continue.
         """
         now = read_clock()
-        heard_at = max(self._reservation.sent_at, self._client.last_event_at or float("-inf"), self._asked_at)
-        if now - heard_at < LOST_REQUEST_AGE_S:
+        if now - max(self._get_heard_at(), self._asked_at) < LOST_REQUEST_AGE_S:
             return
         self._asked_at = now
         if not await self._reservation.is_known_to_server():
@@ -115,12 +115,25 @@
         await self._move("first server lost", is_first_lost=True)
         # the request can get no answer but this one
         is_only_answer = self._client.is_begun or not self._context.route.may_repeat
-        first_id = self._reservation.first_server.id
-        has_left = first_id not in self._parts.view.servers or self._parts.reports.is_gone(first_id)
-        if has_left or not is_only_answer:
+        if self._has_first_ended() or not is_only_answer:
             self._reservation.undo_run_count()
             raise TryEndedError(MayHaveRun("first server lost"))
 
+    def _has_first_ended(self) -> bool:
+        """Tell whether no more can come from the first server.
+
+        One that leaves may serve on without its entry, so only a long silence of such a server counts as its end.
+        """
+        first = self._reservation.first_server.id
+        if self._parts.reports.is_gone(first):
+            return True
+        silence = read_clock() - max(self._get_heard_at(), self._parts.beliefs[first].token_at)
+        return first not in self._parts.view.servers and silence >= ENDED_SILENCE_S
+
+    def _get_heard_at(self) -> float:
+        """Return the monotonic time of the newest event, or of the send."""
+        return max(self._reservation.sent_at, self._client.last_event_at or float("-inf"))
+
     async def _replace_parts(self, lost: list[Part]) -> None:
         """Replace the lost parts with other servers."""
         context = self._context
--- a/tests/rig/overloadmechanisms.py
+++ b/tests/rig/overloadmechanisms.py
@@ -89,10 +89,21 @@
         "tests/node/traffic/sharing/test_losssharing.py::test_node_whose_relay_has_gone_is_one_finder_at_the_next_one",
         (Edit(f"{CORE}/losses.py", "if finder == UNKNOWN_FINDER or end[1] != finder", "if True"),),
     ),
+    Proof(
+        "a short silence of a server whose entry is gone ends no stream",
+        "tests/system/platform/test_silence.py::test_silence_of_a_server_whose_entry_is_gone_does_not_end_its_streams",
+        (Edit(f"{TRAFFIC}/serving/repair.py", " and silence >= ENDED_SILENCE_S", ""),),
+    ),
     Proof(
         "a stream that its first server does not know moves to another",
         "tests/system/platform/test_lostrequests.py::test_stream_that_its_first_server_does_not_know_moves_to_another",
-        (Edit(f"{TRAFFIC}/serving/repair.py", "if now - heard_at < LOST_REQUEST_AGE_S:", "if now:"),),
+        (
+            Edit(
+                f"{TRAFFIC}/serving/repair.py",
+                "if now - max(self._get_heard_at(), self._asked_at) < LOST_REQUEST_AGE_S:",
+                "if now:",
+            ),
+        ),
     ),
     Proof(
         "a relay without the store sends its sums",
--- a/tests/system/platform/test_silence.py
+++ b/tests/system/platform/test_silence.py
@@ -24,6 +24,7 @@
 
 TOKENS = 60
 TOKEN_TIME = 0.02  # seconds
+REMOVAL_TIME = 0.2  # seconds; for the node to read that an entry is gone
 SILENCE = 0.6  # seconds; longer than two unanswered probes, shorter than a client's timeout
 
 
@@ -35,11 +36,12 @@
 
 
 async def ask_through_a_silence(
-    traffic: Traffic, path: str, choose: Callable[[list[Server]], list[Server]]
+    traffic: Traffic, path: str, choose: Callable[[list[Server]], list[Server]], *, is_listed: bool = True
 ) -> httpx.Response:
     """Request a stream during which some servers of its chain stop responding for a while.
 
     :param choose: selects these servers from those of the chain, given in its order.
+    :param is_listed: whether the store keeps their entries; otherwise it loses them some time before the silence.
     """
     traffic.fleet.answer_tokens, traffic.fleet.token_time = TOKENS, TOKEN_TIME
     answers: list[httpx.Response] = []
@@ -49,6 +51,10 @@
             await wait_for(lambda: any(len(run.tokens) > 5 for run in traffic.fleet.runs))
             chain = [traffic.fleet.servers[part.address] for part in traffic.fleet.runs[0].tokens[0]]
             silent = choose(chain)
+            if not is_listed:
+                for server in silent:
+                    traffic.fleet.store.remove(f"servers/{server.id}")
+                await anyio.sleep(REMOVAL_TIME)
             for server in silent:
                 server.is_unresponsive = True
             await anyio.sleep(SILENCE)
@@ -103,3 +109,14 @@
     await wait_for(lambda: any(line.get("request") == "through-silence" for line in list_ended(traffic)))
     steps = next(line for line in list_ended(traffic) if line["request"] == "through-silence")["steps"]
     assert not [step for step in steps if "lost" in step]
+
+
+@pytest.mark.parametrize("path", ["/letter/1", "/notice/1"])
+async def test_silence_of_a_server_whose_entry_is_gone_does_not_end_its_streams(frugal: Traffic, path: str) -> None:
+    """A server that leaves may serve on without its entry; at its first silence it was taken for ended."""
+    await frugal.add_chains(halls=("east",))
+    answer = await ask_through_a_silence(frugal, path, lambda chain: chain[:1], is_listed=False)
+    assert_whole(frugal, answer)
+    assert len(frugal.fleet.runs) == 1
+    await wait_for(lambda: list_ended(frugal))
+    assert [line["server"] for line in frugal.nodes[0].read_log() if line["message"] == "server removed"]
