Try to move a lost request at each probe

Cause: the node asked the first server again, a second later, before each attempt to move the request; while there is no other chain or no retry budget, attempts were thus a second apart.

Change: once the server has said that it does not know the request, each probe (every 0.1 s) tries to move it; the server is still asked once a second. test_repair.py: 1 attempt in 0.5 s before, 5 or more now.

--- a/packages/node/src/vaneturn_node/traffic/serving/repair.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/repair.py
@@ -57,6 +57,7 @@
         self._move = move
         self._finder = LossFinder(parts, context.facts.id)
         self._asked_at = float("-inf")  # monotonic time at which the first server was asked for the request
+        self._is_request_lost = False  # its answer
         self._probes_slowness_at = float("-inf")  # monotonic time of the next probes for slowness
 
     @property
@@ -92,10 +93,13 @@
         :raises TryEndedError: another try has replaced this one, or this one cannot continue.
         """
         now = read_clock()
-        if now - max(self._get_heard_at(), self._asked_at) < LOST_REQUEST_AGE_S:
+        if now - self._get_heard_at() < LOST_REQUEST_AGE_S:
+            self._is_request_lost = False
             return
-        self._asked_at = now
-        if not await self._reservation.is_known_to_server():
+        if now - self._asked_at >= LOST_REQUEST_AGE_S:
+            self._asked_at = now
+            self._is_request_lost = not await self._reservation.is_known_to_server()
+        if self._is_request_lost:  # there may be no other server, or no retry budget, until later
             await self._move("first server does not know the request", is_first_lost=False)
 
     async def measure_slowness(self) -> None:
--- a/tests/rig/overloadmechanisms.py
+++ b/tests/rig/overloadmechanisms.py
@@ -100,8 +100,8 @@
         (
             Edit(
                 f"{TRAFFIC}/serving/repair.py",
-                "if now - max(self._get_heard_at(), self._asked_at) < LOST_REQUEST_AGE_S:",
-                "if now:",
+                "if self._is_request_lost:",
+                "if False:",
             ),
         ),
     ),
