Add the load soak with long answers as a run of its own

The listed finding of the load soak was made with a form that was not kept: answers of 1.8 s, faults up to the end.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := packages/core packages/node packages/cli
 SOURCES := packages tests bench
 
-.PHONY: demo test lint unit soak traffic-soak deadly-soak load-soak proofs bench capacity clean
+.PHONY: demo test lint unit soak traffic-soak deadly-soak load-soak long-answer-soak proofs bench capacity clean
 
 $(STAMP): constraints.txt requirements-test.txt $(PACKAGES:%=%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -48,6 +48,9 @@
 load-soak: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python -m rig.loadsoak --seconds $(SECONDS) --seeds $(SEEDS)
 
+long-answer-soak: $(STAMP)
+	PYTHONPATH=tests $(BIN)/python -m rig.longanswersoak --seconds $(SECONDS) --seeds $(SEEDS)
+
 proofs: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python -m rig.proofs
 
--- a/tests/rig/loadsoak.py
+++ b/tests/rig/loadsoak.py
@@ -45,6 +45,8 @@
 class LoadSoak(TrafficSoak):
     """Adds load to the clients and faults of TrafficSoak; letters are urgent, notices are not."""
 
+    calm_time = CALM_TIME_S
+
     def list_faults(self) -> list[Step]:
         self._refusals: list[Refusal] = []
         self._samples: list[tuple[float, int]] = []  # requests in progress on all servers
@@ -57,7 +59,7 @@
 
         @wraps(fault)
         async def inject(rng: random.Random) -> None:
-            if time.monotonic() < self._until - CALM_TIME_S:
+            if time.monotonic() < self._until - self.calm_time:
                 await fault(rng)
             else:
                 await anyio.sleep(SAMPLE_INTERVAL_S)
--- a/tests/rig/trafficsoak.py
+++ b/tests/rig/trafficsoak.py
@@ -35,11 +35,13 @@
 class TrafficSoak(SoakFaults):
     """Runs clients, faults and an operator on one platform, then checks the guarantees."""
 
+    token_time = 0.02  # seconds
+
     async def run(self) -> None:
         """Run clients and faults until the time is over, then check the guarantees."""
         traffic = self.traffic
         traffic.fleet.store.epoch = 1
-        traffic.fleet.answer_tokens, traffic.fleet.token_time = TOKENS, 0.02
+        traffic.fleet.answer_tokens, traffic.fleet.token_time = TOKENS, self.token_time
         await traffic.add_chains(per_hall=3)
         for _ in range(3):
             (await traffic.add_desk()).work_time = 0.1  # so that some servers crash while they handle a request
