--- a/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from typing import Final
+from collections.abc import Sequence
+from typing import Final, NamedTuple
 from urllib.parse import parse_qs
 
 import anyio
@@ -46,6 +47,13 @@
 _JSON: Final = [(b"content-type", b"application/json")]
 
 
+class _FoundChanges(NamedTuple):
+    """The changes for an answer, and its status."""
+
+    status: int
+    changes: Sequence[Change] = ()
+
+
 class ChangeServer:
     """Answers the nodes that ask this one for changes."""
 
@@ -117,9 +125,12 @@
         if report is not None and report.is_counted:
             self._board.record_follower(report.vm, report.loads)
             self._demand.take_follower(report.vm, report.demand)
-        status, changes = await self._find_changes(StoreState(int(since)))
-        body = b"" if status == _GONE else msgspec.json.encode(self._make_answer(changes, request.arrived))
-        await answer.send_whole(status, _JSON, body)
+        found = await self._find_changes(StoreState(int(since)))
+        if found.status == _GONE:
+            await answer.send_whole(_GONE, [], b"")
+            return
+        message = self._make_answer(found.changes, request.arrived)
+        await answer.send_whole(found.status, _JSON, msgspec.json.encode(message))
 
     def _take_relay(self, report: ReceivedReport) -> None:
         if report.is_counted:
@@ -129,14 +140,11 @@
             self._board.forget_relay(report.vm)
             self._demand.forget_relay(report.vm)
 
-    async def _find_changes(self, since: StoreState) -> tuple[int, list[Change]]:
-        """Wait for changes, a newer confirmation that there are none, a loss, or a store failure.
-
-        :return: the status of the answer, and the changes.
-        """
+    async def _find_changes(self, since: StoreState) -> _FoundChanges:
+        """Wait for changes, a newer confirmation that there are none, a loss, or a store failure."""
         self._asked_at = read_clock()
         if get_epoch(since) > get_epoch(self._log.revision):
-            return OUT_OF_TOUCH, []
+            return _FoundChanges(OUT_OF_TOUCH)
         losses = self._losses.version
         confirmed_at = self._view.contact.confirmed_at
         has_news = await self._wait_for_news(since, confirmed_at, losses, self._times.hold)
@@ -146,17 +154,17 @@
             )
         changes = self._log.list_since(since)
         if changes is None:
-            return _GONE, []
+            return _FoundChanges(_GONE)
         if not has_news or self._has_store_failed():
-            return OUT_OF_TOUCH, []
-        return OK, changes
+            return _FoundChanges(OUT_OF_TOUCH)
+        return _FoundChanges(OK, changes)
 
-    def _make_answer(self, changes: list[Change], arrived: float) -> RelayAnswer:
+    def _make_answer(self, changes: Sequence[Change], arrived: float) -> RelayAnswer:
         now = read_clock()
         contact = self._view.contact
         return RelayAnswer(
             revision=self._log.revision,
-            changes=changes,
+            changes=list(changes),
             held=now - arrived,
             confirmed_age=_compute_age(now, contact.confirmed_at),
             failed_age=_compute_age(now, contact.failed_at),
