--- a/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
@@ -125,11 +125,14 @@
         if report is not None and report.is_counted:
             self._board.record_follower(report.vm, report.loads)
             self._demand.take_follower(report.vm, report.demand)
-        found = await self._find_changes(StoreState(int(since)))
+        await self._answer_changes(StoreState(int(since)), request.arrived, answer)
+
+    async def _answer_changes(self, since: StoreState, arrived: float, answer: ClientAnswer) -> None:
+        found = await self._find_changes(since)
         if found.status == _GONE:
             await answer.send_whole(_GONE, [], b"")
             return
-        message = self._make_answer(found.changes, request.arrived)
+        message = self._make_answer(found.changes, arrived)
         await answer.send_whole(found.status, _JSON, msgspec.json.encode(message))
 
     def _take_relay(self, report: ReceivedReport) -> None:
