--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -39,7 +39,7 @@
     """Keep the logs of the processes of a failed test, also of a listed one."""
     report = yield
     folder = getattr(item, "funcargs", {}).get("tmp_path")
-    if report.when == "call" and not report.passed and isinstance(folder, Path):
+    if report.when != "teardown" and not report.passed and isinstance(folder, Path):
         kept = KEPT_LOGS / re.sub(r"[^\w.-]+", "-", item.nodeid)[-MAX_NAME_LENGTH:]
         shutil.copytree(folder, kept, dirs_exist_ok=True, ignore=shutil.ignore_patterns("*.sock"))
         (kept / "failure.txt").write_text(f"{item.nodeid}\n{report.longreprtext}\n")
