--- a/tests/rig/traffic.py
+++ b/tests/rig/traffic.py
@@ -4,7 +4,7 @@
 
 import json
 import re
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from itertools import count
@@ -21,6 +21,7 @@
 from standins.platform.operator import HOST, KEY, configure, make_configuration
 from standins.platform.servers import Fleet, Server, open_fleet
 from standins.relay import Path as NetworkPath
+from standins.vm import CutKind
 
 ACCEPT_TIME_S = 0.02  # seconds for the stand-ins to accept the last connections of nodes that have ended
 LISTING_TIME_S = 0.3  # in which nodes usually read a new entry
@@ -66,6 +67,23 @@
     store_path: NetworkPath  # network path to the store that tests cut and heal
     store_address: str  # differs for each node, so that a test can tell their calls apart
     link: Link | None  # limits the bandwidth of responses of the store and the servers
+    cut_file: Path  # read by the stand-in of the VM; only a node with a link has one
+
+    def cut(self, servers: Iterable[Server], kind: CutKind) -> None:
+        """Cut the paths of this node to servers; its paths to the store, other nodes and clients stay."""
+        assert self.link is not None, "only a node with a link can be cut off"
+        ports = sorted(int(server.address.rpartition(":")[2]) for server in servers)
+        self._write_cut(json.dumps({"kind": kind.value, "ports": ports}))
+
+    def heal(self) -> None:
+        """End the cut."""
+        self._write_cut("")
+
+    def _write_cut(self, text: str) -> None:
+        """Replace the file in one step, so that it is never read half written."""
+        written = self.cut_file.with_suffix(".new")
+        written.write_text(text)
+        written.replace(self.cut_file)
 
     def restart(self) -> None:
         """Restart the process, as the platform does after its end."""
@@ -147,16 +165,16 @@
             "bounds": self.bounds,
             "admission": True,
         }
-        path = self.folder / f"{name}.json"
+        path, cut_file = self.folder / f"{name}.json", self.folder / f"{name}.cut"
         path.write_text(json.dumps(settings))
         module, arguments = "vaneturn_node", ["--platform", "--settings", str(path)]
         if link is not None:
             address = get_address(len(self.nodes))
             self._links[address] = link
-            module, arguments = "standins.vm", [address, module, *arguments]
+            module, arguments = "standins.vm", [address, str(cut_file), module, *arguments]
         process = Process(module, arguments, self.folder / f"{name}.log")
         ports = (client_port, readiness_port, metrics_port, peer_port)
-        node = Node(process, *ports, module, arguments, store_path, store_address, link)
+        node = Node(process, *ports, module, arguments, store_path, store_address, link, cut_file)
         self.nodes.append(node)
         await node.wait_until_ready(self.client)
         return node
--- a/tests/standins/vm.py
+++ b/tests/standins/vm.py
@@ -1,17 +1,108 @@
-"""Stand-in for a VM: runs a module and binds its connections to an own address, which identifies the caller."""
+"""Stand-in for a VM: runs a module, binds its connections to an own address, and cuts its paths to servers.
+
+The own address identifies the caller to servers. A file tells which ports are cut, and how; it is read again when it
+changes.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import runpy
 import sys
-from functools import partialmethod
+import weakref
+from collections.abc import Callable
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+POLL_INTERVAL_S = 0.01  # between checks whether the file has changed
+
+
+class CutKind(Enum):
+    """What connections see of a cut."""
+
+    SILENT = "silent"  # open and new connections hang
+    RESET = "reset"  # open connections are reset, new ones hang
+    REFUSED = "refused"  # open connections are reset, new ones are refused
+    NEW_ONLY = "new only"  # open connections work, new ones are refused
+
+
+class Paths:
+    """The paths of one VM, which its connections use."""
+
+    def __init__(self, file: Path) -> None:
+        self._file = file
+        self._text = ""
+        self._kind: CutKind | None = None
+        self._ports: frozenset[int] = frozenset()
+        self._open: weakref.WeakKeyDictionary[asyncio.Transport, int] = weakref.WeakKeyDictionary()
+        self._healed = asyncio.Event()
+        self._watcher: asyncio.Task[None] | None = None
+
+    async def pass_connect(self, port: int) -> None:
+        """Let a connection be opened, hold it while the path is cut, or refuse it."""
+        if self._watcher is None:
+            self._read()
+            self._watcher = asyncio.create_task(self._watch())
+        while self._kind is not None and port in self._ports:
+            if self._kind in {CutKind.REFUSED, CutKind.NEW_ONLY}:
+                raise ConnectionRefusedError
+            await self._healed.wait()
+
+    def add(self, transport: asyncio.Transport, port: int) -> None:
+        """Add an open connection."""
+        self._open[transport] = port
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            self._read()
+
+    def _read(self) -> None:
+        text = self._file.read_text() if self._file.exists() else ""
+        if text == self._text:
+            return
+        self._text = text
+        cut: dict[str, Any] = json.loads(text) if text else {}
+        self._kind = CutKind(cut["kind"]) if cut else None
+        self._ports = frozenset(cut.get("ports", []))
+        self._healed.set()
+        self._healed = asyncio.Event()
+        for transport, port in list(self._open.items()):
+            self._apply(transport, is_cut=port in self._ports)
+
+    def _apply(self, transport: asyncio.Transport, *, is_cut: bool) -> None:
+        if transport.is_closing():
+            return
+        if is_cut and self._kind in {CutKind.RESET, CutKind.REFUSED}:
+            protocol: Any = transport.get_protocol()
+            transport.abort()
+            protocol.connection_lost(ConnectionResetError())
+        elif is_cut and self._kind is CutKind.SILENT:
+            transport.pause_reading()
+        elif not transport.is_reading():
+            transport.resume_reading()
+
+
+def bind_connections(address: str, paths: Paths) -> None:
+    """Make the connections of this process come from an address and use the given paths."""
+    connect = asyncio.BaseEventLoop.create_connection
+
+    async def create_connection(
+        loop: asyncio.BaseEventLoop, factory: Callable[[], Any], host: str, port: int, **options: Any
+    ) -> tuple[asyncio.Transport, Any]:
+        await paths.pass_connect(port)
+        transport, protocol = await connect(loop, factory, host, port, local_addr=(address, 0), **options)
+        paths.add(transport, port)
+        return transport, protocol
+
+    asyncio.BaseEventLoop.create_connection = create_connection  # type: ignore[assignment, method-assign]
 
 
 def main() -> None:
-    address, module, *arguments = sys.argv[1:]
-    loop = asyncio.BaseEventLoop
-    loop.create_connection = partialmethod(loop.create_connection, local_addr=(address, 0))  # type: ignore[assignment, method-assign]
+    address, file, module, *arguments = sys.argv[1:]
+    bind_connections(address, Paths(Path(file)))
     sys.argv = [module, *arguments]
     runpy.run_module(module, run_name="__main__", alter_sys=True)
 
