Detect that a node reaches no server of a service, and log and expose it

Nothing stated that a node had lost all servers: its log held the same three timeouts for each request, its metrics only refusals. A connection that does not open for 0.08 s, or fails, now starts one round of probes (new connections to up to 4 servers of the service), shared by all requests. None opened: the path is lost ('path to service lost'), and a task of its own probes until most servers accept ('path to service regained'). Metric vaneturn_lost_paths, lost_paths in /state. A server that could not be connected to for this reason no longer counts as failed.

--- a/packages/core/src/vaneturn_core/traffic/state.py
+++ b/packages/core/src/vaneturn_core/traffic/state.py
@@ -52,6 +52,7 @@
     in_progress: int
     servers: list[SeenServer]
     services: list[SeenService] = []  # prioritized ones
+    lost_paths: dict[str, float] = {}  # seconds since no server of a service could be reached, by service
 
 
 class AdmissionRecord(Struct, frozen=True):
--- a/packages/node/src/vaneturn_node/http1/pool.py
+++ b/packages/node/src/vaneturn_node/http1/pool.py
@@ -27,6 +27,10 @@
 
         :raises LinkError: no connection could be opened.
         """
+        return await self.take_idle(address, max_idle) or await self.open(address)
+
+    async def take_idle(self, address: str, max_idle: float = MAX_IDLE_S) -> HttpLink | None:
+        """Take a connection that was idle for less than `max_idle` seconds; None if there is none."""
         now = read_clock()
         idle = self._idle[address]
         while idle:
@@ -34,6 +38,13 @@
             if link.is_fresh(now, max_idle):
                 return link
             await link.abort()
+        return None
+
+    async def open(self, address: str) -> HttpLink:
+        """Open a new connection.
+
+        :raises LinkError: it could not be opened.
+        """
         return await HttpLink.open(address, CONNECT_TIMEOUT_S)
 
     async def release(self, link: HttpLink, address: str) -> None:
--- a/packages/node/src/vaneturn_node/traffic/process/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/process/daemon.py
@@ -91,6 +91,7 @@
             has_admission=settings.admission,
         )
         ended = RequestHistory()
+        self._connectivity = parts.connectivity
         self._request_handler = RequestHandler(parts, metrics, ended)
         self._placer = Placer(self._tenure, self._view, calls)
         self._lifecycle = Lifecycle(bounds.stop_s)
@@ -155,7 +156,7 @@
             async with anyio.create_task_group() as tasks:
                 duties = (self._follower, self._tenure, self._registration, self._placer)
                 shared = (self._sharing, self._losses, self._crashes, self._pool, self._request_handler.admitter)
-                for background in (*duties, *shared):
+                for background in (*duties, *shared, self._connectivity):
                     tasks.start_soon(background.run)
                 tasks.start_soon(watch_suspensions, self._request_handler.shorten_timeouts)
                 await self._listen(tasks)
--- a/packages/node/src/vaneturn_node/traffic/process/inspection.py
+++ b/packages/node/src/vaneturn_node/traffic/process/inspection.py
@@ -80,6 +80,7 @@
             closed=sum(statuses[server].is_closed(now) for server in view.servers),
             reported_nodes=self._demand.reported_nodes,
             services=self._admitter.describe_services(),
+            lost_paths=len(self._parts.connectivity.list_lost()),
         )
         return render_metrics(self._metrics, gauges)
 
@@ -98,6 +99,10 @@
             in_progress=self.in_progress,
             servers=[self._describe_server(server) for server in view.servers.values()],
             services=self._admitter.describe_services(),
+            lost_paths={
+                service: round(self._parts.connectivity.compute_lost_time(service), 3)
+                for service in self._parts.connectivity.list_lost()
+            },
         )
 
     def _describe_server(self, server: BackendServer) -> SeenServer:
--- a/packages/node/src/vaneturn_node/traffic/process/metricstext.py
+++ b/packages/node/src/vaneturn_node/traffic/process/metricstext.py
@@ -30,6 +30,7 @@
     closed: int  # servers that asked this node for a rest or announced that they leave
     reported_nodes: int = 0  # whose demand is in the latest sum; 0 without prioritized services
     services: Sequence[SeenService] = ()  # prioritized ones
+    lost_paths: int = 0  # services whose servers cannot be reached
 
 
 class TrafficCollector(Collector):
@@ -53,6 +54,7 @@
         yield GaugeMetricFamily("vaneturn_server_ends", "Ends of servers that count against requests", gauges.crashes)
         yield GaugeMetricFamily("vaneturn_backend_servers", "Backend servers in the list", gauges.servers)
         yield GaugeMetricFamily("vaneturn_rate_limited_servers", "Backend servers with a rate limit", gauges.limited)
+        yield GaugeMetricFamily("vaneturn_lost_paths", "Services whose servers cannot be reached", gauges.lost_paths)
         yield GaugeMetricFamily("vaneturn_closed_servers", "Backend servers that want no requests", gauges.closed)
         yield GaugeMetricFamily("vaneturn_reported_nodes", "Nodes in the latest sum of demand", gauges.reported_nodes)
 
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/servers/connectivity.py
@@ -0,0 +1,197 @@
+"""Opens connections to servers, and finds out whether this node can reach the servers of each service.
+
+A request that cannot connect starts a round of probes, which the others share. While no server of a service can be
+reached, this task probes them, so that no request pays for finding out that the path is back.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import defaultdict
+from collections.abc import Sequence
+from typing import Final
+
+import anyio
+from anyio import CancelScope
+
+from vaneturn_core.identifiers import ServiceName
+from vaneturn_core.traffic.beliefs import ServerStatuses
+from vaneturn_core.traffic.paths import ServicePath, choose_probed
+from vaneturn_core.traffic.servers import BackendServer, ServerState
+from vaneturn_core.traffic.view import PlatformView
+from vaneturn_node.clock import read_clock
+from vaneturn_node.http1.link import HttpLink, LinkError
+from vaneturn_node.http1.pool import MAX_IDLE_S, LinkPool
+from vaneturn_node.traffic.servers.signals import Signal
+
+SUSPICION_DELAY_S: Final = 0.08  # of a connection that does not open; healthy servers accept within a few milliseconds
+PROBE_TIMEOUT_S: Final = 0.1
+HELD_UP_FACTOR: Final = 2.0  # times its timeout; a round that took longer proves nothing
+PROBE_INTERVAL_S: Final = 0.2  # between rounds of probes while a path is lost
+MAX_SHOWN_S: Final = 1e9  # in place of infinity, which JSON cannot express
+
+logger = logging.getLogger(__name__)
+
+
+class Connectivity:
+    """The paths from this node to the servers, by service."""
+
+    def __init__(self, view: PlatformView, beliefs: ServerStatuses, pool: LinkPool) -> None:
+        self._view = view
+        self._beliefs = beliefs
+        self._pool = pool
+        self._paths: defaultdict[ServiceName, ServicePath] = defaultdict(ServicePath)
+        self._rounds: dict[ServiceName, anyio.Event] = {}  # rounds in progress
+        self._has_lost = Signal()
+
+    async def run(self) -> None:
+        """Probe the services whose paths are lost until cancelled."""
+        while True:
+            await self._has_lost.wait()
+            while lost := self.list_lost():
+                await anyio.sleep(PROBE_INTERVAL_S)
+                self._drop_unlisted()
+                async with anyio.create_task_group() as tasks:
+                    for service in lost:
+                        tasks.start_soon(self._run_round, service)
+
+    def is_lost(self, service: ServiceName) -> bool:
+        """Tell whether no server of a service accepts connections from this node."""
+        return service in self._paths and self._paths[service].is_lost
+
+    def is_confirmed_lost(self, service: ServiceName) -> bool:
+        """Tell the same after several rounds of probes."""
+        return service in self._paths and self._paths[service].is_confirmed_lost
+
+    def list_lost(self) -> list[ServiceName]:
+        """List the services whose servers this node cannot reach."""
+        return [service for service, path in self._paths.items() if path.is_lost]
+
+    def compute_lost_time(self, service: ServiceName) -> float:
+        """Return the seconds since the path to a service was lost; 0 if it is not."""
+        lost_at = self._paths[service].lost_at if service in self._paths else None
+        return 0.0 if lost_at is None else read_clock() - lost_at
+
+    async def acquire(self, server: BackendServer, max_idle: float = MAX_IDLE_S) -> HttpLink:
+        """Take a pooled connection to a server or open a new one.
+
+        :raises LinkError: no connection could be opened; `has_no_path` states that no server of the service accepts
+            connections from this node.
+        """
+        pooled = await self._pool.take_idle(server.address, max_idle)
+        if pooled is not None:
+            return pooled
+        started = read_clock()
+        link: HttpLink | None = None
+        failure = LinkError("no path to any server of the service", was_sent=False, has_no_path=True)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._check_while_opening, server.service, started, tasks.cancel_scope)
+                try:
+                    link = await self._pool.open(server.address)
+                except LinkError as error:
+                    failure = error
+                tasks.cancel_scope.cancel()
+        except BaseException:
+            if link is not None:
+                with CancelScope(shield=True):
+                    await link.abort()
+            raise
+        if link is not None:
+            self._paths[server.service].opened_at = read_clock()
+            return link
+        if not failure.has_no_path and not await self.check(server.service, started):
+            raise LinkError(failure.cause, was_sent=False, has_no_path=True)
+        raise failure
+
+    async def check(self, service: ServiceName, since: float) -> bool:
+        """Tell whether this node can open connections to servers of a service, probing some if none was opened.
+
+        :param since: monotonic time; connections that were opened earlier do not count.
+        """
+        path = self._paths[service]
+        if not path.is_lost and path.opened_at < since:
+            running = self._rounds.get(service)
+            await (running.wait() if running is not None else self._run_round(service))
+        return not path.is_lost
+
+    async def _check_while_opening(self, service: ServiceName, started: float, opening: CancelScope) -> None:
+        """Cancel the opening of a connection if the path turns out to be lost."""
+        await anyio.sleep(SUSPICION_DELAY_S)
+        if not await self.check(service, started):
+            opening.cancel()
+
+    def _list_servers(self, service: ServiceName) -> list[BackendServer]:
+        """List the servers to which requests may be sent."""
+        return [
+            server
+            for server in self._view.list_servers(service)
+            if server.can_lead and server.state is ServerState.READY and not self._beliefs[server.id].is_replaced
+        ]
+
+    def _drop_unlisted(self) -> None:
+        """Drop the lost paths of services that have no servers any more."""
+        for service in [each for each in self.list_lost() if not self._list_servers(each)]:
+            logger.info("path to service forgotten, as it has no servers", extra={"service": service})
+            del self._paths[service]
+
+    async def _run_round(self, service: ServiceName) -> None:
+        over = self._rounds[service] = anyio.Event()
+        try:
+            started = read_clock()
+            probed = choose_probed(self._list_servers(service), self._beliefs.list_failed(started))
+            if probed:
+                opened = await self._probe(probed, is_one_enough=not self._paths[service].is_lost)
+                if not opened and read_clock() - started > HELD_UP_FACTOR * PROBE_TIMEOUT_S:
+                    opened = await self._probe(probed, is_one_enough=True)  # this process did not run meanwhile
+                self._record_round(service, probed, opened, started)
+        finally:
+            del self._rounds[service]
+            over.set()
+
+    async def _probe(self, servers: Sequence[BackendServer], *, is_one_enough: bool) -> int:
+        """Open a new connection to each server; return how many opened.
+
+        Pooled connections are not used, as they may live on while new ones are refused.
+        """
+        opened = 0
+
+        async def open_link(server: BackendServer) -> None:
+            nonlocal opened
+            try:
+                link = await HttpLink.open(server.address, PROBE_TIMEOUT_S)
+            except LinkError:
+                return
+            opened += 1
+            with CancelScope(shield=True):
+                await link.abort()
+            if is_one_enough:
+                tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            for server in servers:
+                tasks.start_soon(open_link, server)
+        return opened
+
+    def _record_round(self, service: ServiceName, probed: Sequence[BackendServer], opened: int, started: float) -> None:
+        path = self._paths[service]
+        lost_for = self.compute_lost_time(service)
+        opened_at = path.opened_at
+        now = read_clock()
+        if not path.record_round(len(probed), opened, now):
+            return
+        extra = {
+            "service": service,
+            "probed": [server.id for server in probed],
+            "opened": opened,
+            "took": round(now - started, 3),
+        }
+        if path.is_lost:
+            extra["opened_age"] = round(min(now - opened_at, MAX_SHOWN_S), 3)
+            logger.warning("path to service lost", extra=extra)
+            self._has_lost.notify()
+        else:
+            logger.warning("path to service regained", extra={**extra, "lost_for": round(lost_for, 3)})
+
+
+__all__ = ["Connectivity"]
--- a/packages/node/src/vaneturn_node/traffic/servers/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/exchange.py
@@ -34,6 +34,7 @@
 from vaneturn_node.http1.link import HttpLink
 from vaneturn_node.http1.pool import LinkPool
 from vaneturn_node.platform.servers import ServerCalls
+from vaneturn_node.traffic.servers.connectivity import Connectivity
 from vaneturn_node.traffic.servers.crashwatch import CrashWatch
 from vaneturn_node.traffic.servers.directivekeeper import DirectiveKeeper
 from vaneturn_node.traffic.servers.firstreading import FirstReading
@@ -72,6 +73,7 @@
     first_reading: FirstReading = field(default_factory=FirstReading)
     patience: ProbeDelay = field(default_factory=ProbeDelay)
     limits: RateLimits = field(default_factory=RateLimits)
+    connectivity: Connectivity = field(init=False)
     permits: Permits = field(init=False)
     directives: DirectiveKeeper = field(init=False)
     budgets: dict[ServiceName, WindowedRetryBudget] = field(default_factory=dict)
@@ -83,6 +85,7 @@
 
     def __post_init__(self) -> None:
         """Create the objects that depend on other fields."""
+        self.connectivity = Connectivity(self.view, self.beliefs, self.pool)
         self.crashes = CrashBoard(read_clock, self.view.list_software)
         self.crash_watch = CrashWatch(self.crashes, self.reports, self.view)
         self.directives = DirectiveKeeper(self.beliefs, self.limits)
--- a/packages/node/src/vaneturn_node/traffic/serving/outcomes.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/outcomes.py
@@ -14,6 +14,7 @@
 
     cause: str
     is_unreachable: bool = False  # the server did not even accept a connection
+    has_no_path: bool = False  # this node reaches no server of the service
     is_rate_limited: bool = False  # it was not sent, because of the server's rate limit
 
 
--- a/packages/node/src/vaneturn_node/traffic/serving/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plain.py
@@ -135,7 +135,7 @@
         try:
             with anyio.fail_after(timeout_s):
                 max_idle = MAX_IDLE_S if context.route.may_repeat else UNSAFE_IDLE_LIMIT_S
-                link = await self._parts.pool.acquire(server.address, max_idle)
+                link = await self._parts.connectivity.acquire(server, max_idle)
                 obstacle = context.claim_send(self._parts.beliefs[server.id])
                 if obstacle is not None:
                     return NotRun(obstacle)
@@ -149,7 +149,7 @@
             return MayHaveRun("no answer in time")
         except LinkError as error:
             if not error.was_sent:
-                return NotRun(error.cause, is_unreachable=True)
+                return NotRun(error.cause, is_unreachable=not error.has_no_path, has_no_path=error.has_no_path)
             context.runs += 1
             if not error.is_unresponsive:
                 await self._parts.crash_watch.record_cut_connection(server, context.content, Suspicion.UNHEARD)
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -118,7 +118,7 @@
         context.sends += 1
         self._client.pace.record_step(PauseStep.RESUMED, read_clock())
         self._reservation.reserve()
-        self._link = link = await self._parts.pool.acquire(self._first_server.address)
+        self._link = link = await self._parts.connectivity.acquire(self._first_server)
         obstacle = context.claim_send(self._parts.beliefs[self._first_server.id])
         if obstacle is not None:
             return NotRun(obstacle)
@@ -178,8 +178,9 @@
     async def _handle_lost_connection(self, error: LinkError) -> TryOutcome:
         """Record what a lost connection means for the first server and for the request; return the outcome."""
         self._context.avoided.add(self._first_server.id)
-        if not error.is_unresponsive or await self._parts.can_reach_others(
-            {self._first_server.id}, self._reservation.reserved_at
+        if not error.has_no_path and (
+            not error.is_unresponsive
+            or await self._parts.can_reach_others({self._first_server.id}, self._reservation.reserved_at)
         ):
             self._parts.record_loss(self._first_server.id)
         if not error.was_sent:
--- a/tests/system/platform/test_partitions.py
+++ b/tests/system/platform/test_partitions.py
@@ -53,10 +53,11 @@
         await wait_for(lambda: any(len(run.tokens) > 5 for run in traffic.fleet.runs))
         traffic.nodes[CUT].cut(list_servers(traffic), kind)
 
+    answers: list[httpx.Response] = []
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(cut)
-        answer = await traffic.ask(path, node=CUT, X_Deadline_Ms="15000", X_Request_Id="in-progress")
-    return answer
+        answers.append(await traffic.ask(path, node=CUT, X_Deadline_Ms="15000", X_Request_Id="in-progress"))
+    return answers[0]
 
 
 @ALL_KINDS
