--- a/packages/core/src/vaneturn_core/traffic/state.py
+++ b/packages/core/src/vaneturn_core/traffic/state.py
@@ -95,6 +95,7 @@
     went_on: float = 0.0  # the same until another server was asked to resume the answer
     content: str = ""  # digest of what it asks for; a retry with another id has the same digest
     admission: AdmissionRecord | None = None  # of a request that was not admitted at once; not in the log line
+    forwarded_by: str = ""  # the node that forwarded it to this one
 
 
 __all__ = ["AdmissionRecord", "SeenServer", "SeenService", "TrafficRequest", "TrafficState"]
--- a/packages/node/src/vaneturn_node/http1/link.py
+++ b/packages/node/src/vaneturn_node/http1/link.py
@@ -93,12 +93,35 @@
             data += self._protocol.send(h11.Data(data=body)) or b""
         data += self._protocol.send(h11.EndOfMessage()) or b""
         self._was_sent = True
+        await self._send_bytes(data, limit)
+
+    async def _send_bytes(self, data: bytes, limit: float) -> None:
         try:
             await self._stream.send(data, limit)
         except TimeoutError:
-            raise LinkError("sending took too long", was_sent=True, is_unresponsive=True) from None
+            raise LinkError("sending took too long", was_sent=self._was_sent, is_unresponsive=True) from None
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            raise LinkError("connection lost while sending", was_sent=True) from None
+            raise LinkError("connection lost while sending", was_sent=self._was_sent) from None
+
+    async def send_when_accepted(
+        self, method: str, target: str, headers: Headers, body: bytes, accept_limit: float
+    ) -> None:
+        """Send the head of a request, and its body once the other side has asked for it.
+
+        :param accept_limit: seconds to wait for that; a request whose body was not sent is not handled.
+        :raises LinkError: the other side has not asked for the body in time, or sending failed.
+        """
+        self._was_sent = False
+        framed = [*headers, (b"content-length", str(len(body)).encode()), (b"expect", b"100-continue")]
+        head = self._protocol.send(h11.Request(method=method, target=target, headers=framed)) or b""
+        await self._send_bytes(head, accept_limit)
+        event = await self._read_event(accept_limit)
+        if not isinstance(event, h11.InformationalResponse):
+            raise LinkError("the request was not accepted", was_sent=False)
+        data = self._protocol.send(h11.Data(data=body)) or b""
+        data += self._protocol.send(h11.EndOfMessage()) or b""
+        self._was_sent = True
+        await self._send_bytes(data, accept_limit)
 
     async def read_head(self, limit: float) -> AnswerHead:
         """Wait for the head of the answer.
--- a/packages/node/src/vaneturn_node/http1/server.py
+++ b/packages/node/src/vaneturn_node/http1/server.py
@@ -60,6 +60,7 @@
         self._method = method
         self._is_stopping = is_stopping
         self.closes_connection = False  # whether the connection closes after this answer
+        self.list_added_headers: Callable[[], Headers] | None = None  # called when the head is sent
         self.is_begun = False
         self.is_ended = False
 
@@ -93,7 +94,8 @@
 
     def _list_hop_headers(self) -> list[tuple[bytes, bytes]]:
         self.closes_connection = self.closes_connection or self._is_stopping()
-        return [(b"connection", b"close")] if self.closes_connection else []
+        added = list(self.list_added_headers()) if self.list_added_headers is not None else []
+        return [*added, (b"connection", b"close")] if self.closes_connection else added
 
     async def _send(self, data: bytes) -> None:
         try:
--- a/packages/node/src/vaneturn_node/platform/headers.py
+++ b/packages/node/src/vaneturn_node/platform/headers.py
@@ -123,6 +123,12 @@
     return sent
 
 
+def replace_last_event_id(headers: Headers, last_event_id: str | None) -> list[tuple[bytes, bytes]]:
+    """Replace the id of the last event that the client has received."""
+    kept = [(name, value) for name, value in headers if name != LAST_EVENT_ID]
+    return kept if last_event_id is None else [*kept, (LAST_EVENT_ID, last_event_id.encode("latin-1"))]
+
+
 def build_client_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Build the headers for the client: those of the server without the hop-by-hop headers."""
     dropped = list_connection_headers(headers) | {b"content-length"}
@@ -163,4 +169,5 @@
     "format_chain",
     "read_answer_facts",
     "read_request_facts",
+    "replace_last_event_id",
 ]
--- a/packages/node/src/vaneturn_node/traffic/process/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/process/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 import signal
 import uuid
@@ -39,6 +40,7 @@
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.servers.reports import ReportBoard
 from vaneturn_node.traffic.serving.answering import RequestHandler
+from vaneturn_node.traffic.serving.forwardedrequests import ForwardedRequestHandler
 from vaneturn_node.traffic.serving.metrics import TrafficMetrics
 from vaneturn_node.traffic.serving.requesthistory import RequestHistory
 from vaneturn_node.traffic.sharing.changeclient import ChangeClient
@@ -46,12 +48,14 @@
 from vaneturn_node.traffic.sharing.changeserver import ChangeServer
 from vaneturn_node.traffic.sharing.crashsharing import CrashSharing
 from vaneturn_node.traffic.sharing.demandsharing import DemandSharing
+from vaneturn_node.traffic.sharing.forwarding import FORWARDED_PATH
 from vaneturn_node.traffic.sharing.loadsharing import LoadSharing
 from vaneturn_node.traffic.sharing.longvalues import LongValueReader
 from vaneturn_node.traffic.sharing.losssharing import LossSharing
 
 READINESS_PATH: Final = "/api/readyz"
 STOP_POLL_INTERVAL_S: Final = 0.05  # during a planned stop, between checks whether the process may end
+MAX_FORWARDED_HEAD_BYTES: Final = 131_072  # of a request that a node forwards, besides its body
 BACKLOG: Final = 512  # connections waiting to be accepted
 
 logger = logging.getLogger(__name__)
@@ -93,6 +97,9 @@
         ended = RequestHistory()
         self._connectivity = parts.connectivity
         self._request_handler = RequestHandler(parts, metrics, ended)
+        self._forwarded_handler = ForwardedRequestHandler(
+            self._request_handler, self._view, lambda: self._lifecycle.is_stopping
+        )
         self._placer = Placer(self._tenure, self._view, calls)
         self._lifecycle = Lifecycle(bounds.stop_s)
         change_log = ChangeLog()
@@ -224,11 +231,16 @@
         await self._serve(stream, self._operator_handler.answer)
 
     async def _serve_peer(self, stream: TcpStream) -> None:
-        await self._serve(stream, self._change_server.answer)
+        await self._serve(stream, self._answer_peer, extra_bytes=MAX_FORWARDED_HEAD_BYTES)
+
+    async def _answer_peer(self, request: ClientRequest, answer: ClientAnswer) -> None:
+        is_forwarded = request.path == FORWARDED_PATH
+        await (self._forwarded_handler if is_forwarded else self._change_server).answer(request, answer)
 
-    async def _serve(self, stream: TcpStream, handler: Handler) -> None:
+    async def _serve(self, stream: TcpStream, handler: Handler, extra_bytes: int = 0) -> None:
         configuration = self._view.configuration
         limits = configuration.limits if configuration is not None else ClientLimits()
+        limits = dataclasses.replace(limits, body_bytes=limits.body_bytes + extra_bytes)
         lifecycle = self._lifecycle
         await ClientConnection(stream, handler, limits, lifecycle.idle_scopes, lambda: lifecycle.is_stopping).run()
 
--- a/packages/node/src/vaneturn_node/traffic/servers/lossfinding.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/lossfinding.py
@@ -37,6 +37,7 @@
 
     parts: list[Part]  # to be replaced
     is_first_lost: bool = False  # the first server, which sends the answer, has crashed or is unreachable
+    reaches_none: bool = False  # no server has answered a probe
 
 
 class LossFinder:
@@ -47,6 +48,7 @@
         self._request = request  # the id that was sent to the servers
         self._unanswered = 0  # unanswered probes of the first server
         self._logged: tuple[set[ServerId], bool] = (set(), True)
+        self._reaches_none = False
         self._has_skipped = False  # whether parts were not probed because they had just worked for another request
 
     @property
@@ -62,6 +64,8 @@
         """
         heard_age = HEARD_AGE_S if tolerated_silence is None else min(HEARD_AGE_S, HEARD_AGE_SHARE * tolerated_silence)
         lost = await self._find_silent(chain, heard_age)
+        if self._reaches_none:
+            return ChainCheck([], reaches_none=True)
         if chain.parts[0] in lost:
             return ChainCheck([], is_first_lost=self._is_first_lost(chain))
         self._unanswered = 0
@@ -81,8 +85,12 @@
         unheard = [part for part in chain.parts if self._parts.beliefs[part.server.id].token_at < started - heard_age]
         self._has_skipped = len(unheard) < len(chain.parts)
         failed = await self._probe(unheard)
+        self._reaches_none = False
         refused = [part for part in failed if self._parts.reports.is_gone(part.server.id)]
         silent = [part for part in failed if part not in refused]
+        if len(refused) == len(unheard) and refused:  # either all have ended, or none can be reached
+            self._reaches_none = not await self._parts.can_reach_others({part.server.id for part in refused}, started)
+            return [] if self._reaches_none else refused
         if not silent:
             return refused
         self._unanswered += chain.parts[0] in silent
@@ -92,7 +100,8 @@
         self._log_silent(silent, len(unheard), started, is_connected=is_connected)
         if not is_connected:
             self._unanswered = 0
-            return refused
+            self._reaches_none = True
+            return []
         return refused + silent
 
     async def _probe(self, parts: Sequence[Part], max_age: float = REPORT_AGE_S) -> list[Part]:
--- a/packages/node/src/vaneturn_node/traffic/serving/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answering.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from functools import partial
 from typing import Final
 
 import anyio
@@ -16,6 +17,7 @@
 from vaneturn_core.traffic.pace import Pause
 from vaneturn_core.traffic.state import TrafficRequest
 from vaneturn_node.clock import read_clock
+from vaneturn_node.http1.messages import Headers
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
 from vaneturn_node.platform.directives import RETRY_AFTER
 from vaneturn_node.platform.headers import RequestFacts, build_client_headers, read_request_facts
@@ -23,10 +25,12 @@
 from vaneturn_node.traffic.serving.admitting import StreamAdmitter
 from vaneturn_node.traffic.serving.metrics import TrafficMetrics
 from vaneturn_node.traffic.serving.outcomes import Answered, OwnAnswer, Reason, refuse
+from vaneturn_node.traffic.serving.peerforwarding import PeerForwarder
 from vaneturn_node.traffic.serving.plain import PlainForwarder
 from vaneturn_node.traffic.serving.requesthistory import RequestHistory
-from vaneturn_node.traffic.serving.requests import RequestContext
+from vaneturn_node.traffic.serving.requests import FirstNode, RequestContext
 from vaneturn_node.traffic.serving.streams import StreamForwarder
+from vaneturn_node.traffic.sharing.forwarding import AnswerKind, AnswerMarks, build_marks
 
 NO_CONFIGURATION_RETRY_S: Final = 0.3  # a node reads its configuration within a second of its start
 NO_PAUSE: Final = Pause(0.0, 0.0)
@@ -42,15 +46,19 @@
         self._parts = parts
         self._history = history
         self._metrics = metrics
-        self._plain = PlainForwarder(parts)
+        peers = PeerForwarder(parts)
+        self._plain = PlainForwarder(parts, peers)
         self.admitter = StreamAdmitter(parts, metrics)
-        self._streams = StreamForwarder(parts, self.admitter)
+        self._streams = StreamForwarder(parts, self.admitter, peers)
         self._open_requests: dict[CancelScope, RequestContext] = {}
         self.in_progress = 0
         parts.crashes.listeners.append(self._cancel_barred)
 
-    async def handle(self, request: ClientRequest, answer: ClientAnswer) -> None:
-        """Admit and forward one request, write its answer and log its outcome."""
+    async def handle(self, request: ClientRequest, answer: ClientAnswer, first_node: FirstNode | None = None) -> None:
+        """Admit and forward one request, write its answer and log its outcome.
+
+        :param first_node: that forwarded the request to this one, None for a request of a client.
+        """
         facts = read_request_facts(request.headers)
         context: RequestContext | None = None
         result: Answered | OwnAnswer | None = None
@@ -59,18 +67,35 @@
         try:
             if self._parts.view.configuration is None:
                 await self._parts.first_reading.wait(facts.deadline, request.arrived)
-            admission = self._admit(request, facts)
+            admission = self._admit(request, facts, first_node)
             if isinstance(admission, OwnAnswer):
                 result = admission
             else:
                 context = admission
+                if first_node is not None:
+                    answer.list_added_headers = partial(self._mark_answer, first_node, context, None)
                 result = await self._forward_before_deadline(context, answer)
+            if first_node is not None:
+                answer.list_added_headers = partial(self._mark_answer, first_node, context, result)
             ending = await self._finish(result, answer)
         finally:
             self.in_progress -= 1
             self._log(request, facts, context, result, ending)
 
-    def _admit(self, request: ClientRequest, facts: RequestFacts) -> RequestContext | OwnAnswer:
+    def _mark_answer(
+        self, first_node: FirstNode, context: RequestContext | None, result: Answered | OwnAnswer | None
+    ) -> Headers:
+        """Build the marks of the answer to a forwarded request."""
+        kind = AnswerKind.NODE if isinstance(result, OwnAnswer) else AnswerKind.SERVER
+        if isinstance(result, OwnAnswer) and result.reason in {Reason.NO_PATH, Reason.NO_CONFIGURATION}:
+            kind = AnswerKind.DECLINED
+        configuration = self._parts.view.configuration
+        version = configuration.version if configuration is not None else 0
+        return build_marks(AnswerMarks(kind, context.runs if context is not None else first_node.runs, version))
+
+    def _admit(
+        self, request: ClientRequest, facts: RequestFacts, first_node: FirstNode | None
+    ) -> RequestContext | OwnAnswer:
         """Find the route and the customer of a request in the configuration in force, or refuse the request."""
         configuration = self._parts.view.configuration
         if configuration is None:
@@ -93,6 +118,7 @@
             customer=customer,
             is_key_valid=lambda: self._is_key_valid(route, facts, customer),
             crashes=self._parts.crashes,
+            first_node=first_node,
         )
 
     def _is_key_valid(self, route: TrafficRoute, facts: RequestFacts, customer: TrafficCustomer | None) -> bool:
@@ -155,7 +181,8 @@
             await answer.send_whole(result.status, build_client_headers(result.headers), result.body)
             return f"status {result.status}"
         # a node that is not ready closes the connection, so that the client's next one goes to a node that is
-        answer.closes_connection = answer.closes_connection or not self._parts.view.is_ready()
+        is_served_here = self._parts.view.is_ready() and result.reason is not Reason.NO_PATH
+        answer.closes_connection = answer.closes_connection or not is_served_here
         headers = [(b"content-type", b"application/json")]
         if result.retry_after is not None:
             headers.append((RETRY_AFTER, f"{result.retry_after:.2f}".encode()))
@@ -195,6 +222,7 @@
             looked=round(pause.looked, 3),
             found=round(pause.found, 3),
             went_on=round(pause.went_on, 3),
+            forwarded_by=context.first_node.vm if context is not None and context.first_node is not None else "",
             content=format_content(context.content) if context is not None else "",
             admission=context.admission if context is not None else None,
         )
--- a/packages/node/src/vaneturn_node/traffic/serving/outcomes.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/outcomes.py
@@ -46,6 +46,7 @@
     UNKNOWN_KEY = "unknown_key"
     KEYS_TOO_OLD = "keys_too_old"
     NO_SERVER = "no_server"
+    NO_PATH = "no_path"  # neither this node nor any that it has asked reaches a server of the service
     NO_CHAIN = "no_chain"
     CROSSINGS_FULL = "crossings_full"
     SERVERS_LIMITED = "servers_limited"
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -0,0 +1,233 @@
+"""Forwards requests over other nodes while this node reaches no server of their service."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+import msgspec
+
+from vaneturn_core.identifiers import VmId
+from vaneturn_core.traffic.peerchoice import PeerChoice
+from vaneturn_node.clock import read_clock
+from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
+from vaneturn_node.http1.messages import find_header, parse_decimal
+from vaneturn_node.platform.directives import RETRY_AFTER
+from vaneturn_node.traffic.servers.exchange import TrafficParts
+from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, OwnAnswer, Reason
+from vaneturn_node.traffic.serving.requests import RequestContext
+from vaneturn_node.traffic.sharing.forwarding import (
+    FORWARDED_PATH,
+    AnswerKind,
+    AnswerMarks,
+    ForwardedRequest,
+    drop_marks,
+    encode_forwarded,
+    read_marks,
+)
+
+ACCEPT_TIMEOUT_S: Final = 0.15  # until a node accepts a request; a healthy one does so in a few milliseconds
+MAX_PEER_IDLE_S: Final = 2.0  # of pooled connections; nodes close idle ones after some seconds
+MAX_OFFERS: Final = 8  # of one request to other nodes
+PEER_SILENCE_S: Final = 1.0  # of a node that has accepted a request, until a request that may run again is moved
+
+logger = logging.getLogger(__name__)
+
+
+class _ErrorBody(msgspec.Struct):
+    """The body of an answer that a node makes itself."""
+
+    error: str = ""
+    cause: str = ""
+
+
+@dataclass
+class PeerAnswer:
+    """The answer of the node that has accepted a request; its body is still to be read."""
+
+    peer: VmId
+    link: HttpLink
+    head: AnswerHead  # without marks
+    marks: AnswerMarks
+
+    async def read_whole(self, limit: float) -> Answered | OwnAnswer | MayHaveRun | NotRun:
+        """Read the rest of an answer that is not a stream.
+
+        :raises LinkError: it did not arrive whole, or not in time.
+        """
+        parts = []
+        while (data := await self.link.read_data(limit)) is not None:
+            parts.append(data)
+        body = b"".join(parts)
+        if self.marks.kind is AnswerKind.SERVER:
+            return Answered(self.head.status, self.head.headers, body)
+        return self._decode_own(body)
+
+    def _decode_own(self, body: bytes) -> OwnAnswer | MayHaveRun | NotRun:
+        try:
+            error = msgspec.json.decode(body, type=_ErrorBody)
+        except msgspec.DecodeError:
+            error = _ErrorBody()
+        cause = f"{self.peer}: {error.cause or error.error}"
+        if self.marks.kind is AnswerKind.DECLINED:
+            return NotRun(cause, has_no_path=True)
+        known = {reason.value: reason for reason in Reason}
+        reason = known.get(error.error, Reason.NOT_RUN if self.head.status == 503 else Reason.MAY_HAVE_RUN)  # noqa: PLR2004 # "not run" for both interfaces
+        if reason is Reason.MAY_HAVE_RUN:
+            return MayHaveRun(cause)
+        retry_after = find_header(self.head.headers, RETRY_AFTER)
+        return OwnAnswer(
+            self.head.status, reason, parse_decimal(retry_after) if retry_after is not None else None, cause
+        )
+
+
+class PeerForwarder:
+    """Offers requests to other nodes, one after the other, until one accepts."""
+
+    def __init__(self, parts: TrafficParts) -> None:
+        self._parts = parts
+        self._choice = PeerChoice(parts.vm, read_clock)
+        self._newest_version = 0  # of the configuration by which a request of this node was answered
+        self.in_progress = 0
+
+    def needs_peer(self, context: RequestContext) -> bool:
+        """Tell whether a request should go to another node.
+
+        This node tries itself, once no other node has accepted the request, until several rounds of probes have failed.
+        """
+        is_lost = self._parts.connectivity.is_lost(context.service)
+        return is_lost and (
+            not context.has_declined_peers or self._parts.connectivity.is_confirmed_lost(context.service)
+        )
+
+    async def offer(
+        self, context: RequestContext, last_event_id: str | None, silence: float, *, is_resumed: bool = False
+    ) -> PeerAnswer | MayHaveRun | NotRun:
+        """Offer a request to other nodes; return the answer of the one that accepts, up to its head.
+
+        :param last_event_id: id of the last event that the client has received.
+        :param silence: seconds to wait for the head of the answer.
+        :param is_resumed: whether the client has received a part of the answer.
+        """
+        nodes: Mapping[VmId, str | None] = self._parts.view.nodes
+        asked: set[VmId] = set()
+        while not context.is_forwarded and len(asked) < MAX_OFFERS and context.time_left > 0:
+            peer = self._choice.choose(nodes, asked)
+            address = nodes.get(peer) if peer is not None else None
+            if peer is None or address is None:
+                break
+            asked.add(peer)
+            outcome = await self._offer_to(peer, address, context, last_event_id, silence, is_resumed=is_resumed)
+            if not isinstance(outcome, NotRun):
+                return outcome
+            context.add_step(f"forwarded to {peer}: {outcome.cause}")
+            if not outcome.has_no_path:
+                return outcome
+            self._choice.record_declined(peer)
+        return NotRun(f"none of {len(asked)} nodes reaches a server", has_no_path=True)
+
+    async def _offer_to(
+        self,
+        peer: VmId,
+        address: str,
+        context: RequestContext,
+        last_event_id: str | None,
+        silence: float,
+        *,
+        is_resumed: bool,
+    ) -> PeerAnswer | MayHaveRun | NotRun:
+        link: HttpLink | None = None
+        is_kept = False
+        self._choice.record_begun(peer)
+        self.in_progress += 1
+        try:
+            link = await self._parts.pool.acquire(address, MAX_PEER_IDLE_S)
+            if not context.may_send():
+                return NotRun("keys too old")
+            message = encode_forwarded(self._make_message(context, last_event_id, is_resumed=is_resumed))
+            headers = [(b"host", address.encode()), (b"content-type", b"application/msgpack")]
+            await link.send_when_accepted("POST", FORWARDED_PATH, headers, message, ACCEPT_TIMEOUT_S)
+            context.sends += 1
+            head = await self._read_head(link, context, silence)
+            marks = read_marks(head.headers)
+            if marks is None or marks.kind is AnswerKind.DECLINED:
+                context.sends -= 1
+                return NotRun(f"declined with {head.status}", has_no_path=True)
+            self._newest_version = max(self._newest_version, marks.version)
+            context.runs = max(context.runs, marks.runs)
+            context.add_step(f"forwarded to {peer}")
+            is_kept = True
+            return PeerAnswer(peer, link, AnswerHead(head.status, list(drop_marks(head.headers))), marks)
+        except LinkError as error:
+            if not error.was_sent:
+                return NotRun(error.cause, has_no_path=True)
+            context.runs += 1
+            context.add_step(f"forwarded to {peer}: {error.cause}")
+            return MayHaveRun(f"{peer}: {error.cause}")
+        finally:
+            if not is_kept:
+                self._end(peer)
+                await _abort(link)
+
+    async def _read_head(self, link: HttpLink, context: RequestContext, silence: float) -> AnswerHead:
+        """Wait for the head of the answer, until the deadline if the request may not run again.
+
+        :raises LinkError: it did not arrive in time, or the connection was lost.
+        """
+        while True:
+            try:
+                return await link.read_head(silence)
+            except LinkError as error:
+                if not error.is_unresponsive or context.may_run_again or context.time_left <= 0:
+                    raise
+
+    def _make_message(
+        self, context: RequestContext, last_event_id: str | None, *, is_resumed: bool
+    ) -> ForwardedRequest:
+        configuration = self._parts.view.configuration
+        request = context.request
+        return ForwardedRequest(
+            vm=self._parts.vm,
+            method=request.method,
+            target=request.target,
+            headers=list(request.headers),
+            body=request.body,
+            elapsed=context.age,
+            version=max(self._newest_version, configuration.version if configuration is not None else 0),
+            sends=context.sends,
+            runs=context.runs,
+            may_have_run=context.may_have_run,
+            last_event_id=last_event_id,
+            is_resumed=is_resumed,
+        )
+
+    async def release(self, answer: PeerAnswer, *, is_whole: bool) -> None:
+        """Return the connection to the pool if the answer is whole; else close it, so that the other node stops."""
+        self._end(answer.peer)
+        if not is_whole:
+            await _abort(answer.link)
+            return
+        address = self._parts.view.nodes.get(answer.peer)
+        with anyio.CancelScope(shield=True):
+            if address is None:
+                await answer.link.abort()
+            else:
+                await self._parts.pool.release(answer.link, address)
+
+    def _end(self, peer: VmId) -> None:
+        self.in_progress -= 1
+        self._choice.record_ended(peer)
+
+
+async def _abort(link: HttpLink | None) -> None:
+    if link is not None:
+        with anyio.CancelScope(shield=True):
+            await link.abort()
+
+
+OnForwarded = Callable[[], None]
+
+__all__ = ["PEER_SILENCE_S", "PeerAnswer", "PeerForwarder"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/serving/peertry.py
@@ -0,0 +1,94 @@
+"""One try to get a stream over another node, which chooses and repairs the chain."""
+
+from __future__ import annotations
+
+from vaneturn_core.traffic.pace import PauseStep
+from vaneturn_node.clock import read_clock
+from vaneturn_node.http1.link import LinkError
+from vaneturn_node.traffic.serving.clientstream import ClientStream
+from vaneturn_node.traffic.serving.events import EventSplitter
+from vaneturn_node.traffic.serving.outcomes import MayHaveRun, NotRun, OwnAnswer, TryOutcome
+from vaneturn_node.traffic.serving.peerforwarding import PEER_SILENCE_S, PeerAnswer, PeerForwarder
+from vaneturn_node.traffic.serving.requests import RequestContext
+from vaneturn_node.traffic.serving.streamtry import OnAccepted
+from vaneturn_node.traffic.sharing.forwarding import AnswerKind
+
+SUCCESS_STATUSES = range(200, 300)
+
+
+class PeerTry:
+    """Forwards a request to another node and relays the answer."""
+
+    def __init__(
+        self,
+        *,
+        forwarder: PeerForwarder,
+        context: RequestContext,
+        client: ClientStream,
+        on_accepted: OnAccepted | None = None,
+    ) -> None:
+        """Prepare the try.
+
+        :param on_accepted: called when a server has accepted the request at the other node.
+        """
+        self._forwarder = forwarder
+        self._context = context
+        self._client = client
+        self._on_accepted = on_accepted
+        self._events = 0
+
+    async def run(self) -> TryOutcome | OwnAnswer | None:
+        """Relay the answer; return None when it has ended in full."""
+        outcome: TryOutcome | OwnAnswer | None = MayHaveRun("cancelled")
+        self._client.pace.record_step(PauseStep.RESUMED, read_clock())
+        answer = await self._forwarder.offer(
+            self._context, self._client.last_event, PEER_SILENCE_S, is_resumed=self._client.is_begun
+        )
+        if not isinstance(answer, PeerAnswer):
+            self._context.may_have_run = self._context.may_have_run or isinstance(answer, MayHaveRun)
+            return answer
+        try:
+            outcome = await self._handle(answer)
+        except LinkError as error:
+            outcome = MayHaveRun(f"{answer.peer}: {error.cause}, after {self._events} events")
+        finally:
+            await self._forwarder.release(answer, is_whole=not isinstance(outcome, MayHaveRun))
+            self._context.may_have_run = self._context.may_have_run or isinstance(outcome, MayHaveRun)
+        if isinstance(outcome, MayHaveRun):
+            self._context.add_step(outcome.cause)
+        return outcome
+
+    async def _handle(self, answer: PeerAnswer) -> TryOutcome | OwnAnswer | None:
+        if answer.marks.kind is not AnswerKind.SERVER or answer.head.status not in SUCCESS_STATUSES:
+            outcome = await answer.read_whole(self._context.time_left)
+            if isinstance(outcome, OwnAnswer) and self._client.is_begun:
+                return NotRun(outcome.cause)  # an answer in progress is resumed again
+            return outcome
+        self._context.release_place()
+        if self._on_accepted is not None:
+            await self._on_accepted()
+        self._client.set_head(answer.head)
+        splitter = EventSplitter()
+        while (data := await self._read(answer)) is not None:
+            relayed = await self._client.relay(splitter, data)
+            if relayed:
+                self._events += relayed
+                self._context.events += relayed
+                self._context.wait_steps.clear()
+        await self._client.end(splitter)
+        return None
+
+    async def _read(self, answer: PeerAnswer) -> bytes | None:
+        """Wait for more of the answer.
+
+        :raises LinkError: the connection was lost, or the other node is silent and the request may run again.
+        """
+        while True:
+            try:
+                return await answer.link.read_data(PEER_SILENCE_S)
+            except LinkError as error:
+                if not error.is_unresponsive or self._context.may_run_again or self._context.time_left <= 0:
+                    raise
+
+
+__all__ = ["PeerTry"]
--- a/packages/node/src/vaneturn_node/traffic/serving/repair.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/repair.py
@@ -16,6 +16,7 @@
 from vaneturn_node.traffic.serving.requests import RequestContext
 
 MAX_DETOURS: Final = 3
+PATH_CHECK_AGE_S: Final = 0.1  # a connection that was opened before says nothing about the path now
 ENDED_SILENCE_S: Final = 1.0  # of a first server whose entry is gone; an answer survives shorter silences
 LOST_REQUEST_AGE_S: Final = 1.0  # without an event; half of the time after which clients leave
 
@@ -74,6 +75,9 @@
         pace.record_step(PauseStep.PROBED, read_clock())
         borne = pace.get_step_time(PauseStep.PROBED)
         losses = await self._finder.find(self._reservation.chain, mean_gap=pace.usual, tolerated_silence=borne)
+        if losses.reaches_none:
+            await self._leave_lost_path()
+            return
         if losses.is_first_lost or losses.parts:
             pace.record_step(PauseStep.FOUND, read_clock())
         if losses.is_first_lost:
@@ -85,6 +89,18 @@
         else:
             await self._find_lost_request()
 
+    async def _leave_lost_path(self) -> None:
+        """Move to another node if this one has lost its path to the servers; until one accepts, the try is kept.
+
+        :raises TryEndedError: another try has replaced this one, or this one cannot continue.
+        """
+        if await self._parts.connectivity.check(self._context.service, read_clock() - PATH_CHECK_AGE_S):
+            return
+        if self._context.is_forwarded and self._context.route.may_repeat:
+            self._reservation.count_run()
+            raise TryEndedError(MayHaveRun("no path to any server"))  # the first node asks another one
+        await self._move("no path to any server", is_first_lost=True)
+
     async def _find_lost_request(self) -> None:
         """Move to another try if the first server, which answers probes, does not know the request.
 
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -8,7 +8,7 @@
 from functools import cached_property
 from typing import Final
 
-from vaneturn_core.identifiers import ServiceName
+from vaneturn_core.identifiers import ServiceName, VmId
 from vaneturn_core.traffic.beliefs import ServerStatus
 from vaneturn_core.traffic.chain import Chain
 from vaneturn_core.traffic.configuration import TrafficCustomer, TrafficRoute
@@ -27,6 +27,17 @@
 LEAST_URGENT: Final = 9
 
 
+@dataclass(frozen=True, slots=True)
+class FirstNode:
+    """The node that forwarded a request to this one, and what it had done with the request before."""
+
+    vm: VmId
+    sends: int
+    runs: int
+    may_have_run: bool
+    is_resumed: bool  # the client has received a part of the answer
+
+
 @dataclass
 class RequestContext:
     """An admitted request and the state of its tries."""
@@ -38,6 +49,7 @@
     customer: TrafficCustomer | None
     is_key_valid: Callable[[], bool]  # called right before each send: the key may have been revoked meanwhile
     crashes: CrashBoard
+    first_node: FirstNode | None = None  # that forwarded it; such a request is not forwarded again
     sends: int = 0
     runs: int = 0  # sends that count as attempts; those to servers that are gone do not
     may_have_run: bool = False  # if so, no answer of this node may promise that it has not run
@@ -52,6 +64,19 @@
     is_sound: bool = False  # a server has run it for a while, so it does not crash servers
     admission: AdmissionRecord | None = None  # of a request that was not admitted at once
     wait_steps: set[str] = field(default_factory=set)  # reasons to wait since the newest event; each is logged once
+    has_declined_peers: bool = False  # no other node has accepted it
+    release_place: Callable[[], None] = lambda: None  # ends its admission by this node, when another has admitted it
+
+    def __post_init__(self) -> None:
+        """Continue the counts of the node that forwarded it."""
+        if self.first_node is not None:
+            self.sends, self.runs = self.first_node.sends, self.first_node.runs
+            self.may_have_run = self.first_node.may_have_run
+
+    @property
+    def is_forwarded(self) -> bool:
+        """Tell whether another node has forwarded it to this one."""
+        return self.first_node is not None
 
     @cached_property
     def content(self) -> Content:
@@ -124,11 +149,20 @@
             server=server,
             deadline=None if self.facts.deadline is None else max(0.001, self.time_left),
             customer=self.customer.name if self.customer is not None else None,
-            priority=MOST_URGENT if is_resumed else min(LEAST_URGENT, self.priority),
+            priority=MOST_URGENT if is_resumed or self._is_resumed_here else min(LEAST_URGENT, self.priority),
             chain=chain,
             last_event_id=last_event if last_event is not None else self.facts.last_event_id,
         )
 
+    @property
+    def is_declinable(self) -> bool:
+        """Tell whether it was forwarded to this node, which has not sent it to any server."""
+        return self.first_node is not None and self.sends == self.first_node.sends
+
+    @property
+    def _is_resumed_here(self) -> bool:
+        return self.first_node is not None and self.first_node.is_resumed
+
     def make_barred_answer(self) -> OwnAnswer:
         """Make the final answer to a request that crashes servers; status 400 tells clients not to repeat it."""
         ended = ", ".join(self.crashes.list_crashed_servers(self.content))
--- a/packages/node/src/vaneturn_node/traffic/serving/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streams.py
@@ -4,6 +4,7 @@
 
 import random
 from enum import Enum
+from functools import partial
 from typing import Final
 
 import anyio
@@ -14,9 +15,12 @@
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.server import ClientAnswer
 from vaneturn_node.traffic.servers.exchange import TrafficParts
+from vaneturn_node.traffic.serving.admissionrequest import UNCOUNTED_PLACE
 from vaneturn_node.traffic.serving.admitting import StreamAdmitter
 from vaneturn_node.traffic.serving.clientstream import ClientStream
 from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, OwnAnswer, Reason, TryOutcome, refuse
+from vaneturn_node.traffic.serving.peerforwarding import PeerForwarder
+from vaneturn_node.traffic.serving.peertry import PeerTry
 from vaneturn_node.traffic.serving.requests import RequestContext
 from vaneturn_node.traffic.serving.streamtry import OnAccepted, StreamTry
 
@@ -26,6 +30,7 @@
 # lower and upper bound of a random time: a hall has all layers again after one or two loads of layers, each of
 # 1.6 to 5 s, and the refused clients should not all return at once
 CROSSINGS_RETRY_S: Final = (1.0, 4.0)
+NO_PATH_RETRY_S: Final = 0.5  # plus random jitter of up to as much; another node may reach a server
 CHAIN_SEARCH_INTERVAL_S: Final = 0.2  # between searches for a chain that can resume a begun answer
 
 
@@ -35,24 +40,30 @@
     CHAIN = "chain"
     CROSSING = "crossing"  # the only chain crosses between halls, and the inter-hall links have no free capacity
     BUDGET = "budget"
+    PATH = "path"  # this node reaches no server
 
 
 class StreamForwarder:
     """Sends a request over a chain, and resumes it over another one when that fails."""
 
-    def __init__(self, parts: TrafficParts, admitter: StreamAdmitter) -> None:
+    def __init__(self, parts: TrafficParts, admitter: StreamAdmitter, peers: PeerForwarder) -> None:
         self._parts = parts
+        self._peers = peers
         self._admitter = admitter
 
     async def forward(
         self, context: RequestContext, engine: EngineProfile, answer: ClientAnswer
     ) -> Answered | OwnAnswer | None:
         """Relay a streamed answer; return None if it was relayed, either in full or broken off after its start."""
-        self._parts.arrivals.record()
         client = ClientStream(answer, context.facts.last_event_id, self._parts.patience.record_pause)
-        place = await self._admitter.admit(context, engine)
-        if isinstance(place, OwnAnswer):
-            return place
+        place = UNCOUNTED_PLACE
+        if not self._peers.needs_peer(context):  # the node that it is forwarded to admits it
+            self._parts.arrivals.record()
+            admitted = await self._admitter.admit(context, engine)
+            if isinstance(admitted, OwnAnswer):
+                return admitted
+            place = admitted
+            context.release_place = partial(place.release, is_whole=False)
         started_at = read_clock()
         try:
             outcome = await self._forward(context, engine, client)
@@ -75,31 +86,56 @@
         refusals = 0
         while context.sends < MAX_SENDS and refusals < MAX_REFUSALS and context.time_left > 0 and context.may_send():
             prepared = self._prepare_try(context, engine, client)
-            if prepared in {Shortage.CHAIN, Shortage.CROSSING} and client.is_begun:
-                context.add_wait_step("no chain")
-                await anyio.sleep(CHAIN_SEARCH_INTERVAL_S)
-                context.avoided.clear()  # lost servers are in backoff, and those that are back may serve
-                continue
-            if not isinstance(prepared, StreamTry):
+            if isinstance(prepared, Shortage):
+                if prepared in {Shortage.CHAIN, Shortage.CROSSING} and client.is_begun:
+                    await self._wait_for_chain(context, "no chain")
+                    continue
                 return self._give_up(context, client, outcome, prepared)
-            outcome = await prepared.run()
-            if outcome is None:
-                return None
+            result = await prepared.run()
+            if result is None or isinstance(result, OwnAnswer):
+                return result
+            outcome = result
             if isinstance(outcome, Answered) and not client.is_begun:
                 return outcome
+            if isinstance(outcome, NotRun) and outcome.has_no_path:
+                if isinstance(prepared, PeerTry) and not await self._may_search_path(context, client):
+                    return self._give_up(context, client, outcome, Shortage.PATH)
+                continue
             refusals += isinstance(outcome, NotRun) and not outcome.is_rate_limited
             if not isinstance(outcome, NotRun) and not context.may_run_again:
                 break
         return self._give_up(context, client, outcome)
 
+    async def _may_search_path(self, context: RequestContext, client: ClientStream) -> bool:
+        """Tell whether a request that no other node has accepted may be tried again; a begun one waits before."""
+        if client.is_begun:
+            await self._wait_for_chain(context, "no path to any server")
+            return True
+        may_try = not context.has_declined_peers
+        context.has_declined_peers = True
+        return may_try
+
+    async def _wait_for_chain(self, context: RequestContext, reason: str) -> None:
+        """Wait before the next search for a chain that can resume a begun answer."""
+        context.add_wait_step(reason)
+        await anyio.sleep(CHAIN_SEARCH_INTERVAL_S)
+        context.avoided.clear()  # lost servers are in backoff, and those that are back may serve
+
     def _prepare_try(
         self,
         context: RequestContext,
         engine: EngineProfile,
         client: ClientStream,
         on_accepted: OnAccepted | None = None,
-    ) -> StreamTry | Shortage:
-        """Prepare a try: choose its chain and, unless it is the first, take it from the retry budget."""
+    ) -> StreamTry | PeerTry | Shortage:
+        """Prepare a try: choose its chain and, unless it is the first, take it from the retry budget.
+
+        A try over another node is taken from the budget of that node.
+        """
+        if self._peers.needs_peer(context):
+            if context.is_forwarded:
+                return Shortage.PATH
+            return PeerTry(forwarder=self._peers, context=context, client=client, on_accepted=on_accepted)
         chooser = self._make_chooser(context, engine, is_begun=client.is_begun)
         chain = chooser.choose(self._parts.list_eligible(context.service, context.avoided))
         if chain is None:
@@ -111,12 +147,12 @@
             context.add_wait_step("retry budget used up")
             return Shortage.BUDGET
 
-        def prepare_next(on_next_accepted: OnAccepted) -> StreamTry | None:
+        def prepare_next(on_next_accepted: OnAccepted) -> StreamTry | PeerTry | None:
             # the last send is kept for when no try is left
             if context.sends >= MAX_SENDS - 1 or not context.may_send():
                 return None
             prepared = self._prepare_try(context, engine, client, on_next_accepted)
-            return prepared if isinstance(prepared, StreamTry) else None
+            return None if isinstance(prepared, Shortage) else prepared
 
         return StreamTry(
             parts=self._parts,
@@ -170,18 +206,26 @@
         outcome: TryOutcome | None,
         shortage: Shortage | None = None,
     ) -> OwnAnswer | None:
-        if outcome is None and shortage is Shortage.CROSSING and context.may_send():
-            return refuse(Reason.CROSSINGS_FULL, random.uniform(*CROSSINGS_RETRY_S))
         if client.is_begun:
             context.add_step("answer broken off")
             return None
         cause = outcome.cause if isinstance(outcome, NotRun | MayHaveRun) else ""
-        if context.may_have_run:
+        if context.may_have_run and not (shortage is Shortage.PATH and context.is_declinable):
             return context.make_may_have_run_answer(cause)
+        return self._refuse(context, outcome, shortage, cause)
+
+    def _refuse(
+        self, context: RequestContext, outcome: TryOutcome | None, shortage: Shortage | None, cause: str
+    ) -> OwnAnswer:
+        """Refuse a request that has not run."""
         wait = self._parts.compute_wait(context.service)
         retry_after = wait + RETRY_AFTER_S * (1 + random.random())
         if not context.may_send():
             return refuse(Reason.KEYS_TOO_OLD, retry_after, cause)
+        if outcome is None and shortage is Shortage.CROSSING:
+            return refuse(Reason.CROSSINGS_FULL, random.uniform(*CROSSINGS_RETRY_S))
+        if shortage is Shortage.PATH:
+            return refuse(Reason.NO_PATH, NO_PATH_RETRY_S * (1 + random.random()), cause)
         if wait:
             return refuse(Reason.SERVERS_LIMITED, retry_after, cause)
         return refuse(Reason.NO_CHAIN if outcome is None else Reason.NOT_RUN, retry_after, cause)
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -8,7 +8,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from functools import partial
-from typing import Final, TypeVar
+from typing import Final, Protocol, TypeVar
 
 import anyio
 
@@ -26,7 +26,7 @@
 from vaneturn_node.traffic.serving.clientstream import ClientStream
 from vaneturn_node.traffic.serving.events import EventSplitter
 from vaneturn_node.traffic.serving.heads import handle_head
-from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, TryOutcome
+from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, OwnAnswer, TryOutcome
 from vaneturn_node.traffic.serving.repair import ChainRepair, TryEndedError
 from vaneturn_node.traffic.serving.requests import RequestContext
 
@@ -44,6 +44,13 @@
 OnAccepted = Callable[[], Awaitable[None]]
 
 
+class NextTry(Protocol):
+    """Another try of the same request."""
+
+    async def run(self) -> TryOutcome | OwnAnswer | None:
+        """Relay its answer; return None when that has ended in full."""
+
+
 class StreamTry:
     """One send of a streamed request over one chain."""
 
@@ -183,6 +190,10 @@
             or await self._parts.can_reach_others({self._first_server.id}, self._reservation.reserved_at)
         ):
             self._parts.record_loss(self._first_server.id)
+        if error.has_no_path:
+            self._parts.get_retry_budget(self._context.service).take_back(is_first=self._context.sends == 1)
+            self._context.sends -= 1
+            return NotRun(error.cause, has_no_path=True)
         if not error.was_sent:
             return NotRun(error.cause, is_unreachable=True)
         self._reservation.count_run()
@@ -242,7 +253,7 @@
             return
         context.add_step(cause)
         self._reservation.count_run()
-        outcome: TryOutcome | None = None
+        outcome: TryOutcome | OwnAnswer | None = None
         self._has_resumed = False
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_for_resume, tasks.cancel_scope)
@@ -251,6 +262,7 @@
         if isinstance(outcome, Answered) and not self._client.is_begun:
             await self._yield_to_next(is_first_lost=is_first_lost)
         if self._is_replaced:
+            assert not isinstance(outcome, OwnAnswer)  # noqa: S101 # such a try has replaced nothing
             raise TryEndedError(outcome)
         self._next_move_at = read_clock() + MOVE_BACKOFF_S
 
@@ -281,6 +293,6 @@
         await self._close(is_whole=False)
 
 
-PrepareNext = Callable[[OnAccepted], StreamTry | None]
+PrepareNext = Callable[[OnAccepted], NextTry | None]
 
 __all__ = ["OnAccepted", "PrepareNext", "StreamTry", "TryOutcome"]
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/sharing/forwarding.py
@@ -0,0 +1,105 @@
+"""Messages for a request that one node forwards to another: the request, and the headers of its answer."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+import msgspec
+from msgspec import Struct
+
+from vaneturn_core.identifiers import VmId
+from vaneturn_node.http1.messages import Headers, find_header
+
+FORWARDED_PATH: Final = "/forwarded"
+_KIND: Final = b"vaneturn-answer"
+_RUNS: Final = b"vaneturn-runs"
+_VERSION: Final = b"vaneturn-version"
+_NAMES: Final = frozenset({_KIND, _RUNS, _VERSION})
+
+logger = logging.getLogger(__name__)
+
+
+class ForwardedRequest(Struct):
+    """A client's request, and what the first node has done with it."""
+
+    vm: VmId  # that forwards it
+    method: str
+    target: str
+    headers: list[tuple[bytes, bytes]]  # of the client
+    body: bytes
+    elapsed: float  # seconds since it arrived from the client
+    version: int  # of the configuration; the answer must not come from an older one
+    sends: int = 0  # to servers, which may have received it
+    runs: int = 0  # that count as attempts
+    may_have_run: bool = False
+    last_event_id: str | None = None  # that the client has received from this answer or an earlier one
+    is_resumed: bool = False  # the client has received a part of this answer
+
+
+class AnswerKind(Enum):
+    """Who decided on the answer to a forwarded request."""
+
+    SERVER = "server"
+    NODE = "node"  # that the request was forwarded to
+    DECLINED = "declined"  # that node has not sent it to any server and will not
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerMarks:
+    """What a node adds to the answer to a forwarded request."""
+
+    kind: AnswerKind
+    runs: int  # of the request that count as attempts, over both nodes
+    version: int  # of the configuration in force at the answering node
+
+
+def encode_forwarded(request: ForwardedRequest) -> bytes:
+    """Encode a forwarded request."""
+    return msgspec.msgpack.encode(request)
+
+
+def decode_forwarded(body: bytes) -> ForwardedRequest | None:
+    """Decode a forwarded request; None if it is invalid."""
+    try:
+        return msgspec.msgpack.decode(body, type=ForwardedRequest)
+    except msgspec.DecodeError as error:
+        logger.warning("forwarded request not understood", extra={"fault": str(error)})
+        return None
+
+
+def build_marks(marks: AnswerMarks) -> Headers:
+    """Build the headers that mark an answer."""
+    return [
+        (_KIND, marks.kind.value.encode()),
+        (_RUNS, str(marks.runs).encode()),
+        (_VERSION, str(marks.version).encode()),
+    ]
+
+
+def read_marks(headers: Headers) -> AnswerMarks | None:
+    """Read the marks of an answer; None if it has none, as from a node of an older build."""
+    kind, runs, version = (find_header(headers, name) or b"" for name in (_KIND, _RUNS, _VERSION))
+    if kind.decode("latin-1") not in {each.value for each in AnswerKind} or not (runs.isdigit() and version.isdigit()):
+        return None
+    return AnswerMarks(AnswerKind(kind.decode("latin-1")), int(runs), int(version))
+
+
+def drop_marks(headers: Headers) -> Headers:
+    """Drop the marks, which clients do not get."""
+    return [(name, value) for name, value in headers if name not in _NAMES]
+
+
+__all__ = [
+    "FORWARDED_PATH",
+    "AnswerKind",
+    "AnswerMarks",
+    "ForwardedRequest",
+    "build_marks",
+    "decode_forwarded",
+    "drop_marks",
+    "encode_forwarded",
+    "read_marks",
+]
--- a/tests/node/traffic/serving/test_streamobjectives.py
+++ b/tests/node/traffic/serving/test_streamobjectives.py
@@ -15,6 +15,7 @@
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller
 from vaneturn_node.http1.pool import LinkPool
+from vaneturn_node.traffic.serving.peerforwarding import PeerForwarder
 from vaneturn_node.traffic.serving.streams import StreamForwarder
 
 LLM = ServiceName("llm")
@@ -43,4 +44,5 @@
     route = SimpleNamespace(objective=objective, pause_objective=pause)
     admitter: Any = None  # no request is admitted here
     context: Any = SimpleNamespace(route=route, age=0.1, service=LLM)
-    assert StreamForwarder(parts, admitter)._list_objectives(context, is_begun=is_begun) == expected
+    forwarder = StreamForwarder(parts, admitter, PeerForwarder(parts))
+    assert forwarder._list_objectives(context, is_begun=is_begun) == expected
--- a/tests/node/traffic/serving/test_streamplaces.py
+++ b/tests/node/traffic/serving/test_streamplaces.py
@@ -19,6 +19,7 @@
 from vaneturn_node.http1.pool import LinkPool
 from vaneturn_node.traffic.serving.admissionrequest import Place
 from vaneturn_node.traffic.serving.outcomes import OwnAnswer, Reason, refuse
+from vaneturn_node.traffic.serving.peerforwarding import PeerForwarder
 from vaneturn_node.traffic.serving.streams import StreamForwarder
 
 pytestmark = pytest.mark.anyio
@@ -41,7 +42,7 @@
         admitter: Any = SimpleNamespace(admit=self._admit)
         self._admitted = admitted if admitted is not None else place
         self.answer: Any = SimpleNamespace(is_ended=False)
-        self._forwarder = StreamForwarder(parts, admitter)
+        self._forwarder = StreamForwarder(parts, admitter, PeerForwarder(parts))
         monkeypatch.setattr(self._forwarder, "_forward", self._send)
 
     async def _admit(self, _context: Any, _engine: Any) -> Place | OwnAnswer:
@@ -52,7 +53,7 @@
         await engine()
 
     async def run(self, engine: Any) -> Any:
-        context: Any = SimpleNamespace(facts=SimpleNamespace(last_event_id=None))
+        context: Any = SimpleNamespace(facts=SimpleNamespace(last_event_id=None), service="llm")
         return await self._forwarder.forward(context, engine, self.answer)
 
 
--- a/tests/system/platform/test_partitions.py
+++ b/tests/system/platform/test_partitions.py
@@ -9,7 +9,7 @@
 import httpx
 import pytest
 
-from rig.traffic import Traffic, assert_layers_once_in_order, list_ids, open_traffic, wait_for
+from rig.traffic import Node, Traffic, assert_layers_once_in_order, list_ids, open_traffic, wait_for
 from standins.platform.servers import Server
 from standins.vm import CutKind
 
@@ -21,6 +21,7 @@
 TOKENS = 60
 TOKEN_TIME_S = 0.02
 DETECTION_TIME_S = 1.0  # from the cut until no request pays for its detection
+CONFIRMATION_TIME_S = 1.0  # from the detection until the node no longer tries to connect
 ROUNDS = 10
 
 ALL_KINDS = pytest.mark.parametrize("kind", list(CutKind), ids=[kind.value for kind in CutKind])
@@ -85,3 +86,99 @@
     answer = await ask_in_progress(fleet, "/letter/1", CutKind.NEW_ONLY)
     assert list_ids(answer.text) == list(range(1, TOKENS + 1))
     assert len(fleet.fleet.runs) == 1
+
+
+async def test_requests_go_past_nodes_that_are_cut_off_too(fleet: Traffic) -> None:
+    for node in fleet.nodes[: NODES - 1]:
+        node.cut(list_servers(fleet), CutKind.SILENT)
+    with anyio.move_on_after(DETECTION_TIME_S):
+        while True:
+            await fleet.ask("/letter/1", node=CUT)
+            await fleet.ask("/check/1", node=CUT)
+    assert await ask_many(fleet, "/letter/1") == [200] * ROUNDS
+    assert await ask_many(fleet, "/once/1") == [200] * ROUNDS
+
+
+@pytest.mark.parametrize("path", ["/letter/1", "/notice/1", "/once/1", "/check/1"])
+async def test_requests_are_rejected_while_no_node_reaches_a_server(fleet: Traffic, path: str) -> None:
+    for node in fleet.nodes:
+        node.cut(list_servers(fleet), CutKind.SILENT)
+    service = "desk" if path in {"/once/1", "/check/1"} else "llm"
+    await wait_for_lost_path(fleet, service, path)
+    runs = len(fleet.fleet.runs)
+    answer = await fleet.ask(path, node=CUT, X_Request_Id="rejected")
+    assert answer.status_code == 503
+    assert answer.json()["error"] == "no_path"
+    assert float(answer.headers["retry-after"]) > 0
+    assert answer.headers["connection"] == "close"
+    assert len(fleet.fleet.runs) == runs
+    assert not [step for step in (await fleet.nodes[CUT].wait_for_log("rejected"))["steps"] if "connecting" in step]
+
+
+async def wait_for_lost_path(fleet: Traffic, service: str, path: str) -> None:
+    """Send requests until all nodes have found that they reach no server, and have probed for some rounds."""
+    for number in range(NODES):
+        await fleet.ask(path, node=number)
+    for node in fleet.nodes:
+        await wait_for(lambda node=node: has_lost_path(node, service))
+    await anyio.sleep(CONFIRMATION_TIME_S)
+
+
+def has_lost_path(node: Node, service: str) -> bool:
+    lines = [line for line in node.read_log() if line["message"].startswith("path to service")]
+    return any(line["message"] == "path to service lost" and line["service"] == service for line in lines)
+
+
+@pytest.mark.parametrize("service", ["llm", "desk"])
+async def test_only_requests_to_the_lost_service_are_forwarded(fleet: Traffic, service: str) -> None:
+    fleet.nodes[CUT].cut(list_servers(fleet, service), CutKind.RESET)
+    for path in ("/letter/1", "/check/1", "/once/1"):
+        assert await ask_many(fleet, path) == [200] * ROUNDS
+    forwarded = {
+        line["route"]
+        for line in fleet.nodes[CUT].read_log()
+        if any("forwarded to" in step for step in line.get("steps", []))
+    }
+    assert forwarded == ({"letter"} if service == "llm" else {"check", "once"})
+
+
+async def test_node_serves_by_itself_again_when_its_path_is_back(fleet: Traffic) -> None:
+    node = fleet.nodes[CUT]
+    node.cut(list_servers(fleet), CutKind.REFUSED)
+    await fleet.ask("/letter/1", node=CUT)
+    node.heal()
+    await wait_for(lambda: any(line["message"] == "path to service regained" for line in node.read_log()))
+    answer = await fleet.ask("/letter/1", node=CUT, X_Request_Id="after-the-cut")
+    assert answer.status_code == 200
+    assert not [step for step in (await node.wait_for_log("after-the-cut"))["steps"] if "forwarded" in step]
+
+
+async def test_request_that_must_not_repeat_runs_once_in_a_cut(fleet: Traffic) -> None:
+    """Its answer is lost with the path, so it has neither a success nor a promise that it has not run."""
+    for server in list_servers(fleet, "desk"):
+        server.work_time = 0.3
+
+    async def cut() -> None:
+        await wait_for(lambda: bool(fleet.fleet.runs))
+        fleet.nodes[CUT].cut(list_servers(fleet), CutKind.RESET)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(cut)
+        answer = await fleet.ask("/once/1", node=CUT, X_Request_Id="once")
+    assert answer.status_code == 502
+    assert len(fleet.fleet.find_runs("once")) == 1
+
+
+async def test_client_that_leaves_ends_the_run_behind_the_other_node(fleet: Traffic) -> None:
+    fleet.fleet.answer_tokens, fleet.fleet.token_time = 500, 0.02
+    fleet.nodes[CUT].cut(list_servers(fleet), CutKind.RESET)
+    with anyio.move_on_after(1.5):
+        await fleet.ask("/letter/1", node=CUT, X_Request_Id="left")
+    await wait_for(lambda: all(run.was_cut for run in fleet.fleet.find_runs("left")), limit=3.0)
+    assert fleet.fleet.find_runs("left")
+
+
+async def test_key_is_checked_by_both_nodes(fleet: Traffic) -> None:
+    fleet.nodes[CUT].cut(list_servers(fleet), CutKind.RESET)
+    assert (await fleet.ask("/letter/1", node=CUT)).status_code == 200
+    assert (await fleet.ask("/letter/1", node=CUT, Authorization="Token unknown")).status_code == 401
