Blame no server, and give no orders, while a node reaches none of a service

A node whose connections are reset or refused recorded a failure for each server, reported these losses (two such nodes confirm them for all), took refused connections for crashes, which bar the requests sent there, and kept the tenure over the store while none of its orders arrived.

A reset or refused connection now counts against a server only if the node can open one to another server of the service. Failures in the second before a path is known to be lost are forgotten, and none is reported while it is. A node that reaches no server of a model service gives up the tenure and is no candidate. Late plain requests check the path as well.

--- a/packages/core/src/vaneturn_core/traffic/configuration.py
+++ b/packages/core/src/vaneturn_core/traffic/configuration.py
@@ -132,6 +132,10 @@
         """Return the shortest objective of the streams of a prioritized service; none for other services."""
         return self._shortest_objectives.get(service)
 
+    def list_engines(self) -> list[ServiceName]:
+        """List the services whose servers run models."""
+        return [name for name, service in self.services.items() if service.engine is not None]
+
     def find_route(self, host: str, path: str) -> TrafficRoute | None:
         """Find the route of the host with the longest prefix that matches the path."""
         prefixes = self._by_host.get(host)
--- a/packages/node/src/vaneturn_node/traffic/duties/placing.py
+++ b/packages/node/src/vaneturn_node/traffic/duties/placing.py
@@ -17,6 +17,7 @@
 from vaneturn_node.http1.caller import Failed
 from vaneturn_node.platform.servers import OrderOutcome, ServerCalls
 from vaneturn_node.traffic.duties.tenure import Tenure
+from vaneturn_node.traffic.servers.connectivity import Connectivity
 
 ROUND_INTERVAL_S: Final = 0.3
 # How long the set of servers must be unchanged before the first plan, and before a server becomes a spare.
@@ -40,7 +41,8 @@
 class Placer:
     """Plans and sends orders in one task; each round plans from scratch, based on the current list of servers."""
 
-    def __init__(self, tenure: Tenure, view: PlatformView, calls: ServerCalls) -> None:
+    def __init__(self, tenure: Tenure, view: PlatformView, calls: ServerCalls, connectivity: Connectivity) -> None:
+        self._connectivity = connectivity
         self._tenure = tenure
         self._view = view
         self._calls = calls
@@ -56,6 +58,10 @@
             if not self._tenure.is_valid() or self._view.configuration is None:
                 self._pending.clear()
                 continue
+            if any(self._connectivity.is_confirmed_lost(name) for name in self._view.configuration.list_engines()):
+                logger.warning("tenure given up, as no server can be reached")
+                await self._tenure.step_down()
+                continue
             for service in self._view.configuration.services.values():
                 if service.engine is not None:
                     await self._run_round(service.engine, self._view.list_servers(service.name))
@@ -108,6 +114,7 @@
         report = await self._calls.read_report(server)
         if isinstance(report, Failed):
             logger.info("report of server not available", extra={"server": server.id, "cause": report.cause})
+            await self._connectivity.check(server.service, read_clock())
             self._set_pending(placement, RETRY_DELAY_S)
             return
         if report.is_loading or placement.layers in report.layers:
--- a/packages/node/src/vaneturn_node/traffic/duties/tenure.py
+++ b/packages/node/src/vaneturn_node/traffic/duties/tenure.py
@@ -176,6 +176,10 @@
         """Give up the tenure at a planned stop, so that the next node need not wait for the lease to run out."""
         self._is_stopping = True
         self._note_change()
+        await self.step_down()
+
+    async def step_down(self) -> None:
+        """Give up the tenure; this node may take it again when its rank allows that."""
         lease, self._lease = self._lease, None
         self._valid_until = float("-inf")
         if lease is not None and lease.epoch == self._store.epoch:
--- a/packages/node/src/vaneturn_node/traffic/process/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/process/daemon.py
@@ -75,7 +75,7 @@
         self._view = PlatformView(bounds.keys_valid_ms / 1000, read_clock)
         self._beliefs = ServerStatuses()
         metrics = TrafficMetrics()
-        self._tenure = Tenure(self._store, self.id, settings.vm, lambda: rank_candidate(settings.vm, self._view.nodes))
+        self._tenure = Tenure(self._store, self.id, settings.vm, self._rank_candidate)
         self._registration = Registration(self._store, settings.vm, settings.peer_address)
         calls = ServerCalls(caller)
         hall = DataHall(settings.data_hall)
@@ -100,7 +100,7 @@
         self._forwarded_handler = ForwardedRequestHandler(
             self._request_handler, self._view, lambda: self._lifecycle.is_stopping
         )
-        self._placer = Placer(self._tenure, self._view, calls)
+        self._placer = Placer(self._tenure, self._view, calls, self._connectivity)
         self._lifecycle = Lifecycle(bounds.stop_s)
         change_log = ChangeLog()
         times = RelayTimes.derive(min(bounds.leaving_ms, bounds.change_ms) / 1000)
@@ -203,6 +203,13 @@
                 break
         scope.cancel()
 
+    def _rank_candidate(self) -> int | None:
+        """Return the rank of this node among those that may order servers; None while it cannot reach them."""
+        configuration = self._view.configuration
+        if configuration is not None and any(map(self._connectivity.is_lost, configuration.list_engines())):
+            return None
+        return rank_candidate(self._settings.vm, self._view.nodes)
+
     async def _release_duties(self) -> None:
         """Hand the duties over to other nodes at once; requests in progress do not need them."""
         await self._tenure.release()
--- a/packages/node/src/vaneturn_node/traffic/servers/connectivity.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/connectivity.py
@@ -26,6 +26,7 @@
 
 SUSPICION_DELAY_S: Final = 0.08  # of a connection that does not open; healthy servers accept within a few milliseconds
 PROBE_TIMEOUT_S: Final = 0.1
+LOSS_TIME_S: Final = 1.0  # before a path is known to be lost, in which failures are due to the loss
 HELD_UP_FACTOR: Final = 2.0  # times its timeout; a round that took longer proves nothing
 PROBE_INTERVAL_S: Final = 0.2  # between rounds of probes while a path is lost
 MAX_SHOWN_S: Final = 1e9  # in place of infinity, which JSON cannot express
@@ -122,12 +123,13 @@
             opening.cancel()
 
     def _list_servers(self, service: ServiceName) -> list[BackendServer]:
-        """List the servers to which requests may be sent."""
-        return [
+        """List the servers to which requests may be sent; without any, those that may get orders."""
+        ready = [
             server
             for server in self._view.list_servers(service)
-            if server.can_lead and server.state is ServerState.READY and not self._beliefs[server.id].is_replaced
+            if server.state is ServerState.READY and not self._beliefs[server.id].is_replaced
         ]
+        return [server for server in ready if server.can_lead] or ready
 
     def _drop_unlisted(self) -> None:
         """Drop the lost paths of services that have no servers any more."""
@@ -189,6 +191,7 @@
         if path.is_lost:
             extra["opened_age"] = round(min(now - opened_at, MAX_SHOWN_S), 3)
             logger.warning("path to service lost", extra=extra)
+            self._beliefs.forget_failures(self._list_servers(service), now - LOSS_TIME_S)
             self._has_lost.notify()
         else:
             logger.warning("path to service regained", extra={**extra, "lost_for": round(lost_for, 3)})
--- a/packages/node/src/vaneturn_node/traffic/servers/crashwatch.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/crashwatch.py
@@ -9,7 +9,9 @@
 from vaneturn_core.traffic.crashes import CrashBoard, Suspicion
 from vaneturn_core.traffic.servers import BackendServer, ServerId, ServerState
 from vaneturn_core.traffic.view import PlatformView
+from vaneturn_node.clock import read_clock
 from vaneturn_node.platform.servers import ServerReport
+from vaneturn_node.traffic.servers.connectivity import Connectivity
 from vaneturn_node.traffic.servers.reports import ReportBoard
 
 MAX_PROBES: Final = 2  # per cut connection; the first may use a connection that is about to be reset
@@ -18,9 +20,13 @@
 
 
 class CrashWatch:
-    """Distinguishes lost connections from crashed servers, and records the requests that had just begun there."""
+    """Distinguishes lost connections from crashed servers, and records the requests that had just begun there.
 
-    def __init__(self, board: CrashBoard, reports: ReportBoard, view: PlatformView) -> None:
+    A server that refuses connections counts as crashed only while this node can connect to others of its service.
+    """
+
+    def __init__(self, board: CrashBoard, reports: ReportBoard, view: PlatformView, connectivity: Connectivity) -> None:
+        self._connectivity = connectivity
         self._board = board
         self._reports = reports
         self._view = view
@@ -39,15 +45,14 @@
             if isinstance(report, ServerReport):
                 return False
             if self._reports.is_gone(server.id):
-                self._confirm_crash(server, content)
-                return True
+                return await self._confirm_crash(server, content)
         return False
 
-    def record_unresponsive(self, server: BackendServer, content: Content, suspicion: Suspicion) -> None:
+    async def record_unresponsive(self, server: BackendServer, content: Content, suspicion: Suspicion) -> None:
         """Record an unresponsive server; it has crashed if its address refuses connections or its entry is removed."""
         self._record_loss(server, content, suspicion)
         if self._reports.is_gone(server.id):
-            self._confirm_crash(server, content)
+            await self._confirm_crash(server, content)
 
     def record_success(self, server: BackendServer, content: Content) -> None:
         """Record that a server has run a request without a crash."""
@@ -65,12 +70,15 @@
         if listed is not None and listed.state is not ServerState.DRAINING:
             self._board.record_lost_connection(server.id, server.software, content, suspicion)
 
-    def _confirm_crash(self, server: BackendServer, content: Content) -> None:
+    async def _confirm_crash(self, server: BackendServer, content: Content) -> bool:
+        if not await self._connectivity.check(server.service, read_clock()):
+            return False
         if self._board.confirm(server.id):
             self._log_crash(server.id, "nobody listens")
         if self._board.is_barred(content):
             crashed = self._board.list_crashed_servers(content)
             logger.info("request barred", extra={"content": format_content(content), "servers": crashed})
+        return True
 
     def _log_crash(self, server: ServerId, cause: str) -> None:
         suspects = self._board.list_suspects(server)
--- a/packages/node/src/vaneturn_node/traffic/servers/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/exchange.py
@@ -87,7 +87,7 @@
         """Create the objects that depend on other fields."""
         self.connectivity = Connectivity(self.view, self.beliefs, self.pool)
         self.crashes = CrashBoard(read_clock, self.view.list_software)
-        self.crash_watch = CrashWatch(self.crashes, self.reports, self.view)
+        self.crash_watch = CrashWatch(self.crashes, self.reports, self.view, self.connectivity)
         self.directives = DirectiveKeeper(self.beliefs, self.limits)
         self.permits = Permits(
             vm=self.vm,
--- a/packages/node/src/vaneturn_node/traffic/serving/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plain.py
@@ -173,7 +173,8 @@
             context.add_step(f"{server.id} {outcome.cause}")
             if isinstance(outcome, MayHaveRun) or outcome.is_unreachable:
                 server_status.latency = max(server_status.latency, seconds)
-                if await self._parts.can_reach_others({server.id}, started_at):
+                has_path = await self._parts.connectivity.check(context.service, started_at)
+                if has_path and await self._parts.can_reach_others({server.id}, started_at):
                     server_status.record_failure(read_clock())
         return outcome
 
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -185,10 +185,7 @@
     async def _handle_lost_connection(self, error: LinkError) -> TryOutcome:
         """Record what a lost connection means for the first server and for the request; return the outcome."""
         self._context.avoided.add(self._first_server.id)
-        if not error.has_no_path and (
-            not error.is_unresponsive
-            or await self._parts.can_reach_others({self._first_server.id}, self._reservation.reserved_at)
-        ):
+        if await self._is_servers_fault(error):
             self._parts.record_loss(self._first_server.id)
         if error.has_no_path:
             self._parts.get_retry_budget(self._context.service).take_back(is_first=self._context.sends == 1)
@@ -203,6 +200,14 @@
             self._reservation.undo_run_count()
         return MayHaveRun(f"{error.cause}, after {self._events} events")
 
+    async def _is_servers_fault(self, error: LinkError) -> bool:
+        """Tell whether this node still reaches other servers, so that the first server is at fault."""
+        if error.has_no_path:
+            return False
+        if error.is_unresponsive:
+            return await self._parts.can_reach_others({self._first_server.id}, self._reservation.reserved_at)
+        return await self._parts.connectivity.check(self._context.service, read_clock())
+
     async def _wait_for(self, read: Callable[[float], Awaitable[T]], delay_s: float) -> T:
         """Wait for the head or for data; while nothing arrives, probe for lost parts.
 
@@ -234,8 +239,9 @@
                 self._reservation.count_run()
             raise TryEndedError(MayHaveRun(cause))
         context = self._context
-        if is_first_lost and self._suspicion is not None:
-            self._parts.crash_watch.record_unresponsive(self._first_server, context.content, self._suspicion)
+        has_path = not self._parts.connectivity.is_lost(context.service)
+        if is_first_lost and has_path and self._suspicion is not None:
+            await self._parts.crash_watch.record_unresponsive(self._first_server, context.content, self._suspicion)
         runs = context.runs + (not self._reservation.is_run_counted) - is_first_lost
         if not context.route.may_repeat or runs >= context.route.max_attempts:
             context.add_wait_step(f"{cause}; waits")
--- a/packages/node/src/vaneturn_node/traffic/sharing/losssharing.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/losssharing.py
@@ -106,8 +106,15 @@
             logger.info("losses told", extra={"servers": taken, "rests": backoffs, "teller": reporter})
 
     def _list_own(self) -> Findings:
+        """List the losses that this node has found; failures on a lost path say nothing about the servers."""
         found = self._parts.beliefs.list_failed(read_clock())
-        return {server: Finding(until, finder=self._finder) for server, until in found.items()}
+        lost_paths = self._parts.connectivity.list_lost()
+        servers = self._parts.view.servers
+        return {
+            server: Finding(until, finder=self._finder)
+            for server, until in found.items()
+            if server not in servers or servers[server].service not in lost_paths
+        }
 
     async def _send_reports(self) -> None:
         nodes = self._parts.view.nodes
--- a/tests/rig/traffic.py
+++ b/tests/rig/traffic.py
@@ -69,10 +69,10 @@
     link: Link | None  # limits the bandwidth of responses of the store and the servers
     cut_file: Path  # read by the stand-in of the VM; only a node with a link has one
 
-    def cut(self, servers: Iterable[Server], kind: CutKind) -> None:
+    def cut(self, addresses: Iterable[str], kind: CutKind) -> None:
         """Cut the paths of this node to servers; its paths to the store, other nodes and clients stay."""
         assert self.link is not None, "only a node with a link can be cut off"
-        ports = sorted(int(server.address.rpartition(":")[2]) for server in servers)
+        ports = sorted(int(address.rpartition(":")[2]) for address in addresses)
         self._write_cut(json.dumps({"kind": kind.value, "ports": ports}))
 
     def heal(self) -> None:
--- a/tests/system/platform/test_partitions.py
+++ b/tests/system/platform/test_partitions.py
@@ -9,6 +9,7 @@
 import httpx
 import pytest
 
+from rig.ports import find_port
 from rig.traffic import Node, Traffic, assert_layers_once_in_order, list_ids, open_traffic, wait_for
 from standins.platform.servers import Server
 from standins.vm import CutKind
@@ -41,6 +42,10 @@
     return [each for each in traffic.fleet.servers.values() if service in {None, each.service}]
 
 
+def list_addresses(traffic: Traffic, service: str | None = None) -> list[str]:
+    return [server.address for server in list_servers(traffic, service)]
+
+
 async def ask_many(traffic: Traffic, path: str) -> list[int]:
     """Send several requests to the node that is cut off, one after the other; return the statuses."""
     return [(await traffic.ask(path, node=CUT)).status_code for _ in range(ROUNDS)]
@@ -52,7 +57,7 @@
 
     async def cut() -> None:
         await wait_for(lambda: any(len(run.tokens) > 5 for run in traffic.fleet.runs))
-        traffic.nodes[CUT].cut(list_servers(traffic), kind)
+        traffic.nodes[CUT].cut(list_addresses(traffic), kind)
 
     answers: list[httpx.Response] = []
     async with anyio.create_task_group() as tasks:
@@ -65,7 +70,7 @@
 @pytest.mark.parametrize("path", ["/letter/1", "/notice/1", "/once/1", "/check/1"])
 async def test_first_tries_at_a_cut_off_node_are_served(fleet: Traffic, path: str, kind: CutKind) -> None:
     await ask_many(fleet, path)  # leaves open connections
-    fleet.nodes[CUT].cut(list_servers(fleet), kind)
+    fleet.nodes[CUT].cut(list_addresses(fleet), kind)
     with anyio.move_on_after(DETECTION_TIME_S):
         while True:
             await fleet.ask("/letter/1", node=CUT)
@@ -90,7 +95,7 @@
 
 async def test_requests_go_past_nodes_that_are_cut_off_too(fleet: Traffic) -> None:
     for node in fleet.nodes[: NODES - 1]:
-        node.cut(list_servers(fleet), CutKind.SILENT)
+        node.cut(list_addresses(fleet), CutKind.SILENT)
     with anyio.move_on_after(DETECTION_TIME_S):
         while True:
             await fleet.ask("/letter/1", node=CUT)
@@ -102,7 +107,7 @@
 @pytest.mark.parametrize("path", ["/letter/1", "/notice/1", "/once/1", "/check/1"])
 async def test_requests_are_rejected_while_no_node_reaches_a_server(fleet: Traffic, path: str) -> None:
     for node in fleet.nodes:
-        node.cut(list_servers(fleet), CutKind.SILENT)
+        node.cut(list_addresses(fleet), CutKind.SILENT)
     service = "desk" if path in {"/once/1", "/check/1"} else "llm"
     await wait_for_lost_path(fleet, service, path)
     runs = len(fleet.fleet.runs)
@@ -131,7 +136,7 @@
 
 @pytest.mark.parametrize("service", ["llm", "desk"])
 async def test_only_requests_to_the_lost_service_are_forwarded(fleet: Traffic, service: str) -> None:
-    fleet.nodes[CUT].cut(list_servers(fleet, service), CutKind.RESET)
+    fleet.nodes[CUT].cut(list_addresses(fleet, service), CutKind.RESET)
     for path in ("/letter/1", "/check/1", "/once/1"):
         assert await ask_many(fleet, path) == [200] * ROUNDS
     forwarded = {
@@ -144,7 +149,7 @@
 
 async def test_node_serves_by_itself_again_when_its_path_is_back(fleet: Traffic) -> None:
     node = fleet.nodes[CUT]
-    node.cut(list_servers(fleet), CutKind.REFUSED)
+    node.cut(list_addresses(fleet), CutKind.REFUSED)
     await fleet.ask("/letter/1", node=CUT)
     node.heal()
     await wait_for(lambda: any(line["message"] == "path to service regained" for line in node.read_log()))
@@ -160,7 +165,7 @@
 
     async def cut() -> None:
         await wait_for(lambda: bool(fleet.fleet.runs))
-        fleet.nodes[CUT].cut(list_servers(fleet), CutKind.RESET)
+        fleet.nodes[CUT].cut(list_addresses(fleet), CutKind.RESET)
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(cut)
@@ -171,7 +176,7 @@
 
 async def test_client_that_leaves_ends_the_run_behind_the_other_node(fleet: Traffic) -> None:
     fleet.fleet.answer_tokens, fleet.fleet.token_time = 500, 0.02
-    fleet.nodes[CUT].cut(list_servers(fleet), CutKind.RESET)
+    fleet.nodes[CUT].cut(list_addresses(fleet), CutKind.RESET)
     with anyio.move_on_after(1.5):
         await fleet.ask("/letter/1", node=CUT, X_Request_Id="left")
     await wait_for(lambda: all(run.was_cut for run in fleet.fleet.find_runs("left")), limit=3.0)
@@ -179,6 +184,31 @@
 
 
 async def test_key_is_checked_by_both_nodes(fleet: Traffic) -> None:
-    fleet.nodes[CUT].cut(list_servers(fleet), CutKind.RESET)
+    fleet.nodes[CUT].cut(list_addresses(fleet), CutKind.RESET)
     assert (await fleet.ask("/letter/1", node=CUT)).status_code == 200
     assert (await fleet.ask("/letter/1", node=CUT, Authorization="Token unknown")).status_code == 401
+
+
+async def test_node_without_a_path_gives_up_the_orders_to_servers(fleet: Traffic) -> None:
+    """It kept its tenure over the store, while none of its orders arrived."""
+    holder = None
+    for node in fleet.nodes:
+        state = await fleet.client.get(f"http://127.0.0.1:{node.metrics_port}/state")
+        holder = node if state.json()["has_tenure"] else holder
+    assert holder is not None
+    added = [f"127.0.0.1:{find_port()}" for _ in range(2)]
+    holder.cut([*list_addresses(fleet), *added], CutKind.SILENT)
+    servers = [await fleet.fleet.add(address, "llm", "north", "big") for address in added]
+    await wait_for(lambda: all(server.held for server in servers), limit=30.0)
+    assert any(line["message"] == "tenure given up, as no server can be reached" for line in holder.read_log())
+
+
+async def test_losses_that_only_cut_off_nodes_see_are_not_adopted(fleet: Traffic) -> None:
+    """Two nodes that find the same servers lost confirm it for all; connections that are reset looked like that."""
+    for node in fleet.nodes[: NODES - 1]:
+        node.cut(list_addresses(fleet), CutKind.RESET)
+    for _ in range(ROUNDS):
+        for number in range(NODES):
+            assert (await fleet.ask("/letter/1", node=number)).status_code == 200
+    connected = fleet.nodes[NODES - 1]
+    assert [line for line in connected.read_log() if line["message"] == "losses told"] == []
