Add nodes without servers to the randomised run, and mend what it found

rig.partitionsoak cuts one, several or all nodes off from all servers, silent, reset, refused, or with open connections that live on, again and again; every TrafficSoak has one such fault too. Besides the promises it checks first tries: from 3 s after the begin of a cut, nodes without servers may serve two thirds as often as connected ones, or fail at most 10 and 1 in 50, as the users' rule says.

--- a/packages/node/src/vaneturn_node/http1/link.py
+++ b/packages/node/src/vaneturn_node/http1/link.py
@@ -61,6 +61,7 @@
         self._protocol = h11.Connection(our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._was_sent = False
         self._next_event: h11.Event | type[h11.PAUSED | h11.NEED_DATA] | None = None  # read ahead by wait_for_more()
+        self.trailers: Headers = ()  # of the newest answer that was read to its end
         self._idle_timeout = DEFAULT_IDLE_TIMEOUT_S
         self.idle_since = 0.0  # set by the pool
 
@@ -145,6 +146,7 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            self.trailers = [(name.lower(), value) for name, value in event.headers]
             return None
         raise LinkError("connection ended inside an answer", was_sent=True)
 
--- a/packages/node/src/vaneturn_node/http1/server.py
+++ b/packages/node/src/vaneturn_node/http1/server.py
@@ -87,9 +87,9 @@
         """Send a part of the body."""
         await self._send(self._protocol.send(h11.Data(data=body)) or b"")
 
-    async def end(self) -> None:
-        """Mark the answer as whole."""
-        await self._send(self._protocol.send(h11.EndOfMessage()) or b"")
+    async def end(self, trailers: Headers = ()) -> None:
+        """Mark the answer as whole, unless its trailers tell otherwise."""
+        await self._send(self._protocol.send(h11.EndOfMessage(headers=list(trailers))) or b"")
         self.is_ended = True
 
     def _list_hop_headers(self) -> list[tuple[bytes, bytes]]:
--- a/packages/node/src/vaneturn_node/traffic/servers/connectivity.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/connectivity.py
@@ -17,7 +17,7 @@
 from vaneturn_core.identifiers import ServiceName
 from vaneturn_core.traffic.beliefs import ServerStatuses
 from vaneturn_core.traffic.paths import ServicePath, choose_probed
-from vaneturn_core.traffic.servers import BackendServer, ServerState
+from vaneturn_core.traffic.servers import BackendServer
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import HttpLink, LinkError
@@ -123,13 +123,8 @@
             opening.cancel()
 
     def _list_servers(self, service: ServiceName) -> list[BackendServer]:
-        """List the servers to which requests may be sent; without any, those that may get orders."""
-        ready = [
-            server
-            for server in self._view.list_servers(service)
-            if server.state is ServerState.READY and not self._beliefs[server.id].is_replaced
-        ]
-        return [server for server in ready if server.can_lead] or ready
+        """List the servers of a service, also those that are leaving, as any of them shows that the path is open."""
+        return [server for server in self._view.list_servers(service) if not self._beliefs[server.id].is_replaced]
 
     def _drop_unlisted(self) -> None:
         """Drop the lost paths of services that have no servers any more."""
--- a/packages/node/src/vaneturn_node/traffic/serving/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answering.py
@@ -78,6 +78,8 @@
             if first_node is not None:
                 answer.list_added_headers = partial(self._mark_answer, first_node, context, result)
             ending = await self._finish(result, answer)
+            if first_node is not None and context is not None and answer.is_begun and not answer.is_ended:
+                await answer.end(build_marks(self._describe_answer(AnswerKind.BROKEN_OFF, context.runs)))
         finally:
             self.in_progress -= 1
             self._log(request, facts, context, result, ending)
@@ -87,11 +89,13 @@
     ) -> Headers:
         """Build the marks of the answer to a forwarded request."""
         kind = AnswerKind.NODE if isinstance(result, OwnAnswer) else AnswerKind.SERVER
-        if isinstance(result, OwnAnswer) and result.reason in {Reason.NO_PATH, Reason.NO_CONFIGURATION}:
+        if isinstance(result, OwnAnswer) and _is_declined(first_node, context, result):
             kind = AnswerKind.DECLINED
+        return build_marks(self._describe_answer(kind, context.runs if context is not None else first_node.runs))
+
+    def _describe_answer(self, kind: AnswerKind, runs: int) -> AnswerMarks:
         configuration = self._parts.view.configuration
-        version = configuration.version if configuration is not None else 0
-        return build_marks(AnswerMarks(kind, context.runs if context is not None else first_node.runs, version))
+        return AnswerMarks(kind, runs, configuration.version if configuration is not None else 0)
 
     def _admit(
         self, request: ClientRequest, facts: RequestFacts, first_node: FirstNode | None
@@ -232,6 +236,17 @@
         logger.info("request ended", extra=extra)
 
 
+def _is_declined(first_node: FirstNode, context: RequestContext | None, result: OwnAnswer) -> bool:
+    """Tell whether the first node is to ask another one, as this one has not sent the request to any server.
+
+    An answer in progress has no other use for the refusal of one node.
+    """
+    if result.reason in {Reason.NO_PATH, Reason.NO_CONFIGURATION}:
+        return True
+    is_untouched = context is None or context.is_declinable
+    return is_untouched and (first_node.is_resumed or result.reason is Reason.MAY_HAVE_RUN)
+
+
 def _choose_service(route: TrafficRoute) -> ServiceName:
     """Choose among the services of a route in proportion to their weights."""
     if len(route.targets) == 1:
--- a/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -173,7 +173,7 @@
                 await _abort(link)
 
     async def _read_head(self, link: HttpLink, context: RequestContext, silence: float) -> AnswerHead:
-        """Wait for the head of the answer, until the deadline if the request may not run again.
+        """Wait for the head of the answer, until the deadline if the request may not run once more.
 
         :raises LinkError: it did not arrive in time, or the connection was lost.
         """
@@ -181,7 +181,7 @@
             try:
                 return await link.read_head(silence)
             except LinkError as error:
-                if not error.is_unresponsive or context.may_run_again or context.time_left <= 0:
+                if not error.is_unresponsive or context.may_leave_try or context.time_left <= 0:
                     raise
 
     def _make_message(
--- a/packages/node/src/vaneturn_node/traffic/serving/peertry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peertry.py
@@ -11,7 +11,7 @@
 from vaneturn_node.traffic.serving.peerforwarding import PEER_SILENCE_S, PeerAnswer, PeerForwarder
 from vaneturn_node.traffic.serving.requests import RequestContext
 from vaneturn_node.traffic.serving.streamtry import OnAccepted
-from vaneturn_node.traffic.sharing.forwarding import AnswerKind
+from vaneturn_node.traffic.sharing.forwarding import AnswerKind, read_marks
 
 SUCCESS_STATUSES = range(200, 300)
 
@@ -75,6 +75,10 @@
                 self._events += relayed
                 self._context.events += relayed
                 self._context.wait_steps.clear()
+        marks = read_marks(answer.link.trailers)
+        if marks is not None and marks.kind is AnswerKind.BROKEN_OFF:
+            self._context.runs = marks.runs
+            raise LinkError("answer broken off", was_sent=True)
         await self._client.end(splitter)
         return None
 
--- a/packages/node/src/vaneturn_node/traffic/serving/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plain.py
@@ -120,7 +120,7 @@
 
     def _compute_peer_silence(self, context: RequestContext) -> float:
         """Compute the time until a request that may run again is taken from a silent node to another one."""
-        return max(PEER_SILENCE_S, self._compute_try_timeout(context)) if context.may_run_again else context.time_left
+        return max(PEER_SILENCE_S, self._compute_try_timeout(context)) if context.may_leave_try else context.time_left
 
     def _give_up(self, context: RequestContext, last_outcome: TryOutcome | None) -> OwnAnswer:
         if context.may_have_run:
@@ -257,7 +257,7 @@
             if not error.is_unresponsive or delay_s >= timeout_s:
                 raise
         has_path = await self._parts.connectivity.check(context.service, read_clock() - delay_s)
-        if not has_path and context.route.may_repeat and context.runs + 1 < context.route.max_attempts:
+        if not has_path and context.may_leave_try:
             raise LinkError("no path to any server of the service", was_sent=True, is_unresponsive=True)
         return await link.read_head(timeout_s)
 
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -121,6 +121,11 @@
         """Tell whether it may run on one more server."""
         return self.route.may_repeat and self.runs < self.route.max_attempts
 
+    @property
+    def may_leave_try(self) -> bool:
+        """Tell whether a try in progress, which is not counted yet, may be given up for another one."""
+        return self.route.may_repeat and self.runs + 1 < self.route.max_attempts
+
     @property
     def age(self) -> float:
         """Give the seconds since it arrived."""
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -184,7 +184,8 @@
 
     async def _handle_lost_connection(self, error: LinkError) -> TryOutcome:
         """Record what a lost connection means for the first server and for the request; return the outcome."""
-        self._context.avoided.add(self._first_server.id)
+        if not error.has_no_path:
+            self._context.avoided.add(self._first_server.id)
         if await self._is_servers_fault(error):
             self._parts.record_loss(self._first_server.id)
         if error.has_no_path:
@@ -194,9 +195,12 @@
         if not error.was_sent:
             return NotRun(error.cause, is_unreachable=True)
         self._reservation.count_run()
-        if not error.is_unresponsive and await self._parts.crash_watch.record_cut_connection(
-            self._first_server, self._context.content, self._suspicion
-        ):
+        is_cut_off = self._parts.connectivity.is_lost(self._context.service)
+        if not is_cut_off and not error.is_unresponsive:
+            is_cut_off = await self._parts.crash_watch.record_cut_connection(
+                self._first_server, self._context.content, self._suspicion
+            )
+        if is_cut_off:
             self._reservation.undo_run_count()
         return MayHaveRun(f"{error.cause}, after {self._events} events")
 
@@ -258,7 +262,8 @@
         if successor is None:
             return
         context.add_step(cause)
-        self._reservation.count_run()
+        if not is_first_lost:  # a run on a lost server counts no more
+            self._reservation.count_run()
         outcome: TryOutcome | OwnAnswer | None = None
         self._has_resumed = False
         async with anyio.create_task_group() as tasks:
--- a/tests/rig/loadsoak.py
+++ b/tests/rig/loadsoak.py
@@ -54,6 +54,9 @@
         load = [self._send_evenly, self._send_greedily, self._send_burst, self._return_at_once, self._sample_load]
         return [*(self._end_before_calm(fault) for fault in super().list_faults()), *load]
 
+    def list_path_faults(self) -> list[Step]:
+        return []  # the capacity that is judged counts all nodes
+
     def _end_before_calm(self, fault: Step) -> Step:
         """Leave out a fault at the end of the run, where the use of the capacity is judged."""
 
--- a/tests/rig/soakclients.py
+++ b/tests/rig/soakclients.py
@@ -6,7 +6,7 @@
 import time
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 import httpx
@@ -25,6 +25,14 @@
 PLAIN = ("/once/1", "/check/1")
 
 
+class FirstTry(NamedTuple):
+    """One request of a client, which sends each request once."""
+
+    node: int
+    sent_at: float  # monotonic
+    is_served: bool
+
+
 @dataclass
 class Findings:
     """Counts, faults and events that the checks after the run use."""
@@ -38,6 +46,7 @@
     cut_streams: list[Cut] = field(default_factory=list)  # whose response had begun
     cut_by_stops: list[Cut] = field(default_factory=list)  # requests in progress at a planned stop that were cut
     troubles_by_source: Troubles = field(default_factory=Troubles)
+    first_tries: list[FirstTry] = field(default_factory=list)
     restarts: defaultdict[int, list[Span]] = field(default_factory=lambda: defaultdict(list))  # planned ones, by node
 
 
@@ -54,6 +63,7 @@
         self._version = 1
         self._extra_routes: list[dict[str, Any]] = []  # additional routes that make the configuration long
         self._silence_counts: Counter[str] = Counter()  # number of faults that make a server unresponsive, by address
+        self._cut_counts: Counter[int] = Counter()  # number of faults that cut a node off from servers, by node
         self._clock_readings: list[float] = []  # readings of the monotonic clock
         self._keys: dict[str, float] = {KEY: NEVER}  # API keys and when each was removed
         self._used_versions: defaultdict[tuple[int, int], int] = defaultdict(int)  # latest, by node and process id
@@ -76,7 +86,9 @@
                 self.findings.cut_streams.append(cut)
             if through_a_stop:
                 self.findings.cut_by_stops.append(cut)
+            self.findings.first_tries.append(FirstTry(node, sent, is_served=False))
             return request, None
+        self.findings.first_tries.append(FirstTry(node, sent, answer.status_code < httpx.codes.INTERNAL_SERVER_ERROR))
         self.findings.counts[f"{path.split('/')[1]} {answer.status_code}"] += 1
         if answer.status_code == httpx.codes.BAD_REQUEST:
             self.findings.faults.append(f"{request} was rejected as a bad request: {answer.text}")
--- a/tests/rig/soakfaults.py
+++ b/tests/rig/soakfaults.py
@@ -21,6 +21,7 @@
 from standins.platform.operator import KEY, configure, make_configuration, make_more_routes
 from standins.platform.servers import Server
 from standins.platform.store import Mode
+from standins.vm import CutKind
 
 STOP_TIME_S = 8.0  # seconds that a node may take for a planned stop
 SHORT_FAULT_RANGE_S = (0.2, 0.8)  # seconds; unresponsive servers and full links may not cut a stream within this time
@@ -39,6 +40,10 @@
             self._limit_server, self._rest_server, self._announce_leaving, self._restore_store,
         ]  # fmt: skip
 
+    def list_path_faults(self) -> list[Callable[[random.Random], Awaitable[None]]]:
+        """List the faults of paths; they come after the others, which keeps the random numbers of these."""
+        return [self._cut_paths]
+
     @asynccontextmanager
     async def _record_trouble(self) -> AsyncIterator[list[list[Span]]]:
         """Record the time span of a fault, also in each list that the caller adds to the yielded one."""
@@ -105,6 +110,28 @@
             node.process.send(signal.SIGCONT)
             node.store_path.heal()
 
+    async def _cut_paths(self, rng: random.Random) -> None:
+        """Cut some or all nodes off from all servers, while the store, clients and other nodes still reach them."""
+        await anyio.sleep(rng.uniform(2.0, 6.0))
+        await self._cut_off(rng, rng.uniform(0.3, 8.0))
+
+    async def _cut_off(self, rng: random.Random, seconds: float) -> None:
+        numbers = rng.sample(range(NODES), rng.choice([1, 1, 2, 3, NODES]))
+        kind = rng.choice(list(CutKind))
+        self.findings.counts[f"fault: {len(numbers)} nodes without servers, {kind.value}"] += 1
+        began = time.monotonic()
+        for number in numbers:
+            self._cut_counts[number] += 1
+            self.traffic.cut_off(self.traffic.nodes[number], kind)
+        try:
+            await anyio.sleep(seconds)
+        finally:
+            for number in numbers:
+                self._cut_counts[number] -= 1
+                if not self._cut_counts[number]:
+                    self.traffic.nodes[number].heal()
+                self.findings.troubles_by_source.paths[number].append(Span(began, time.monotonic()))
+
     async def _fail_store(self, rng: random.Random) -> None:
         await anyio.sleep(rng.uniform(2.0, 6.0))
         store = self.traffic.fleet.store
--- a/tests/rig/traffic.py
+++ b/tests/rig/traffic.py
@@ -75,6 +75,11 @@
         ports = sorted(int(address.rpartition(":")[2]) for address in addresses)
         self._write_cut(json.dumps({"kind": kind.value, "ports": ports}))
 
+    def cut_off(self, spared: Iterable[int], kind: CutKind) -> None:
+        """Cut all paths of this node but those to the given ports."""
+        assert self.link is not None, "only a node with a link can be cut off"
+        self._write_cut(json.dumps({"kind": kind.value, "spared": sorted(spared)}))
+
     def heal(self) -> None:
         """End the cut."""
         self._write_cut("")
@@ -179,6 +184,11 @@
         await node.wait_until_ready(self.client)
         return node
 
+    def cut_off(self, node: Node, kind: CutKind) -> None:
+        """Cut the paths of a node to all servers, also to those that are added later."""
+        store_port = int(node.store_address.rpartition(":")[2])
+        node.cut_off([store_port, *(each.peer_port for each in self.nodes)], kind)
+
     async def add_chains(self, halls: tuple[str, ...] = ("east", "west"), per_hall: int = 2) -> list[Server]:
         """Add model servers, and wait until they hold whole chains."""
         servers = [
--- a/tests/rig/trafficjudge.py
+++ b/tests/rig/trafficjudge.py
@@ -41,11 +41,13 @@
 
     nodes: defaultdict[int, list[Span]] = field(default_factory=lambda: defaultdict(list))  # killed or frozen
     stores: defaultdict[int, list[Span]] = field(default_factory=lambda: defaultdict(list))  # unreachable, by node
+    paths: defaultdict[int, list[Span]] = field(default_factory=lambda: defaultdict(list))  # to servers, cut, by node
     silences: defaultdict[str, list[Span]] = field(default_factory=lambda: defaultdict(list))  # unresponsive, by server
     stalls: defaultdict[int, list[Span]] = field(
         default_factory=lambda: defaultdict(list)
     )  # waiting for a processor, by node
     lost_at: dict[str, float] = field(default_factory=dict)  # crashes, by server
+    node_count: int = 0
     waits: dict[int, list[Span]] = field(default_factory=dict)  # of data queued on the link of each node
     pauses: list[Span] = field(default_factory=list)  # of the process of the stand-ins: all of them were unresponsive
 
@@ -62,6 +64,9 @@
             return "store long out of reach"
         if any(self.lost_at.get(server, cut.cut_at) < cut.cut_at for server in servers):
             return "server ended"
+        return "no path to the servers" if self._has_lost_path(cut) else self._find_silence(cut, servers, relevant)
+
+    def _find_silence(self, cut: Cut, servers: set[str], relevant: Span) -> str | None:
         stalls = merge_spans(self.stalls[cut.node])
         if any(span.end - span.start >= SHORT_SILENCE_S and span.overlaps(relevant) for span in stalls):
             return "node without a processor"
@@ -74,6 +79,21 @@
             return "long silence"
         return None
 
+    def _has_lost_path(self, cut: Cut) -> bool:
+        """Tell whether a stream was cut because no node that could resume it reached the servers.
+
+        Only streams on a resumable route are resumed over another node.
+        """
+        during = Span(cut.sent_at, cut.cut_at)
+        own = [span for span in self.paths[cut.node] if span.overlaps(during)]
+        if not own or cut.path.startswith("/notice/"):
+            return bool(own)
+        others = [number for number in range(self.node_count) if number != cut.node]
+        return all(
+            any(span.overlaps(each) for span in (*self.paths[number], *self.nodes[number]) for each in own)
+            for number in others
+        )
+
 
 def merge_spans(spans: Iterable[Span]) -> list[Span]:
     """Merge spans that overlap or are less than MERGE_GAP_S apart."""
--- a/tests/rig/trafficsoak.py
+++ b/tests/rig/trafficsoak.py
@@ -11,7 +11,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
 
 import anyio
@@ -29,6 +29,10 @@
 LINK_RATE_BYTES_PER_S = 2_500_000.0  # 20 Mbit/s, as small nodes have
 CLOCK_READ_INTERVAL_S = 0.05  # seconds between readings of the clock
 ADDRESSES = [get_address(number) for number in range(NODES)]
+CONTACT_TIME_S = 3.0  # seconds from the begin of a cut until the node has to serve as others do, and after its end
+MIN_SERVED_RATIO = 2 / 3  # of the share of first tries that are served, against that of other nodes
+MAX_FAILED = 10  # first tries that may fail at nodes without servers, and beyond these a share of all
+MAX_FAILED_SHARE = 1 / 50
 PAUSE_S = 0.2  # seconds; a longer gap between readings means that this process did not run
 
 
@@ -46,7 +50,7 @@
         for _ in range(3):
             (await traffic.add_desk()).work_time = 0.1  # so that some servers crash while they handle a request
         clients = [self._ask_stream] * 6 + [self._ask_plain] * 4
-        faults = self.list_faults()
+        faults = [*self.list_faults(), *self.list_path_faults()]
         async with anyio.create_task_group() as watch:
             watch.start_soon(self._watch_clock)
             async with anyio.create_task_group() as tasks:
@@ -56,9 +60,36 @@
             watch.cancel_scope.cancel()
         self._check_runs()
         self._check_cuts()
+        self._check_first_tries()
         self._check_senders()
         self.findings.faults += find_breaches(self.traffic.fleet.record, self._was_interrupted)
 
+    def _check_first_tries(self) -> None:
+        """Check that nodes without a path to any server serve first tries about as often as the others.
+
+        Only nodes without another fault are compared, while at least one of the others has a path.
+        """
+        troubles = self.findings.troubles_by_source
+        served: dict[bool, list[bool]] = {True: [], False: []}
+        for one in self.findings.first_tries:
+            if self._was_disturbed(one.sent_at):
+                continue
+            cut_off = [number for number in range(NODES) if _was_cut_off(troubles.paths[number], one.sent_at)]
+            connected = [number for number in range(NODES) if not _was_cut_lately(troubles.paths[number], one.sent_at)]
+            if cut_off and connected and one.node in {*cut_off, *connected}:
+                served[one.node in cut_off].append(one.is_served)
+        cut_tries, other_tries = served[True], served[False]
+        failed = cut_tries.count(False)
+        self.findings.counts["first tries at nodes without servers"] += len(cut_tries)
+        self.findings.counts["first tries at nodes without servers, failed"] += failed
+        if failed <= MAX_FAILED + MAX_FAILED_SHARE * (len(cut_tries) + len(other_tries)):
+            return
+        if cut_tries.count(True) * len(other_tries) < MIN_SERVED_RATIO * other_tries.count(True) * len(cut_tries):
+            self.findings.faults.append(
+                f"nodes without servers served {cut_tries.count(True)} of {len(cut_tries)} first tries, "
+                f"others {other_tries.count(True)} of {len(other_tries)}"
+            )
+
     def _check_senders(self) -> None:
         """Check that servers can tell the nodes apart; otherwise limits and rests are judged over all nodes as one."""
         unknown = {arrival.node for arrival in self.traffic.fleet.record.arrivals} - set(ADDRESSES)
@@ -127,6 +158,7 @@
         """Check that no stream was cut after its response had begun while its node and servers were healthy."""
         findings, fleet = self.findings, self.traffic.fleet
         links = [node.link for node in self.traffic.nodes]
+        findings.troubles_by_source.node_count = NODES
         findings.troubles_by_source.waits = {
             number: [Span(*wait) for wait in link.waits] for number, link in enumerate(links) if link is not None
         }
@@ -163,6 +195,15 @@
         )
 
 
+def _was_cut_off(spans: Iterable[Span], at: float) -> bool:
+    """Return whether a node had been cut off for long enough to be compared with others."""
+    return any(span.start + CONTACT_TIME_S <= at <= span.end for span in spans)
+
+
+def _was_cut_lately(spans: Iterable[Span], at: float) -> bool:
+    return any(span.start <= at <= span.end + CONTACT_TIME_S for span in spans)
+
+
 def _describe_run(run: Run, sent_at: float) -> str:
     times = [at - sent_at for at in run.token_times]
     if not times:
--- a/tests/standins/vm.py
+++ b/tests/standins/vm.py
@@ -1,7 +1,7 @@
 """Stand-in for a VM: runs a module, binds its connections to an own address, and cuts its paths to servers.
 
-The own address identifies the caller to servers. A file tells which ports are cut, and how; it is read again when it
-changes.
+The own address identifies the caller to servers. A file tells which ports are cut, or which ones are not, and how; it
+is read again when it changes.
 """
 
 from __future__ import annotations
@@ -36,28 +36,35 @@
         self._text = ""
         self._kind: CutKind | None = None
         self._ports: frozenset[int] = frozenset()
+        self._is_spared = False  # whether these ports are the ones that are not cut
         self._open: weakref.WeakKeyDictionary[asyncio.Transport, int] = weakref.WeakKeyDictionary()
         self._healed = asyncio.Event()
-        self._watcher: asyncio.Task[None] | None = None
+        self._is_watched = False
 
     async def pass_connect(self, port: int) -> None:
         """Let a connection be opened, hold it while the path is cut, or refuse it."""
-        if self._watcher is None:
-            self._read()
-            self._watcher = asyncio.create_task(self._watch())
-        while self._kind is not None and port in self._ports:
+        if not self._is_watched:
+            self._is_watched = True
+            self._watch()
+        while self._is_cut(port):
             if self._kind in {CutKind.REFUSED, CutKind.NEW_ONLY}:
                 raise ConnectionRefusedError
             await self._healed.wait()
 
+    def _is_cut(self, port: int) -> bool:
+        return self._kind is not None and (port in self._ports) is not self._is_spared
+
     def add(self, transport: asyncio.Transport, port: int) -> None:
-        """Add an open connection."""
+        """Add an open connection; its path may have been cut while it was being opened."""
         self._open[transport] = port
+        if self._is_cut(port):
+            self._apply(transport, is_cut=True)
 
-    async def _watch(self) -> None:
-        while True:
-            await asyncio.sleep(POLL_INTERVAL_S)
+    def _watch(self) -> None:
+        try:
             self._read()
+        finally:
+            asyncio.get_running_loop().call_later(POLL_INTERVAL_S, self._watch)
 
     def _read(self) -> None:
         text = self._file.read_text() if self._file.exists() else ""
@@ -66,11 +73,12 @@
         self._text = text
         cut: dict[str, Any] = json.loads(text) if text else {}
         self._kind = CutKind(cut["kind"]) if cut else None
-        self._ports = frozenset(cut.get("ports", []))
+        self._is_spared = "spared" in cut
+        self._ports = frozenset(cut.get("spared", cut.get("ports", [])))
         self._healed.set()
         self._healed = asyncio.Event()
         for transport, port in list(self._open.items()):
-            self._apply(transport, is_cut=port in self._ports)
+            self._apply(transport, is_cut=self._is_cut(port))
 
     def _apply(self, transport: asyncio.Transport, *, is_cut: bool) -> None:
         if transport.is_closing():
--- a/tests/system/platform/test_judge.py
+++ b/tests/system/platform/test_judge.py
@@ -67,3 +67,23 @@
 
 def test_pause_is_where_the_clock_stood_still() -> None:
     assert find_pauses([0.0, 0.05, 0.5, 0.55], 0.2) == [Span(0.05, 0.5)]
+
+
+PATH_LOST = Span(9.0, 10.5)
+
+
+@pytest.mark.parametrize(
+    ("cut", "paths", "is_excused"),
+    [
+        pytest.param(CUT, {0: [PATH_LOST]}, False, id="another node could resume it"),
+        pytest.param(CUT, {0: [PATH_LOST], 1: [PATH_LOST], 2: [PATH_LOST]}, True, id="no node could resume it"),
+        pytest.param(CUT._replace(path="/notice/1"), {0: [PATH_LOST]}, True, id="not resumable"),
+        pytest.param(CUT._replace(path="/notice/1"), {1: [PATH_LOST]}, False, id="path of another node"),
+    ],
+)
+def test_lost_path_excuses_what_no_node_could_resume(
+    cut: Cut, paths: dict[int, list[Span]], *, is_excused: bool
+) -> None:
+    troubles = make_troubles(paths=paths)
+    troubles.node_count = 3
+    assert bool(troubles.find_excuse(cut, SERVERS)) is is_excused
--- a/tests/system/platform/test_soak.py
+++ b/tests/system/platform/test_soak.py
@@ -7,6 +7,7 @@
 import pytest
 
 from rig.deadlysoak import DeadlySoak
+from rig.partitionsoak import PartitionSoak
 from rig.trafficsoak import run_traffic_soak
 
 pytestmark = pytest.mark.anyio
@@ -34,3 +35,11 @@
     findings = await run_traffic_soak(tmp_path, seconds, seed, DeadlySoak)
     assert findings.faults == []
     assert findings.counts["letter 200"]
+
+
+@pytest.mark.parametrize("seed", [1])
+async def test_nodes_without_servers_break_no_promise(tmp_path: Path, seed: int) -> None:
+    findings = await run_traffic_soak(tmp_path, 2 * SECONDS, seed, PartitionSoak)
+    assert findings.faults == []
+    assert findings.counts["letter 200"]
+    assert findings.counts["first tries at nodes without servers"]
