--- a/packages/node/src/vaneturn_node/traffic/serving/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answering.py
@@ -17,12 +17,12 @@
 from vaneturn_core.traffic.pace import Pause
 from vaneturn_core.traffic.state import TrafficRequest
 from vaneturn_node.clock import read_clock
-from vaneturn_node.http1.messages import Headers
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
 from vaneturn_node.platform.directives import RETRY_AFTER
 from vaneturn_node.platform.headers import RequestFacts, build_client_headers, read_request_facts
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.serving.admitting import StreamAdmitter
+from vaneturn_node.traffic.serving.answermarks import mark_answer, mark_broken_off
 from vaneturn_node.traffic.serving.metrics import TrafficMetrics
 from vaneturn_node.traffic.serving.outcomes import Answered, OwnAnswer, Reason, refuse
 from vaneturn_node.traffic.serving.peerforwarding import PeerForwarder
@@ -30,7 +30,6 @@
 from vaneturn_node.traffic.serving.requesthistory import RequestHistory
 from vaneturn_node.traffic.serving.requests import FirstNode, RequestContext
 from vaneturn_node.traffic.serving.streams import StreamForwarder
-from vaneturn_node.traffic.sharing.forwarding import AnswerKind, AnswerMarks, build_marks
 
 NO_CONFIGURATION_RETRY_S: Final = 0.3  # a node reads its configuration within a second of its start
 NO_PAUSE: Final = Pause(0.0, 0.0)
@@ -73,30 +72,17 @@
             else:
                 context = admission
                 if first_node is not None:
-                    answer.list_added_headers = partial(self._mark_answer, first_node, context, None)
+                    answer.list_added_headers = partial(mark_answer, self._parts.view, first_node, context, None)
                 result = await self._forward_before_deadline(context, answer)
             if first_node is not None:
-                answer.list_added_headers = partial(self._mark_answer, first_node, context, result)
+                answer.list_added_headers = partial(mark_answer, self._parts.view, first_node, context, result)
             ending = await self._finish(result, answer)
             if first_node is not None and context is not None and answer.is_begun and not answer.is_ended:
-                await answer.end(build_marks(self._describe_answer(AnswerKind.BROKEN_OFF, context.runs)))
+                await answer.end(mark_broken_off(self._parts.view, context))
         finally:
             self.in_progress -= 1
             self._log(request, facts, context, result, ending)
 
-    def _mark_answer(
-        self, first_node: FirstNode, context: RequestContext | None, result: Answered | OwnAnswer | None
-    ) -> Headers:
-        """Build the marks of the answer to a forwarded request."""
-        kind = AnswerKind.NODE if isinstance(result, OwnAnswer) else AnswerKind.SERVER
-        if isinstance(result, OwnAnswer) and _is_declined(first_node, context, result):
-            kind = AnswerKind.DECLINED
-        return build_marks(self._describe_answer(kind, context.runs if context is not None else first_node.runs))
-
-    def _describe_answer(self, kind: AnswerKind, runs: int) -> AnswerMarks:
-        configuration = self._parts.view.configuration
-        return AnswerMarks(kind, runs, configuration.version if configuration is not None else 0)
-
     def _admit(
         self, request: ClientRequest, facts: RequestFacts, first_node: FirstNode | None
     ) -> RequestContext | OwnAnswer:
@@ -236,17 +222,6 @@
         logger.info("request ended", extra=extra)
 
 
-def _is_declined(first_node: FirstNode, context: RequestContext | None, result: OwnAnswer) -> bool:
-    """Tell whether the first node is to ask another one, as this one has not sent the request to any server.
-
-    An answer in progress has no other use for the refusal of one node.
-    """
-    if result.reason in {Reason.NO_PATH, Reason.NO_CONFIGURATION}:
-        return True
-    is_untouched = context is None or context.is_declinable
-    return is_untouched and (first_node.is_resumed or result.reason is Reason.MAY_HAVE_RUN)
-
-
 def _choose_service(route: TrafficRoute) -> ServiceName:
     """Choose among the services of a route in proportion to their weights."""
     if len(route.targets) == 1:
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
@@ -0,0 +1,147 @@
+"""One try to get an answer of a plain service from one server."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import anyio
+
+from vaneturn_core.traffic.configuration import Repeatability
+from vaneturn_core.traffic.crashes import Suspicion
+from vaneturn_core.traffic.servers import BackendServer
+from vaneturn_node.clock import read_clock
+from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
+from vaneturn_node.http1.pool import MAX_IDLE_S
+from vaneturn_node.platform.headers import build_server_headers, read_answer_facts
+from vaneturn_node.traffic.servers.exchange import TrafficParts
+from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, TryOutcome
+from vaneturn_node.traffic.serving.requests import RequestContext
+
+FIRST_TRY_OBJECTIVE_SHARE: Final = 0.6  # after this time, a safe request goes to a second server
+FIRST_TRY_TIME_LEFT_SHARE: Final = 0.4  # used if it is longer
+PATH_CHECK_DELAY_S: Final = 0.25  # without an answer, until the path to the servers is checked
+PATH_CHECK_LATENCIES: Final = 4.0  # times the latency of the server, if that is longer
+UNSAFE_IDLE_LIMIT_S: Final = 1.0  # of a pooled connection that is to carry a request that must not run twice
+MIN_SERVER_ERROR_STATUS: Final = 500
+
+
+class PlainTry:
+    """Sends a request to one server."""
+
+    def __init__(self, parts: TrafficParts) -> None:
+        self._parts = parts
+
+    async def run(self, context: RequestContext, server: BackendServer) -> TryOutcome:
+        """Send a request to a server and read its answer."""
+        server_status = self._parts.beliefs[server.id]
+        started_at = read_clock()
+        timeout_s = compute_try_timeout(context)
+        context.sends += 1
+        server_status.in_progress += 1
+        try:
+            outcome = await self._exchange(context, server, timeout_s)
+        finally:
+            server_status.in_progress -= 1
+        context.may_have_run = context.may_have_run or isinstance(outcome, MayHaveRun)
+        seconds = read_clock() - started_at
+        if isinstance(outcome, Answered):
+            context.add_step(f"{server.id} answered {outcome.status}")
+            if outcome.status >= MIN_SERVER_ERROR_STATUS:
+                server_status.record_error(read_clock())
+            else:
+                server_status.record_success(seconds)
+        else:
+            context.add_step(f"{server.id} {outcome.cause}")
+            if isinstance(outcome, MayHaveRun) or outcome.is_unreachable:
+                server_status.latency = max(server_status.latency, seconds)
+                has_path = await self._parts.connectivity.check(context.service, started_at)
+                if has_path and await self._parts.can_reach_others({server.id}, started_at):
+                    server_status.record_failure(read_clock())
+        return outcome
+
+    async def _exchange(self, context: RequestContext, server: BackendServer, timeout_s: float) -> TryOutcome:
+        link: HttpLink | None = None
+        is_whole = False
+        try:
+            with anyio.fail_after(timeout_s):
+                max_idle = MAX_IDLE_S if context.route.may_repeat else UNSAFE_IDLE_LIMIT_S
+                link = await self._parts.connectivity.acquire(server, max_idle)
+                obstacle = context.claim_send(self._parts.beliefs[server.id])
+                if obstacle is not None:
+                    return NotRun(obstacle)
+                outcome = await self._send_and_receive(context, server, link, timeout_s)
+                is_whole = isinstance(outcome, Answered | NotRun)
+                return outcome
+        except TimeoutError:
+            if link is None:
+                return NotRun("no connection in time", is_unreachable=True)
+            context.runs += 1
+            return MayHaveRun("no answer in time")
+        except LinkError as error:
+            if not error.was_sent:
+                return NotRun(error.cause, is_unreachable=not error.has_no_path, has_no_path=error.has_no_path)
+            context.runs += 1
+            if not error.is_unresponsive:
+                await self._parts.crash_watch.record_cut_connection(server, context.content, Suspicion.UNHEARD)
+            return MayHaveRun(error.cause)
+        finally:
+            if link is not None:
+                await self._parts.release(link, server.address, is_whole=is_whole)
+
+    async def _send_and_receive(
+        self, context: RequestContext, server: BackendServer, link: HttpLink, timeout_s: float
+    ) -> TryOutcome:
+        request = context.request
+        headers = build_server_headers(request.headers, context.make_dispatch(server.name))
+        sent_at = read_clock()
+        await link.send(request.method, request.target, headers, request.body, timeout_s)
+        head = await self._read_head(context, server, link, timeout_s)
+        facts = read_answer_facts(head.status, head.headers)
+        body = []
+        while (data := await link.read_data(timeout_s)) is not None:
+            body.append(data)
+        server_status = self._parts.beliefs[server.id]
+        if facts.load is not None:
+            server_status.take_load(facts.load[0] + facts.load[1], read_clock())
+        if facts.id is not None and facts.id != context.facts.id:
+            raise LinkError("answer to another request", was_sent=True)
+        if not facts.is_wrong_server:
+            self._parts.directives.apply(server, facts.directives, sent_at)
+        if facts.was_refused:
+            server_status.is_replaced = server_status.is_replaced or facts.is_wrong_server
+            return NotRun(f"refused with {head.status}")
+        context.runs += 1
+        if facts.is_sealed:
+            return Answered(head.status, head.headers, b"".join(body))
+        return MayHaveRun(f"unsealed answer {head.status}")
+
+    async def _read_head(
+        self, context: RequestContext, server: BackendServer, link: HttpLink, timeout_s: float
+    ) -> AnswerHead:
+        """Wait for the head of an answer; if it is late, check whether this node still reaches any server.
+
+        :raises LinkError: none came in time, or none can come and the request may run again over another node.
+        """
+        delay_s = max(PATH_CHECK_DELAY_S, PATH_CHECK_LATENCIES * self._parts.beliefs[server.id].latency)
+        try:
+            return await link.read_head(min(delay_s, timeout_s))
+        except LinkError as error:
+            if not error.is_unresponsive or delay_s >= timeout_s:
+                raise
+        has_path = await self._parts.connectivity.check(context.service, read_clock() - delay_s)
+        if not has_path and context.may_leave_try:
+            raise LinkError("no path to any server of the service", was_sent=True, is_unresponsive=True)
+        return await link.read_head(timeout_s)
+
+
+def compute_try_timeout(context: RequestContext) -> float:
+    """Compute the timeout of a try in seconds; that of a safe request leaves time for a second try."""
+    if context.route.repeatability is Repeatability.SAFE and context.runs + 1 < context.route.max_attempts:
+        return min(
+            context.time_left,
+            max(FIRST_TRY_OBJECTIVE_SHARE * context.route.objective, FIRST_TRY_TIME_LEFT_SHARE * context.time_left),
+        )
+    return context.time_left
+
+
+__all__ = ["MIN_SERVER_ERROR_STATUS", "PlainTry", "compute_try_timeout"]
--- a/tests/rig/ablation.py
+++ b/tests/rig/ablation.py
@@ -96,7 +96,11 @@
     Mechanism(
         "idle-bound",
         "a request that may not run twice lost on a connection that the server forgot",
-        (Edit(f"{TRAFFIC}/serving/plain.py", "max_idle = MAX_IDLE_S if context.route.may_repeat else", "max_idle ="),),
+        (
+            Edit(
+                f"{TRAFFIC}/serving/plaintry.py", "max_idle = MAX_IDLE_S if context.route.may_repeat else", "max_idle ="
+            ),
+        ),
     ),
     Mechanism(
         "retry-shares",
@@ -109,13 +113,13 @@
         (
             Edit(
                 f"{TRAFFIC}/serving/plain.py",
-                "if last_outcome.status < MIN_SERVER_ERROR_STATUS or not context.may_run_again:",
-                "if last_outcome.status < MIN_SERVER_ERROR_STATUS or context.runs:",
+                "if outcome.status < MIN_SERVER_ERROR_STATUS or not context.may_run_again:",
+                "if outcome.status < MIN_SERVER_ERROR_STATUS or context.runs:",
             ),
             Edit(
                 f"{TRAFFIC}/serving/plain.py",
-                "elif isinstance(last_outcome, MayHaveRun) and not context.may_run_again:",
-                "elif isinstance(last_outcome, MayHaveRun):",
+                "if isinstance(outcome, MayHaveRun) and not context.may_run_again:",
+                "if isinstance(outcome, MayHaveRun):",
             ),
         ),
     ),
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -109,7 +109,9 @@
                 "        return True\n",
             ),
             Edit(
-                f"{TRAFFIC}/serving/plain.py", "if facts.id is not None and facts.id != context.facts.id:", "if False:"
+                f"{TRAFFIC}/serving/plaintry.py",
+                "if facts.id is not None and facts.id != context.facts.id:",
+                "if False:",
             ),
         ),
     ),
@@ -448,4 +450,37 @@
         "tests/node/traffic/following/test_follower.py::test_next_nodes_stand_in_for_relays_that_the_store_turns_away",
         (Edit(f"{CORE}/relays.py", "[node for node in nodes if node not in left]", "nodes"),),
     ),
+    Proof(
+        "requests are forwarded while no server can be reached",
+        f"{SYSTEM}/test_partitions.py::test_requests_go_past_nodes_that_are_cut_off_too",
+        (
+            Edit(
+                f"{TRAFFIC}/serving/peerforwarding.py",
+                "while not context.is_forwarded and len(asked)",
+                "while context.is_forwarded and len(asked)",
+            ),
+        ),
+    ),
+    Proof(
+        "streams leave a lost path",
+        f"{SYSTEM}/test_partitions.py::test_stream_in_progress_resumes_over_another_node",
+        (Edit(f"{TRAFFIC}/serving/repair.py", "            await self._leave_lost_path()\n", ""),),
+    ),
+    Proof(
+        "a refused connection shows a crash only beside servers that accept",
+        "tests/node/traffic/servers/test_connectivity.py"
+        "::test_refused_connection_shows_a_crash_only_beside_servers_that_accept",
+        (
+            Edit(
+                f"{TRAFFIC}/servers/crashwatch.py",
+                "if not await self._connectivity.check(server.service, read_clock()):",
+                "if self._board is None:",
+            ),
+        ),
+    ),
+    Proof(
+        "a node without a path gives up the tenure",
+        f"{SYSTEM}/test_partitions.py::test_node_without_a_path_gives_up_the_orders_to_servers",
+        (Edit(f"{TRAFFIC}/duties/placing.py", "                await self._tenure.step_down()\n", ""),),
+    ),
 )
