Log the steps of a node's start with elapsed and processor time, and each node that a request goes to

Seven listed tests of the own interface are set-ups that time out beside load; nothing told where the time of a start goes.

Steps of 'request ended' name the other node when it has accepted the request, not only once it answers.

--- a/packages/node/src/vaneturn_node/daemon.py
+++ b/packages/node/src/vaneturn_node/daemon.py
@@ -18,7 +18,7 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
-from vaneturn_core.configuration.schema import ClaimMode
+from vaneturn_core.configuration.schema import ClaimMode, Configuration
 from vaneturn_core.faults import Fault
 from vaneturn_core.identifiers import NodeId
 from vaneturn_core.limits.retrybudget import RetryBudget
@@ -53,6 +53,7 @@
 from vaneturn_node.stages.pool import LinkPool
 from vaneturn_node.standalone.keyvalue import HttpKeyValueService
 from vaneturn_node.standalone.vms import HttpVmList
+from vaneturn_node.startsteps import log_start_step
 
 EXIT_SETTINGS: Final = 2
 UNREADY_DELAY_S: Final = 1.0  # from unready to refusing, so that the load balancer can react
@@ -72,6 +73,7 @@
         return 0
     node = NodeId(uuid.uuid4().hex[:16])
     configure_logs(settings.log_level, settings.vm, node)
+    log_start_step("modules loaded")
     anyio.run(_run, settings, node, backend_options={"loop_factory": uvloop.new_event_loop})
     return 0
 
@@ -94,6 +96,7 @@
             tasks.start_soon(_follow_vm_list, HttpVmList(client, settings.vm_list_url), runtime.healths)
         stopped = anyio.Event()
         tasks.start_soon(_wait_for_stop, runtime, peers, stopped)
+        log_start_step("parts made")
         await _serve(runtime, stopped)
         tasks.cancel_scope.cancel()
     logger.info("stopped")
@@ -109,6 +112,7 @@
     pool = LinkPool(tasks, healths, metrics)
     placement = Placement(healths, pool, metrics)
     caches = CacheMover(client, settings.data_hall)
+    in_force.add_listener(_FirstConfiguration().note)
     in_force.add_listener(lambda configuration: healths.replace_leaving(LeavingSource.OPERATOR, configuration.draining))
     in_force.add_listener(caches.follow)
     in_force.add_listener(pool.follow)
@@ -142,6 +146,18 @@
     )
 
 
+class _FirstConfiguration:
+    """Logs when the first configuration is in force."""
+
+    def __init__(self) -> None:
+        self._is_known = False
+
+    def note(self, _configuration: Configuration) -> None:
+        if not self._is_known:
+            self._is_known = True
+            log_start_step("configuration in force")
+
+
 async def _serve(runtime: Runtime, stopped: anyio.Event) -> None:
     config = Config()
     config.bind = [runtime.settings.http_address]
@@ -152,6 +168,7 @@
         config.keyfile = runtime.settings.tls.key
     config.accesslog = None
     config.errorlog = logging.getLogger("hypercorn.error")
+    log_start_step("serving")
     logger.info("serving", extra={"address": runtime.settings.http_address})
     await serve(cast("Any", make_app(runtime)), config, shutdown_trigger=stopped.wait, mode="asgi")
 
--- a/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -123,7 +123,7 @@
             outcome = await self._offer_to(peer, address, context, last_event_id, silence, is_resumed=is_resumed)
             if not isinstance(outcome, NotRun):
                 return outcome
-            context.add_step(f"forwarded to {peer}: {outcome.cause}")
+            context.add_step(f"{peer}: {outcome.cause}")
             if not outcome.has_no_path:
                 return outcome
             self._choice.record_declined(peer)
@@ -151,6 +151,7 @@
             headers = [(b"host", address.encode()), (b"content-type", b"application/msgpack")]
             await link.send_when_accepted("POST", FORWARDED_PATH, headers, message, ACCEPT_TIMEOUT_S)
             context.sends += 1
+            context.add_step(f"forwarded to {peer}")
             head = await self._read_head(link, context, silence)
             marks = read_marks(head.headers)
             if marks is None or marks.kind is AnswerKind.DECLINED:
@@ -158,14 +159,13 @@
                 return NotRun(f"declined with {head.status}", has_no_path=True)
             self._newest_version = max(self._newest_version, marks.version)
             context.runs = max(context.runs, marks.runs)
-            context.add_step(f"forwarded to {peer}")
             is_kept = True
             return PeerAnswer(peer, link, AnswerHead(head.status, list(drop_marks(head.headers))), marks)
         except LinkError as error:
             if not error.was_sent:
                 return NotRun(error.cause, has_no_path=True)
             context.runs += 1
-            context.add_step(f"forwarded to {peer}: {error.cause}")
+            context.add_step(f"{peer}: {error.cause}")
             return MayHaveRun(f"{peer}: {error.cause}")
         finally:
             if not is_kept:
