Move the listeners of a node into a module of their own, and count runs on servers that may live

A run on a first server that is taken for lost while the path is open counts again until another server has accepted the request, as before the forwarding: without that a stream could have been sent to one more server than its route allows.

--- a/packages/core/src/vaneturn_core/traffic/beliefs.py
+++ b/packages/core/src/vaneturn_core/traffic/beliefs.py
@@ -192,13 +192,6 @@
         """List the servers that are backed off after failures seen by this node, with the end of each backoff."""
         return {server: status.failed_until for server, status in self._statuses.items() if status.failed_until > now}
 
-    def forget_failures(self, servers: Iterable[BackendServer], since: float) -> None:
-        """Forget the failures of servers since a time, as this node could not reach any of them."""
-        for server in servers:
-            status = self[server.id]
-            if status.failed_at >= since:
-                status.failures, status.failed_until = 0, float("-inf")
-
     def list_all(self) -> Mapping[ServerId, ServerStatus]:
         """List the status of each known server."""
         return self._statuses
--- a/packages/node/src/vaneturn_node/traffic/process/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/process/daemon.py
@@ -2,21 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
-import dataclasses
 import logging
 import signal
 import uuid
-from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import Any, Final
+from typing import Final
 
 import anyio
 
 from vaneturn_core.faults import Fault
 from vaneturn_core.identifiers import DataHall, NodeId
 from vaneturn_core.traffic.beliefs import ServerStatuses
-from vaneturn_core.traffic.configuration import ClientLimits
 from vaneturn_core.traffic.hearing import Reachability
 from vaneturn_core.traffic.relays import RelayTimes, rank_candidate
 from vaneturn_core.traffic.servers import ServerAddress
@@ -25,8 +21,6 @@
 from vaneturn_node.clock import read_clock, watch_suspensions
 from vaneturn_node.http1.caller import Caller
 from vaneturn_node.http1.pool import LinkPool
-from vaneturn_node.http1.server import ClientAnswer, ClientConnection, ClientRequest, Handler
-from vaneturn_node.http1.tcp import TcpStream, listen
 from vaneturn_node.logs import configure_logs
 from vaneturn_node.platform.servers import ServerCalls
 from vaneturn_node.platform.store import PlatformStore
@@ -36,6 +30,7 @@
 from vaneturn_node.traffic.following.follower import StoreFollower
 from vaneturn_node.traffic.following.viewkeeping import ViewKeeper
 from vaneturn_node.traffic.process.inspection import OperatorHandler
+from vaneturn_node.traffic.process.listeners import Listeners
 from vaneturn_node.traffic.process.stopping import Lifecycle
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.servers.reports import ReportBoard
@@ -48,15 +43,11 @@
 from vaneturn_node.traffic.sharing.changeserver import ChangeServer
 from vaneturn_node.traffic.sharing.crashsharing import CrashSharing
 from vaneturn_node.traffic.sharing.demandsharing import DemandSharing
-from vaneturn_node.traffic.sharing.forwarding import FORWARDED_PATH
 from vaneturn_node.traffic.sharing.loadsharing import LoadSharing
 from vaneturn_node.traffic.sharing.longvalues import LongValueReader
 from vaneturn_node.traffic.sharing.losssharing import LossSharing
 
-READINESS_PATH: Final = "/api/readyz"
 STOP_POLL_INTERVAL_S: Final = 0.05  # during a planned stop, between checks whether the process may end
-MAX_FORWARDED_HEAD_BYTES: Final = 131_072  # of a request that a node forwards, besides its body
-BACKLOG: Final = 512  # connections waiting to be accepted
 
 logger = logging.getLogger(__name__)
 
@@ -97,7 +88,7 @@
         ended = RequestHistory()
         self._connectivity = parts.connectivity
         self._request_handler = RequestHandler(parts, metrics, ended)
-        self._forwarded_handler = ForwardedRequestHandler(
+        forwarded_handler = ForwardedRequestHandler(
             self._request_handler, self._view, lambda: self._lifecycle.is_stopping
         )
         self._placer = Placer(self._tenure, self._view, calls, self._connectivity)
@@ -143,8 +134,7 @@
             times=times,
             first_reading=parts.first_reading,
         )
-        self._client_listener: asyncio.Server | None = None
-        self._operator_handler = OperatorHandler(
+        operator_handler = OperatorHandler(
             vm=settings.vm,
             node=self.id,
             parts=parts,
@@ -156,6 +146,15 @@
             lifecycle=self._lifecycle,
             demand=demand,
         )
+        self._listeners = Listeners(
+            settings=settings,
+            view=self._view,
+            lifecycle=self._lifecycle,
+            clients=self._request_handler,
+            forwarded=forwarded_handler,
+            changes=self._change_server,
+            operators=operator_handler,
+        )
 
     async def run(self) -> None:
         """Run until a planned stop is complete."""
@@ -166,7 +165,7 @@
                 for background in (*duties, *shared, self._connectivity):
                     tasks.start_soon(background.run)
                 tasks.start_soon(watch_suspensions, self._request_handler.shorten_timeouts)
-                await self._listen(tasks)
+                await self._listeners.open(tasks)
                 logger.info("serving", extra={"address": self._settings.client_address, "node": self.id})
                 tasks.start_soon(self._await_stop, tasks.cancel_scope)
                 async for signal_number in signals:
@@ -178,27 +177,12 @@
                         tasks.start_soon(self._release_duties)
         logger.info("stopped")
 
-    async def _listen(self, tasks: anyio.abc.TaskGroup) -> None:
-        listeners: list[tuple[str, Callable[[TcpStream], Coroutine[Any, Any, None]]]] = [
-            (self._settings.client_address, self._serve_client),
-            (self._settings.readiness_address, self._serve_readiness),
-            (self._settings.metrics_address, self._serve_metrics),
-            (self._settings.peer_address, self._serve_peer),
-        ]
-        for address, serve in listeners:
-            host, _, port = address.rpartition(":")
-            listener = await listen(host, int(port), serve, tasks, BACKLOG)
-            if address == self._settings.client_address:
-                self._client_listener = listener
-
     async def _await_stop(self, scope: anyio.CancelScope) -> None:
         await self._lifecycle.wait_for_stop()
         while True:
             await anyio.sleep(STOP_POLL_INTERVAL_S)
-            if self._client_listener is not None and self._lifecycle.is_closed_to_clients():
+            if self._lifecycle.is_closed_to_clients() and self._listeners.close_to_clients():
                 logger.info("no more clients", extra={"in_progress": self._request_handler.in_progress})
-                self._client_listener.close()
-                self._client_listener = None
             if self._lifecycle.may_exit(self._request_handler.in_progress):
                 break
         scope.cancel()
@@ -227,37 +211,6 @@
         ]
         logger.info("settings reloaded", extra={"changed": changed})
 
-    async def _serve_client(self, stream: TcpStream) -> None:
-        await self._serve(stream, self._request_handler.handle)
-
-    async def _serve_readiness(self, stream: TcpStream) -> None:
-        await self._serve(stream, self._answer_readiness)
-
-    async def _serve_metrics(self, stream: TcpStream) -> None:
-        self._operator_handler.in_progress = self._request_handler.in_progress
-        await self._serve(stream, self._operator_handler.answer)
-
-    async def _serve_peer(self, stream: TcpStream) -> None:
-        await self._serve(stream, self._answer_peer, extra_bytes=MAX_FORWARDED_HEAD_BYTES)
-
-    async def _answer_peer(self, request: ClientRequest, answer: ClientAnswer) -> None:
-        is_forwarded = request.path == FORWARDED_PATH
-        await (self._forwarded_handler if is_forwarded else self._change_server).answer(request, answer)
-
-    async def _serve(self, stream: TcpStream, handler: Handler, extra_bytes: int = 0) -> None:
-        configuration = self._view.configuration
-        limits = configuration.limits if configuration is not None else ClientLimits()
-        limits = dataclasses.replace(limits, body_bytes=limits.body_bytes + extra_bytes)
-        lifecycle = self._lifecycle
-        await ClientConnection(stream, handler, limits, lifecycle.idle_scopes, lambda: lifecycle.is_stopping).run()
-
-    async def _answer_readiness(self, request: ClientRequest, answer: ClientAnswer) -> None:
-        is_ready = request.path == READINESS_PATH and self._is_ready()
-        await answer.send_whole(200 if is_ready else 503, [], b"ready" if is_ready else b"not ready")
-
-    def _is_ready(self) -> bool:
-        return not self._lifecycle.is_stopping and self._view.is_ready()
-
 
 def run_traffic_node(settings: TrafficSettings, path: Path) -> None:
     """Run a node on the users' platform until a planned stop by SIGTERM or SIGINT is complete."""
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/process/listeners.py
@@ -0,0 +1,108 @@
+"""The addresses at which a node listens: for clients, readiness checks, operators and other nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+from anyio.abc import TaskGroup
+
+from vaneturn_core.traffic.configuration import ClientLimits
+from vaneturn_core.traffic.settings import TrafficSettings
+from vaneturn_core.traffic.view import PlatformView
+from vaneturn_node.http1.server import ClientAnswer, ClientConnection, ClientRequest, Handler
+from vaneturn_node.http1.tcp import TcpStream, listen
+from vaneturn_node.traffic.process.inspection import OperatorHandler
+from vaneturn_node.traffic.process.stopping import Lifecycle
+from vaneturn_node.traffic.serving.answering import RequestHandler
+from vaneturn_node.traffic.serving.forwardedrequests import ForwardedRequestHandler
+from vaneturn_node.traffic.sharing.changeserver import ChangeServer
+from vaneturn_node.traffic.sharing.forwarding import FORWARDED_PATH
+
+READINESS_PATH: Final = "/api/readyz"
+BACKLOG: Final = 512  # connections waiting to be accepted
+MAX_FORWARDED_HEAD_BYTES: Final = 131_072  # of a request that a node forwards, besides its body
+
+
+class Listeners:
+    """Accepts connections and passes their requests to the handlers."""
+
+    def __init__(
+        self,
+        *,
+        settings: TrafficSettings,
+        view: PlatformView,
+        lifecycle: Lifecycle,
+        clients: RequestHandler,
+        forwarded: ForwardedRequestHandler,
+        changes: ChangeServer,
+        operators: OperatorHandler,
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._lifecycle = lifecycle
+        self._clients = clients
+        self._forwarded = forwarded
+        self._changes = changes
+        self._operators = operators
+        self._client_listener: asyncio.Server | None = None
+
+    async def open(self, tasks: TaskGroup) -> None:
+        """Listen at all addresses; serve each connection in a task of its own."""
+        listeners: list[tuple[str, Callable[[TcpStream], Coroutine[Any, Any, None]]]] = [
+            (self._settings.client_address, self._serve_client),
+            (self._settings.readiness_address, self._serve_readiness),
+            (self._settings.metrics_address, self._serve_metrics),
+            (self._settings.peer_address, self._serve_peer),
+        ]
+        for address, serve in listeners:
+            host, _, port = address.rpartition(":")
+            listener = await listen(host, int(port), serve, tasks, BACKLOG)
+            if address == self._settings.client_address:
+                self._client_listener = listener
+
+    def close_to_clients(self) -> bool:
+        """Accept no more clients; return whether this call closed the listener."""
+        if self._client_listener is None:
+            return False
+        self._client_listener.close()
+        self._client_listener = None
+        return True
+
+    async def _serve_client(self, stream: TcpStream) -> None:
+        await self._serve(stream, self._clients.handle)
+
+    async def _serve_readiness(self, stream: TcpStream) -> None:
+        await self._serve(stream, self._answer_readiness)
+
+    async def _serve_metrics(self, stream: TcpStream) -> None:
+        self._operators.in_progress = self._clients.in_progress
+        await self._serve(stream, self._operators.answer)
+
+    async def _serve_peer(self, stream: TcpStream) -> None:
+        await self._serve(stream, self._answer_peer, extra_bytes=MAX_FORWARDED_HEAD_BYTES)
+
+    async def _answer_peer(self, request: ClientRequest, answer: ClientAnswer) -> None:
+        is_forwarded = request.path == FORWARDED_PATH
+        await (self._forwarded if is_forwarded else self._changes).answer(request, answer)
+
+    async def _serve(self, stream: TcpStream, handler: Handler, extra_bytes: int = 0) -> None:
+        """Serve a connection.
+
+        :param extra_bytes: allowed in the body of a request beyond the limit for clients.
+        """
+        configuration = self._view.configuration
+        limits = configuration.limits if configuration is not None else ClientLimits()
+        limits = dataclasses.replace(limits, body_bytes=limits.body_bytes + extra_bytes)
+        lifecycle = self._lifecycle
+        await ClientConnection(stream, handler, limits, lifecycle.idle_scopes, lambda: lifecycle.is_stopping).run()
+
+    async def _answer_readiness(self, request: ClientRequest, answer: ClientAnswer) -> None:
+        is_ready = not self._lifecycle.is_stopping and self._view.is_ready()
+        is_known = request.path == READINESS_PATH
+        await answer.send_whole(200 if is_known and is_ready else 503, [], b"ready" if is_ready else b"not ready")
+
+
+__all__ = ["Listeners"]
--- a/packages/node/src/vaneturn_node/traffic/servers/connectivity.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/connectivity.py
@@ -186,10 +186,17 @@
         if path.is_lost:
             extra["opened_age"] = round(min(now - opened_at, MAX_SHOWN_S), 3)
             logger.warning("path to service lost", extra=extra)
-            self._beliefs.forget_failures(self._list_servers(service), now - LOSS_TIME_S)
+            self._forget_failures(service, now - LOSS_TIME_S)
             self._has_lost.notify()
         else:
             logger.warning("path to service regained", extra={**extra, "lost_for": round(lost_for, 3)})
 
+    def _forget_failures(self, service: ServiceName, since: float) -> None:
+        """Forget the failures of servers since a time, as this node could not reach any of them."""
+        for server in self._list_servers(service):
+            status = self._beliefs[server.id]
+            if status.failed_at >= since:
+                status.failures, status.failed_until = 0, float("-inf")
+
 
 __all__ = ["Connectivity"]
--- a/packages/node/src/vaneturn_node/traffic/servers/lossfinding.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/lossfinding.py
@@ -88,7 +88,7 @@
         self._reaches_none = False
         refused = [part for part in failed if self._parts.reports.is_gone(part.server.id)]
         silent = [part for part in failed if part not in refused]
-        if len(refused) == len(unheard) and refused:  # either all have ended, or none can be reached
+        if len(refused) == len(unheard) and refused:  # they have crashed, or this node has lost its path
             self._reaches_none = not await self._parts.can_reach_others({part.server.id for part in refused}, started)
             return [] if self._reaches_none else refused
         if not silent:
--- a/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -34,8 +33,6 @@
 MAX_OFFERS: Final = 8  # of one request to other nodes
 PEER_SILENCE_S: Final = 1.0  # of a node that has accepted a request, until a request that may run again is moved
 
-logger = logging.getLogger(__name__)
-
 
 class _ErrorBody(msgspec.Struct):
     """The body of an answer that a node makes itself."""
@@ -91,7 +88,6 @@
         self._parts = parts
         self._choice = PeerChoice(parts.vm, read_clock)
         self._newest_version = 0  # of the configuration by which a request of this node was answered
-        self.in_progress = 0
 
     def needs_peer(self, context: RequestContext) -> bool:
         """Tell whether a request should go to another node.
@@ -142,7 +138,6 @@
         link: HttpLink | None = None
         is_kept = False
         self._choice.record_begun(peer)
-        self.in_progress += 1
         try:
             link = await self._parts.pool.acquire(address, MAX_PEER_IDLE_S)
             if not context.may_send():
@@ -169,7 +164,7 @@
             return MayHaveRun(f"{peer}: {error.cause}")
         finally:
             if not is_kept:
-                self._end(peer)
+                self._choice.record_ended(peer)
                 await _abort(link)
 
     async def _read_head(self, link: HttpLink, context: RequestContext, silence: float) -> AnswerHead:
@@ -206,7 +201,7 @@
 
     async def release(self, answer: PeerAnswer, *, is_whole: bool) -> None:
         """Return the connection to the pool if the answer is whole; else close it, so that the other node stops."""
-        self._end(answer.peer)
+        self._choice.record_ended(answer.peer)
         if not is_whole:
             await _abort(answer.link)
             return
@@ -217,10 +212,6 @@
             else:
                 await self._parts.pool.release(answer.link, address)
 
-    def _end(self, peer: VmId) -> None:
-        self.in_progress -= 1
-        self._choice.record_ended(peer)
-
 
 async def _abort(link: HttpLink | None) -> None:
     if link is not None:
@@ -228,6 +219,4 @@
             await link.abort()
 
 
-OnForwarded = Callable[[], None]
-
 __all__ = ["PEER_SILENCE_S", "PeerAnswer", "PeerForwarder"]
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -262,7 +262,9 @@
         if successor is None:
             return
         context.add_step(cause)
-        if not is_first_lost:  # a run on a lost server counts no more
+        if not (
+            is_first_lost and self._parts.connectivity.is_lost(context.service)
+        ):  # a run behind a cut does not count
             self._reservation.count_run()
         outcome: TryOutcome | OwnAnswer | None = None
         self._has_resumed = False
