--- a/packages/node/src/vaneturn_node/traffic/process/listeners.py
+++ b/packages/node/src/vaneturn_node/traffic/process/listeners.py
@@ -100,9 +100,9 @@
         await ClientConnection(stream, handler, limits, lifecycle.idle_scopes, lambda: lifecycle.is_stopping).run()
 
     async def _answer_readiness(self, request: ClientRequest, answer: ClientAnswer) -> None:
-        is_ready = not self._lifecycle.is_stopping and self._view.is_ready()
-        is_known = request.path == READINESS_PATH
-        await answer.send_whole(200 if is_known and is_ready else 503, [], b"ready" if is_ready else b"not ready")
+        is_serving = not self._lifecycle.is_stopping and self._view.is_ready()
+        is_ready = request.path == READINESS_PATH and is_serving
+        await answer.send_whole(200 if is_ready else 503, [], b"ready" if is_ready else b"not ready")
 
 
 __all__ = ["Listeners"]
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -262,9 +262,8 @@
         if successor is None:
             return
         context.add_step(cause)
-        if not (
-            is_first_lost and self._parts.connectivity.is_lost(context.service)
-        ):  # a run behind a cut does not count
+        is_cut_off = is_first_lost and self._parts.connectivity.is_lost(context.service)
+        if not is_cut_off:
             self._reservation.count_run()
         outcome: TryOutcome | OwnAnswer | None = None
         self._has_resumed = False
