Log how the answers of servers were framed and how they ended

It now names the framing (length, chunks, close), the end of the bytes (framed, closed, reset, silent, invalid) and where in its content the body ended. No decision changes.

--- a/packages/node/src/vaneturn_node/http1/link.py
+++ b/packages/node/src/vaneturn_node/http1/link.py
@@ -9,12 +9,14 @@
 import anyio
 import h11
 
+from vaneturn_core.traffic.completeness import Ending, Framing
 from vaneturn_node.http1.messages import Headers, find_header
 from vaneturn_node.http1.tcp import TcpStream
 
 RECEIVE_BYTES: Final = 65536
 MAX_HEAD_BYTES: Final = 65536
 DEFAULT_IDLE_TIMEOUT_S: Final = 2.0  # servers without a Keep-Alive timeout keep an idle connection at least so long
+BODILESS_STATUSES: Final = frozenset({204, 304})
 IDLE_MARGIN_S: Final = 0.8  # subtracted from the Keep-Alive timeout, for the transit of the next request
 
 
@@ -61,6 +63,10 @@
         self._protocol = h11.Connection(our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._was_sent = False
         self._next_event: h11.Event | type[h11.PAUSED | h11.NEED_DATA] | None = None  # read ahead by wait_for_more()
+        self._method = ""  # of the newest request
+        self._is_closed_by_peer = False
+        self.framing: Framing | None = None  # of the newest answer; None until its head has arrived
+        self.ending: Ending | None = None  # of the newest answer; None while it may still arrive
         self.trailers: Headers = ()  # of the newest answer that was read to its end
         self._idle_timeout = DEFAULT_IDLE_TIMEOUT_S
         self.idle_since = 0.0  # set by the pool
@@ -87,7 +93,7 @@
 
         :raises LinkError: sending failed; a part of the request may have been sent.
         """
-        self._was_sent = False
+        self._begin_exchange(method)
         framed = [*headers, (b"content-length", str(len(body)).encode())] if body or method != "GET" else list(headers)
         data = self._protocol.send(h11.Request(method=method, target=target, headers=framed)) or b""
         if body:
@@ -96,6 +102,11 @@
         self._was_sent = True
         await self._send_bytes(data, limit)
 
+    def _begin_exchange(self, method: str) -> None:
+        self._was_sent = False
+        self._method = method
+        self.framing = self.ending = None
+
     async def _send_bytes(self, data: bytes, limit: float) -> None:
         try:
             await self._stream.send(data, limit)
@@ -112,7 +123,7 @@
         :param accept_limit: seconds to wait for that; a request whose body was not sent is not handled.
         :raises LinkError: the other side has not asked for the body in time, or sending failed.
         """
-        self._was_sent = False
+        self._begin_exchange(method)
         framed = [*headers, (b"content-length", str(len(body)).encode()), (b"expect", b"100-continue")]
         head = self._protocol.send(h11.Request(method=method, target=target, headers=framed)) or b""
         await self._send_bytes(head, accept_limit)
@@ -133,6 +144,7 @@
             event = await self._read_event(limit)
             if isinstance(event, h11.Response):
                 self._update_idle_timeout(event.headers.raw_items())
+                self.framing = _find_framing(self._method, event)
                 return AnswerHead(event.status_code, [(name.lower(), value) for name, value in event.headers])
             if not isinstance(event, h11.InformationalResponse):
                 raise LinkError("connection ended before an answer", was_sent=True)
@@ -146,6 +158,7 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            self.ending = Ending.CLOSED if self.framing is Framing.CLOSE else Ending.FRAMED
             self.trailers = [(name.lower(), value) for name, value in event.headers]
             return None
         raise LinkError("connection ended inside an answer", was_sent=True)
@@ -165,17 +178,22 @@
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
+                self.ending = Ending.CLOSED if self._is_closed_by_peer else Ending.INVALID
                 raise LinkError(f"not an answer: {error}", was_sent=True) from None
             if event is not h11.NEED_DATA:
                 return event
             try:
                 data = await self._stream.receive(RECEIVE_BYTES, limit)
             except TimeoutError:
+                self.ending = Ending.SILENT
                 raise LinkError("no bytes in time", was_sent=self._was_sent, is_unresponsive=True) from None
             except anyio.EndOfStream:
                 data = b""
+                self._is_closed_by_peer = True
             except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                self.ending = Ending.RESET
                 raise LinkError("connection reset", was_sent=self._was_sent) from None
+            self.ending = None
             self._protocol.receive_data(data)
 
     def _update_idle_timeout(self, headers: Sequence[tuple[bytes, bytes]]) -> None:
@@ -207,4 +225,14 @@
         await self._stream.aclose()
 
 
+def _find_framing(method: str, response: h11.Response) -> Framing:
+    """Find how the end of the body is marked (RFC 9112, section 6.3)."""
+    if method == "HEAD" or response.status_code in BODILESS_STATUSES:
+        return Framing.LENGTH
+    names = {name.lower() for name, _ in response.headers}
+    if b"transfer-encoding" in names:
+        return Framing.CHUNKS
+    return Framing.LENGTH if b"content-length" in names else Framing.CLOSE
+
+
 __all__ = ["AnswerHead", "HttpLink", "LinkError"]
--- a/packages/node/src/vaneturn_node/traffic/serving/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answering.py
@@ -193,6 +193,7 @@
         customer = context.customer.name if context is not None and context.customer is not None else ""
         self._metrics.observe(route, customer, ending, seconds)
         configuration = self._parts.view.configuration
+        end = context.answer_end if context is not None else None
         pause = (context.longest_pause if context is not None else None) or NO_PAUSE
         record = TrafficRequest(
             request=facts.id,
@@ -212,6 +213,9 @@
             looked=round(pause.looked, 3),
             found=round(pause.found, 3),
             went_on=round(pause.went_on, 3),
+            answer_framing=end.framing.value if end is not None else "",
+            answer_end=end.ending.value if end is not None else "",
+            answer_body_end=end.body_end.value if end is not None else "",
             forwarded_by=context.first_node.vm if context is not None and context.first_node is not None else "",
             content=format_content(context.content) if context is not None else "",
             admission=context.admission if context is not None else None,
--- a/packages/node/src/vaneturn_node/traffic/serving/events.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/events.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from vaneturn_core.traffic.completeness import BodyEnd
+
 _EVENT_END: Final = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_ID: Final = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
@@ -23,6 +25,14 @@
 
     def __init__(self) -> None:
         self._remainder = b""
+        self._has_event = False
+
+    @property
+    def body_end(self) -> BodyEnd:
+        """Tell where the body ends if no more bytes arrive."""
+        if self._remainder:
+            return BodyEnd.INSIDE_EVENT
+        return BodyEnd.AFTER_EVENT if self._has_event else BodyEnd.NO_EVENT
 
     @property
     def remainder(self) -> bytes:
@@ -40,6 +50,7 @@
             events.append(Event(event, ids[-1].decode("latin-1") if ids else None))
             start = match.end()
         self._remainder = remainder[start:]
+        self._has_event = self._has_event or bool(events)
         return events
 
 
--- a/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from vaneturn_core.traffic.completeness import BodyEnd
 from vaneturn_core.traffic.configuration import Repeatability
 from vaneturn_core.traffic.crashes import Suspicion
 from vaneturn_core.traffic.servers import BackendServer
@@ -14,6 +15,7 @@
 from vaneturn_node.http1.pool import MAX_IDLE_S
 from vaneturn_node.platform.headers import build_server_headers, read_answer_facts
 from vaneturn_node.traffic.servers.exchange import TrafficParts
+from vaneturn_node.traffic.serving.answerends import record_end
 from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, TryOutcome
 from vaneturn_node.traffic.serving.requests import RequestContext
 
@@ -98,8 +100,11 @@
         head = await self._read_head(context, server, link, timeout_s)
         facts = read_answer_facts(head.status, head.headers)
         body = []
-        while (data := await link.read_data(timeout_s)) is not None:
-            body.append(data)
+        try:
+            while (data := await link.read_data(timeout_s)) is not None:
+                body.append(data)
+        finally:
+            record_end(context, link, BodyEnd.UNKNOWN)
         server_status = self._parts.beliefs[server.id]
         if facts.load is not None:
             server_status.take_load(facts.load[0] + facts.load[1], read_clock())
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -11,6 +11,7 @@
 from vaneturn_core.identifiers import ServiceName, VmId
 from vaneturn_core.traffic.beliefs import ServerStatus
 from vaneturn_core.traffic.chain import Chain
+from vaneturn_core.traffic.completeness import AnswerEnd
 from vaneturn_core.traffic.configuration import TrafficCustomer, TrafficRoute
 from vaneturn_core.traffic.contents import Content, digest_content
 from vaneturn_core.traffic.crashes import CrashBoard
@@ -57,6 +58,7 @@
     events: int = 0  # of a stream, relayed to the client
     first_event: float = 0.0  # seconds from the request's arrival to the first event of a stream
     last_event: float = 0.0  # the same to the newest event
+    answer_end: AnswerEnd | None = None  # of the newest answer of a server that ended by itself
     longest_pause: Pause | None = None  # between two events of a stream
     # one draw for all tries, which decides whether the request belongs to a given share of requests
     draw: float = field(default_factory=random.random)
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -22,6 +22,7 @@
 from vaneturn_node.platform.headers import build_server_headers
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.servers.lossfinding import SLOW_GAP_S
+from vaneturn_node.traffic.serving.answerends import record_end
 from vaneturn_node.traffic.serving.chainreservation import ChainReservation
 from vaneturn_node.traffic.serving.clientstream import ClientStream
 from vaneturn_node.traffic.serving.events import EventSplitter
@@ -152,8 +153,13 @@
         self._client.set_head(head)
         while True:
             overdue = self._parts.patience.compute(self._client.pace, self._context.route.pause_objective)
-            data = await self._wait_for(link.read_data, overdue)
+            try:
+                data = await self._wait_for(link.read_data, overdue)
+            except LinkError:
+                record_end(self._context, link, splitter.body_end)
+                raise
             if data is None:
+                record_end(self._context, link, splitter.body_end)
                 await self._client.end(splitter)
                 self._parts.crash_watch.record_success(self._first_server, self._context.content)
                 return
--- /dev/null
+++ b/tests/node/test_httplink.py
@@ -0,0 +1,62 @@
+"""A connection tells how an answer was framed, and how its bytes ended."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from rig.ports import find_port
+from standins.platform.endings import AnswerFraming, AnswerPlan, Close, PlannedAnswer, send_answer
+from standins.platform.wire import Exchange, serve
+from vaneturn_core.traffic.completeness import Ending, Framing
+from vaneturn_node.http1.link import HttpLink, LinkError
+
+pytestmark = pytest.mark.anyio
+
+FRAMINGS = list(zip(AnswerFraming, Framing, strict=True))
+
+
+async def read_answer(plan: AnswerPlan) -> tuple[HttpLink, bytes]:
+    """Read an answer of 10 bytes that is sent as planned."""
+    address = f"127.0.0.1:{find_port()}"
+
+    async def answer(exchange: Exchange) -> None:
+        await send_answer(exchange, PlannedAnswer(plan, {}, [b"01234", b"56789"], anyio.lowlevel.checkpoint), never)
+
+    async with anyio.create_task_group() as tasks:
+        await serve(address, answer, tasks)
+        link = await HttpLink.open(address, 1.0)
+        await link.send("GET", "/", [(b"host", address.encode())], b"", 1.0)
+        await link.read_head(1.0)
+        body = b""
+        try:
+            while (data := await link.read_data(1.0)) is not None:
+                body += data
+        except LinkError:
+            pass
+        is_reusable = link.finish()
+        await link.abort()
+        assert not is_reusable
+        tasks.cancel_scope.cancel()
+    return link, body
+
+
+async def never() -> None:
+    raise AssertionError
+
+
+@pytest.mark.parametrize(("sent", "framing"), FRAMINGS)
+async def test_whole_answer_ends_by_its_framing(sent: AnswerFraming, framing: Framing) -> None:
+    link, body = await read_answer(AnswerPlan(sent))
+    assert (link.framing, body) == (framing, b"0123456789")
+    assert link.ending is (Ending.CLOSED if framing is Framing.CLOSE else Ending.FRAMED)
+
+
+@pytest.mark.parametrize(("sent", "framing"), FRAMINGS)
+@pytest.mark.parametrize(("close", "ending"), [(Close.ORDERLY, Ending.CLOSED), (Close.RESET, Ending.RESET)])
+async def test_answer_that_is_broken_off_ends_by_its_connection(
+    sent: AnswerFraming, framing: Framing, close: Close, ending: Ending
+) -> None:
+    link, body = await read_answer(AnswerPlan(sent, close, sent_bytes=7))
+    assert (link.framing, link.ending) == (framing, ending)
+    assert b"0123456789".startswith(body)
--- a/tests/standins/platform/servers.py
+++ b/tests/standins/platform/servers.py
@@ -16,6 +16,7 @@
 from anyio.abc import Listener, SocketStream, TaskGroup
 
 from standins.platform.directives import DirectiveRecord
+from standins.platform.endings import AnswerPlan, PlannedAnswer, send_answer
 from standins.platform.store import Store
 from standins.platform.wire import Exchange, FindLink, find_no_link, serve
 
@@ -44,6 +45,7 @@
     tokens: list[list[Part]] = field(default_factory=list)  # the chain that produced each token
     chains: list[list[Part]] = field(default_factory=list)  # chains assigned to the request; the last one is in force
     was_cut: bool = False
+    plan: AnswerPlan | None = None  # how its answer was sent; None for the usual way
     started: float = field(default_factory=time.monotonic)
     token_times: list[float] = field(default_factory=list)  # monotonic, when each token was produced
 
@@ -118,6 +120,7 @@
     load_time: float = 0.05
     born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)  # Unix milliseconds
     fault_handler: Callable[[Exchange, Run], Any] | None = None  # sends a faulty answer in place of the correct one
+    plan_answer: Callable[[Run, int], AnswerPlan | None] | None = None  # by the run and the bytes of its body
     work_time: float = 0.01  # seconds that a plain service works on a request
     rate_limit: float | None = None  # requests per second from all nodes, stated in its answers
     rest: float | None = None  # seconds of rest that it asks for when it rejects requests
@@ -258,7 +261,23 @@
         if self.fault_handler is not None:
             await self.fault_handler(exchange, run)
             return
-        await exchange.reply(200, self._sign(exchange, run), b"answer to " + run.request.encode())
+        body = b"answer to " + run.request.encode()
+        if not await self._send_as_planned(exchange, run, [body]):
+            await exchange.reply(200, self._sign(exchange, run), body)
+
+    async def _send_as_planned(self, exchange: Exchange, run: Run, pieces: list[bytes]) -> bool:
+        """Send an answer in the planned way; return False if none is planned."""
+        run.plan = self.plan_answer(run, sum(map(len, pieces))) if self.plan_answer is not None else None
+        if run.plan is None:
+            return False
+        headers = {**self._sign(exchange, run), **({"Content-Type": "text/event-stream"} if self.kind else {})}
+
+        async def make_piece() -> None:
+            if self.kind is not None:
+                await self._make_token(exchange, run)
+
+        await send_answer(exchange, PlannedAnswer(run.plan, headers, pieces, make_piece), self.crash)
+        return True
 
     def _sign(self, exchange: Exchange, run: Run) -> dict[str, str]:
         headers = {"X-Request-Id": run.request, "X-Response-Seal": f"seal-{run.server}", "X-Instance-Load": "1,0,8"}
@@ -303,11 +322,18 @@
         start = int(run.headers.get("last-event-id", "0"))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._stop_when_client_leaves, exchange, run, tasks)
-            for number in range(start + 1, self.fleet.answer_tokens + 1):
+            numbers = range(start + 1, self.fleet.answer_tokens + 1)
+            events = [f"id: {number}\ndata: token {number} of {run.request}\n\n".encode() for number in numbers]
+            if await self._send_as_planned(exchange, run, events):
+                return
+            headers = {**self._sign(exchange, run), "Content-Type": "text/event-stream"}
+            if not events:
+                await exchange.begin(200, headers)
+            for index, event in enumerate(events):
                 await self._make_token(exchange, run)
-                if number == start + 1:
-                    await exchange.begin(200, {**self._sign(exchange, run), "Content-Type": "text/event-stream"})
-                await exchange.send(f"id: {number}\ndata: token {number} of {run.request}\n\n".encode())
+                if index == 0:
+                    await exchange.begin(200, headers)
+                await exchange.send(event)
             await exchange.end()
             tasks.cancel_scope.cancel()
 
--- a/tests/standins/platform/wire.py
+++ b/tests/standins/platform/wire.py
@@ -72,6 +72,11 @@
     async def send_raw(self, data: bytes) -> None:
         await self._write(data)
 
+    async def flush(self) -> None:
+        """Wait until the data sent so far have passed the caller's link."""
+        if self._link is not None:
+            await self._link.flush()
+
     async def reset(self) -> None:
         """Reset the connection, as a crashed process does."""
         raw = self._stream.extra(SocketAttribute.raw_socket)  # noqa: S610 # no query
