Decide in one place whether an answer is whole, and resume or break off what is not

What callers saw: a success that was framed as complete, with a part of an event, without any event, or with a part of the events. Cause: 'no more data' was taken for the end of a whole answer wherever answers are read. For an answer with neither a length nor chunks that is any orderly close; and no framing was ever checked against the content.

core/traffic/completeness.py decides from the framing, the end of the bytes and the end of the body. Streams, plain answers, answers over another node, and the calls to servers, the store and relays use it. An event or a JSON document that is cut is broken off in any framing, and so is a stream without any event. After the last event, an orderly close says nothing about the server: it is asked whether it still runs (traffic/servers/liveness.py) before the end is passed on, for 1 s at most; events are passed on at once as before, and only answers that end with their connection pay. Without a reply the answer counts as broken off: a stream that may be resumed gets its end elsewhere, other callers see that the end is not certain. Runs, budget, suspicions and failures of servers follow, as for a reset. A kept try whose connection just ends no longer replaces the try that would have gone on.

--- a/packages/core/src/vaneturn_core/traffic/completeness.py
+++ b/packages/core/src/vaneturn_core/traffic/completeness.py
@@ -28,9 +28,12 @@
     """Where in its content the body of an answer ended."""
 
     UNKNOWN = "unknown"  # the content has no structure that would tell
-    NO_EVENT = "no event"  # a stream without any event
+    NOT_NEEDED = "not needed"  # the head of the answer says all
+    EMPTY = "empty"  # a stream without any event
     AFTER_EVENT = "after event"
     INSIDE_EVENT = "inside event"
+    AFTER_DOCUMENT = "after document"  # of a kind whose parts are never documents themselves
+    INSIDE_DOCUMENT = "inside document"
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,4 +45,30 @@
     body_end: BodyEnd
 
 
-__all__ = ["AnswerEnd", "BodyEnd", "Ending", "Framing"]
+class Completeness(Enum):
+    """Whether an answer is whole."""
+
+    WHOLE = "whole"
+    BROKEN_OFF = "broken off"
+    # The connection of a server that ends is closed in an orderly way too, so its bytes can't tell. The answer is whole
+    # if its server runs on.
+    UNCONFIRMED = "unconfirmed"
+
+
+def judge_end(end: AnswerEnd, *, may_be_empty: bool = False) -> Completeness:
+    """Decide whether an answer is whole.
+
+    :param may_be_empty: whether a stream may have no event, as one that is resumed after its last event.
+    """
+    is_orderly = end.ending is Ending.FRAMED or (end.ending is Ending.CLOSED and end.framing is Framing.CLOSE)
+    if end.body_end is BodyEnd.NOT_NEEDED and is_orderly:
+        return Completeness.WHOLE
+    is_cut = end.body_end in {BodyEnd.INSIDE_EVENT, BodyEnd.INSIDE_DOCUMENT}
+    if not is_orderly or is_cut or (end.body_end is BodyEnd.EMPTY and not may_be_empty):
+        return Completeness.BROKEN_OFF
+    if end.framing is Framing.CLOSE and end.body_end is not BodyEnd.AFTER_DOCUMENT:
+        return Completeness.UNCONFIRMED
+    return Completeness.WHOLE
+
+
+__all__ = ["AnswerEnd", "BodyEnd", "Completeness", "Ending", "Framing", "judge_end"]
--- a/packages/node/src/vaneturn_node/http1/caller.py
+++ b/packages/node/src/vaneturn_node/http1/caller.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 
 import anyio
+import msgspec
 
+from vaneturn_core.traffic.completeness import AnswerEnd, BodyEnd, Completeness, Framing, judge_end
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import HttpLink, LinkError
 from vaneturn_node.http1.messages import Headers
@@ -27,6 +29,7 @@
 
     cause: str
     was_sent: bool  # a part of the request may have been sent
+    has_answered: bool = False  # the other side has sent an answer that was of no use
     is_gone: bool = False  # the connection was refused, or another server is at the address
     is_unfinished: bool = False  # the answer was still arriving when the time limit ended
 
@@ -82,8 +85,12 @@
         except BaseException:
             await _abort(link)
             raise
+        whole = b"".join(parts)
+        if not _is_whole(link, whole):
+            await _abort(link)
+            return Failed("answer broken off: its connection was closed inside its body", was_sent=True)
         await self._pool.release(link, address)
-        return Reply(answer.status, b"".join(parts), answer.headers)
+        return Reply(answer.status, whole, answer.headers)
 
 
 async def _read_body(link: HttpLink, limit: float, arrival: BodyArrival | None, parts: list[bytes]) -> None:
@@ -93,6 +100,28 @@
             arrival.last_data_at = read_clock()
 
 
+def _is_whole(link: HttpLink, body: bytes) -> bool:
+    """Decide whether an answer that was read to its end is whole.
+
+    Only that of an older or faulty program has neither a length nor chunks. Its body is a JSON object or array, no part
+    of which is one, or is not needed.
+    """
+    assert link.framing is not None  # noqa: S101 # its head has arrived
+    assert link.ending is not None  # noqa: S101 # it was read to its end
+    body_end = _find_body_end(body) if link.framing is Framing.CLOSE else BodyEnd.UNKNOWN
+    return judge_end(AnswerEnd(link.framing, link.ending, body_end)) is Completeness.WHOLE
+
+
+def _find_body_end(body: bytes) -> BodyEnd:
+    if not body:
+        return BodyEnd.NOT_NEEDED  # whoever needs one finds that there is none
+    try:
+        is_document = isinstance(msgspec.json.decode(body), dict | list)
+    except (msgspec.DecodeError, RecursionError):
+        is_document = False
+    return BodyEnd.AFTER_DOCUMENT if is_document else BodyEnd.INSIDE_DOCUMENT
+
+
 async def _abort(link: HttpLink | None) -> None:
     if link is None:
         return
--- a/packages/node/src/vaneturn_node/http1/link.py
+++ b/packages/node/src/vaneturn_node/http1/link.py
@@ -163,12 +163,15 @@
             return None
         raise LinkError("connection ended inside an answer", was_sent=True)
 
-    async def wait_for_more(self, limit: float) -> None:
-        """Wait until more of the answer has arrived; the next read returns it.
+    async def wait_for_more(self, limit: float) -> bool:
+        """Wait until more of the answer has arrived, which the next read returns; tell whether it goes on or is whole.
+
+        An end that only the end of the connection marks may have broken it off.
 
         :raises LinkError: nothing came in time, or the connection ended.
         """
         self._next_event = await self._read_event(limit)
+        return not (isinstance(self._next_event, h11.EndOfMessage) and self.framing is Framing.CLOSE)
 
     async def _read_event(self, limit: float) -> h11.Event | type[h11.PAUSED | h11.NEED_DATA]:
         if self._next_event is not None:
--- a/packages/node/src/vaneturn_node/platform/servers.py
+++ b/packages/node/src/vaneturn_node/platform/servers.py
@@ -229,11 +229,11 @@
 
 def _decode(reply: Reply, type_: type[T]) -> T | Failed:
     if reply.status != 200:  # noqa: PLR2004 # a report has no other status
-        return Failed(f"status {reply.status}", was_sent=True)
+        return Failed(f"status {reply.status}", was_sent=True, has_answered=True)
     try:
         return msgspec.json.decode(reply.body, type=type_)
     except msgspec.DecodeError as error:
-        return Failed(str(error), was_sent=True)
+        return Failed(str(error), was_sent=True, has_answered=True)
 
 
 __all__ = ["SERVERS_PREFIX", "OrderOutcome", "ServerCalls", "ServerReport", "decode_server", "is_address"]
--- a/packages/node/src/vaneturn_node/traffic/servers/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/exchange.py
@@ -38,6 +38,7 @@
 from vaneturn_node.traffic.servers.crashwatch import CrashWatch
 from vaneturn_node.traffic.servers.directivekeeper import DirectiveKeeper
 from vaneturn_node.traffic.servers.firstreading import FirstReading
+from vaneturn_node.traffic.servers.liveness import LivenessCheck
 from vaneturn_node.traffic.servers.permits import Permits
 from vaneturn_node.traffic.servers.reports import PROBE_JOIN_AGE_S, ReportBoard
 from vaneturn_node.traffic.servers.signals import Signal
@@ -74,6 +75,7 @@
     patience: ProbeDelay = field(default_factory=ProbeDelay)
     limits: RateLimits = field(default_factory=RateLimits)
     connectivity: Connectivity = field(init=False)
+    liveness: LivenessCheck = field(init=False)
     permits: Permits = field(init=False)
     directives: DirectiveKeeper = field(init=False)
     budgets: dict[ServiceName, WindowedRetryBudget] = field(default_factory=dict)
@@ -86,6 +88,7 @@
     def __post_init__(self) -> None:
         """Create the objects that depend on other fields."""
         self.connectivity = Connectivity(self.view, self.beliefs, self.pool)
+        self.liveness = LivenessCheck(self.reports)
         self.crashes = CrashBoard(read_clock, self.view.list_software)
         self.crash_watch = CrashWatch(self.crashes, self.reports, self.view, self.connectivity)
         self.directives = DirectiveKeeper(self.beliefs, self.limits)
--- a/packages/node/src/vaneturn_node/traffic/servers/reports.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/reports.py
@@ -38,18 +38,22 @@
         self._latest: dict[ServerId, _Probe] = {}  # answered or not
         self._running: dict[ServerId, _Probe] = {}
 
-    async def read(self, server: BackendServer, max_age: float = REPORT_AGE_S) -> ServerReport | Failed:
+    async def read(
+        self, server: BackendServer, max_age: float = REPORT_AGE_S, since: float = float("-inf")
+    ) -> ServerReport | Failed:
         """Return a report that was requested at most `max_age` seconds ago, probing the server if there is none.
 
         Only received reports are reused, not timeouts. A timeout that was kept for 0.2 s and checked every 0.1 s would
         count twice, and one unanswered probe would make the server count as lost.
+
+        :param since: monotonic time; a probe that was sent earlier is not joined.
         """
         now = read_clock()
         known = self._latest.get(server.id)
         if known is not None and isinstance(known.report, ServerReport) and known.sent_at > now - max_age:
             return known.report
         probe = self._running.get(server.id)
-        if probe is not None and probe.sent_at >= now - PROBE_JOIN_AGE_S:
+        if probe is not None and probe.sent_at >= max(since, now - PROBE_JOIN_AGE_S):
             await probe.is_over.wait()
             if probe.report is not None:
                 return probe.report
--- a/packages/node/src/vaneturn_node/traffic/serving/events.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/events.py
@@ -8,7 +8,8 @@
 
 from vaneturn_core.traffic.completeness import BodyEnd
 
-_EVENT_END: Final = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_EVENT_END: Final = re.compile(rb"\n\r?\n|\r\r")  # a blank line; lines end with LF, CRLF or CR
+_FIELD: Final = re.compile(rb"(?:^|[\r\n])[^:\r\n]")  # a line that is neither blank nor a comment
 _EVENT_ID: Final = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
 
@@ -18,6 +19,7 @@
 
     data: bytes
     id: str | None
+    has_fields: bool  # a comment has none
 
 
 class EventSplitter:
@@ -30,9 +32,9 @@
     @property
     def body_end(self) -> BodyEnd:
         """Tell where the body ends if no more bytes arrive."""
-        if self._remainder:
+        if _FIELD.search(self._remainder):
             return BodyEnd.INSIDE_EVENT
-        return BodyEnd.AFTER_EVENT if self._has_event else BodyEnd.NO_EVENT
+        return BodyEnd.AFTER_EVENT if self._has_event else BodyEnd.EMPTY
 
     @property
     def remainder(self) -> bytes:
@@ -47,10 +49,11 @@
         for match in _EVENT_END.finditer(remainder):
             event = remainder[start : match.end()]
             ids = _EVENT_ID.findall(event)
-            events.append(Event(event, ids[-1].decode("latin-1") if ids else None))
+            has_fields = _FIELD.search(event) is not None
+            self._has_event = self._has_event or has_fields
+            events.append(Event(event, ids[-1].decode("latin-1") if ids else None, has_fields))
             start = match.end()
         self._remainder = remainder[start:]
-        self._has_event = self._has_event or bool(events)
         return events
 
 
--- a/packages/node/src/vaneturn_node/traffic/serving/heads.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/heads.py
@@ -4,10 +4,12 @@
 
 from typing import Final
 
+from vaneturn_core.traffic.completeness import BodyEnd
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
 from vaneturn_node.platform.headers import read_answer_facts
 from vaneturn_node.traffic.servers.exchange import TrafficParts
+from vaneturn_node.traffic.serving.answerends import AnswerEnds
 from vaneturn_node.traffic.serving.chainreservation import ChainReservation
 from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, TryOutcome
 from vaneturn_node.traffic.serving.requests import RequestContext
@@ -45,17 +47,17 @@
     parts: TrafficParts, context: RequestContext, reservation: ChainReservation, link: HttpLink, head: AnswerHead
 ) -> TryOutcome:
     """Read an answer that is no success; return the outcome of the try."""
-    body = []
-    while (data := await link.read_data(max(MIN_BODY_TIMEOUT_S, context.time_left))) is not None:
-        body.append(data)
     facts = read_answer_facts(head.status, head.headers)
+    timeout_s = max(MIN_BODY_TIMEOUT_S, context.time_left)
+    body_end = BodyEnd.NOT_NEEDED if facts.was_refused else BodyEnd.UNKNOWN
+    body = await AnswerEnds(parts, context).read_whole(link, timeout_s, body_end, reservation.first_server)
     if facts.was_refused:
         return NotRun(f"refused with {head.status} at {reservation.record_refusal(facts).id}")
     reservation.count_run()
     context.avoided.add(reservation.first_server.id)
     parts.beliefs[reservation.first_server.id].record_error(read_clock())
     if facts.is_sealed:
-        return Answered(head.status, head.headers, b"".join(body))
+        return Answered(head.status, head.headers, body)
     return MayHaveRun(f"unsealed answer {head.status}")
 
 
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/serving/lostconnections.py
@@ -0,0 +1,52 @@
+"""Handles the loss of the connection over which a stream was sent: what it says of the server and of the request."""
+
+from __future__ import annotations
+
+from vaneturn_node.clock import read_clock
+from vaneturn_node.http1.link import LinkError
+from vaneturn_node.traffic.servers.exchange import TrafficParts
+from vaneturn_node.traffic.serving.chainreservation import ChainReservation
+from vaneturn_node.traffic.serving.outcomes import MayHaveRun, NotRun, TryOutcome
+from vaneturn_node.traffic.serving.requests import RequestContext
+
+
+async def handle_lost_connection(
+    parts: TrafficParts, context: RequestContext, reservation: ChainReservation, error: LinkError, events: int
+) -> TryOutcome:
+    """Record what a lost connection means for the first server and for the request; return the outcome of the try.
+
+    :param events: number that arrived over this try.
+    """
+    server = reservation.first_server
+    if not error.has_no_path:
+        context.avoided.add(server.id)
+    if await _is_servers_fault(parts, context, reservation, error):
+        parts.record_loss(server.id)
+    if error.has_no_path:
+        parts.get_retry_budget(context.service).take_back(is_first=context.sends == 1)
+        context.sends -= 1
+        return NotRun(error.cause, has_no_path=True)
+    if not error.was_sent:
+        return NotRun(error.cause, is_unreachable=True)
+    reservation.count_run()
+    is_cut_off = parts.connectivity.is_lost(context.service)
+    if not is_cut_off and not error.is_unresponsive:
+        suspicion = context.find_suspicion(events)
+        is_cut_off = await parts.crash_watch.record_cut_connection(server, context.content, suspicion)
+    if is_cut_off:
+        reservation.undo_run_count()
+    return MayHaveRun(f"{error.cause}, after {events} events")
+
+
+async def _is_servers_fault(
+    parts: TrafficParts, context: RequestContext, reservation: ChainReservation, error: LinkError
+) -> bool:
+    """Tell whether this node still reaches other servers, so that the first server is at fault."""
+    if error.has_no_path:
+        return False
+    if error.is_unresponsive:
+        return await parts.can_reach_others({reservation.first_server.id}, reservation.reserved_at)
+    return await parts.connectivity.check(context.service, read_clock())
+
+
+__all__ = ["handle_lost_connection"]
--- a/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -10,12 +10,14 @@
 import msgspec
 
 from vaneturn_core.identifiers import VmId
+from vaneturn_core.traffic.completeness import BodyEnd
 from vaneturn_core.traffic.peerchoice import PeerChoice
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
 from vaneturn_node.http1.messages import find_header, parse_decimal
 from vaneturn_node.platform.directives import RETRY_AFTER
 from vaneturn_node.traffic.servers.exchange import TrafficParts
+from vaneturn_node.traffic.serving.answerends import AnswerEnds
 from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, OwnAnswer, Reason
 from vaneturn_node.traffic.serving.requests import RequestContext
 from vaneturn_node.traffic.sharing.forwarding import (
@@ -50,15 +52,12 @@
     head: AnswerHead  # without marks
     marks: AnswerMarks
 
-    async def read_whole(self, limit: float) -> Answered | OwnAnswer | MayHaveRun | NotRun:
+    async def read_whole(self, ends: AnswerEnds, limit: float) -> Answered | OwnAnswer | MayHaveRun | NotRun:
         """Read the rest of an answer that is not a stream.
 
         :raises LinkError: it did not arrive whole, or not in time.
         """
-        parts = []
-        while (data := await self.link.read_data(limit)) is not None:
-            parts.append(data)
-        body = b"".join(parts)
+        body = await ends.read_whole(self.link, limit, BodyEnd.UNKNOWN, None)
         if self.marks.kind is AnswerKind.SERVER:
             return Answered(self.head.status, self.head.headers, body)
         return self._decode_own(body)
@@ -199,6 +198,10 @@
             is_resumed=is_resumed,
         )
 
+    def make_ends(self, context: RequestContext) -> AnswerEnds:
+        """Make what decides whether the answers of other nodes to a request are whole."""
+        return AnswerEnds(self._parts, context)
+
     async def release(self, answer: PeerAnswer, *, is_whole: bool) -> None:
         """Return the connection to the pool if the answer is whole; else close it, so that the other node stops."""
         self._choice.record_ended(answer.peer)
--- a/packages/node/src/vaneturn_node/traffic/serving/peertry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peertry.py
@@ -10,6 +10,7 @@
 from vaneturn_node.traffic.serving.outcomes import MayHaveRun, NotRun, OwnAnswer, TryOutcome
 from vaneturn_node.traffic.serving.peerforwarding import PEER_SILENCE_S, PeerAnswer, PeerForwarder
 from vaneturn_node.traffic.serving.requests import RequestContext
+from vaneturn_node.traffic.serving.streamrelay import find_body_end
 from vaneturn_node.traffic.serving.streamtry import OnAccepted
 from vaneturn_node.traffic.sharing.forwarding import AnswerKind, read_marks
 
@@ -59,8 +60,9 @@
         return outcome
 
     async def _handle(self, answer: PeerAnswer) -> TryOutcome | OwnAnswer | None:
+        ends = self._forwarder.make_ends(self._context)
         if answer.marks.kind is not AnswerKind.SERVER or answer.head.status not in SUCCESS_STATUSES:
-            outcome = await answer.read_whole(self._context.time_left)
+            outcome = await answer.read_whole(ends, self._context.time_left)
             if isinstance(outcome, OwnAnswer) and self._client.is_begun:
                 return NotRun(outcome.cause)  # an answer in progress is resumed again
             return outcome
@@ -69,6 +71,7 @@
             await self._on_accepted()
         self._client.set_head(answer.head)
         splitter = EventSplitter()
+        may_be_empty = self._client.is_begun or self._client.last_event is not None
         while (data := await self._read(answer)) is not None:
             relayed = await self._client.relay(splitter, data)
             if relayed:
@@ -79,6 +82,7 @@
         if marks is not None and marks.kind is AnswerKind.BROKEN_OFF:
             self._context.runs = marks.runs
             raise LinkError("answer broken off", was_sent=True)
+        await ends.require_whole(answer.link, find_body_end(answer.head, splitter), None, may_be_empty=may_be_empty)
         await self._client.end(splitter)
         return None
 
--- a/packages/node/src/vaneturn_node/traffic/serving/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plain.py
@@ -100,7 +100,7 @@
             return answer
         outcome: TryOutcome | OwnAnswer = MayHaveRun("cancelled")
         try:
-            outcome = await answer.read_whole(context.time_left)
+            outcome = await answer.read_whole(self._peers.make_ends(context), context.time_left)
         except LinkError as error:
             outcome = MayHaveRun(f"{answer.peer}: {error.cause}")
         finally:
--- a/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
@@ -15,7 +15,7 @@
 from vaneturn_node.http1.pool import MAX_IDLE_S
 from vaneturn_node.platform.headers import build_server_headers, read_answer_facts
 from vaneturn_node.traffic.servers.exchange import TrafficParts
-from vaneturn_node.traffic.serving.answerends import record_end
+from vaneturn_node.traffic.serving.answerends import AnswerEnds
 from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, TryOutcome
 from vaneturn_node.traffic.serving.requests import RequestContext
 
@@ -99,12 +99,8 @@
         await link.send(request.method, request.target, headers, request.body, timeout_s)
         head = await self._read_head(context, server, link, timeout_s)
         facts = read_answer_facts(head.status, head.headers)
-        body = []
-        try:
-            while (data := await link.read_data(timeout_s)) is not None:
-                body.append(data)
-        finally:
-            record_end(context, link, BodyEnd.UNKNOWN)
+        body_end = BodyEnd.NOT_NEEDED if facts.was_refused else BodyEnd.UNKNOWN
+        body = await AnswerEnds(self._parts, context).read_whole(link, timeout_s, body_end, server)
         server_status = self._parts.beliefs[server.id]
         if facts.load is not None:
             server_status.take_load(facts.load[0] + facts.load[1], read_clock())
@@ -117,7 +113,7 @@
             return NotRun(f"refused with {head.status}")
         context.runs += 1
         if facts.is_sealed:
-            return Answered(head.status, head.headers, b"".join(body))
+            return Answered(head.status, head.headers, body)
         return MayHaveRun(f"unsealed answer {head.status}")
 
     async def _read_head(
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -14,7 +14,7 @@
 from vaneturn_core.traffic.completeness import AnswerEnd
 from vaneturn_core.traffic.configuration import TrafficCustomer, TrafficRoute
 from vaneturn_core.traffic.contents import Content, digest_content
-from vaneturn_core.traffic.crashes import CrashBoard
+from vaneturn_core.traffic.crashes import CrashBoard, Suspicion
 from vaneturn_core.traffic.pace import Pause
 from vaneturn_core.traffic.servers import ServerId, ServerName
 from vaneturn_core.traffic.state import AdmissionRecord
@@ -59,6 +59,7 @@
     first_event: float = 0.0  # seconds from the request's arrival to the first event of a stream
     last_event: float = 0.0  # the same to the newest event
     answer_end: AnswerEnd | None = None  # of the newest answer of a server that ended by itself
+    broken_answers: list[AnswerEnd] = field(default_factory=list)  # answers of servers that were broken off
     longest_pause: Pause | None = None  # between two events of a stream
     # one draw for all tries, which decides whether the request belongs to a given share of requests
     draw: float = field(default_factory=random.random)
@@ -91,6 +92,12 @@
         """Tell whether it may not run any more, since servers crash when they begin to run it."""
         return self.crashes.is_barred(self.content)
 
+    def find_suspicion(self, events: int) -> Suspicion | None:
+        """Find what the loss of a server after some events of an answer says of this request; None if nothing."""
+        if self.is_sound:
+            return None
+        return Suspicion.BEGUN if events else Suspicion.UNHEARD
+
     def may_send(self) -> bool:
         """Tell whether it may still be sent to a server.
 
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -8,38 +8,30 @@
 import logging
 from collections.abc import Awaitable, Callable
 from functools import partial
-from typing import Final, Protocol, TypeVar
+from typing import Final, Protocol
 
 import anyio
 
 from vaneturn_core.traffic.chain import Chain
 from vaneturn_core.traffic.chains import ChainChooser
-from vaneturn_core.traffic.crashes import STARTING_TIME_S, Suspicion
 from vaneturn_core.traffic.pace import PauseStep
 from vaneturn_core.traffic.servers import BackendServer
 from vaneturn_node.clock import read_clock
-from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
+from vaneturn_node.http1.link import HttpLink, LinkError
 from vaneturn_node.platform.headers import build_server_headers
 from vaneturn_node.traffic.servers.exchange import TrafficParts
-from vaneturn_node.traffic.servers.lossfinding import SLOW_GAP_S
-from vaneturn_node.traffic.serving.answerends import record_end
 from vaneturn_node.traffic.serving.chainreservation import ChainReservation
 from vaneturn_node.traffic.serving.clientstream import ClientStream
-from vaneturn_node.traffic.serving.events import EventSplitter
 from vaneturn_node.traffic.serving.heads import handle_head
+from vaneturn_node.traffic.serving.lostconnections import handle_lost_connection
 from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, OwnAnswer, TryOutcome
 from vaneturn_node.traffic.serving.repair import ChainRepair, TryEndedError
 from vaneturn_node.traffic.serving.requests import RequestContext
+from vaneturn_node.traffic.serving.streamrelay import StreamRelay
 
 HEAD_PROBE_DELAY_S: Final = 0.2  # before the first event; most arrive in 0.16 s, and the target is 0.5 s
-PROBE_INTERVAL_S: Final = 0.1  # between probes while nothing arrives
-# the same after an inconclusive probe (the first server missed one response, or a part had just worked for another
-# request): with 0.1 s here, the loss was found that much later in a third of the pauses
-SHORT_PROBE_INTERVAL_S: Final = 0.025
 MOVE_BACKOFF_S: Final = 0.25  # after a refused try; the backoff of a server without capacity is as long
 
-T = TypeVar("T")
-
 logger = logging.getLogger(__name__)
 
 OnAccepted = Callable[[], Awaitable[None]]
@@ -79,23 +71,16 @@
         self._prepare_next = prepare_next
         self._on_accepted = on_accepted
         self._link: HttpLink | None = None
-        self._events = 0  # received over this try
-        self._first_event_at = float("inf")  # monotonic time of the first of them
         self._is_replaced = False  # another try has replaced it
         self._has_resumed = False  # it resumed while another try was opening, which has to end
         self._next_move_at = float("-inf")  # monotonic time from which another try may be sent
-        self._repair = ChainRepair(parts, context, self._reservation, client, self._move)
+        repair = ChainRepair(parts, context, self._reservation, client, self._move)
+        self._relay = StreamRelay(parts, context, self._reservation, client, repair)
 
     @property
     def _first_server(self) -> BackendServer:
         return self._reservation.first_server
 
-    @property
-    def _suspicion(self) -> Suspicion | None:
-        if self._context.is_sound:
-            return None
-        return Suspicion.BEGUN if self._events else Suspicion.UNHEARD
-
     async def run(self) -> TryOutcome | None:
         """Relay the answer over the chain; return None when it has ended in full."""
         outcome: TryOutcome | None = MayHaveRun("cancelled")
@@ -104,7 +89,9 @@
         except TryEndedError as ended:
             outcome = ended.outcome
         except LinkError as error:
-            outcome = await self._handle_lost_connection(error)
+            outcome = await handle_lost_connection(
+                self._parts, self._context, self._reservation, error, self._relay.events
+            )
         except anyio.get_cancelled_exc_class():
             self._reservation.count_run()
             # the try before may go on where it was, and be refused by its server later
@@ -138,48 +125,16 @@
         await link.send(
             context.request.method, context.request.target, headers, context.request.body, context.time_left
         )
-        head = await self._wait_for(link.read_head, HEAD_PROBE_DELAY_S)
+        head = await self._relay.wait_for(link.read_head, HEAD_PROBE_DELAY_S)
         outcome = await handle_head(self._parts, context, self._reservation, link, head)
         if outcome is not None:
             return outcome
         if self._on_accepted is not None:
             await self._on_accepted()
             self._on_accepted = None
-        await self._relay_events(link, head)
+        await self._relay.run(link, head)
         return None
 
-    async def _relay_events(self, link: HttpLink, head: AnswerHead) -> None:
-        splitter = EventSplitter()
-        self._client.set_head(head)
-        while True:
-            overdue = self._parts.patience.compute(self._client.pace, self._context.route.pause_objective)
-            try:
-                data = await self._wait_for(link.read_data, overdue)
-            except LinkError:
-                record_end(self._context, link, splitter.body_end)
-                raise
-            if data is None:
-                record_end(self._context, link, splitter.body_end)
-                await self._client.end(splitter)
-                self._parts.crash_watch.record_success(self._first_server, self._context.content)
-                return
-            relayed = await self._client.relay(splitter, data)
-            if relayed:
-                self._events += relayed
-                self._context.events += relayed
-                self._reservation.record_working()
-                self._record_running()
-                if self._client.pace.usual >= SLOW_GAP_S:
-                    await self._repair.measure_slowness()
-
-    def _record_running(self) -> None:
-        """Record when the server has run the request for long enough to show that it does not crash servers."""
-        now = read_clock()
-        self._first_event_at = min(self._first_event_at, now)
-        if not self._context.is_sound and now - self._first_event_at >= STARTING_TIME_S:
-            self._context.is_sound = True
-            self._parts.crash_watch.record_success(self._first_server, self._context.content)
-
     async def _close(self, *, is_whole: bool) -> None:
         """Release what was reserved; a server whose answer is not whole stops its work."""
         if not self._reservation.is_reserved:
@@ -188,54 +143,6 @@
         if self._link is not None:
             await self._parts.release(self._link, self._first_server.address, is_whole=is_whole)
 
-    async def _handle_lost_connection(self, error: LinkError) -> TryOutcome:
-        """Record what a lost connection means for the first server and for the request; return the outcome."""
-        if not error.has_no_path:
-            self._context.avoided.add(self._first_server.id)
-        if await self._is_servers_fault(error):
-            self._parts.record_loss(self._first_server.id)
-        if error.has_no_path:
-            self._parts.get_retry_budget(self._context.service).take_back(is_first=self._context.sends == 1)
-            self._context.sends -= 1
-            return NotRun(error.cause, has_no_path=True)
-        if not error.was_sent:
-            return NotRun(error.cause, is_unreachable=True)
-        self._reservation.count_run()
-        is_cut_off = self._parts.connectivity.is_lost(self._context.service)
-        if not is_cut_off and not error.is_unresponsive:
-            is_cut_off = await self._parts.crash_watch.record_cut_connection(
-                self._first_server, self._context.content, self._suspicion
-            )
-        if is_cut_off:
-            self._reservation.undo_run_count()
-        return MayHaveRun(f"{error.cause}, after {self._events} events")
-
-    async def _is_servers_fault(self, error: LinkError) -> bool:
-        """Tell whether this node still reaches other servers, so that the first server is at fault."""
-        if error.has_no_path:
-            return False
-        if error.is_unresponsive:
-            return await self._parts.can_reach_others({self._first_server.id}, self._reservation.reserved_at)
-        return await self._parts.connectivity.check(self._context.service, read_clock())
-
-    async def _wait_for(self, read: Callable[[float], Awaitable[T]], delay_s: float) -> T:
-        """Wait for the head or for data; while nothing arrives, probe for lost parts.
-
-        :raises LinkError: the connection was lost.
-        :raises TryEndedError: another try has replaced this one, or this one cannot continue.
-        """
-        while True:
-            try:
-                return await read(delay_s)
-            except LinkError as error:
-                if not error.is_unresponsive:
-                    raise
-            if self._context.time_left <= 0:
-                self._reservation.count_run()
-                raise TryEndedError(MayHaveRun("time is up"))
-            await self._repair.repair_losses()
-            delay_s = SHORT_PROBE_INTERVAL_S if self._repair.should_probe_soon else PROBE_INTERVAL_S
-
     async def _move(self, cause: str, *, is_first_lost: bool) -> None:
         """Move to another try, if there is one; this one is kept until a server has accepted the other.
 
@@ -250,8 +157,9 @@
             raise TryEndedError(MayHaveRun(cause))
         context = self._context
         has_path = not self._parts.connectivity.is_lost(context.service)
-        if is_first_lost and has_path and self._suspicion is not None:
-            await self._parts.crash_watch.record_unresponsive(self._first_server, context.content, self._suspicion)
+        suspicion = context.find_suspicion(self._relay.events)
+        if is_first_lost and has_path and suspicion is not None:
+            await self._parts.crash_watch.record_unresponsive(self._first_server, context.content, suspicion)
         runs = context.runs + (not self._reservation.is_run_counted) - is_first_lost
         if not context.route.may_repeat or runs >= context.route.max_attempts:
             context.add_wait_step(f"{cause}; waits")
@@ -288,11 +196,11 @@
         """End the next try if this one resumes before a server has accepted the next."""
         assert self._link is not None  # noqa: S101 # a try without a connection is not kept
         try:
-            await self._link.wait_for_more(self._context.time_left)
+            goes_on = await self._link.wait_for_more(self._context.time_left)
         except LinkError as error:
             logger.debug("kept try lost", extra={"cause": error.cause})  # the next read reports it as well
             return
-        if not self._is_replaced:
+        if goes_on and not self._is_replaced:
             self._context.add_step("goes on where it was")
             self._has_resumed = True
             scope.cancel()
--- a/tests/node/traffic/serving/test_events.py
+++ b/tests/node/traffic/serving/test_events.py
@@ -4,9 +4,11 @@
 
 import itertools
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from vaneturn_core.traffic.completeness import BodyEnd
 from vaneturn_node.traffic.serving.events import EventSplitter
 
 STREAM = b"".join(b"versions: 3\nid: %d\ndata: token %d\n\n" % (number, number) for number in range(1, 8))
@@ -28,3 +30,32 @@
     splitter = EventSplitter()
     events = splitter.split(data)
     assert b"".join(event.data for event in events) + splitter.remainder == data
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"], ids=["lf", "crlf", "cr"])
+def test_cut_at_any_byte_is_inside_an_event_or_after_one(line_end: bytes) -> None:
+    event = b"".join(line + line_end for line in (b"id: 1", b"data: token 1", b""))
+    stream = event * 3
+    for end in range(len(stream) + 1):
+        splitter = EventSplitter()
+        whole = len(splitter.split(stream[:end]))
+        expected = BodyEnd.INSIDE_EVENT if end % len(event) else BodyEnd.AFTER_EVENT if end else BodyEnd.EMPTY
+        assert (whole, splitter.body_end) == (end // len(event), expected)
+
+
+def test_blank_lines_and_comments_after_the_last_event_cut_none() -> None:
+    splitter = EventSplitter()
+    splitter.split(b"id: 1\ndata: x\n\n\n: end of strea")
+    assert splitter.body_end is BodyEnd.AFTER_EVENT
+
+
+def test_comments_are_no_events() -> None:
+    splitter = EventSplitter()
+    assert [event.has_fields for event in splitter.split(b": keep-alive\n\n")] == [False]
+    assert splitter.body_end is BodyEnd.EMPTY
+
+
+def test_line_ends_may_be_mixed() -> None:
+    splitter = EventSplitter()
+    assert len(splitter.split(b"data: x\n\r\ndata: y\r\n\n")) == 2
+    assert splitter.body_end is BodyEnd.AFTER_EVENT
