Reset the connection of an HTTP/1.0 client until its answer is whole

What callers saw: for HTTP/1.0, an answer of unknown length ends with its connection, and the node closed it in an orderly way when the answer was broken off, as the system did when the node was killed. Cause: nothing but the missing last chunk told of a break, and these clients get no chunks. From the first byte of such an answer any close resets the connection (SO_LINGER with a time of 0, which also holds when the process is killed); when it is whole, the connection is closed in an orderly way after the client has read it.

--- a/packages/node/src/vaneturn_node/http1/server.py
+++ b/packages/node/src/vaneturn_node/http1/server.py
@@ -20,6 +20,7 @@
 LAST_WAIT_S: Final = 0.05  # for a request that was sent before its client could see a planned stop
 LINGER_TIMEOUT_S: Final = 0.5  # for a client to read the answer to a request that was not read whole
 HEADER_OVERHEAD_BYTES: Final = 4  # of a header line, besides its name and value
+CHUNKS_VERSION: Final = b"1.1"  # of HTTP; clients of older ones know no chunks
 NO_BODY_STATUSES: Final = frozenset({204, 304})
 
 logger = logging.getLogger(__name__)
@@ -63,6 +64,7 @@
         self.list_added_headers: Callable[[], Headers] | None = None  # called when the head is sent
         self.is_begun = False
         self.is_ended = False
+        self.needs_eof = False  # the end of the connection is still to tell that the answer is whole
 
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send an answer with a known body."""
@@ -81,6 +83,8 @@
         """Send the head of an answer of unknown length."""
         data = self._protocol.send(h11.Response(status_code=status, headers=[*headers, *self._list_hop_headers()]))
         self.is_begun = True
+        if self._is_ended_by_close:
+            self._stream.reset_on_close(is_reset=True)
         await self._send(data or b"")
 
     async def send_part(self, body: bytes) -> None:
@@ -91,6 +95,18 @@
         """Mark the answer as whole, unless its trailers tell otherwise."""
         await self._send(self._protocol.send(h11.EndOfMessage(headers=list(trailers))) or b"")
         self.is_ended = True
+        if self._is_ended_by_close:
+            self._stream.reset_on_close(is_reset=False)
+            self.needs_eof = True
+
+    @property
+    def _is_ended_by_close(self) -> bool:
+        """Tell whether only the end of the connection ends an answer of unknown length.
+
+        Until such an answer is whole, the connection is reset whenever it ends, which its client takes for an error.
+        """
+        version = self._protocol.their_http_version
+        return version is None or version < CHUNKS_VERSION
 
     def _list_hop_headers(self) -> list[tuple[bytes, bytes]]:
         self.closes_connection = self.closes_connection or self._is_stopping()
@@ -159,6 +175,8 @@
             return False
         answer = ClientAnswer(self._stream, self._protocol, request.method, self._is_stopping)
         await self._answer(request, answer)
+        if answer.needs_eof:
+            await self._end_connection()
         if not answer.is_ended or self._protocol.our_state is not h11.DONE:
             return False
         if self._has_disconnected or answer.closes_connection or self._is_stopping():
@@ -276,6 +294,10 @@
         answer = ClientAnswer(self._stream, self._protocol, "GET", lambda: True)
         body = rejection.reason.encode()
         await answer.send_whole(rejection.status, [(b"content-type", b"text/plain")], body)
+        await self._end_connection()
+
+    async def _end_connection(self) -> None:
+        """Tell the client that no more is sent, and let it read the answer: bytes left unread would reset it."""
         await self._stream.send_eof()
         with anyio.move_on_after(LINGER_TIMEOUT_S):
             while await self._receive():
--- a/packages/node/src/vaneturn_node/http1/tcp.py
+++ b/packages/node/src/vaneturn_node/http1/tcp.py
@@ -10,8 +10,10 @@
 
 import asyncio
 import math
+import os
 import select
 import socket
+import struct
 from collections.abc import Callable, Coroutine
 from typing import Any, Final, Self, cast
 
@@ -109,6 +111,12 @@
         self._wake()
         await anyio.lowlevel.checkpoint()
 
+    def reset_on_close(self, *, is_reset: bool) -> None:
+        """Choose whether any close of the connection, also by the end of this process, resets it."""
+        linger = struct.pack("ii", int(is_reset), 0)  # with a time of 0 seconds, the system resets it
+        with socket.socket(fileno=os.dup(self._descriptor)) as same:
+            same.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def watch_end(self, on_end: Callable[[], object] | None) -> None:
         """Call back as soon as the peer sends no more or the connection is lost, at once if that has happened.
 
--- a/tests/node/test_caller.py
+++ b/tests/node/test_caller.py
@@ -11,7 +11,7 @@
 from standins.platform.store import Store
 from standins.platform.wire import Exchange, serve
 from vaneturn_core.traffic.servers import ServerAddress
-from vaneturn_node.http1.caller import BodyArrival, Caller
+from vaneturn_node.http1.caller import BodyArrival, Caller, Failed, Reply
 from vaneturn_node.http1.pool import LinkPool
 from vaneturn_node.platform.epochs import StoreState
 from vaneturn_node.platform.store import NotDone, PlatformStore, StorePage, WatchTooLong
@@ -65,3 +65,49 @@
         )
         assert isinstance(page, WatchTooLong)
         tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("document", [b'{"at": 12, "entries": []}', b'[{"at": 1}]'], ids=["object", "array"])
+async def test_reply_that_ends_with_its_connection_is_whole_at_its_last_byte_only(document: bytes) -> None:
+    """A reply without a length was taken for whole wherever its connection was closed."""
+    sent = document
+
+    async def answer(exchange: Exchange) -> None:
+        await exchange.send_raw(b"HTTP/1.1 200 OK\r\n\r\n" + sent)
+        await exchange.close()
+
+    address = ServerAddress(f"127.0.0.1:{find_port()}")
+    async with anyio.create_task_group() as tasks:
+        await serve(address, answer, tasks)
+        caller = Caller(LinkPool())
+        assert isinstance(await caller.call(address, "GET", "/", 1.0), Reply)
+        for end in range(1, len(document)):
+            sent = document[:end]
+            assert isinstance(await caller.call(address, "GET", "/", 1.0), Failed)
+        tasks.cancel_scope.cancel()
+
+
+async def test_reply_of_a_number_that_ends_with_its_connection_may_be_a_part_of_it() -> None:
+    async def answer(exchange: Exchange) -> None:
+        await exchange.send_raw(b"HTTP/1.1 200 OK\r\n\r\n12")
+        await exchange.close()
+
+    address = ServerAddress(f"127.0.0.1:{find_port()}")
+    async with anyio.create_task_group() as tasks:
+        await serve(address, answer, tasks)
+        assert isinstance(await Caller(LinkPool()).call(address, "GET", "/", 1.0), Failed)
+        tasks.cancel_scope.cancel()
+
+
+async def test_reply_without_a_body_that_ends_with_its_connection_tells_its_status() -> None:
+    async def answer(exchange: Exchange) -> None:
+        await exchange.send_raw(b"HTTP/1.1 202 Accepted\r\n\r\n")
+        await exchange.close()
+
+    address = ServerAddress(f"127.0.0.1:{find_port()}")
+    async with anyio.create_task_group() as tasks:
+        await serve(address, answer, tasks)
+        reply = await Caller(LinkPool()).call(address, "POST", "/", 1.0)
+        assert isinstance(reply, Reply)
+        assert reply.status == 202
+        tasks.cancel_scope.cancel()
