Count answers that were broken off, and never resume a stream after an event without an id

An operator sees vaneturn_broken_answers_total{framing,end,body_end} beside the log line 'answer broken off'. And a stream whose newest event has no id was resumed after the last one that had one, so that its client got the events in between twice; it is broken off now. Comments are no events.

tests/system/platform/test_brokenoff.py: the two new tests pass; without the guard the second one got the answer joined from two runs.

--- a/packages/node/src/vaneturn_node/traffic/process/metricstext.py
+++ b/packages/node/src/vaneturn_node/traffic/process/metricstext.py
@@ -46,6 +46,7 @@
         for ending, count in self._metrics.endings.items():
             endings.add_metric([ending], count)
         yield endings
+        yield self._collect_broken_answers()
         yield self._collect_latencies()
         yield from self._collect_admissions()
         gauges = self._gauges
@@ -58,6 +59,15 @@
         yield GaugeMetricFamily("vaneturn_closed_servers", "Backend servers that want no requests", gauges.closed)
         yield GaugeMetricFamily("vaneturn_reported_nodes", "Nodes in the latest sum of demand", gauges.reported_nodes)
 
+    def _collect_broken_answers(self) -> CounterMetricFamily:
+        labels = ["framing", "end", "body_end"]
+        broken = CounterMetricFamily(
+            "vaneturn_broken_answers", "Answers of servers that were broken off", labels=labels
+        )
+        for end, count in self._metrics.broken_answers.items():
+            broken.add_metric([end.framing.value, end.ending.value, end.body_end.value], count)
+        return broken
+
     def _collect_admissions(self) -> Iterator[Metric]:
         admissions = CounterMetricFamily(
             "vaneturn_admissions",
--- a/packages/node/src/vaneturn_node/traffic/serving/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answering.py
@@ -192,6 +192,7 @@
         route = context.route.name if context is not None else ""
         customer = context.customer.name if context is not None and context.customer is not None else ""
         self._metrics.observe(route, customer, ending, seconds)
+        self._metrics.broken_answers.update(context.broken_answers if context is not None else ())
         configuration = self._parts.view.configuration
         end = context.answer_end if context is not None else None
         pause = (context.longest_pause if context is not None else None) or NO_PAUSE
--- a/packages/node/src/vaneturn_node/traffic/serving/clientstream.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/clientstream.py
@@ -28,6 +28,15 @@
         self.first_event_at: float | None = None  # monotonic time at which the first event was relayed
         self.last_event_at: float | None = None  # the same of the newest event
         self.pace = StreamPace()
+        self._has_newest_id = True  # no event without an id came after the last one with one
+
+    @property
+    def can_resume(self) -> bool:
+        """Tell whether another try can go on where the client is.
+
+        It would repeat the events that came after the last id, so a client that has some cannot get the rest.
+        """
+        return self._has_newest_id
 
     def set_head(self, head: AnswerHead) -> None:
         """Keep the head of a try, to be sent with the first event; the heads of tries after that event are not sent.
@@ -58,7 +67,8 @@
         await self._begin()
         await self._answer.send_part(b"".join(event.data for event in events))
         for event in events:
-            self.last_event = event.id if event.id is not None else self.last_event
+            self.last_event = event.id or self.last_event
+            self._has_newest_id = bool(event.id) or (self._has_newest_id and not event.has_fields)
         return len(events)
 
     async def end(self, splitter: EventSplitter) -> None:
--- a/packages/node/src/vaneturn_node/traffic/serving/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streams.py
@@ -41,6 +41,7 @@
     CROSSING = "crossing"  # the only chain crosses between halls, and the inter-hall links have no free capacity
     BUDGET = "budget"
     PATH = "path"  # this node reaches no server
+    EVENT_ID = "event id"  # the client has events that a resumed answer would repeat
 
 
 class StreamForwarder:
@@ -132,6 +133,8 @@
 
         A try over another node is taken from the budget of that node.
         """
+        if not client.can_resume:
+            return Shortage.EVENT_ID
         if self._peers.needs_peer(context):
             if context.is_forwarded:
                 return Shortage.PATH
--- a/tests/system/platform/test_brokenoff.py
+++ b/tests/system/platform/test_brokenoff.py
@@ -4,6 +4,7 @@
 
 from pathlib import Path
 
+import anyio
 import httpx
 import pytest
 
@@ -11,6 +12,7 @@
 from rig.traffic import Traffic, list_ids, open_traffic, wait_for
 from standins.platform.endings import AnswerFraming, AnswerPlan, Close
 from standins.platform.servers import Run, Server
+from standins.platform.wire import Exchange
 from standins.vm import CutKind
 
 pytestmark = pytest.mark.anyio
@@ -158,5 +160,32 @@
     assert [line["answer_framing"], line["answer_end"], line["answer_body_end"]] == ["close", "closed", "inside event"]
 
 
+async def test_metrics_count_answers_that_were_broken_off_by_their_end(traffic: Traffic) -> None:
+    plan_first_answer(traffic, await traffic.add_chains(), PLANS["after an event, with its server"])
+    await traffic.ask("/letter/1", X_Request_Id="request-9")
+    line = await traffic.nodes[0].wait_for_log("request-9")
+    assert [line["answer_framing"], line["answer_end"]] == ["chunks", "framed"]  # of the try that resumed it
+    text = (await traffic.client.get(f"http://127.0.0.1:{traffic.nodes[0].metrics_port}/metrics")).text
+    assert 'vaneturn_broken_answers_total{body_end="after event",end="closed",framing="close"} 1.0' in text
+
+
+async def test_stream_whose_newest_event_has_no_id_is_not_resumed(traffic: Traffic) -> None:
+    """A resumed answer begins after the last id, so the client got the events after it twice."""
+
+    async def break_off(exchange: Exchange, run: Run) -> None:
+        for server in traffic.fleet.servers.values():
+            server.fault_handler = None
+        await exchange.begin(200, {"X-Request-Id": run.request, "X-Response-Seal": "seal"})
+        await exchange.send(b"id: 1\ndata: token 1\n\n: comment\n\ndata: without an id\n\n")
+        await anyio.sleep(0.05)
+        await exchange.reset()
+
+    for server in await traffic.add_chains():
+        server.fault_handler = break_off
+    with pytest.raises(httpx.RemoteProtocolError):
+        await traffic.ask("/letter/1")
+    assert len(traffic.fleet.runs) == 1
+
+
 def _count_whole(plan: AnswerPlan) -> str | None:
     return str((plan.sent_bytes or 0) // EVENT_BYTES) if (plan.sent_bytes or 0) >= EVENT_BYTES else None
