Add a randomised run in which answers end in every way

Framing, ending and the byte of a break are drawn for each answer, with and without the end of its server, at streams and plain services; HTTP/1.0 clients read streams too. It checks that no broken answer looks complete, that what may be resumed is, and that no request runs again after a whole answer.

--- /dev/null
+++ b/tests/rig/endingsoak.py
@@ -0,0 +1,116 @@
+"""The randomised run in which answers end in every way: in each framing, whole or broken off, at any byte."""
+
+from __future__ import annotations
+
+import random
+import sys
+import time
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from rig.ports import find_port
+from rig.rawclient import read_to_end
+from rig.soakclients import NODES, TOKENS
+from rig.traffic import list_ids
+from rig.trafficjudge import Span
+from rig.trafficsoak import TrafficSoak, main
+from standins.platform.endings import AnswerPlan, draw_plan
+from standins.platform.servers import Run, Server
+
+BROKEN_SHARE = 0.12  # of the answers; the retry budget suffices for it
+CRASH_SHARE = 0.15  # of the broken answers
+CRASH_INTERVAL_S = 1.0  # between servers that end with their answers; each is replaced
+MAX_CONFIRMATION_S = 1.5  # seconds after a whole answer; if its server ends meanwhile, the answer may run again
+
+
+class EndingSoak(TrafficSoak):
+    """Leaves out the faults of nodes and the store; streams are also read by HTTP/1.0 clients."""
+
+    _next_crash_at = 0.0
+
+    def list_faults(self) -> list[Callable[[random.Random], Awaitable[None]]]:
+        rng = random.Random(f"{self._seed} endings")
+        fleet = self.traffic.fleet
+
+        def plan(run: Run, pieces: list[bytes]) -> AnswerPlan:
+            crash_share = CRASH_SHARE if time.monotonic() >= self._next_crash_at else 0.0
+            drawn = draw_plan(rng, pieces, BROKEN_SHARE, crash_share, is_stream=run.is_stream)
+            if drawn.crashes_server:
+                self._next_crash_at = time.monotonic() + CRASH_INTERVAL_S
+            ending = "" if drawn.is_whole else f", {drawn.close.value}{' with its server' * drawn.crashes_server}"
+            self.findings.counts[f"answers framed by {drawn.framing.value}{ending}"] += 1
+            return drawn
+
+        fleet.plan_answer = plan
+        fleet.crash_server = self._crash_and_replace
+        return [self._fail_server, self._change, self._fill_links, *[self._ask_as_http_1_0] * 2]
+
+    def list_path_faults(self) -> list[Callable[[random.Random], Awaitable[None]]]:
+        return []
+
+    async def _crash_and_replace(self, server: Server) -> None:
+        if server not in self._list_ready_servers():
+            return
+        fleet = self.traffic.fleet
+        await self._crash(server)
+
+        async def replace() -> None:
+            await fleet.add(f"127.0.0.1:{find_port()}", server.service, server.hall, server.kind)
+            await anyio.sleep(3.6)
+            fleet.store.remove(f"servers/{server.id}")
+
+        fleet.tasks.start_soon(replace)
+
+    async def _ask_as_http_1_0(self, rng: random.Random) -> None:
+        request = f"soak-{random.getrandbits(60):x}"
+        path = rng.choice(["/letter/1", "/notice/1"])
+        built = self.traffic.build(path, node=rng.randrange(NODES), X_Request_Id=request)
+        try:
+            answer = await read_to_end(built)
+        except ConnectionError:
+            self.findings.counts["HTTP/1.0 reset"] += 1
+            return
+        head, _, body = answer.partition(b"\r\n\r\n")
+        status = int(head.split()[1])
+        self.findings.counts[f"HTTP/1.0 {status}"] += 1
+        if status == 200 and list_ids(body.decode()) != list(range(1, TOKENS + 1)):
+            self.findings.faults.append(f"{request}: {len(body)} bytes ended as complete to an HTTP/1.0 client")
+
+    def _check_cuts(self) -> None:
+        """Leave out streams that their servers broke off, if they may not run again."""
+        fleet, findings = self.traffic.fleet, self.findings
+        broken = {run.request for run in fleet.runs if run.plan is not None and not run.plan.is_whole}
+        allowed = [cut for cut in findings.cut_streams if self._may_be_broken(cut.request, cut.path)]
+        findings.counts["begun and cut: broken off by servers"] += len(allowed)
+        findings.counts["requests whose servers broke an answer off"] += len(broken)
+        findings.cut_streams = [cut for cut in findings.cut_streams if cut not in allowed]
+        super()._check_cuts()
+        self._check_whole_answers()
+
+    def _may_be_broken(self, request: str, path: str) -> bool:
+        runs = self.traffic.fleet.find_runs(request)
+        broken = [run for run in runs if run.plan is not None and not run.plan.is_whole]
+        return len(broken) >= (1 if path.startswith("/notice/") else 2)  # max_attempts of the route
+
+    def _check_whole_answers(self) -> None:
+        """Check that no request ran again after a whole answer whose server ran on."""
+        lost_at = self.findings.troubles_by_source.lost_at
+        silences = self.findings.troubles_by_source.silences
+        for run in self.traffic.fleet.runs:
+            if run.plan is None or not run.plan.is_whole or run.ended is None or run.was_cut:
+                continue
+            address = next(s.address for s in self.traffic.fleet.servers.values() if s.id == run.server)
+            after = Span(run.ended, run.ended + MAX_CONFIRMATION_S)
+            if run.ended - MAX_CONFIRMATION_S <= lost_at.get(address, 0.0) <= after.end:
+                continue
+            if any(silence.overlaps(after) for silence in silences[address]):
+                continue
+            again = [each for each in self.traffic.fleet.find_runs(run.request) if each.started > run.ended]
+            self.findings.faults += [
+                f"{run.request} ran again {each.started - run.ended:.3f} s after its whole answer" for each in again
+            ]
+
+
+if __name__ == "__main__":
+    sys.exit(main(EndingSoak))
--- a/tests/standins/platform/endings.py
+++ b/tests/standins/platform/endings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
@@ -41,15 +42,26 @@
         return self.sent_bytes is None and self.close is Close.FRAMED and not self.crashes_server
 
 
-def draw_plan(rng: random.Random, body_bytes: int) -> AnswerPlan:
-    """Draw a framing, an ending and the number of bytes that are sent."""
-    framing = rng.choice(list(AnswerFraming))
-    if rng.random() < 0.5:
+def draw_plan(
+    rng: random.Random, pieces: Sequence[bytes], broken_share: float, crash_share: float, *, is_stream: bool
+) -> AnswerPlan:
+    """Draw a framing, and for a share of the answers a fault at any byte that a caller can tell from a whole answer.
+
+    No caller can if a server that runs on states the end itself, other than inside an event.
+
+    :param crash_share: of the faults, in which the server ends with its answer.
+    """
+    framing, close = rng.choice(list(AnswerFraming)), rng.choice(list(Close))
+    sent_bytes, crashes = rng.randrange(sum(map(len, pieces)) + 1), rng.random() < crash_share
+    if rng.random() >= broken_share:
         return AnswerPlan(framing)
-    close = rng.choice(list(Close))
-    sent = rng.choice([rng.randrange(body_bytes + 1), None])
-    crashes = rng.random() < 0.2
-    return AnswerPlan(framing, close, sent, crashes)
+    is_closed_as_framed = close is Close.FRAMED or (framing is AnswerFraming.CLOSE and close is Close.ORDERLY)
+    if is_closed_as_framed and not (framing is AnswerFraming.CLOSE and crashes):
+        if not is_stream:
+            close = Close.RESET
+        elif sent_bytes in itertools.accumulate(map(len, pieces), initial=0):
+            sent_bytes += 1 if sent_bytes == 0 else -1
+    return AnswerPlan(framing, close, sent_bytes, crashes)
 
 
 @dataclass(frozen=True)
--- a/tests/standins/platform/servers.py
+++ b/tests/standins/platform/servers.py
@@ -6,7 +6,7 @@
 import json
 import re
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -44,9 +44,11 @@
     body: bytes
     tokens: list[list[Part]] = field(default_factory=list)  # the chain that produced each token
     chains: list[list[Part]] = field(default_factory=list)  # chains assigned to the request; the last one is in force
+    is_stream: bool = False
     was_cut: bool = False
     plan: AnswerPlan | None = None  # how its answer was sent; None for the usual way
     started: float = field(default_factory=time.monotonic)
+    ended: float | None = None  # monotonic, when an answer that was sent as planned ended
     token_times: list[float] = field(default_factory=list)  # monotonic, when each token was produced
 
 
@@ -63,6 +65,8 @@
     crash_body: bytes | None = None  # body of a request that crashes each server that begins to run it
     crash_delay: float = 0.03  # seconds from the start of that request to the crash
     restart_time: float = 0.5  # seconds from that crash to the next start at the same address
+    plan_answer: Callable[[Run, list[bytes]], AnswerPlan | None] = lambda _run, _pieces: None  # how each answer is sent
+    crash_server: Callable[[Server], Awaitable[None]] = lambda server: server.crash()  # when its planned answer ends
     reports_births: bool = False  # whether servers report when they started
     crashes: list[tuple[float, str]] = field(default_factory=list)  # monotonic time and address of each crash
     runs: list[Run] = field(default_factory=list)
@@ -120,7 +124,6 @@
     load_time: float = 0.05
     born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)  # Unix milliseconds
     fault_handler: Callable[[Exchange, Run], Any] | None = None  # sends a faulty answer in place of the correct one
-    plan_answer: Callable[[Run, int], AnswerPlan | None] | None = None  # by the run and the bytes of its body
     work_time: float = 0.01  # seconds that a plain service works on a request
     rate_limit: float | None = None  # requests per second from all nodes, stated in its answers
     rest: float | None = None  # seconds of rest that it asks for when it rejects requests
@@ -267,7 +270,7 @@
 
     async def _send_as_planned(self, exchange: Exchange, run: Run, pieces: list[bytes]) -> bool:
         """Send an answer in the planned way; return False if none is planned."""
-        run.plan = self.plan_answer(run, sum(map(len, pieces))) if self.plan_answer is not None else None
+        run.plan = self.fleet.plan_answer(run, pieces)
         if run.plan is None:
             return False
         headers = {**self._sign(exchange, run), **({"Content-Type": "text/event-stream"} if self.kind else {})}
@@ -276,7 +279,13 @@
             if self.kind is not None:
                 await self._make_token(exchange, run)
 
-        await send_answer(exchange, PlannedAnswer(run.plan, headers, pieces, make_piece), self.crash)
+        async def crash() -> None:
+            await self.fleet.crash_server(self)
+
+        try:
+            await send_answer(exchange, PlannedAnswer(run.plan, headers, pieces, make_piece), crash)
+        finally:
+            run.ended = time.monotonic()
         return True
 
     def _sign(self, exchange: Exchange, run: Run) -> dict[str, str]:
@@ -294,7 +303,7 @@
             at = lost.address if lost is not None else self.address
             await exchange.reply(503, {"X-Not-Executed": "1", "At-Server": at, "X-Request-Id": request})
             return
-        run = Run(request, self.id, call.headers, call.body, chains=[chain])
+        run = Run(request, self.id, call.headers, call.body, chains=[chain], is_stream=True)
         self.fleet.runs.append(run)
         self.active[request] = run
         try:
--- a/tests/system/platform/test_brokenoff.py
+++ b/tests/system/platform/test_brokenoff.py
@@ -11,7 +11,7 @@
 from rig.rawclient import read_to_end
 from rig.traffic import Traffic, list_ids, open_traffic, wait_for
 from standins.platform.endings import AnswerFraming, AnswerPlan, Close
-from standins.platform.servers import Run, Server
+from standins.platform.servers import Run
 from standins.platform.wire import Exchange
 from standins.vm import CutKind
 
@@ -37,19 +37,15 @@
 }
 
 
-def plan_first_answer(traffic: Traffic, servers: list[Server], plan: AnswerPlan) -> None:
+def plan_first_answer(traffic: Traffic, plan: AnswerPlan) -> None:
     """Let the first answer of all servers end as planned; the others are whole and usual."""
-
-    def choose(run: Run, _body_bytes: int) -> AnswerPlan | None:
-        return plan if run is traffic.fleet.runs[0] else None
-
-    for server in servers:
-        server.plan_answer = choose
+    traffic.fleet.plan_answer = lambda run, _pieces: plan if run is traffic.fleet.runs[0] else None
 
 
 @pytest.mark.parametrize("plan", [pytest.param(plan, id=name) for name, plan in PLANS.items()])
 async def test_broken_off_stream_is_resumed_after_its_last_whole_event(traffic: Traffic, plan: AnswerPlan) -> None:
-    plan_first_answer(traffic, await traffic.add_chains(), plan)
+    await traffic.add_chains()
+    plan_first_answer(traffic, plan)
     answer = await traffic.ask("/letter/1", X_Request_Id="request-9")
     assert list_ids(answer.text) == list(range(1, 11))
     assert answer.text.count(" of request-9\n\n") == 10
@@ -58,7 +54,8 @@
 
 @pytest.mark.parametrize("plan", [pytest.param(plan, id=name) for name, plan in PLANS.items()])
 async def test_broken_off_stream_that_must_not_run_twice_is_not_complete(traffic: Traffic, plan: AnswerPlan) -> None:
-    plan_first_answer(traffic, await traffic.add_chains(), plan)
+    await traffic.add_chains()
+    plan_first_answer(traffic, plan)
     received = b""
     try:
         answer = await traffic.client.send(traffic.build("/notice/1", X_Request_Id="request-9"), stream=True)
@@ -77,7 +74,8 @@
     traffic: Traffic, path: str, framing: AnswerFraming
 ) -> None:
     plan = AnswerPlan(framing, sent_bytes=2 * EVENT_BYTES + EVENT_BYTES // 2)
-    plan_first_answer(traffic, await traffic.add_chains(), plan)
+    await traffic.add_chains()
+    plan_first_answer(traffic, plan)
     if path == "/letter/1":
         answer = await traffic.ask(path, X_Request_Id="request-9")
         assert list_ids(answer.text) == list(range(1, 11))
@@ -89,8 +87,9 @@
 @pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("path", ["/letter/1", "/notice/1", "/once/1", "/check/1"])
 async def test_whole_answer_stays_whole_at_one_run(traffic: Traffic, path: str, framing: AnswerFraming) -> None:
-    for server in [*await traffic.add_chains(), await traffic.add_desk()]:
-        server.plan_answer = lambda *_: AnswerPlan(framing)
+    await traffic.add_chains()
+    await traffic.add_desk()
+    traffic.fleet.plan_answer = lambda *_: AnswerPlan(framing)
     for _ in range(3):
         answer = await traffic.ask(path)
         assert answer.status_code == 200
@@ -105,8 +104,9 @@
 async def test_plain_answer_whose_server_ended_with_it_is_not_complete(
     traffic: Traffic, path: str, status: int, runs: int
 ) -> None:
-    servers = [await traffic.add_desk(), await traffic.add_desk()]
-    plan_first_answer(traffic, servers, AnswerPlan(AnswerFraming.CLOSE, sent_bytes=5, crashes_server=True))
+    for _ in range(2):
+        await traffic.add_desk()
+    plan_first_answer(traffic, AnswerPlan(AnswerFraming.CLOSE, sent_bytes=5, crashes_server=True))
     answer = await traffic.ask(path, X_Request_Id="request-9")
     assert answer.status_code == status
     assert status != 200 or answer.text == "answer to request-9"
@@ -115,7 +115,8 @@
 
 async def test_http_1_0_client_sees_that_its_answer_was_broken_off(traffic: Traffic) -> None:
     """To an HTTP/1.0 client, an orderly close is the end of a whole answer; only a reset says otherwise."""
-    plan_first_answer(traffic, await traffic.add_chains(), PLANS["after an event, by reset"])
+    await traffic.add_chains()
+    plan_first_answer(traffic, PLANS["after an event, by reset"])
     with pytest.raises(ConnectionResetError):
         await read_to_end(traffic.build("/notice/1"))
     assert len(traffic.fleet.runs) == 1
@@ -143,8 +144,8 @@
 @pytest.mark.parametrize("name", ["inside an event, in a line", "after an event, with its server"])
 async def test_broken_off_stream_over_another_node_is_resumed(tmp_path: Path, name: str) -> None:
     async with open_traffic(tmp_path, nodes=2, link_rate=2_500_000.0) as traffic:
-        servers = await traffic.add_chains()
-        plan_first_answer(traffic, servers, PLANS[name])
+        await traffic.add_chains()
+        plan_first_answer(traffic, PLANS[name])
         traffic.cut_off(traffic.nodes[0], CutKind.REFUSED)
         answer = await traffic.ask("/letter/1", X_Request_Id="request-9")
         assert list_ids(answer.text) == list(range(1, 11))
@@ -152,7 +153,8 @@
 
 
 async def test_log_names_framing_and_end_of_an_answer(traffic: Traffic) -> None:
-    plan_first_answer(traffic, await traffic.add_chains(), PLANS["inside an event, in a line"])
+    await traffic.add_chains()
+    plan_first_answer(traffic, PLANS["inside an event, in a line"])
     with pytest.raises(httpx.RemoteProtocolError):
         await traffic.ask("/notice/1", X_Request_Id="request-9")
     line = await traffic.nodes[0].wait_for_log("request-9")
@@ -161,7 +163,8 @@
 
 
 async def test_metrics_count_answers_that_were_broken_off_by_their_end(traffic: Traffic) -> None:
-    plan_first_answer(traffic, await traffic.add_chains(), PLANS["after an event, with its server"])
+    await traffic.add_chains()
+    plan_first_answer(traffic, PLANS["after an event, with its server"])
     await traffic.ask("/letter/1", X_Request_Id="request-9")
     line = await traffic.nodes[0].wait_for_log("request-9")
     assert [line["answer_framing"], line["answer_end"]] == ["chunks", "framed"]  # of the try that resumed it
