Check the ends of answers that the own interface reads without a length

The same cause elsewhere: httpx takes any orderly close for the end of a body that has neither a length nor chunks. A plain service's answer whose server ended inside it reached its caller as complete; a value of the key-value service cut to nothing meant that its key is absent; a cache cut on its way was imported. The answers of plain services are judged as on the users' platform (a JSON document by itself, others by whether their server accepts connections); values and caches without a length are not used.

Read and left as they are: the list of VMs and the command line decode a JSON object or array, of which no part decodes; streams of the own interface end with [DONE].

--- a/packages/core/src/vaneturn_core/traffic/completeness.py
+++ b/packages/core/src/vaneturn_core/traffic/completeness.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 
 class Framing(Enum):
     """How an answer states where its body ends (RFC 9112, section 6.3)."""
@@ -71,4 +73,13 @@
     return Completeness.WHOLE
 
 
-__all__ = ["AnswerEnd", "BodyEnd", "Completeness", "Ending", "Framing", "judge_end"]
+def find_document_end(body: bytes) -> BodyEnd:
+    """Find where a JSON body ends; only of an object or an array is no shorter part a document too."""
+    try:
+        is_document = isinstance(msgspec.json.decode(body), dict | list)
+    except (msgspec.DecodeError, RecursionError):
+        is_document = False
+    return BodyEnd.AFTER_DOCUMENT if is_document else BodyEnd.INSIDE_DOCUMENT
+
+
+__all__ = ["AnswerEnd", "BodyEnd", "Completeness", "Ending", "Framing", "find_document_end", "judge_end"]
--- a/packages/node/src/vaneturn_node/http/services.py
+++ b/packages/node/src/vaneturn_node/http/services.py
@@ -11,15 +11,17 @@
 from starlette.requests import Request
 from starlette.responses import Response
 
-from vaneturn_core.configuration.schema import Service
+from vaneturn_core.configuration.schema import Server, Service
 from vaneturn_core.identifiers import RepeatKey, RequestId, ServiceName, VmId
 from vaneturn_core.outcomes import Completed, NotRun, Outcome, Reason, Unknown
+from vaneturn_core.traffic.completeness import Completeness, judge_end
 from vaneturn_node.claims.ports import Claim
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http.accounting import Account
 from vaneturn_node.http.errors import answer_error
 from vaneturn_node.http.reading import Call, RefusedRequest, find_customer, read_call
 from vaneturn_node.http1.messages import MAX_REST_S, parse_decimal
+from vaneturn_node.http1.responses import find_end, find_framing
 from vaneturn_node.runtime import Runtime, open_account
 
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -144,6 +146,9 @@
             return NotRun(Reason.NO_ROUTE) if isinstance(error, _NOT_SENT) else Unknown(Reason.CONNECTION_LOST)
         finally:
             health.in_progress -= 1
+        if not await _is_whole(response, server):
+            self._runtime.healths.record_failure(vm)
+            return Unknown(Reason.CONNECTION_LOST)
         self._runtime.healths.record_reply(vm, read_clock() - started)
         retry_after = response.headers.get(RETRY_AFTER_HEADER)
         seconds = parse_decimal(retry_after.encode()) if retry_after is not None else None
@@ -153,4 +158,26 @@
         return Completed(response.status_code, response.headers.get("Content-Type", ""), response.content, retry_after)
 
 
+async def _is_whole(response: httpx.Response, server: Server) -> bool:
+    """Decide whether an answer is whole; if only the end of its connection ends it, its server has to run on."""
+    completeness = judge_end(find_end(response))
+    if completeness is Completeness.UNCONFIRMED:
+        is_whole = await _accepts_connections(server)
+    else:
+        is_whole = completeness is Completeness.WHOLE
+    if not is_whole:
+        logger.info("answer broken off", extra={"vm": server.vm, "framing": find_framing(response).value})
+    return is_whole
+
+
+async def _accepts_connections(server: Server) -> bool:
+    host, _, port = server.address.rpartition(":")
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            await (await anyio.connect_tcp(host, int(port))).aclose()
+    except OSError:  # a TimeoutError is one
+        return False
+    return True
+
+
 __all__ = ["call_service"]
--- a/packages/node/src/vaneturn_node/http1/caller.py
+++ b/packages/node/src/vaneturn_node/http1/caller.py
@@ -5,9 +5,8 @@
 from dataclasses import dataclass
 
 import anyio
-import msgspec
 
-from vaneturn_core.traffic.completeness import AnswerEnd, BodyEnd, Completeness, Framing, judge_end
+from vaneturn_core.traffic.completeness import AnswerEnd, BodyEnd, Completeness, Framing, find_document_end, judge_end
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import HttpLink, LinkError
 from vaneturn_node.http1.messages import Headers
@@ -108,20 +107,12 @@
     """
     assert link.framing is not None  # noqa: S101 # its head has arrived
     assert link.ending is not None  # noqa: S101 # it was read to its end
-    body_end = _find_body_end(body) if link.framing is Framing.CLOSE else BodyEnd.UNKNOWN
+    body_end = BodyEnd.UNKNOWN
+    if link.framing is Framing.CLOSE:
+        body_end = find_document_end(body) if body else BodyEnd.NOT_NEEDED  # whoever needs one finds that there is none
     return judge_end(AnswerEnd(link.framing, link.ending, body_end)) is Completeness.WHOLE
 
 
-def _find_body_end(body: bytes) -> BodyEnd:
-    if not body:
-        return BodyEnd.NOT_NEEDED  # whoever needs one finds that there is none
-    try:
-        is_document = isinstance(msgspec.json.decode(body), dict | list)
-    except (msgspec.DecodeError, RecursionError):
-        is_document = False
-    return BodyEnd.AFTER_DOCUMENT if is_document else BodyEnd.INSIDE_DOCUMENT
-
-
 async def _abort(link: HttpLink | None) -> None:
     if link is None:
         return
--- a/packages/node/src/vaneturn_node/stages/cachemove.py
+++ b/packages/node/src/vaneturn_node/stages/cachemove.py
@@ -11,7 +11,9 @@
 from vaneturn_core.engine.messages import CACHE_PATH
 from vaneturn_core.identifiers import DataHall, SessionId
 from vaneturn_core.routing.recovery import LinkTable
+from vaneturn_core.traffic.completeness import Framing
 from vaneturn_node.clock import read_clock
+from vaneturn_node.http1.responses import find_framing
 
 TRANSFER_TIMEOUT_S: Final = 30.0  # for each of export and import
 
@@ -36,6 +38,11 @@
             started = read_clock()
             exported = await self._client.get(_make_cache_url(old, session), timeout=TRANSFER_TIMEOUT_S)
             exported.raise_for_status()
+            if find_framing(exported) is Framing.CLOSE:  # its engine may have ended inside it
+                logger.info(
+                    "cache not moved", extra={"old": old.vm, "new": new.vm, "cause": "exported without a length"}
+                )
+                return False
             fetched = read_clock()
             imported = await self._client.put(
                 _make_cache_url(new, session), content=exported.content, timeout=TRANSFER_TIMEOUT_S
--- a/packages/node/src/vaneturn_node/standalone/keyvalue.py
+++ b/packages/node/src/vaneturn_node/standalone/keyvalue.py
@@ -8,6 +8,8 @@
 
 from vaneturn_core.identifiers import StoreVersion
 from vaneturn_core.ports import Conflict, Entry, Unavailable
+from vaneturn_core.traffic.completeness import Framing
+from vaneturn_node.http1.responses import find_framing
 from vaneturn_node.metrics import Metrics
 
 CALL_TIMEOUT_S: Final = 2.0  # a healthy service answers within milliseconds
@@ -68,6 +70,10 @@
         if response.status_code >= httpx.codes.INTERNAL_SERVER_ERROR or VERSION_HEADER not in response.headers:
             self._metrics.store_calls.labels(call, "unavailable").inc()
             return Unavailable(f"status {response.status_code}")
+        if method == "GET" and find_framing(response) is Framing.CLOSE:
+            # a part of a value can decode as a value, and an empty one is a key that is absent
+            self._metrics.store_calls.labels(call, "unavailable").inc()
+            return Unavailable("a value without a length may have been cut")
         self._metrics.store_calls.labels(call, "answered").inc()
         return response
 
