Let a decline tell why, and rule out no node that only lacks something for one request

What callers saw: while nodes had lost their paths beside planned stops and kills, their clients were refused for seconds with no_path, although other nodes had a path. A node that stops leaves the list of nodes at once but serves its clients for 2.6 s more; the others declined what it forwarded as from a node that is not registered. And nodes with a path declined streams that were to be resumed as their retry budget was used up, which ruled them out for a second for every other request too (144 declines in 3 s).

The list of nodes no longer decides on forwarded requests; the client's key does, as before. A decline states its reason. No path, no answer and a stop are waited out as before, an older configuration for 0.1 s, and what concerns one request rules out no node.

Two new system tests failed before.

--- a/packages/core/src/vaneturn_core/traffic/peerchoice.py
+++ b/packages/core/src/vaneturn_core/traffic/peerchoice.py
@@ -5,11 +5,41 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Collection, Mapping
-from typing import Final
+from enum import Enum
+from typing import Final, NamedTuple
 
 from vaneturn_core.identifiers import VmId
 
-DECLINE_BACKOFF_S: Final = 1.0  # time for which a node that declined or did not answer is not asked again
+
+class DeclineReason(Enum):
+    """Why a node has not taken a request of another node."""
+
+    NO_PATH = "no path"  # it reaches no server of the service either
+    NO_ANSWER = "no answer"
+    STOPPING = "stopping"
+    OLDER_CONFIGURATION = "older configuration"
+    NOT_ADMITTED = "not admitted"  # it has no chain, room or retry budget for this request; says nothing of others
+
+
+# time for which a node that declined is not asked again
+BACKOFFS_S: Final = {
+    DeclineReason.NO_PATH: 1.0,
+    DeclineReason.NO_ANSWER: 1.0,
+    DeclineReason.STOPPING: 1.0,  # it has left the list of nodes, and is back in it once it has started again
+    DeclineReason.OLDER_CONFIGURATION: 0.1,
+    DeclineReason.NOT_ADMITTED: 0.0,
+}
+PASSING_REASONS: Final = frozenset({DeclineReason.OLDER_CONFIGURATION, DeclineReason.NOT_ADMITTED})
+DEMOTION_S: Final = 5.0  # time for which a node without a path is only asked if no other one is left
+
+
+class _Decline(NamedTuple):
+    reason: DeclineReason
+    at: float  # monotonic time
+
+    @property
+    def backoff_until(self) -> float:
+        return self.at + BACKOFFS_S[self.reason]
 
 
 class PeerChoice:
@@ -18,29 +48,37 @@
     def __init__(self, vm: VmId, clock: Callable[[], float]) -> None:
         self._vm = vm
         self._clock = clock
-        self._backoff_until: dict[VmId, float] = {}
+        self._declines: dict[VmId, _Decline] = {}  # the newest of each node, until it takes a request
         self._in_progress: Counter[VmId] = Counter()
 
     def choose(self, nodes: Mapping[VmId, str | None], excluded: Collection[VmId]) -> VmId | None:
-        """Choose the node with fewer requests of this node among two random ones; None if all declined lately."""
+        """Choose the node with fewer requests of this node among two random ones; None if all declined lately.
+
+        Nodes that had no path when they were asked last come after the others.
+        """
         now = self._clock()
         eligible = [
             vm
             for vm, address in nodes.items()
-            if address is not None and vm != self._vm and vm not in excluded and self._backoff_until.get(vm, now) <= now
+            if address is not None and vm != self._vm and vm not in excluded and not self._rests(vm, now)
         ]
-        if not eligible:
+        candidates = [vm for vm in eligible if not self._is_demoted(vm, now)] or eligible
+        if not candidates:
             return None
-        return min(random.sample(eligible, min(2, len(eligible))), key=lambda vm: self._in_progress[vm])
+        return min(random.sample(candidates, min(2, len(candidates))), key=lambda vm: self._in_progress[vm])
 
-    def record_declined(self, vm: VmId) -> None:
+    def record_declined(self, vm: VmId, reason: DeclineReason) -> None:
         """Record that a node declined a request or did not answer."""
         now = self._clock()
-        self._backoff_until = {each: until for each, until in self._backoff_until.items() if until > now}
-        self._backoff_until[vm] = now + DECLINE_BACKOFF_S
+        self._declines = {each: one for each, one in self._declines.items() if now - one.at < _get_memory(one.reason)}
+        self._declines[vm] = _Decline(reason, now)
+
+    def record_accepted(self, vm: VmId) -> None:
+        """Record that a node has taken a request."""
+        self._declines.pop(vm, None)
 
     def record_begun(self, vm: VmId) -> None:
-        """Record that a node has accepted a request."""
+        """Record that a request is sent to a node."""
         self._in_progress[vm] += 1
 
     def record_ended(self, vm: VmId) -> None:
@@ -49,5 +87,17 @@
         if self._in_progress[vm] <= 0:
             del self._in_progress[vm]
 
+    def _rests(self, vm: VmId, now: float) -> bool:
+        decline = self._declines.get(vm)
+        return decline is not None and now < decline.backoff_until
+
+    def _is_demoted(self, vm: VmId, now: float) -> bool:
+        decline = self._declines.get(vm)
+        return decline is not None and decline.reason not in PASSING_REASONS and now - decline.at < DEMOTION_S
+
+
+def _get_memory(reason: DeclineReason) -> float:
+    return max(BACKOFFS_S[reason], DEMOTION_S)
+
 
-__all__ = ["DECLINE_BACKOFF_S", "PeerChoice"]
+__all__ = ["BACKOFFS_S", "DEMOTION_S", "DeclineReason", "PeerChoice"]
--- a/packages/node/src/vaneturn_node/traffic/serving/answermarks.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answermarks.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+from typing import Final
+
+from vaneturn_core.traffic.peerchoice import DeclineReason
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.messages import Headers
 from vaneturn_node.traffic.serving.outcomes import Answered, OwnAnswer, Reason
 from vaneturn_node.traffic.serving.requests import FirstNode, RequestContext
 from vaneturn_node.traffic.sharing.forwarding import AnswerKind, AnswerMarks, build_marks
 
+_DECLINE_REASONS: Final = {
+    Reason.NO_PATH: DeclineReason.NO_PATH,
+    Reason.NO_CONFIGURATION: DeclineReason.OLDER_CONFIGURATION,
+}
+
 
 def mark_answer(
     view: PlatformView, first_node: FirstNode, context: RequestContext | None, result: Answered | OwnAnswer | None
@@ -17,10 +25,12 @@
     :param context: None for a request that was not admitted.
     :param result: None for a stream that a server has begun.
     """
-    kind = AnswerKind.SERVER
-    if isinstance(result, OwnAnswer):
-        kind = AnswerKind.DECLINED if _is_declined(first_node, context, result) else AnswerKind.NODE
-    return _build(view, kind, context.runs if context is not None else first_node.runs)
+    runs = context.runs if context is not None else first_node.runs
+    if not isinstance(result, OwnAnswer):
+        return _build(view, AnswerKind.SERVER, runs)
+    if not _is_declined(first_node, context, result):
+        return _build(view, AnswerKind.NODE, runs)
+    return _build(view, AnswerKind.DECLINED, runs, _DECLINE_REASONS.get(result.reason, DeclineReason.NOT_ADMITTED))
 
 
 def mark_broken_off(view: PlatformView, context: RequestContext) -> Headers:
@@ -28,9 +38,9 @@
     return _build(view, AnswerKind.BROKEN_OFF, context.runs)
 
 
-def _build(view: PlatformView, kind: AnswerKind, runs: int) -> Headers:
+def _build(view: PlatformView, kind: AnswerKind, runs: int, reason: DeclineReason = DeclineReason.NO_PATH) -> Headers:
     version = view.configuration.version if view.configuration is not None else 0
-    return build_marks(AnswerMarks(kind, runs, version))
+    return build_marks(AnswerMarks(kind, runs, version, reason))
 
 
 def _is_declined(first_node: FirstNode, context: RequestContext | None, result: OwnAnswer) -> bool:
--- a/packages/node/src/vaneturn_node/traffic/serving/forwardedrequests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/forwardedrequests.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from vaneturn_core.traffic.peerchoice import DeclineReason
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.server import ClientAnswer, ClientRequest
@@ -52,8 +53,8 @@
             return
         reason = await self._find_obstacle(forwarded)
         if reason is not None:
-            logger.info("forwarded request declined", extra={"vm_from": forwarded.vm, "reason": reason})
-            marks = AnswerMarks(AnswerKind.DECLINED, forwarded.runs, self._get_version())
+            logger.info("forwarded request declined", extra={"vm_from": forwarded.vm, "reason": reason.value})
+            marks = AnswerMarks(AnswerKind.DECLINED, forwarded.runs, self._get_version(), reason)
             await answer.send_whole(DECLINED_STATUS, build_marks(marks), b"")
             return
         self.in_progress += 1
@@ -62,14 +63,17 @@
         finally:
             self.in_progress -= 1
 
-    async def _find_obstacle(self, forwarded: ForwardedRequest) -> str | None:
+    async def _find_obstacle(self, forwarded: ForwardedRequest) -> DeclineReason | None:
+        """Find what forbids to take a request.
+
+        The first node need not be in the list of nodes: one that stops leaves it before its last clients, and one that
+        has just started is not known yet. The client's key is checked here.
+        """
         if self._is_stopping():
-            return "this node is stopping"
-        if forwarded.vm not in self._view.nodes:
-            return "the other node is not registered"
+            return DeclineReason.STOPPING
         if self.in_progress >= MAX_IN_PROGRESS:
-            return "too many forwarded requests"
-        return None if await self._has_version(forwarded.version) else "the configuration of this node is older"
+            return DeclineReason.NOT_ADMITTED
+        return None if await self._has_version(forwarded.version) else DeclineReason.OLDER_CONFIGURATION
 
     async def _has_version(self, version: int) -> bool:
         """Wait for a version of the configuration; return whether this node has it in time."""
--- a/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -11,7 +11,7 @@
 
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.completeness import BodyEnd
-from vaneturn_core.traffic.peerchoice import PeerChoice
+from vaneturn_core.traffic.peerchoice import DeclineReason, PeerChoice
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
 from vaneturn_node.http1.messages import find_header, parse_decimal
@@ -80,6 +80,14 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class _Declined:
+    """A node did not take a request, which it has not sent to any server."""
+
+    cause: str
+    reason: DeclineReason
+
+
 class PeerForwarder:
     """Offers requests to other nodes, one after the other, until one accepts."""
 
@@ -116,13 +124,11 @@
                 break
             asked.add(peer)
             outcome = await self._offer_to(peer, address, context, last_event_id, silence, is_resumed=is_resumed)
-            if not isinstance(outcome, NotRun):
+            if not isinstance(outcome, _Declined):
                 return outcome
             context.add_step(f"{peer}: {outcome.cause}")
-            if not outcome.has_no_path:
-                return outcome
-            self._choice.record_declined(peer)
-        return NotRun(f"none of {len(asked)} nodes reaches a server", has_no_path=True)
+            self._choice.record_declined(peer, outcome.reason)
+        return NotRun(f"none of {len(asked)} nodes asked reaches a server", has_no_path=True)
 
     async def _offer_to(
         self,
@@ -133,7 +139,7 @@
         silence: float,
         *,
         is_resumed: bool,
-    ) -> PeerAnswer | MayHaveRun | NotRun:
+    ) -> PeerAnswer | MayHaveRun | NotRun | _Declined:
         link: HttpLink | None = None
         is_kept = False
         self._choice.record_begun(peer)
@@ -150,14 +156,16 @@
             marks = read_marks(head.headers)
             if marks is None or marks.kind is AnswerKind.DECLINED:
                 context.sends -= 1
-                return NotRun(f"declined with {head.status}", has_no_path=True)
+                reason = marks.reason if marks is not None else DeclineReason.NO_PATH
+                return _Declined(f"declined with {head.status}, {reason.value}", reason)
+            self._choice.record_accepted(peer)
             self._newest_version = max(self._newest_version, marks.version)
             context.runs = max(context.runs, marks.runs)
             is_kept = True
             return PeerAnswer(peer, link, AnswerHead(head.status, list(drop_marks(head.headers))), marks)
         except LinkError as error:
             if not error.was_sent:
-                return NotRun(error.cause, has_no_path=True)
+                return _Declined(error.cause, DeclineReason.NO_ANSWER)
             context.runs += 1
             context.add_step(f"{peer}: {error.cause}")
             return MayHaveRun(f"{peer}: {error.cause}")
--- a/packages/node/src/vaneturn_node/traffic/sharing/forwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/forwarding.py
@@ -11,13 +11,15 @@
 from msgspec import Struct
 
 from vaneturn_core.identifiers import VmId
+from vaneturn_core.traffic.peerchoice import DeclineReason
 from vaneturn_node.http1.messages import Headers, find_header
 
 FORWARDED_PATH: Final = "/forwarded"
 _KIND: Final = b"vaneturn-answer"
 _RUNS: Final = b"vaneturn-runs"
 _VERSION: Final = b"vaneturn-version"
-_NAMES: Final = frozenset({_KIND, _RUNS, _VERSION})
+_REASON: Final = b"vaneturn-reason"
+_NAMES: Final = frozenset({_KIND, _RUNS, _VERSION, _REASON})
 
 logger = logging.getLogger(__name__)
 
@@ -55,6 +57,7 @@
     kind: AnswerKind
     runs: int  # of the request that count as attempts, over both nodes
     version: int  # of the configuration in force at the answering node
+    reason: DeclineReason = DeclineReason.NO_PATH  # of a declined request; builds before this field state none
 
 
 def encode_forwarded(request: ForwardedRequest) -> bytes:
@@ -73,19 +76,23 @@
 
 def build_marks(marks: AnswerMarks) -> Headers:
     """Build the headers that mark an answer."""
+    reason = [(_REASON, marks.reason.value.encode())] if marks.kind is AnswerKind.DECLINED else []
     return [
         (_KIND, marks.kind.value.encode()),
         (_RUNS, str(marks.runs).encode()),
         (_VERSION, str(marks.version).encode()),
+        *reason,
     ]
 
 
 def read_marks(headers: Headers) -> AnswerMarks | None:
     """Read the marks of an answer; None if it has none, as from a node of an older build."""
-    kind, runs, version = (find_header(headers, name) or b"" for name in (_KIND, _RUNS, _VERSION))
+    kind, runs, version, stated = (find_header(headers, name) or b"" for name in (_KIND, _RUNS, _VERSION, _REASON))
     if kind.decode("latin-1") not in {each.value for each in AnswerKind} or not (runs.isdigit() and version.isdigit()):
         return None
-    return AnswerMarks(AnswerKind(kind.decode("latin-1")), int(runs), int(version))
+    reasons = {each.value: each for each in DeclineReason}
+    reason = reasons.get(stated.decode("latin-1"), DeclineReason.NO_PATH)
+    return AnswerMarks(AnswerKind(kind.decode("latin-1")), int(runs), int(version), reason)
 
 
 def drop_marks(headers: Headers) -> Headers:
--- a/tests/system/platform/test_partitions.py
+++ b/tests/system/platform/test_partitions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+import signal
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -11,6 +13,7 @@
 
 from rig.ports import find_port
 from rig.traffic import Node, Traffic, assert_layers_once_in_order, list_ids, open_traffic, wait_for
+from standins.link import Link
 from standins.platform.servers import Server
 from standins.vm import CutKind
 
@@ -212,3 +215,29 @@
             assert (await fleet.ask("/letter/1", node=number)).status_code == 200
     connected = fleet.nodes[NODES - 1]
     assert [line for line in connected.read_log() if line["message"] == "losses told"] == []
+
+
+async def test_node_that_has_just_started_without_a_path_is_served_by_nodes_that_do_not_know_it_yet(
+    tmp_path: Path,
+) -> None:
+    """Its requests were refused as from an unknown node, and each node that said so was not asked for a second."""
+    async with open_traffic(tmp_path, nodes=2, link_rate=LINK_RATE_BYTES_PER_S) as traffic:
+        await traffic.add_chains()
+        await traffic.add_desk()
+        ports = [int(address.rpartition(":")[2]) for address in list_addresses(traffic)]
+        (tmp_path / "entry-3.cut").write_text(json.dumps({"kind": CutKind.REFUSED.value, "ports": ports}))
+        for node in traffic.nodes:
+            node.store_path.cut()
+        await traffic.start_node(Link(LINK_RATE_BYTES_PER_S))
+        statuses = [(await traffic.ask("/check/1", node=2)).status_code for _ in range(20)]
+        assert statuses == [200] * 20
+
+
+async def test_node_without_a_path_serves_its_clients_until_its_planned_stop_ends(fleet: Traffic) -> None:
+    """It had left the list of nodes at the begin of its stop, and the others declined its requests from then on."""
+    fleet.nodes[CUT].cut(list_addresses(fleet), CutKind.REFUSED)
+    assert set(await ask_many(fleet, "/check/1")) == {200}
+    fleet.nodes[CUT].process.send(signal.SIGTERM)
+    await wait_for(lambda: "vaneturn/nodes/entry-1" not in fleet.fleet.store.items)
+    await anyio.sleep(0.3)  # until the other nodes have read that
+    assert await ask_many(fleet, "/check/1") == [200] * ROUNDS
