--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := packages/core packages/node packages/cli
 SOURCES := packages tests bench
 
-.PHONY: demo test lint unit soak traffic-soak deadly-soak load-soak long-answer-soak partition-soak proofs bench capacity clean
+.PHONY: demo test lint unit soak traffic-soak deadly-soak load-soak long-answer-soak partition-soak ending-soak proofs bench capacity clean
 
 $(STAMP): constraints.txt requirements-test.txt $(PACKAGES:%=%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -54,6 +54,9 @@
 partition-soak: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python -m rig.partitionsoak --seconds $(SECONDS) --seeds $(SEEDS)
 
+ending-soak: $(STAMP)
+	PYTHONPATH=tests $(BIN)/python -m rig.endingsoak --seconds $(SECONDS) --seeds $(SEEDS)
+
 proofs: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python -m rig.proofs
 
--- a/tests/system/platform/test_soak.py
+++ b/tests/system/platform/test_soak.py
@@ -7,6 +7,7 @@
 import pytest
 
 from rig.deadlysoak import DeadlySoak
+from rig.endingsoak import EndingSoak
 from rig.partitionsoak import PartitionSoak
 from rig.trafficsoak import run_traffic_soak
 
@@ -43,3 +44,12 @@
     assert findings.faults == []
     assert findings.counts["letter 200"]
     assert findings.counts["first tries at nodes without servers"]
+
+
+@pytest.mark.parametrize("seed", [1])
+async def test_answers_that_end_in_every_way_break_no_promise(tmp_path: Path, seed: int) -> None:
+    findings = await run_traffic_soak(tmp_path, 2 * SECONDS, seed, EndingSoak)
+    assert findings.faults == []
+    assert findings.counts["letter 200"]
+    assert findings.counts["HTTP/1.0 200"]
+    assert findings.counts["requests whose servers broke an answer off"]
