--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -483,4 +483,41 @@
         f"{SYSTEM}/test_partitions.py::test_node_without_a_path_gives_up_the_orders_to_servers",
         (Edit(f"{TRAFFIC}/duties/placing.py", "                await self._tenure.step_down()\n", ""),),
     ),
+    Proof(
+        "a stream that ends inside an event is broken off in any framing",
+        f"{SYSTEM}/test_brokenoff.py::test_stream_that_ends_inside_an_event_is_not_complete_though_its_framing_says_so",
+        (Edit(f"{CORE}/completeness.py", "if not is_orderly or is_cut or (", "if not is_orderly or ("),),
+    ),
+    Proof(
+        "an answer that ends with its connection is whole if its server runs on",
+        f"{SYSTEM}/test_brokenoff.py::test_plain_answer_whose_server_ended_with_it_is_not_complete",
+        (
+            Edit(
+                f"{CORE}/completeness.py",
+                "if end.framing is Framing.CLOSE and end.body_end is not BodyEnd.AFTER_DOCUMENT:",
+                "if end.framing is None:",
+            ),
+        ),
+    ),
+    Proof(
+        "an HTTP/1.0 client sees that its answer was broken off",
+        f"{SYSTEM}/test_brokenoff.py::test_http_1_0_client_sees_that_its_answer_was_broken_off",
+        (
+            Edit(
+                "node/src/vaneturn_node/http1/server.py",
+                "            self._stream.reset_on_close(is_reset=True)\n",
+                "            pass\n",
+            ),
+        ),
+    ),
+    Proof(
+        "a stream is not resumed after an event without an id",
+        f"{SYSTEM}/test_brokenoff.py::test_stream_whose_newest_event_has_no_id_is_not_resumed",
+        (Edit(f"{TRAFFIC}/serving/streams.py", "if not client.can_resume:", "if client is None:"),),
+    ),
+    Proof(
+        "a node that lacks something for one request is asked for others",
+        "tests/core/traffic/test_peerchoice.py::test_node_that_has_no_retry_budget_for_one_request_is_asked_for_the_next",
+        (Edit(f"{CORE}/peerchoice.py", "DeclineReason.NOT_ADMITTED: 0.0,", "DeclineReason.NOT_ADMITTED: 1.0,"),),
+    ),
 )
