Give the question whether a server runs its own time limit, and slow servers time to answer it

Cause: the time limit of its try, which leaves time for a second server, ended the question that the end of the answer waited for. The question has a limit of its own now.

--- a/packages/node/src/vaneturn_node/traffic/servers/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/exchange.py
@@ -88,7 +88,7 @@
     def __post_init__(self) -> None:
         """Create the objects that depend on other fields."""
         self.connectivity = Connectivity(self.view, self.beliefs, self.pool)
-        self.liveness = LivenessCheck(self.reports)
+        self.liveness = LivenessCheck(self.reports, self.calls)
         self.crashes = CrashBoard(read_clock, self.view.list_software)
         self.crash_watch = CrashWatch(self.crashes, self.reports, self.view, self.connectivity)
         self.directives = DirectiveKeeper(self.beliefs, self.limits)
--- a/packages/node/src/vaneturn_node/traffic/serving/answerends.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answerends.py
@@ -25,13 +25,24 @@
     async def read_whole(
         self, link: HttpLink, timeout_s: float, body_end: BodyEnd, server: BackendServer | None
     ) -> bytes:
-        """Read the body of an answer that is not relayed as it arrives.
+        """Read the body of an answer that is not relayed as it arrives, and require it to be whole.
 
         :param timeout_s: without any bytes.
         :param body_end: of a body that is read to its end.
         :param server: that sends the answer; None for another node.
         :raises LinkError: it was broken off.
         """
+        body = await self.read_body(link, timeout_s, body_end, server)
+        await self.require_whole(link, body_end, server)
+        return body
+
+    async def read_body(
+        self, link: HttpLink, timeout_s: float, body_end: BodyEnd, server: BackendServer | None
+    ) -> bytes:
+        """Read a body to the end of its bytes, which does not show yet that the answer is whole.
+
+        :raises LinkError: the connection was lost.
+        """
         parts = []
         try:
             while (data := await link.read_data(timeout_s)) is not None:
@@ -39,7 +50,6 @@
         except LinkError:
             self.record_lost(link, body_end, server)
             raise
-        await self.require_whole(link, body_end, server)
         return b"".join(parts)
 
     async def require_whole(
--- a/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 import anyio
@@ -65,13 +66,13 @@
         link: HttpLink | None = None
         is_whole = False
         try:
-            with anyio.fail_after(timeout_s):
+            with anyio.fail_after(timeout_s) as scope:
                 max_idle = MAX_IDLE_S if context.route.may_repeat else UNSAFE_IDLE_LIMIT_S
                 link = await self._parts.connectivity.acquire(server, max_idle)
                 obstacle = context.claim_send(self._parts.beliefs[server.id])
                 if obstacle is not None:
                     return NotRun(obstacle)
-                outcome = await self._send_and_receive(context, server, link, timeout_s)
+                outcome = await self._send_and_receive(context, server, link, timeout_s, scope)
                 is_whole = isinstance(outcome, Answered | NotRun)
                 return outcome
         except TimeoutError:
@@ -91,7 +92,12 @@
                 await self._parts.release(link, server.address, is_whole=is_whole)
 
     async def _send_and_receive(
-        self, context: RequestContext, server: BackendServer, link: HttpLink, timeout_s: float
+        self,
+        context: RequestContext,
+        server: BackendServer,
+        link: HttpLink,
+        timeout_s: float,
+        scope: anyio.CancelScope,
     ) -> TryOutcome:
         request = context.request
         headers = build_server_headers(request.headers, context.make_dispatch(server.name))
@@ -100,7 +106,10 @@
         head = await self._read_head(context, server, link, timeout_s)
         facts = read_answer_facts(head.status, head.headers)
         body_end = BodyEnd.NOT_NEEDED if facts.was_refused else BodyEnd.UNKNOWN
-        body = await AnswerEnds(self._parts, context).read_whole(link, timeout_s, body_end, server)
+        ends = AnswerEnds(self._parts, context)
+        body = await ends.read_body(link, timeout_s, body_end, server)
+        scope.deadline = math.inf  # the check of an answer that has arrived has a limit of its own
+        await ends.require_whole(link, body_end, server)
         server_status = self._parts.beliefs[server.id]
         if facts.load is not None:
             server_status.take_load(facts.load[0] + facts.load[1], read_clock())
--- a/tests/node/traffic/servers/test_liveness.py
+++ b/tests/node/traffic/servers/test_liveness.py
@@ -74,3 +74,11 @@
         await exchange.reply_json(200, {"seq": 1})
 
     assert await check(reset_first) is Liveness.RUNNING
+
+
+async def test_slow_server_gets_the_time_to_answer() -> None:
+    async def answer_late(exchange: Exchange) -> None:
+        await anyio.sleep(0.3)
+        await exchange.reply_json(200, {"seq": 1})
+
+    assert await check(answer_late, 1.0) is Liveness.RUNNING
--- a/tests/standins/platform/servers.py
+++ b/tests/standins/platform/servers.py
@@ -124,6 +124,7 @@
     load_time: float = 0.05
     born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)  # Unix milliseconds
     fault_handler: Callable[[Exchange, Run], Any] | None = None  # sends a faulty answer in place of the correct one
+    report_time: float = 0.0  # seconds until it answers a call for its report
     work_time: float = 0.01  # seconds that a plain service works on a request
     rate_limit: float | None = None  # requests per second from all nodes, stated in its answers
     rest: float | None = None  # seconds of rest that it asks for when it rejects requests
@@ -169,6 +170,7 @@
         if expected not in {None, self.id}:
             await exchange.reply(421, {"X-Instance-Id": self.id})
         elif call.path == "/api/report":
+            await anyio.sleep(self.report_time)
             await exchange.reply_json(200, self._report())
         elif call.path == "/api/order":
             await self._take_order(exchange, json.loads(call.body))
--- a/tests/system/platform/test_brokenoff.py
+++ b/tests/system/platform/test_brokenoff.py
@@ -113,6 +113,20 @@
     assert len(traffic.fleet.runs) == runs
 
 
+async def test_whole_plain_answer_is_not_asked_for_again_while_its_server_is_asked_whether_it_runs(
+    traffic: Traffic,
+) -> None:
+    """The try's time limit ended the question, and a second server ran the request (randomised run, seed 103)."""
+    for _ in range(2):
+        (await traffic.add_desk()).report_time = 0.4
+    traffic.fleet.plan_answer = lambda *_: AnswerPlan(AnswerFraming.CLOSE)
+    for server in traffic.fleet.servers.values():
+        server.work_time = 0.5  # the first try of a safe request ends after 0.6 s
+    answer = await traffic.ask("/check/1")
+    assert answer.status_code == 200
+    assert len(traffic.fleet.runs) == 1
+
+
 async def test_http_1_0_client_sees_that_its_answer_was_broken_off(traffic: Traffic) -> None:
     """To an HTTP/1.0 client, an orderly close is the end of a whole answer; only a reset says otherwise."""
     await traffic.add_chains()
