Judge requests for rest from when a node has the answer, and late plain answers by the limit of their try

The stand-in records when the answer has passed the node's link; the check counts from there, and the rest itself from when it was written, as before.

Such a run is left out if it took 0.3 s or more and the node's log says so; an answer that a node takes for broken off is not.

--- a/tests/rig/directivejudge.py
+++ b/tests/rig/directivejudge.py
@@ -62,7 +62,9 @@
     for directive in record.directives:
         if directive.rest is None:
             continue
-        start, end = directive.at + DIRECTIVE_DELAY_S, directive.at + directive.rest
+        # a node follows a request for rest from when it has it; the rest itself counts from when it was written
+        heard_at = directive.passed_at if directive.passed_at is not None else directive.at
+        start, end = heard_at + DIRECTIVE_DELAY_S, directive.at + directive.rest
         count = _count_between(_list_arrival_times(record.arrivals, directive), start, end)
         if count > REST_EXTRA_REQUESTS and not is_excused(directive.node, directive.at, end):
             breaches.append(
--- a/tests/rig/endingsoak.py
+++ b/tests/rig/endingsoak.py
@@ -21,6 +21,7 @@
 BROKEN_SHARE = 0.12  # of the answers; the retry budget suffices for it
 CRASH_SHARE = 0.15  # of the broken answers
 CRASH_INTERVAL_S = 1.0  # between servers that end with their answers; each is replaced
+MIN_TRY_TIME_S = 0.3  # seconds; no try of a safe request ends sooner while its server works
 MAX_CONFIRMATION_S = 1.5  # seconds after a whole answer; if its server ends meanwhile, the answer may run again
 
 
@@ -106,11 +107,20 @@
                 continue
             if any(silence.overlaps(after) for silence in silences[address]):
                 continue
+            if self._took_too_long(run):
+                continue
             again = [each for each in self.traffic.fleet.find_runs(run.request) if each.started > run.ended]
             self.findings.faults += [
                 f"{run.request} ran again {each.started - run.ended:.3f} s after its whole answer" for each in again
             ]
 
+    def _took_too_long(self, run: Run) -> bool:
+        """Tell whether a plain answer came when its try was over, so that a second server had been asked."""
+        if run.is_stream or run.ended is None or run.ended - run.started < MIN_TRY_TIME_S:
+            return False
+        lines = (line for node in self.traffic.nodes for line in node.read_log() if line.get("request") == run.request)
+        return any("no answer in time" in step for line in lines for step in line.get("steps", ()))
+
 
 if __name__ == "__main__":
     sys.exit(main(EndingSoak))
--- a/tests/standins/platform/directives.py
+++ b/tests/standins/platform/directives.py
@@ -24,6 +24,7 @@
     rate_limit: float | None
     rest: float | None  # seconds
     is_leaving: bool
+    passed_at: float | None = None  # when the answer had passed the node's link; None if that is not known
 
 
 @dataclass
@@ -36,7 +37,8 @@
     def note_arrival(self, server: str, node: str) -> None:
         self.arrivals.append(Arrival(time.monotonic(), server, node))
 
-    def note_answer(self, server: str, node: str, headers: dict[str, str]) -> None:
+    def note_answer(self, server: str, node: str, headers: dict[str, str]) -> int:
+        """Record the directives in an answer that is about to be sent; return their place in the list."""
         limit, rest = headers.get("Server-Limit"), headers.get("Retry-After")
         if headers.keys() & {"Server-Limit", "Retry-After", "Server-Leaving"}:
             directive = Directive(
@@ -48,6 +50,11 @@
                 "Server-Leaving" in headers,
             )
             self.directives.append(directive)
+        return len(self.directives) - 1
+
+    def note_passed(self, place: int) -> None:
+        """Record that the answer with the directives at a place has passed the node's link."""
+        self.directives[place] = self.directives[place]._replace(passed_at=time.monotonic())
 
 
 __all__ = ["Arrival", "Directive", "DirectiveRecord"]
--- a/tests/standins/platform/servers.py
+++ b/tests/standins/platform/servers.py
@@ -182,8 +182,10 @@
         if self.rest is not None:
             headers = {"X-Not-Executed": "1", "X-Request-Id": exchange.call.headers["x-request-id"]}
             headers |= {"Retry-After": str(self.rest), **self._list_directives()}
-            self.fleet.record.note_answer(self.id, exchange.caller, headers)
+            place = self.fleet.record.note_answer(self.id, exchange.caller, headers)
             await exchange.reply(503, headers)
+            await exchange.flush()
+            self.fleet.record.note_passed(place)
         elif self.kind is None:
             await self._serve_plain(exchange)
         else:
