--- a/tests/rig/soakclients.py
+++ b/tests/rig/soakclients.py
@@ -11,6 +11,7 @@
 import anyio
 import httpx
 
+from rig.processorwatch import ProcessorWatch
 from rig.traffic import Traffic, list_ids
 from rig.trafficjudge import Cut, Span, Troubles
 from standins.platform.operator import KEY
@@ -46,6 +47,7 @@
     cut_streams: list[Cut] = field(default_factory=list)  # whose response had begun
     cut_by_stops: list[Cut] = field(default_factory=list)  # requests in progress at a planned stop that were cut
     troubles_by_source: Troubles = field(default_factory=Troubles)
+    longest_waits: dict[str, float] = field(default_factory=dict)  # seconds without a processor, by process
     first_tries: list[FirstTry] = field(default_factory=list)
     restarts: defaultdict[int, list[Span]] = field(default_factory=lambda: defaultdict(list))  # planned ones, by node
 
@@ -64,7 +66,7 @@
         self._extra_routes: list[dict[str, Any]] = []  # additional routes that make the configuration long
         self._silence_counts: Counter[str] = Counter()  # number of faults that make a server unresponsive, by address
         self._cut_counts: Counter[int] = Counter()  # number of faults that cut a node off from servers, by node
-        self._clock_readings: list[float] = []  # readings of the monotonic clock
+        self._processors = ProcessorWatch(traffic, self.findings.troubles_by_source.stalls, self.findings.longest_waits)
         self._keys: dict[str, float] = {KEY: NEVER}  # API keys and when each was removed
         self._used_versions: defaultdict[tuple[int, int], int] = defaultdict(int)  # latest, by node and process id
 
--- a/tests/rig/trafficsoak.py
+++ b/tests/rig/trafficsoak.py
@@ -18,6 +18,7 @@
 import httpx
 
 from rig.directivejudge import find_breaches
+from rig.processorwatch import PAUSE_S
 from rig.soakclients import DRAIN_TIME_S, NEVER, NODES, SLACK_S, TOKENS, Findings
 from rig.soakfaults import SoakFaults
 from rig.traffic import assert_layers_once_in_order, get_address, open_traffic
@@ -27,13 +28,11 @@
 SETTLING_TIME_S = 3.0  # seconds after the end of a fault; the time bounds hold again from then on
 RECOVERY_TIME_S = 12.0  # seconds after the last fault; then every node must serve again
 LINK_RATE_BYTES_PER_S = 2_500_000.0  # 20 Mbit/s, as small nodes have
-CLOCK_READ_INTERVAL_S = 0.05  # seconds between readings of the clock
 ADDRESSES = [get_address(number) for number in range(NODES)]
 CONTACT_TIME_S = 3.0  # seconds from the begin of a cut until the node has to serve as others do, and after its end
 MIN_SERVED_RATIO = 2 / 3  # of the share of first tries that are served, against that of other nodes
 MAX_FAILED = 10  # first tries that may fail at nodes without servers, and beyond these a share of all
 MAX_FAILED_SHARE = 1 / 50
-PAUSE_S = 0.2  # seconds; a longer gap between readings means that this process did not run
 
 
 class TrafficSoak(SoakFaults):
@@ -52,7 +51,7 @@
         clients = [self._ask_stream] * 6 + [self._ask_plain] * 4
         faults = [*self.list_faults(), *self.list_path_faults()]
         async with anyio.create_task_group() as watch:
-            watch.start_soon(self._watch_clock)
+            watch.start_soon(self._processors.run)
             async with anyio.create_task_group() as tasks:
                 for index, step in enumerate([*clients, *faults]):
                     tasks.start_soon(self._repeat, step, random.Random(f"{self._seed} {index}"))
@@ -101,18 +100,6 @@
         spans = [*self.findings.troubles_by_source.nodes[number], *self.findings.restarts[number]]
         return any(span.overlaps(Span(start, end)) for span in spans)
 
-    async def _watch_clock(self) -> None:
-        waits = [0.0] * NODES
-        while True:
-            self._clock_readings.append(time.monotonic())
-            for number, node in enumerate(self.traffic.nodes):
-                waited = node.process.read_run_delay()
-                if waited - waits[number] >= PAUSE_S:
-                    now = time.monotonic()
-                    self.findings.troubles_by_source.stalls[number].append(Span(now - (waited - waits[number]), now))
-                waits[number] = waited
-            await anyio.sleep(CLOCK_READ_INTERVAL_S)
-
     async def _repeat(self, step: Callable[[random.Random], Awaitable[None]], rng: random.Random) -> None:
         while time.monotonic() < self._until:
             try:
@@ -162,7 +149,7 @@
         findings.troubles_by_source.waits = {
             number: [Span(*wait) for wait in link.waits] for number, link in enumerate(links) if link is not None
         }
-        findings.troubles_by_source.pauses = find_pauses(self._clock_readings, PAUSE_S)
+        findings.troubles_by_source.pauses = find_pauses(self._processors.clock_readings, PAUSE_S)
         for cut in findings.cut_streams:
             chains = [chain for run in fleet.find_runs(cut.request) for chain in run.chains]
             excuse = findings.troubles_by_source.find_excuse(cut, {part.address for chain in chains for part in chain})
@@ -236,6 +223,9 @@
         print(f"seed {seed}, {options.seconds:.0f} s: {dict(sorted(findings.counts.items()))}")
         for fault in findings.faults[:10]:
             print(f"  BROKEN {fault}", flush=True)
+        if findings.faults:
+            waits = ", ".join(f"{process} {seconds:.2f} s" for process, seconds in findings.longest_waits.items())
+            print(f"  longest time without a processor: {waits}", flush=True)
     return 1 if failed else 0
 
 
