--- a/packages/node/src/vaneturn_node/http1/link.py
+++ b/packages/node/src/vaneturn_node/http1/link.py
@@ -10,13 +10,12 @@
 import h11
 
 from vaneturn_core.traffic.completeness import Ending, Framing
-from vaneturn_node.http1.messages import Headers, find_header
+from vaneturn_node.http1.messages import BODILESS_STATUSES, Headers, find_header
 from vaneturn_node.http1.tcp import TcpStream
 
 RECEIVE_BYTES: Final = 65536
 MAX_HEAD_BYTES: Final = 65536
 DEFAULT_IDLE_TIMEOUT_S: Final = 2.0  # servers without a Keep-Alive timeout keep an idle connection at least so long
-BODILESS_STATUSES: Final = frozenset({204, 304})
 IDLE_MARGIN_S: Final = 0.8  # subtracted from the Keep-Alive timeout, for the transit of the next request
 
 
--- a/packages/node/src/vaneturn_node/http1/messages.py
+++ b/packages/node/src/vaneturn_node/http1/messages.py
@@ -8,6 +8,7 @@
 
 Headers = Sequence[tuple[bytes, bytes]]
 
+BODILESS_STATUSES: Final = frozenset({204, 304})
 MAX_REST_S: Final = 3600.0  # servers may ask a node to send no requests for this long; longer times are capped
 _DECIMAL: Final = re.compile(rb"\d{1,12}(\.\d{1,12})?")
 _CONNECTION_HEADERS: Final = frozenset(
@@ -47,4 +48,4 @@
     return _CONNECTION_HEADERS | named
 
 
-__all__ = ["MAX_REST_S", "Headers", "find_header", "list_connection_headers", "parse_decimal"]
+__all__ = ["BODILESS_STATUSES", "MAX_REST_S", "Headers", "find_header", "list_connection_headers", "parse_decimal"]
--- a/packages/node/src/vaneturn_node/http1/responses.py
+++ b/packages/node/src/vaneturn_node/http1/responses.py
@@ -7,7 +7,7 @@
 import httpx
 
 from vaneturn_core.traffic.completeness import AnswerEnd, BodyEnd, Ending, Framing, find_document_end
-from vaneturn_node.http1.link import BODILESS_STATUSES
+from vaneturn_node.http1.messages import BODILESS_STATUSES
 
 JSON_TYPE: Final = "application/json"
 
--- a/packages/node/src/vaneturn_node/http1/server.py
+++ b/packages/node/src/vaneturn_node/http1/server.py
@@ -1,4 +1,4 @@
-"""One client connection: reads requests, writes answers and detects that the client has disconnected."""
+"""One client connection: reads requests and detects that the client has disconnected."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
 
 from vaneturn_core.traffic.configuration import ClientLimits
 from vaneturn_node.clock import read_clock
+from vaneturn_node.http1.clientanswer import ClientAnswer, ClientLeftError
 from vaneturn_node.http1.messages import Headers, find_header
 from vaneturn_node.http1.tcp import TcpStream
 
@@ -20,16 +21,10 @@
 LAST_WAIT_S: Final = 0.05  # for a request that was sent before its client could see a planned stop
 LINGER_TIMEOUT_S: Final = 0.5  # for a client to read the answer to a request that was not read whole
 HEADER_OVERHEAD_BYTES: Final = 4  # of a header line, besides its name and value
-CHUNKS_VERSION: Final = b"1.1"  # of HTTP; clients of older ones know no chunks
-NO_BODY_STATUSES: Final = frozenset({204, 304})
 
 logger = logging.getLogger(__name__)
 
 
-class ClientLeftError(Exception):
-    """The client's connection ended."""
-
-
 @dataclass(frozen=True, slots=True)
 class ClientRequest:
     """A whole request."""
@@ -50,76 +45,6 @@
     reason: str
 
 
-class ClientAnswer:
-    """Writes one answer; a client can tell an answer that was cut off from a whole one."""
-
-    def __init__(
-        self, stream: TcpStream, protocol: h11.Connection, method: str, is_stopping: Callable[[], bool]
-    ) -> None:
-        self._stream = stream
-        self._protocol = protocol
-        self._method = method
-        self._is_stopping = is_stopping
-        self.closes_connection = False  # whether the connection closes after this answer
-        self.list_added_headers: Callable[[], Headers] | None = None  # called when the head is sent
-        self.is_begun = False
-        self.is_ended = False
-        self.needs_eof = False  # the end of the connection is still to tell that the answer is whole
-
-    async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send an answer with a known body."""
-        framed = [*headers, *self._list_hop_headers()]
-        if status not in NO_BODY_STATUSES:
-            framed.append((b"content-length", str(len(body)).encode()))
-        data = self._protocol.send(h11.Response(status_code=status, headers=framed)) or b""
-        if body and self._method != "HEAD" and status not in NO_BODY_STATUSES:
-            data += self._protocol.send(h11.Data(data=body)) or b""
-        data += self._protocol.send(h11.EndOfMessage()) or b""
-        self.is_begun = True
-        await self._send(data)
-        self.is_ended = True
-
-    async def begin(self, status: int, headers: Headers) -> None:
-        """Send the head of an answer of unknown length."""
-        data = self._protocol.send(h11.Response(status_code=status, headers=[*headers, *self._list_hop_headers()]))
-        self.is_begun = True
-        if self._is_ended_by_close:
-            self._stream.reset_on_close(is_reset=True)
-        await self._send(data or b"")
-
-    async def send_part(self, body: bytes) -> None:
-        """Send a part of the body."""
-        await self._send(self._protocol.send(h11.Data(data=body)) or b"")
-
-    async def end(self, trailers: Headers = ()) -> None:
-        """Mark the answer as whole, unless its trailers tell otherwise."""
-        await self._send(self._protocol.send(h11.EndOfMessage(headers=list(trailers))) or b"")
-        self.is_ended = True
-        if self._is_ended_by_close:
-            self._stream.reset_on_close(is_reset=False)
-            self.needs_eof = True
-
-    @property
-    def _is_ended_by_close(self) -> bool:
-        """Tell whether only the end of the connection ends an answer of unknown length.
-
-        Until such an answer is whole, the connection is reset whenever it ends, which its client takes for an error.
-        """
-        version = self._protocol.their_http_version
-        return version is None or version < CHUNKS_VERSION
-
-    def _list_hop_headers(self) -> list[tuple[bytes, bytes]]:
-        self.closes_connection = self.closes_connection or self._is_stopping()
-        added = list(self.list_added_headers()) if self.list_added_headers is not None else []
-        return [*added, (b"connection", b"close")] if self.closes_connection else added
-
-    async def _send(self, data: bytes) -> None:
-        try:
-            await self._stream.send(data)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            raise ClientLeftError from None
-
-
 Handler = Callable[[ClientRequest, ClientAnswer], Awaitable[None]]
 
 
@@ -318,4 +243,4 @@
     return None
 
 
-__all__ = ["ClientAnswer", "ClientConnection", "ClientLeftError", "ClientRequest", "Handler", "Rejection"]
+__all__ = ["ClientConnection", "ClientRequest", "Handler", "Rejection"]
--- a/packages/node/src/vaneturn_node/traffic/process/inspection.py
+++ b/packages/node/src/vaneturn_node/traffic/process/inspection.py
@@ -10,7 +10,8 @@
 from vaneturn_core.traffic.servers import BackendServer
 from vaneturn_core.traffic.state import SeenServer, TrafficState
 from vaneturn_node.clock import read_clock
-from vaneturn_node.http1.server import ClientAnswer, ClientRequest
+from vaneturn_node.http1.clientanswer import ClientAnswer
+from vaneturn_node.http1.server import ClientRequest
 from vaneturn_node.traffic.duties.tenure import Tenure
 from vaneturn_node.traffic.following.follower import StoreFollower
 from vaneturn_node.traffic.process.stopping import Lifecycle
--- a/packages/node/src/vaneturn_node/traffic/process/listeners.py
+++ b/packages/node/src/vaneturn_node/traffic/process/listeners.py
@@ -12,7 +12,8 @@
 from vaneturn_core.traffic.configuration import ClientLimits
 from vaneturn_core.traffic.settings import TrafficSettings
 from vaneturn_core.traffic.view import PlatformView
-from vaneturn_node.http1.server import ClientAnswer, ClientConnection, ClientRequest, Handler
+from vaneturn_node.http1.clientanswer import ClientAnswer
+from vaneturn_node.http1.server import ClientConnection, ClientRequest, Handler
 from vaneturn_node.http1.tcp import TcpStream, listen
 from vaneturn_node.traffic.process.inspection import OperatorHandler
 from vaneturn_node.traffic.process.stopping import Lifecycle
--- a/packages/node/src/vaneturn_node/traffic/serving/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answering.py
@@ -17,7 +17,8 @@
 from vaneturn_core.traffic.pace import Pause
 from vaneturn_core.traffic.state import TrafficRequest
 from vaneturn_node.clock import read_clock
-from vaneturn_node.http1.server import ClientAnswer, ClientRequest
+from vaneturn_node.http1.clientanswer import ClientAnswer
+from vaneturn_node.http1.server import ClientRequest
 from vaneturn_node.platform.directives import RETRY_AFTER
 from vaneturn_node.platform.headers import RequestFacts, build_client_headers, read_request_facts
 from vaneturn_node.traffic.servers.exchange import TrafficParts
--- a/packages/node/src/vaneturn_node/traffic/serving/clientstream.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/clientstream.py
@@ -6,8 +6,8 @@
 
 from vaneturn_core.traffic.pace import Pause, StreamPace
 from vaneturn_node.clock import read_clock
+from vaneturn_node.http1.clientanswer import ClientAnswer
 from vaneturn_node.http1.link import AnswerHead
-from vaneturn_node.http1.server import ClientAnswer
 from vaneturn_node.platform.headers import build_client_headers
 from vaneturn_node.traffic.serving.events import EventSplitter
 
--- a/packages/node/src/vaneturn_node/traffic/serving/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streams.py
@@ -13,7 +13,7 @@
 from vaneturn_core.traffic.chaintimes import NO_OBJECTIVES, RequestObjectives
 from vaneturn_core.traffic.configuration import EngineProfile
 from vaneturn_node.clock import read_clock
-from vaneturn_node.http1.server import ClientAnswer
+from vaneturn_node.http1.clientanswer import ClientAnswer
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.serving.admissionrequest import UNCOUNTED_PLACE
 from vaneturn_node.traffic.serving.admitting import StreamAdmitter
--- a/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/changeserver.py
@@ -19,7 +19,8 @@
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.caller import BodyArrival
-from vaneturn_node.http1.server import ClientAnswer, ClientRequest
+from vaneturn_node.http1.clientanswer import ClientAnswer
+from vaneturn_node.http1.server import ClientRequest
 from vaneturn_node.platform.epochs import StoreState, get_epoch
 from vaneturn_node.platform.store import BODY_EXTRA_TIME_S, MAX_SILENCE_S
 from vaneturn_node.traffic.servers.permits import PERMITS_PATH, Permits
--- a/packages/node/src/vaneturn_node/traffic/sharing/longvalues.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/longvalues.py
@@ -16,7 +16,7 @@
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.caller import Caller, Reply
-from vaneturn_node.http1.server import ClientAnswer
+from vaneturn_node.http1.clientanswer import ClientAnswer
 from vaneturn_node.platform.epochs import StoreState, get_epoch, get_number, make_state
 from vaneturn_node.platform.store import PlatformStore, StoreItem
 from vaneturn_node.traffic.sharing.changelog import Change, ChangeLog
--- a/tests/node/traffic/samples.py
+++ b/tests/node/traffic/samples.py
@@ -12,8 +12,8 @@
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.caller import Caller
+from vaneturn_node.http1.clientanswer import ClientAnswer
 from vaneturn_node.http1.pool import LinkPool
-from vaneturn_node.http1.server import ClientAnswer
 from vaneturn_node.platform.servers import ServerCalls
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.servers.reports import ReportBoard
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -504,7 +504,7 @@
         f"{SYSTEM}/test_brokenoff.py::test_http_1_0_client_sees_that_its_answer_was_broken_off",
         (
             Edit(
-                "node/src/vaneturn_node/http1/server.py",
+                "node/src/vaneturn_node/http1/clientanswer.py",
                 "            self._stream.reset_on_close(is_reset=True)\n",
                 "            pass\n",
             ),
