End the faults of answers before the check of recovery

Trace: answers went on being broken off, and servers went on ending with them, during the check that every node serves 12 s after the last fault. The check stays; the faults end with the run.

--- a/tests/rig/endingsoak.py
+++ b/tests/rig/endingsoak.py
@@ -34,7 +34,9 @@
         rng = random.Random(f"{self._seed} endings")
         fleet = self.traffic.fleet
 
-        def plan(run: Run, pieces: list[bytes]) -> AnswerPlan:
+        def plan(run: Run, pieces: list[bytes]) -> AnswerPlan | None:
+            if time.monotonic() >= self._until:
+                return None  # the check of recovery begins after the last fault
             crash_share = CRASH_SHARE if time.monotonic() >= self._next_crash_at else 0.0
             drawn = draw_plan(rng, pieces, BROKEN_SHARE, crash_share, is_stream=run.is_stream)
             if drawn.crashes_server:
