--- a/packages/cli/src/vaneturn_cli/traffic.py
+++ b/packages/cli/src/vaneturn_cli/traffic.py
@@ -145,6 +145,9 @@
         span = f"the first after {request.first_event:.3f} s, the last after {request.last_event:.3f} s"
         pauses = f"{span}, longest pause {request.longest_pause:.3f} s"
         lines.append(f"{request.events} events, {pauses}")
+    if request.answer_framing:
+        body_end = f", its body ended: {request.answer_body_end}" if request.answer_body_end != "unknown" else ""
+        lines.append(f"answer framed by {request.answer_framing}, its bytes ended: {request.answer_end}{body_end}")
     if request.cause:
         lines.append(f"cause: {request.cause}")
     if request.admission is not None:
--- a/tests/cli/test_traffic.py
+++ b/tests/cli/test_traffic.py
@@ -33,6 +33,13 @@
     assert "return after 1.40 s" in shown
 
 
+def test_request_tells_how_its_answer_was_framed_and_ended() -> None:
+    ends = {"answer_framing": "close", "answer_end": "closed", "answer_body_end": "inside event"}
+    shown = format_request(TrafficRequest("r-1", "later", "agency", "broken off", 0.11, 3, 0.1, [], **ends))  # type: ignore[arg-type]
+    assert "answer framed by close, its bytes ended: closed, its body ended: inside event" in shown
+    assert "framed" not in format_request(TrafficRequest("r-1", "later", "agency", "client left", 0.11, 3, 0.1, []))
+
+
 def test_state_names_services_only_where_requests_are_admitted_by_priority() -> None:
     state = TrafficState("entry-1", "n", 3, 0.1, True, False, False, ["entry-1"], None, 4, [])  # noqa: FBT003 # in order
     assert "prioritized" not in format_states([state])
