Let the judge count outages of the store in a row

It sums the outages since that confirmation, whose age the node logs, and excuses a cut only with keys too old and 3 s of outages. test_judge.py: four cases, one of them excused.

--- a/tests/rig/trafficjudge.py
+++ b/tests/rig/trafficjudge.py
@@ -11,6 +11,7 @@
 SHORT_SILENCE_S = 1.0  # seconds; servers that are unresponsive for less than this may not cut a stream
 MERGE_GAP_S = 0.2  # seconds; a periodic probe may get no response within a shorter gap between two silences
 HEALTHY_TIME_S = 3.0  # seconds before a request; faults of its node and servers count from then on
+KEYS_VALID_S = 4.2  # seconds after the last confirmation by the store; no request is sent to another server then
 LONG_OUTAGE_S = 3.0  # seconds; after a longer outage of the store the API keys may be too old for a retry
 
 
@@ -33,6 +34,7 @@
     cause: str
     sent_at: float
     cut_at: float
+    store_age: float = 0.0  # seconds since the store had last confirmed the keys to the node, by its log
 
 
 @dataclass
@@ -62,10 +64,18 @@
             return "node killed or frozen"
         if any(span.end - span.start >= LONG_OUTAGE_S and span.overlaps(relevant) for span in self.stores[cut.node]):
             return "store long out of reach"
+        if cut.store_age >= KEYS_VALID_S and self._sum_outages(cut) >= LONG_OUTAGE_S:
+            return "store out of reach again and again"
         if any(self.lost_at.get(server, cut.cut_at) < cut.cut_at for server in servers):
             return "server ended"
         return "no path to the servers" if self._has_lost_path(cut) else self._find_silence(cut, servers, relevant)
 
+    def _sum_outages(self, cut: Cut) -> float:
+        """Sum the outages of the store for a node since it last confirmed the keys to it."""
+        since = cut.cut_at - cut.store_age
+        outages = merge_spans(self.stores[cut.node])
+        return sum(max(0.0, min(span.end, cut.cut_at) - max(span.start, since)) for span in outages)
+
     def _find_silence(self, cut: Cut, servers: set[str], relevant: Span) -> str | None:
         stalls = merge_spans(self.stalls[cut.node])
         if any(span.end - span.start >= SHORT_SILENCE_S and span.overlaps(relevant) for span in stalls):
--- a/tests/system/platform/test_judge.py
+++ b/tests/system/platform/test_judge.py
@@ -69,6 +69,22 @@
     assert find_pauses([0.0, 0.05, 0.5, 0.55], 0.2) == [Span(0.05, 0.5)]
 
 
+@pytest.mark.parametrize(
+    ("store_age", "outages", "is_excused"),
+    [
+        pytest.param(4.4, [Span(6.7, 8.4), Span(9.2, 11.0)], True, id="two outages in a row"),
+        pytest.param(4.1, [Span(6.9, 8.4), Span(9.2, 11.0)], False, id="keys still valid"),
+        pytest.param(4.4, [Span(6.7, 8.0), Span(9.5, 11.0)], False, id="two short outages"),
+        pytest.param(4.4, [Span(1.0, 6.5), Span(9.5, 11.0)], False, id="before the last confirmation"),
+    ],
+)
+def test_outages_in_a_row_excuse_what_needed_a_confirmed_key(
+    store_age: float, outages: list[Span], *, is_excused: bool
+) -> None:
+    troubles = make_troubles(stores={0: outages})
+    assert bool(troubles.find_excuse(CUT._replace(store_age=store_age), SERVERS)) is is_excused
+
+
 PATH_LOST = Span(9.0, 10.5)
 
 
