--- a/tests/rig/endingsoak.py
+++ b/tests/rig/endingsoak.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import httpx
 
 from rig.ports import find_port
 from rig.rawclient import read_to_end
@@ -20,6 +21,7 @@
 
 BROKEN_SHARE = 0.12  # of the answers; the retry budget suffices for it
 CRASH_SHARE = 0.15  # of the broken answers
+REFUSED_PAUSE_S = 0.05  # seconds, after an answer that is no success
 CRASH_INTERVAL_S = 1.0  # between servers that end with their answers; each is replaced
 LETTER_ATTEMPTS = 2  # max_attempts of the route
 MIN_TRY_TIME_S = 0.3  # seconds; no try of a safe request ends sooner while its server works
@@ -78,7 +80,10 @@
         head, _, body = answer.partition(b"\r\n\r\n")
         status = int(head.split()[1])
         self.findings.counts[f"HTTP/1.0 {status}"] += 1
-        if status == 200 and list_ids(body.decode()) != list(range(1, TOKENS + 1)):
+        if status != httpx.codes.OK:
+            await anyio.sleep(REFUSED_PAUSE_S)
+            return
+        if list_ids(body.decode()) != list(range(1, TOKENS + 1)):
             self.findings.faults.append(f"{request}: {len(body)} bytes ended as complete to an HTTP/1.0 client")
 
     def _check_cuts(self) -> None:
