--- a/tests/rig/endingsoak.py
+++ b/tests/rig/endingsoak.py
@@ -14,7 +14,7 @@
 from rig.rawclient import read_to_end
 from rig.soakclients import NODES, TOKENS
 from rig.traffic import list_ids
-from rig.trafficjudge import Span
+from rig.trafficjudge import Cut, Span
 from rig.trafficsoak import TrafficSoak, main
 from standins.platform.endings import AnswerPlan, draw_plan
 from standins.platform.servers import Run, Server
@@ -71,11 +71,14 @@
     async def _ask_as_http_1_0(self, rng: random.Random) -> None:
         request = f"soak-{random.getrandbits(60):x}"
         path = rng.choice(["/letter/1", "/notice/1"])
-        built = self.traffic.build(path, node=rng.randrange(NODES), X_Request_Id=request)
+        node, sent_at = rng.randrange(NODES), time.monotonic()
+        if path.startswith("/notice/"):
+            self.findings.run_once.add(request)
         try:
-            answer = await read_to_end(built)
-        except ConnectionError:
+            answer = await read_to_end(self.traffic.build(path, node=node, X_Request_Id=request))
+        except ConnectionError as error:
             self.findings.counts["HTTP/1.0 reset"] += 1
+            self.findings.cut_streams.append(Cut(request, path, node, repr(error), sent_at, time.monotonic()))
             return
         head, _, body = answer.partition(b"\r\n\r\n")
         status = int(head.split()[1])
