--- a/tests/rig/ablation.py
+++ b/tests/rig/ablation.py
@@ -126,7 +126,7 @@
     Mechanism(
         "asking-servers",
         "a loss that no connection shows",
-        (Edit(f"{TRAFFIC}/serving/streamtry.py", "            await self._repair.repair_losses()\n", ""),),
+        (Edit(f"{TRAFFIC}/serving/streamrelay.py", "            await self._repair.repair_losses()\n", ""),),
     ),
     Mechanism(
         "plan-move",
