--- a/packages/core/src/vaneturn_core/traffic/state.py
+++ b/packages/core/src/vaneturn_core/traffic/state.py
@@ -97,7 +97,7 @@
     admission: AdmissionRecord | None = None  # of a request that was not admitted at once; not in the log line
     answer_framing: str = ""  # of the newest answer of a server that ended by itself: length, chunks or close
     answer_end: str = ""  # how its bytes ended: framed, closed, reset, silent or invalid
-    answer_body_end: str = ""  # where its body ended: after event, inside event, no event, or unknown
+    answer_body_end: str = ""  # where its body ended: after event, inside event, empty, not needed or unknown
     forwarded_by: str = ""  # the node that forwarded it to this one
 
 
