--- a/tests/system/platform/test_brokenoff.py
+++ b/tests/system/platform/test_brokenoff.py
@@ -38,7 +38,7 @@
 
 
 def plan_first_answer(traffic: Traffic, plan: AnswerPlan) -> None:
-    """Let the first answer of all servers end as planned; the others are whole and usual."""
+    """Let the first answer end as planned; those after it are whole and sent in the usual way."""
     traffic.fleet.plan_answer = lambda run, _pieces: plan if run is traffic.fleet.runs[0] else None
 
 
@@ -116,7 +116,7 @@
 async def test_whole_plain_answer_is_not_asked_for_again_while_its_server_is_asked_whether_it_runs(
     traffic: Traffic,
 ) -> None:
-    """The try's time limit ended the question, and a second server ran the request (randomised run, seed 103)."""
+    """The try's time limit ended the question, and a second server ran the request as well."""
     for _ in range(2):
         (await traffic.add_desk()).report_time = 0.4
     traffic.fleet.plan_answer = lambda *_: AnswerPlan(AnswerFraming.CLOSE)
