--- a/packages/core/src/vaneturn_core/traffic/peerchoice.py
+++ b/packages/core/src/vaneturn_core/traffic/peerchoice.py
@@ -30,7 +30,7 @@
     DeclineReason.NOT_ADMITTED: 0.0,
 }
 PASSING_REASONS: Final = frozenset({DeclineReason.OLDER_CONFIGURATION, DeclineReason.NOT_ADMITTED})
-DEMOTION_S: Final = 5.0  # time for which a node without a path is only asked if no other one is left
+DEMOTION_S: Final = 5.0  # time for which a node that declined for any other reason is asked only if no other is left
 
 
 class _Decline(NamedTuple):
@@ -54,7 +54,7 @@
     def choose(self, nodes: Mapping[VmId, str | None], excluded: Collection[VmId]) -> VmId | None:
         """Choose the node with fewer requests of this node among two random ones; None if all declined lately.
 
-        Nodes that had no path when they were asked last come after the others.
+        Nodes that had no path, were stopping or did not answer when they were asked last come after the others.
         """
         now = self._clock()
         eligible = [
--- a/packages/node/src/vaneturn_node/http1/link.py
+++ b/packages/node/src/vaneturn_node/http1/link.py
@@ -163,11 +163,10 @@
         raise LinkError("connection ended inside an answer", was_sent=True)
 
     async def wait_for_more(self, limit: float) -> bool:
-        """Wait until more of the answer has arrived, which the next read returns; tell whether it goes on or is whole.
+        """Wait for the next part of the answer and buffer it for the next read.
 
-        An end that only the end of the connection marks may have broken it off.
-
-        :raises LinkError: nothing came in time, or the connection ended.
+        :return: false if the connection was closed and nothing but that marks the end: the answer may be incomplete.
+        :raises LinkError: nothing came in time, or the connection was lost.
         """
         self._next_event = await self._read_event(limit)
         return not (isinstance(self._next_event, h11.EndOfMessage) and self.framing is Framing.CLOSE)
