Check whether a plain service's server runs within the time that its call has left

Found on reading the change again: the question after an answer without a length had 1 s whatever the caller's timeout, so that a call near its deadline could be answered up to a second late. It has the time left, 1 s at most. tests/node/test_responses.py and tests/test_mechanisms.py pass; no run had shown the delay.

--- a/packages/node/src/vaneturn_node/http/services.py
+++ b/packages/node/src/vaneturn_node/http/services.py
@@ -146,7 +146,7 @@
             return NotRun(Reason.NO_ROUTE) if isinstance(error, _NOT_SENT) else Unknown(Reason.CONNECTION_LOST)
         finally:
             health.in_progress -= 1
-        if not await _is_whole(response, server):
+        if not await _is_whole(response, server, self._deadline - read_clock()):
             self._runtime.healths.record_failure(vm)
             return Unknown(Reason.CONNECTION_LOST)
         self._runtime.healths.record_reply(vm, read_clock() - started)
@@ -158,11 +158,14 @@
         return Completed(response.status_code, response.headers.get("Content-Type", ""), response.content, retry_after)
 
 
-async def _is_whole(response: httpx.Response, server: Server) -> bool:
-    """Decide whether an answer is whole; if only the end of its connection ends it, its server has to run on."""
+async def _is_whole(response: httpx.Response, server: Server, time_left: float) -> bool:
+    """Decide whether an answer is whole; if only the end of its connection ends it, its server has to run on.
+
+    :param time_left: seconds until the call must be answered.
+    """
     completeness = judge_end(find_end(response))
     if completeness is Completeness.UNCONFIRMED:
-        is_whole = await _accepts_connections(server)
+        is_whole = await _accepts_connections(server, min(CONNECT_TIMEOUT_S, max(0.001, time_left)))
     else:
         is_whole = completeness is Completeness.WHOLE
     if not is_whole:
@@ -170,10 +173,10 @@
     return is_whole
 
 
-async def _accepts_connections(server: Server) -> bool:
+async def _accepts_connections(server: Server, limit: float) -> bool:
     host, _, port = server.address.rpartition(":")
     try:
-        with anyio.fail_after(CONNECT_TIMEOUT_S):
+        with anyio.fail_after(limit):
             await (await anyio.connect_tcp(host, int(port))).aclose()
     except OSError:  # a TimeoutError is one
         return False
