--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -303,14 +303,10 @@
         await asyncio.sleep(0.05)
 
 
-def list_lost(clients: list[KeptClient], fleet: Fleet, record: Record, faulty: str | None = None) -> list[Answer]:
+def list_lost(clients: list[KeptClient], fleet: Fleet, record: Record) -> list[Answer]:
     """List the requests that were passed on to a sound runner and whose kept connection was shut without an answer."""
     answers = [answer for client in clients for answer in client.answers]
-    lost = [
-        one
-        for one in answers
-        if one.status is None and any(run.server != faulty for run in fleet.find_runs(one.request))
-    ]
+    lost = [one for one in answers if one.status is None and fleet.find_runs(one.request)]
     served = sum(one.status == 200 and one.is_complete for one in answers)
     record.write(f"{len(answers)} requests on kept connections, {served} served")
     record.write(f"passed on to a sound runner, and their connection shut without an answer: {len(lost)}")
