--- a/review/2/case.py
+++ b/review/2/case.py
@@ -65,7 +65,7 @@
     rested = await asyncio.gather(
         *(ask_after_rest(f"rested-{number}", platform, record) for number in range(1, RESTING_CLIENTS + 1))
     )
-    await before
+    record.write_table([await before, *rested], fleet)
     asking.cancel()
     lost = []
     for answer in rested:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,7 +14,7 @@
 DRAIN_S = BOUNDS["drain_ms"] / 1000
 LONGER_S = 0.3  # the runner serves on for drain_ms and a little longer
 CUT_BEFORE_S = 1.0  # seconds from the cut of the watches to the leaving of the runner
-WORK_S = 0.15
+WORK_S = 0.25
 ASK_INTERVAL_S = 0.04  # of the clients of each node
 
 
@@ -115,6 +115,7 @@
     await runner.end()
     record.write(f"runner {desks[0].id} ends; it still ran {runner.broken_off}")
     answers = await asking
+    record.write_table(answers, fleet)
     late = {request: at - gone_at for request, at in runner.arrivals.items() if at - gone_at > DRAIN_S}
     record.write(f"arrivals at it after its entry went: {sum(at > gone_at for at in runner.arrivals.values())}")
     record.write(f"arrivals later than drain_ms: {({request: round(after, 3) for request, after in late.items()})}")
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -17,7 +17,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -60,6 +60,16 @@
         self._file.flush()
         print(line, flush=True)
 
+    def write_table(self, answers: Iterable[Answer], fleet: Fleet) -> None:
+        """Write what was sent, answered and run for each request, to the file only."""
+        self._file.write("sent s, answered s, request: status, complete; runners that ran it\n")
+        for one in sorted(answers, key=lambda answer: answer.sent_at):
+            servers = " ".join(run.server for run in fleet.find_runs(one.request)) or "none"
+            end = "complete" if one.is_complete else "NOT COMPLETE"
+            times = f"{one.sent_at:8.3f} {one.ended_at:8.3f}"
+            self._file.write(f"{times}  {one.request}: {one.status}, {end}; {servers}\n")
+        self._file.flush()
+
 
 def fill_template(values: dict[str, Any]) -> str:
     """Fill the settings template of the deploy file; it holds plain gaps only."""
@@ -283,7 +293,7 @@
         request = f"{self.name}-{len(self.answers) + 1}"
         answer = await connection.ask(request, "GET", "/check/1", now=lambda: self._record.now, X_Deadline_Ms="1500")
         self.answers.append(answer)
-        if answer.status != 200 or not answer.is_complete:
+        if not answer.is_complete:
             self._record.write(f"on a kept connection of {self._node.name}: {answer.describe()}")
         return answer
 
@@ -307,6 +317,7 @@
     """List the requests that were passed on to a sound runner and whose kept connection was shut without an answer."""
     answers = [answer for client in clients for answer in client.answers]
     lost = [one for one in answers if one.status is None and fleet.find_runs(one.request)]
+    record.write_table(answers, fleet)
     served = sum(one.status == 200 and one.is_complete for one in answers)
     record.write(f"{len(answers)} requests on kept connections, {served} served")
     record.write(f"passed on to a sound runner, and their connection shut without an answer: {len(lost)}")
