Let the stand-in reset a connection that is closed already

Cause: Exchange.reset() sets an option of the socket; when the caller has closed the connection, asyncio has closed the socket, and OSError 'Bad file descriptor' failed whatever test was running (test_deadlyparts.py, listed; test_soak.py:: test_restarts_beside_refusing_servers_keep_the_retry_budget[1], reported by the users).

Change: such a reset ends the exchange alone; any other error is still raised.

--- a/tests/standins/platform/wire.py
+++ b/tests/standins/platform/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import socket
 import struct
@@ -80,7 +81,11 @@
     async def reset(self) -> None:
         """Reset the connection, as a crashed process does."""
         raw = self._stream.extra(SocketAttribute.raw_socket)  # noqa: S610 # no query
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        try:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        except OSError as error:
+            if error.errno != errno.EBADF:  # the connection is closed already
+                raise
         await self._stream.aclose()
         raise ConnectionEndedError
 
--- a/tests/system/platform/test_rig.py
+++ b/tests/system/platform/test_rig.py
@@ -11,8 +11,10 @@
 import anyio
 import pytest
 
+from rig.ports import find_port
 from rig.traffic import open_traffic
 from standins.platform.store import Store
+from standins.platform.wire import ConnectionEndedError, Exchange, serve
 
 pytestmark = pytest.mark.anyio
 
@@ -51,6 +53,31 @@
     assert page["events"] or page["at"] == before
 
 
+async def test_reset_of_a_closed_connection_ends_its_exchange_alone() -> None:
+    """A crash of a server whose caller had closed the connection failed the test with OSError 'Bad file descriptor'."""
+    ended: list[type[Exception]] = []
+
+    async def reset_twice(exchange: Exchange) -> None:
+        for _ in range(2):
+            try:
+                await exchange.reset()
+            except ConnectionEndedError:
+                ended.append(ConnectionEndedError)
+
+    address = f"127.0.0.1:{find_port()}"
+    async with anyio.create_task_group() as tasks:
+        await serve(address, reset_twice, tasks)
+        host, _, port = address.rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as client:
+            await client.send(b"GET / HTTP/1.1\r\nHost: server\r\n\r\n")
+            with pytest.raises(anyio.BrokenResourceError):
+                await client.receive()
+        with anyio.fail_after(2.0):
+            while len(ended) < 2:  # noqa: ASYNC110 # set by the stand-in's task
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+
+
 def block_loop(seconds: float) -> None:
     """Block the event loop, so that all callbacks due meanwhile run in one iteration after it."""
     time.sleep(seconds)
