Replace servers whose entries may have lapsed before a server that left ends

What callers saw: the store resets calls for 0.3 s or answers 503 for 1 s, or all nodes stand still for 2.5 s; a server leaves up to 1.5 s later and serves on for 2.3 s. It got requests up to 2.2 s after its entry had gone, and its end lost those that it had just begun.

Cause: an entry that goes while the store is in trouble, or half a second after it, was held for 2.2 s, longer than a server that left is allowed to get requests (leaving_ms, 2 s). Trouble lasted longer than the outage: until the next watch was answered, up to 1.6 s later, and a watch that failed because the node itself stood still counted as trouble.

Ruled out: the length of the outage as the mark of a lapse (entries go in outages of any length), a question to the servers (a node would have to ask all of them), dropping them at once (requests are refused until entries are back).

Change: such a server is used like the others for half of leaving_ms, then only where no listed server replaces it, and is removed after 2.2 s as before. After a failure the store is asked to answer at once. A watch that failed late, as this process did not run, is asked again before it counts.

--- a/packages/core/src/vaneturn_core/traffic/servers.py
+++ b/packages/core/src/vaneturn_core/traffic/servers.py
@@ -51,6 +51,10 @@
     def __len__(self) -> int:
         return self.end - self.first
 
+    def list(self) -> range:
+        """List the numbers of the layers."""
+        return range(self.first, self.end)
+
 
 @dataclass(frozen=True, slots=True)
 class BackendServer:
--- a/packages/core/src/vaneturn_core/traffic/view.py
+++ b/packages/core/src/vaneturn_core/traffic/view.py
@@ -9,13 +9,14 @@
 
 from vaneturn_core.identifiers import ServiceName, VmId
 from vaneturn_core.traffic.configuration import TrafficConfiguration
+from vaneturn_core.traffic.lapses import LapsedEntries
 from vaneturn_core.traffic.servers import BackendServer, ServerId, ServerName, Software
 
 KEYS_MARGIN_S: Final = 0.8  # without changes, a watch may be silent for a second until the store confirms that
-LAPSE_HOLD_S: Final = 2.2  # time after the end of an outage in which servers write their entries again
 RETURN_TIME_S: Final = 0.5  # time after the end of an outage in which the store still reports entries lapsed in it
 SAME_OUTAGE_S: Final = 3.0  # most between the last failures of two nodes in one outage: a lost call takes 2 s
 MAX_SHOWN_AGE_S: Final = 1e9  # shown by a node that has not heard from the store yet
+DEFAULT_LEAVING_TIME_S: Final = 2.0
 MAX_READY_AGE_S: Final = 2.5  # a node that has not heard from the store for longer is not ready for new clients
 
 
@@ -41,10 +42,13 @@
 class PlatformView:
     """The configuration, the servers and the nodes as last read from the store."""
 
-    def __init__(self, keys_valid: float, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, keys_valid: float, clock: Callable[[], float], leaving_time: float = DEFAULT_LEAVING_TIME_S
+    ) -> None:
         """Create an empty view.
 
         :param keys_valid: seconds from the removal of a key to the last request accepted with it.
+        :param leaving_time: seconds from the notice that a server leaves to the last request that it may get.
         """
         self._keys_valid = keys_valid - KEYS_MARGIN_S
         self._clock = clock
@@ -55,7 +59,7 @@
         self.has_servers = False  # the list was read at least once
         self.contact = StoreContact()
         self._starts: dict[ServerName, ServerId] = {}  # the listed start of each server
-        self._lapsed: dict[ServerId, float] = {}  # entries removed in an outage, and when to drop them
+        self.lapsed = LapsedEntries(leaving_time, clock)
 
     @property
     def age(self) -> float:
@@ -131,7 +135,7 @@
             if (known.born or 0) > (server.born or 0):
                 return False
             self.drop_server(known.id)
-        self._lapsed.pop(server.id, None)
+        self.lapsed.forget(server.id)
         self.servers[server.id] = server
         self._starts[server.name] = server.id
         return True
@@ -143,7 +147,7 @@
 
     def drop_server(self, server: ServerId) -> None:
         """Remove a server immediately, regardless of the contact with the store."""
-        self._lapsed.pop(server, None)
+        self.lapsed.forget(server)
         known = self.servers.pop(server, None)
         if known is not None and self._starts.get(known.name) == server:
             del self._starts[known.name]
@@ -154,7 +158,7 @@
         if server not in self.servers:
             return False
         if self.contact.is_in_trouble or now - self.contact.returned_at < RETURN_TIME_S:
-            self._lapsed.setdefault(server, now + LAPSE_HOLD_S)
+            self.lapsed.note(server)
             return False
         self.drop_server(server)
         return True
@@ -176,8 +180,7 @@
 
     def expire_lapsed(self) -> list[ServerId]:
         """Remove the servers whose lapsed entries were not written again in time; return them."""
-        now = self._clock()
-        expired = [server for server, until in self._lapsed.items() if until <= now]
+        expired = self.lapsed.list_expired()
         for server in expired:
             self.drop_server(server)
         return expired
@@ -192,11 +195,8 @@
 
     def list_servers(self, service: ServiceName) -> list[BackendServer]:
         """List the servers of a service."""
-        now = self._clock()
         return [
-            server
-            for server in self.servers.values()
-            if server.service == service and self._lapsed.get(server.id, now + 1) > now
+            server for server in self.servers.values() if server.service == service and self.lapsed.is_held(server.id)
         ]
 
 
--- a/packages/node/src/vaneturn_node/platform/store.py
+++ b/packages/node/src/vaneturn_node/platform/store.py
@@ -189,6 +189,7 @@
 __all__ = [
     "BODY_EXTRA_TIME_S",
     "MAX_SILENCE_S",
+    "WATCH_MARGIN_S",
     "HistoryGone",
     "Lease",
     "LeaseExpired",
--- a/packages/node/src/vaneturn_node/traffic/following/follower.py
+++ b/packages/node/src/vaneturn_node/traffic/following/follower.py
@@ -15,7 +15,7 @@
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.clock import read_clock
 from vaneturn_node.platform.epochs import NO_STATE, StoreState, get_epoch, get_number
-from vaneturn_node.platform.store import HistoryGone, NotDone, PlatformStore, StoreItem, WatchTooLong
+from vaneturn_node.platform.store import WATCH_MARGIN_S, HistoryGone, NotDone, PlatformStore, StoreItem, WatchTooLong
 from vaneturn_node.traffic.following.relaychoice import RelayChoice, choose_watch_time
 from vaneturn_node.traffic.following.viewkeeping import ViewKeeper
 from vaneturn_node.traffic.servers.firstreading import FirstReading
@@ -27,6 +27,7 @@
 MAX_RELAYS: Final = 4  # asked in turn before the store, as long as each answers at once that it is out of touch
 IMMEDIATE_ANSWER_S: Final = 0.1  # answers by then count as "at once"; a relay that waited for news takes longer
 ALL_KEYS: Final = ""
+HELD_UP_S: Final = 0.2  # a time limit that ends later by more than this was not checked in time
 
 logger = logging.getLogger(__name__)
 
@@ -186,11 +187,10 @@
         return True
 
     async def _watch(self, revision: StoreState) -> bool:
-        wait = choose_watch_time(self._times, self._view.age, has_followers=self._server.has_followers())
+        wait = self._choose_wait()
         started = read_clock()
         page = await self._store.watch(ALL_KEYS, revision, wait, self._server.arrival)
-        # a cut watch alone is no outage, in which the entry of a server that leaves would count as lapsed
-        if isinstance(page, NotDone) and self._has_watched and read_clock() - started < wait:
+        if isinstance(page, NotDone) and self._has_watched and not _is_silence(read_clock() - started, wait):
             logger.info("store watch cut", extra={"cause": page.cause})
             started, wait = read_clock(), 0.0
             page = await self._store.watch(ALL_KEYS, revision, wait, self._server.arrival)
@@ -212,6 +212,15 @@
             await anyio.sleep(self._times.gather)
         return True
 
+    def _choose_wait(self) -> float:
+        """Choose how long the store may wait for changes before it answers.
+
+        After a failure it is asked to answer at once: until then, the entry of a server that leaves counts as lapsed.
+        """
+        if self._view.contact.is_in_trouble:
+            return 0.0
+        return choose_watch_time(self._times, self._view.age, has_followers=self._server.has_followers())
+
     def _confirm(self, at: float) -> None:
         """Record an answer of the store, as a confirmation of the view if the store holds its configuration."""
         self._view.confirm(at if self._keeper.has_newest_configuration() else float("-inf"))
@@ -247,4 +256,14 @@
         return True
 
 
+def _is_silence(seconds: float, wait: float) -> bool:
+    """Tell whether a watch failed since the store did not answer in time.
+
+    A watch that failed earlier was cut, and one that failed later was held up with this process. Neither is an outage,
+    in which the entry of a server that leaves would count as lapsed.
+    """
+    due = wait + WATCH_MARGIN_S
+    return wait <= seconds <= due + HELD_UP_S
+
+
 __all__ = ["StoreFollower"]
--- a/packages/node/src/vaneturn_node/traffic/process/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/process/daemon.py
@@ -67,7 +67,7 @@
         self._pool = LinkPool()
         caller = Caller(self._pool)
         self._store = PlatformStore(caller, ServerAddress(settings.store_address))
-        self._view = PlatformView(bounds.keys_valid_ms / 1000, read_clock)
+        self._view = PlatformView(bounds.keys_valid_ms / 1000, read_clock, bounds.leaving_ms / 1000)
         self._beliefs = ServerStatuses()
         metrics = TrafficMetrics()
         self._tenure = Tenure(self._store, self.id, settings.vm, self._rank_candidate)
--- a/packages/node/src/vaneturn_node/traffic/servers/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/exchange.py
@@ -145,7 +145,8 @@
 
     def list_eligible(self, service: ServiceName, avoided: Iterable[ServerId]) -> list[BackendServer]:
         """List the servers of a service that are eligible for new work."""
-        return self.beliefs.list_eligible(self.view.list_servers(service), avoided, read_clock())
+        eligible = self.beliefs.list_eligible(self.view.list_servers(service), avoided, read_clock())
+        return self.view.lapsed.prefer_listed(eligible)
 
     def list_accepting(self, service: ServiceName, avoided: Iterable[ServerId]) -> list[BackendServer]:
         """List the eligible servers of a service that accept requests from this node."""
--- a/tests/core/traffic/test_view.py
+++ b/tests/core/traffic/test_view.py
@@ -5,7 +5,8 @@
 from core.traffic.samples import make_server
 from vaneturn_core.identifiers import Revision, ServiceName
 from vaneturn_core.traffic.configuration import ClientLimits, TrafficConfiguration
-from vaneturn_core.traffic.view import KEYS_MARGIN_S, LAPSE_HOLD_S, RETURN_TIME_S, PlatformView, StoreContact
+from vaneturn_core.traffic.lapses import LAPSE_HOLD_S
+from vaneturn_core.traffic.view import KEYS_MARGIN_S, RETURN_TIME_S, PlatformView, StoreContact
 
 LLM = ServiceName("llm")
 
--- a/tests/node/traffic/following/test_follower.py
+++ b/tests/node/traffic/following/test_follower.py
@@ -13,8 +13,9 @@
 from vaneturn_core.traffic.relays import RelayTimes, list_relays
 from vaneturn_core.traffic.view import PlatformView, StoreContact
 from vaneturn_node.platform.epochs import StoreState, make_state
-from vaneturn_node.platform.store import HistoryGone, NotDone, StoreItem, StorePage, WatchTooLong
-from vaneturn_node.traffic.following.follower import StoreFollower
+from vaneturn_node.platform.store import WATCH_MARGIN_S, HistoryGone, NotDone, StoreItem, StorePage, WatchTooLong
+from vaneturn_node.traffic.following.follower import HELD_UP_S, StoreFollower
+from vaneturn_node.traffic.following.relaychoice import WATCH_TIME_S
 from vaneturn_node.traffic.servers.firstreading import FirstReading
 from vaneturn_node.traffic.sharing.changeclient import NoChanges, RelayedChanges
 from vaneturn_node.traffic.sharing.changelog import Change, ChangeLog
@@ -290,3 +291,58 @@
     assert follower._revision == StoreState(7 if is_available else 5)
     listed = follower._log.list_since(StoreState(5)) or []
     assert [change.key for change in listed] == (["op/config", "servers/i-1"] if is_available else [])
+
+
+class WatchedStore:
+    """Answers watches without changes after a time, or fails them."""
+
+    def __init__(self, *outcomes: tuple[float, bool]) -> None:
+        """Prepare watches.
+
+        :param outcomes: of the watches in order: the seconds until each ends, and whether it is answered.
+        """
+        self._outcomes = list(outcomes)
+        self.waits: list[float] = []
+
+    async def watch(self, _prefix: str, revision: StoreState, wait: float, _arrival: Any) -> StorePage | NotDone:
+        self.waits.append(wait)
+        if not self._outcomes:
+            await anyio.sleep_forever()
+        seconds, is_answered = self._outcomes.pop(0)
+        await anyio.sleep(min(seconds, MAX_BLOCK_S))
+        time.sleep(max(0.0, seconds - MAX_BLOCK_S))  # noqa: ASYNC251 # this process does not run meanwhile
+        return StorePage((), revision) if is_answered else NotDone("no answer in time")
+
+
+MAX_BLOCK_S = 0.1
+
+
+async def run_alone(store: WatchedStore, seconds: float) -> PlatformView:
+    """Run a follower that watches the store itself."""
+    follower, view = make_follower(store, Relays())
+    view.nodes = {}
+    with anyio.move_on_after(seconds):
+        await follower.run()
+    return view
+
+
+async def test_store_that_failed_is_asked_to_answer_at_once() -> None:
+    """The watch after a failure waited for changes, and the entry of a server that left meanwhile counted as lapsed."""
+    store = WatchedStore((0.0, False), (0.0, True))
+    view = await run_alone(store, 0.5)
+    assert store.waits[1] == 0.0
+    assert store.waits[2] > 0.0
+    assert not view.contact.is_in_trouble
+
+
+async def test_watch_that_was_held_up_with_this_process_is_no_outage() -> None:
+    store = WatchedStore((0.0, True), (WATCH_TIME_S + WATCH_MARGIN_S + 2 * HELD_UP_S, False), (0.0, True))
+    view = await run_alone(store, 3.0)
+    assert store.waits[2] == 0.0
+    assert view.contact.failed_at == float("-inf")
+
+
+async def test_store_that_does_not_answer_in_time_has_failed() -> None:
+    store = WatchedStore((0.0, True), (WATCH_TIME_S + WATCH_MARGIN_S, False))
+    view = await run_alone(store, 3.0)
+    assert view.contact.is_in_trouble
--- a/tests/node/traffic/following/test_restores.py
+++ b/tests/node/traffic/following/test_restores.py
@@ -13,8 +13,9 @@
 from standins.platform.operator import make_configuration
 from vaneturn_core.identifiers import NodeId, VmId
 from vaneturn_core.traffic.beliefs import ServerStatuses
+from vaneturn_core.traffic.lapses import LAPSE_HOLD_S
 from vaneturn_core.traffic.servers import BackendServer, LayerRange, ServerState
-from vaneturn_core.traffic.view import LAPSE_HOLD_S, PlatformView
+from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller
 from vaneturn_node.http1.pool import LinkPool
 from vaneturn_node.platform.epochs import make_state
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -83,6 +83,16 @@
         "tests/core/traffic/test_view.py::test_entry_that_lapsed_in_an_outage_stays_until_it_should_be_back",
         (Edit(f"{CORE}/view.py", "if self.contact.is_in_trouble or now", "if now"),),
     ),
+    Proof(
+        "a server that may have left is replaced",
+        "tests/core/traffic/test_lapses.py::test_server_that_may_have_left_is_replaced_long_before_it_ends",
+        (Edit(f"{CORE}/lapses.py", "if server.id not in doubtful or not can_be_replaced(server)", "if server"),),
+    ),
+    Proof(
+        "a store that failed is asked to answer at once",
+        "tests/node/traffic/following/test_follower.py::test_store_that_failed_is_asked_to_answer_at_once",
+        (Edit(f"{TRAFFIC}/following/follower.py", "if self._view.contact.is_in_trouble:", "if False:"),),
+    ),
     Proof(
         "what must not repeat runs once",
         f"{SYSTEM}/test_plain.py::test_request_that_must_not_run_twice_runs_once",
