Resume an answer that lacks a retry over another node

What callers saw: an answer broken off by its server after 20 events waited from 0.47 s to its deadline at 4.97 s for a retry, and was lost (test_soak.py::test_answers_that_end_in_every_way_break_no_promise[1], listed). Its node had started some seconds before.

The other nodes have retries, but nobody asked them.

Change: a begun answer that lacks a retry is offered to other nodes, once in a second, as one whose node has lost its path to the servers. The node that takes it spends a retry of its own part, as for an answer in progress; a node without one declines. The sum over all nodes stays as it was.

Test: test_retrybudget.py::test_answer_at_a_node_that_has_just_started_is_resumed_by_another_node; failed before (broken off at the deadline of 5 s), the whole answer comes now.

--- a/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -1,4 +1,4 @@
-"""Forwards requests over other nodes while this node reaches no server of their service."""
+"""Forwards requests over other nodes while this node reaches no server of their service, or has no retry for them."""
 
 from __future__ import annotations
 
@@ -128,7 +128,7 @@
                 return outcome
             context.add_step(f"{peer}: {outcome.cause}")
             self._choice.record_declined(peer, outcome.reason)
-        return NotRun(f"none of {len(asked)} nodes asked reaches a server", has_no_path=True)
+        return NotRun(f"none of {len(asked)} nodes asked has taken it", has_no_path=True)
 
     async def _offer_to(
         self,
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -73,6 +73,7 @@
     wait_steps: set[str] = field(default_factory=set)  # reasons to wait since the newest event; each is logged once
     has_no_retry: bool = False  # the retry budget was used up when it was to be sent last
     has_declined_peers: bool = False  # no other node has accepted it
+    peers_asked_at: float = float("-inf")  # monotonic time at which other nodes were asked for a retry
     release_place: Callable[[], None] = lambda: None  # ends its admission by this node, when another has admitted it
 
     def __post_init__(self) -> None:
@@ -178,7 +179,7 @@
             server=server,
             deadline=None if self.facts.deadline is None else max(0.001, self.time_left),
             customer=self.customer.name if self.customer is not None else None,
-            priority=MOST_URGENT if is_resumed or self._is_resumed_here else min(LEAST_URGENT, self.priority),
+            priority=MOST_URGENT if is_resumed or self.is_resumed_here else min(LEAST_URGENT, self.priority),
             chain=chain,
             last_event_id=last_event if last_event is not None else self.facts.last_event_id,
         )
@@ -189,7 +190,8 @@
         return self.first_node is not None and self.sends == self.first_node.sends
 
     @property
-    def _is_resumed_here(self) -> bool:
+    def is_resumed_here(self) -> bool:
+        """Tell whether its client has received a part of the answer from the node that forwarded it."""
         return self.first_node is not None and self.first_node.is_resumed
 
     def make_blocked_answer(self, block: Cause) -> OwnAnswer:
--- a/packages/node/src/vaneturn_node/traffic/serving/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streams.py
@@ -34,6 +34,7 @@
 MAX_SENDS: Final = 5  # of one request, including those that servers refused
 MAX_REFUSALS: Final = 3  # by servers without free capacity, before the request is refused
 CHAIN_SEARCH_INTERVAL_S: Final = 0.2  # between searches for a chain that can resume a begun answer
+PEER_ASK_INTERVAL_S: Final = 1.0  # between rounds in which other nodes are asked to resume a begun answer
 
 
 class StreamForwarder:
@@ -78,7 +79,8 @@
         outcome: TryOutcome | None = None
         refusals = 0
         while context.sends < MAX_SENDS and refusals < MAX_REFUSALS and context.time_left > 0 and context.may_send():
-            reason = RetryReason.MOVED if client.is_begun else classify_retry(outcome)
+            is_moved = client.is_begun or context.is_resumed_here
+            reason = RetryReason.MOVED if is_moved else classify_retry(outcome)
             prepared = self._prepare_try(context, engine, client, reason)
             if isinstance(prepared, Shortage):
                 if prepared in {Shortage.CHAIN, Shortage.CROSSING} and client.is_begun:
@@ -106,7 +108,7 @@
     async def _may_search_path(self, context: RequestContext, client: ClientStream) -> bool:
         """Tell whether a request that no other node has accepted may be tried again; a begun one waits before."""
         if client.is_begun:
-            await self._wait_for_chain(context, "no path to any server")
+            await self._wait_for_chain(context, "no other node has taken it")
             return True
         may_try = not context.has_declined_peers
         context.has_declined_peers = True
@@ -153,7 +155,7 @@
         context.has_no_retry = claim is None
         if claim is None:
             context.add_wait_step(f"{reason.value}; retry budget used up")
-            return Shortage.BUDGET
+            return self._prepare_peer_retry(context, client, on_accepted) or Shortage.BUDGET
 
         def prepare_next(on_next_accepted: OnAccepted) -> StreamTry | PeerTry | None:
             # the last send is kept for when no try is left
@@ -174,6 +176,19 @@
             on_accepted=on_accepted,
         )
 
+    def _prepare_peer_retry(
+        self, context: RequestContext, client: ClientStream, on_accepted: OnAccepted | None
+    ) -> PeerTry | None:
+        """Prepare to resume a begun answer with a retry of another node; none if the others were asked just before.
+
+        A node that has just started has few retries itself.
+        """
+        now = read_clock()
+        if not client.is_begun or context.is_forwarded or now - context.peers_asked_at < PEER_ASK_INTERVAL_S:
+            return None
+        context.peers_asked_at = now
+        return PeerTry(forwarder=self._peers, context=context, client=client, on_accepted=on_accepted)
+
     def _make_chooser(self, context: RequestContext, engine: EngineProfile, *, is_begun: bool) -> ChainChooser:
         answer = min(context.facts.max_answer_tokens or engine.usual_answer, engine.usual_answer)
         prompt = context.facts.prompt_tokens or engine.usual_prompt
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -93,6 +93,11 @@
         "tests/node/traffic/following/test_follower.py::test_store_that_failed_is_asked_to_answer_at_once",
         (Edit(f"{TRAFFIC}/following/follower.py", "if self._view.contact.is_in_trouble:", "if False:"),),
     ),
+    Proof(
+        "an answer without a retry is resumed by another node",
+        f"{SYSTEM}/test_retrybudget.py::test_answer_at_a_node_that_has_just_started_is_resumed_by_another_node",
+        (Edit(f"{TRAFFIC}/serving/streams.py", "if not client.is_begun or context.is_forwarded or", "if True or"),),
+    ),
     Proof(
         "what must not repeat runs once",
         f"{SYSTEM}/test_plain.py::test_request_that_must_not_run_twice_runs_once",
