Apply the limits in force to each request of a kept connection

Cause: a connection read its limits once, when it was opened. Change: they are read for each request. Test: test_input.py::test_kept_connection_follows_the_limits_in_force, failed before.

--- a/packages/node/src/vaneturn_node/http1/server.py
+++ b/packages/node/src/vaneturn_node/http1/server.py
@@ -56,7 +56,7 @@
         self,
         stream: TcpStream,
         handler: Handler,
-        limits: ClientLimits,
+        get_limits: Callable[[], ClientLimits],
         idle_scopes: set[anyio.CancelScope],
         *,
         is_stopping: Callable[[], bool],
@@ -64,16 +64,17 @@
     ) -> None:
         """Prepare a connection.
 
+        :param get_limits: called for each request, as a connection may outlast the configuration that it began under.
         :param on_error: called with an unexpected error, which ends the connection.
-
         :param is_stopping: called for each answer; tells whether the connection closes after it.
         :param idle_scopes: contains the scope of this connection while it has no request; cancelling closes it.
         """
         self._stream = stream
         self._handler = handler
-        self._limits = limits
+        self._get_limits = get_limits
+        self._limits = get_limits()
         self._idle_scopes = idle_scopes
-        self._protocol = h11.Connection(our_role=h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self._protocol = self._make_protocol()
         self._is_stopping = is_stopping
         self._on_error = on_error
         self._has_disconnected = False  # the client
@@ -102,6 +103,22 @@
             unexpected.append(group)
         return unexpected[0] if unexpected else None
 
+    def _make_protocol(self) -> h11.Connection:
+        return h11.Connection(our_role=h11.SERVER, max_incomplete_event_size=self._limits.header_bytes)
+
+    def _update_limits(self) -> None:
+        """Apply the limits in force to the next request, of which no event has been read."""
+        limits = self._get_limits()
+        if limits == self._limits:
+            return
+        self._limits = limits
+        received, has_ended = self._protocol.trailing_data
+        self._protocol = self._make_protocol()
+        if received:
+            self._protocol.receive_data(received)
+        if has_ended:
+            self._protocol.receive_data(b"")
+
     async def _serve_request(self) -> bool:
         try:
             request = await self._read_request()
@@ -151,6 +168,7 @@
         """Read a whole request; return None if the client sends no more."""
         if not self._protocol.trailing_data[0] and not await self._wait_for_request():
             return None
+        self._update_limits()
         arrived = read_clock()
         until = anyio.current_time() + self._limits.header_time
         try:
--- a/packages/node/src/vaneturn_node/traffic/process/listeners.py
+++ b/packages/node/src/vaneturn_node/traffic/process/listeners.py
@@ -100,14 +100,17 @@
 
         :param extra_bytes: allowed in the body of a request beyond the limit for clients.
         """
-        configuration = self._view.configuration
-        limits = configuration.limits if configuration is not None else ClientLimits()
-        limits = dataclasses.replace(limits, body_bytes=limits.body_bytes + extra_bytes)
+
+        def get_limits() -> ClientLimits:
+            configuration = self._view.configuration
+            limits = configuration.limits if configuration is not None else ClientLimits()
+            return dataclasses.replace(limits, body_bytes=limits.body_bytes + extra_bytes)
+
         lifecycle = self._lifecycle
         connection = ClientConnection(
             stream,
             handler,
-            limits,
+            get_limits,
             lifecycle.idle_scopes,
             is_stopping=lambda: lifecycle.is_stopping,
             on_error=partial(self._errors.record, "connection"),
--- a/tests/node/traffic/test_connection.py
+++ b/tests/node/traffic/test_connection.py
@@ -52,7 +52,7 @@
 
     with anyio.fail_after(2):
         await ClientConnection(
-            BrokenStream(), handle, ClientLimits(), set(), is_stopping=lambda: False, on_error=fail
+            BrokenStream(), handle, ClientLimits, set(), is_stopping=lambda: False, on_error=fail
         ).run()
 
 
@@ -61,9 +61,7 @@
     async with anyio.create_task_group() as tasks:
 
         async def serve(stream: TcpStream) -> None:
-            await ClientConnection(
-                stream, handle, ClientLimits(), set(), is_stopping=lambda: False, on_error=fail
-            ).run()
+            await ClientConnection(stream, handle, ClientLimits, set(), is_stopping=lambda: False, on_error=fail).run()
 
         server = await listen("127.0.0.1", 0, serve, tasks, backlog=1)
         port: int = server.sockets[0].getsockname()[1]
@@ -121,7 +119,7 @@
 
         async def serve(stream: TcpStream) -> None:
             await ClientConnection(
-                stream, handle, ClientLimits(), idle_scopes, is_stopping=lambda: True, on_error=fail
+                stream, handle, ClientLimits, idle_scopes, is_stopping=lambda: True, on_error=fail
             ).run()
 
         server = await listen("127.0.0.1", 0, serve, tasks, backlog=1)
--- a/tests/system/platform/test_input.py
+++ b/tests/system/platform/test_input.py
@@ -5,8 +5,8 @@
 import anyio
 import pytest
 
-from rig.traffic import Traffic
-from standins.platform.operator import HOST, KEY
+from rig.traffic import Traffic, wait_for
+from standins.platform.operator import HOST, KEY, configure, make_configuration
 
 pytestmark = pytest.mark.anyio
 
@@ -61,6 +61,21 @@
     assert answer.index(b"answer to r0") < answer.index(b"answer to r1") < answer.index(b"answer to r2")
 
 
+async def test_kept_connection_follows_the_limits_in_force(traffic: Traffic) -> None:
+    """A connection kept the limits of the configuration at its opening, and refused what a newer one allows."""
+    await traffic.add_desk()
+    request = HEAD + "Content-Length: 150000\r\n\r\n" + "x" * 150_000
+    async with await anyio.connect_tcp("127.0.0.1", traffic.nodes[0].client_port) as client:
+        await client.send((HEAD + "X-Request-Id: first\r\nContent-Length: 1\r\n\r\nx").encode())
+        assert (await client.receive()).startswith(b"HTTP/1.1 200")
+        configuration = make_configuration(2)
+        configuration["limits"]["max_body_bytes"] = 200_000
+        configure(traffic.fleet.store, configuration)
+        await wait_for(lambda: any(line.get("version") == 2 for line in traffic.nodes[0].read_log()))
+        await client.send(request.replace("\r\n", "\r\nX-Request-Id: second\r\n", 1).encode())
+        assert (await client.receive()).startswith(b"HTTP/1.1 200")
+
+
 async def test_smuggled_request_stays_a_body(traffic: Traffic) -> None:
     await traffic.add_desk()
     inner = HEAD.replace("/once/1", "/once/smuggled") + "Content-Length: 0\r\n\r\n"
