Keep the answers of second probes that their time limit cuts short

What callers saw: an answer is moved away from a server that is sound, beside the loss of another one of its chain. The second probes run in a scope whose limit is set once another server has answered; a cancellation discarded the list of those that had answered until then. Change: a part that answers leaves the list of silent ones at once. Test: test_lossfinding.py::test_part_that_answers_the_second_probe_is_not_lost_with_another, failed before (both parts lost).

--- a/packages/node/src/vaneturn_node/traffic/servers/lossfinding.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/lossfinding.py
@@ -84,7 +84,8 @@
         started = read_clock()
         unheard = [part for part in chain.parts if self._parts.beliefs[part.server.id].token_at < started - heard_age]
         self._has_skipped = len(unheard) < len(chain.parts)
-        failed = await self._probe(unheard)
+        failed = list(unheard)
+        await self._probe(unheard, failed)
         self._reaches_none = False
         refused = [part for part in failed if self._parts.reports.is_gone(part.server.id)]
         silent = [part for part in failed if part not in refused]
@@ -104,9 +105,11 @@
             return []
         return refused + silent
 
-    async def _probe(self, parts: Sequence[Part], max_age: float = REPORT_AGE_S) -> list[Part]:
-        """Probe parts and return those that do not respond, or not in time once most of the others have responded."""
-        silent = list(parts)
+    async def _probe(self, parts: Sequence[Part], silent: list[Part], max_age: float = REPORT_AGE_S) -> None:
+        """Probe parts until all have responded, or most of them and the others are late.
+
+        :param silent: the parts; each one that responds is removed at once, as the probes may be cancelled.
+        """
         delays: list[float] = []
         began = anyio.current_time()
 
@@ -124,19 +127,14 @@
         async with anyio.create_task_group() as tasks:
             for part in parts:
                 tasks.start_soon(probe, part)
-        return silent
 
     async def _probe_again(self, chain: Chain, silent: list[Part]) -> tuple[list[Part], bool]:
         """Probe the unresponsive parts and other servers; return the parts still unresponsive and if others respond."""
         probed_at, began = read_clock(), anyio.current_time()
         silent_ids = {part.server.id for part in silent}
         still_silent = list(silent)
-
-        async def probe() -> None:
-            still_silent[:] = await self._probe(silent, max_age=0.0)
-
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(probe)
+            tasks.start_soon(self._probe, silent, still_silent, 0.0)
             is_connected = await self._parts.can_reach_others(silent_ids, probed_at)
             if is_connected:
                 tasks.cancel_scope.deadline = began + compute_answer_limit(anyio.current_time() - began)
--- a/tests/node/traffic/servers/test_lossfinding.py
+++ b/tests/node/traffic/servers/test_lossfinding.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 import msgspec
 import pytest
 
@@ -98,6 +99,21 @@
     assert await find_lost(make_finder(parts)) == ([], False)
 
 
+async def test_part_that_answers_the_second_probe_is_not_lost_with_another() -> None:
+    """The time limit of the second probes discarded the answer that had come, and both parts counted as lost."""
+    servers = Servers(silent={2, 3})
+    parts = make_node(servers)
+
+    async def recover() -> None:
+        while servers.asked.count(SERVERS[2].address) < 1:  # counted by the stand-in
+            await anyio.lowlevel.checkpoint()
+        servers.silent.discard(SERVERS[2].address)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(recover)
+        assert await find_lost(make_finder(parts)) == ([SERVERS[3].address], False)
+
+
 async def test_one_unanswered_question_is_one_silence() -> None:
     servers = Servers(silent={0})
     parts = make_node(servers)
