Tell a node that resumes an answer which servers have lost it

Change: a forwarded request names the servers that have lost or refused it, unless the node that forwards it has no path to any server.

--- a/packages/node/src/vaneturn_node/traffic/serving/forwardedrequests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/forwardedrequests.py
@@ -102,6 +102,7 @@
         forwarded.runs,
         may_have_run=forwarded.may_have_run,
         is_resumed=forwarded.is_resumed,
+        avoided=frozenset(forwarded.avoided),
     )
 
 
--- a/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -191,6 +191,8 @@
     ) -> ForwardedRequest:
         configuration = self._parts.view.configuration
         request = context.request
+        # without a path, this node has lost requests on sound servers too
+        is_path_lost = self._parts.connectivity.is_lost(context.service)
         return ForwardedRequest(
             vm=self._parts.vm,
             method=request.method,
@@ -204,6 +206,7 @@
             may_have_run=context.may_have_run,
             last_event_id=last_event_id,
             is_resumed=is_resumed,
+            avoided=[] if is_path_lost else sorted(context.avoided),
         )
 
     def make_ends(self, context: RequestContext) -> AnswerEnds:
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -10,13 +10,13 @@
 
 from vaneturn_core.identifiers import ServiceName, VmId
 from vaneturn_core.traffic.beliefs import ServerStatus
-from vaneturn_core.traffic.blame import Cause
+from vaneturn_core.traffic.blame.causes import Cause
+from vaneturn_core.traffic.blame.contents import Fingerprint, digest_content, format_identity
+from vaneturn_core.traffic.blame.crashboard import CrashBoard
+from vaneturn_core.traffic.blame.crashes import EARLIEST_CRASH_S, LostRequest, Suspicion
 from vaneturn_core.traffic.chain import Chain
 from vaneturn_core.traffic.completeness import AnswerEnd
 from vaneturn_core.traffic.configuration import TrafficCustomer, TrafficRoute
-from vaneturn_core.traffic.contents import Fingerprint, digest_content, format_identity
-from vaneturn_core.traffic.crashboard import CrashBoard
-from vaneturn_core.traffic.crashes import EARLIEST_CRASH_S, LostRequest, Suspicion
 from vaneturn_core.traffic.pace import Pause
 from vaneturn_core.traffic.servers import ServerId, ServerName
 from vaneturn_core.traffic.state import AdmissionRecord
@@ -40,6 +40,7 @@
     runs: int
     may_have_run: bool
     is_resumed: bool  # the client has received a part of the answer
+    avoided: frozenset[ServerId] = frozenset()  # servers that have lost or refused it
 
 
 @dataclass
@@ -81,6 +82,7 @@
         if self.first_node is not None:
             self.sends, self.runs = self.first_node.sends, self.first_node.runs
             self.may_have_run = self.first_node.may_have_run
+            self.avoided |= self.first_node.avoided
 
     @property
     def is_forwarded(self) -> bool:
--- a/packages/node/src/vaneturn_node/traffic/sharing/forwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/forwarding.py
@@ -12,6 +12,7 @@
 
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.peerchoice import DeclineReason
+from vaneturn_core.traffic.servers import ServerId
 from vaneturn_node.http1.messages import Headers, find_header, parse_count
 
 FORWARDED_PATH: Final = "/forwarded"
@@ -40,6 +41,7 @@
     may_have_run: bool = False
     last_event_id: str | None = None  # that the client has received from this answer or an earlier one
     is_resumed: bool = False  # the client has received a part of this answer
+    avoided: list[ServerId] = []  # servers on which the first node has lost it or was refused
 
 
 class AnswerKind(Enum):
