Gather what concerns crashes and blame in one package of core

Cause: six modules of one subject lay among sixty others of vaneturn_core.traffic. Change: moved to vaneturn_core/traffic/blame as they were (blame.py is causes.py there); two texts of mechanisms follow the grouping of causes. Measured: linter, types, contracts; tests of core and node on the moved tree 1,429 passed, 2 failed: those two texts, mended (165 passed).

--- a/bench/blame.py
+++ b/bench/blame.py
@@ -11,10 +11,10 @@
 from tabulate import tabulate
 
 from vaneturn_core.identifiers import VmId
-from vaneturn_core.traffic.blame import find_causes
-from vaneturn_core.traffic.contents import Content, Fingerprint, PromptPart
-from vaneturn_core.traffic.crashboard import CrashBoard
-from vaneturn_core.traffic.crashes import LostRequest, Suspicion
+from vaneturn_core.traffic.blame.causes import find_causes
+from vaneturn_core.traffic.blame.contents import Content, Fingerprint, PromptPart
+from vaneturn_core.traffic.blame.crashboard import CrashBoard
+from vaneturn_core.traffic.blame.crashes import LostRequest, Suspicion
 from vaneturn_core.traffic.servers import ServerId, Software
 from vaneturn_node.traffic.servers.crashrows import pack_crashes
 from vaneturn_node.traffic.sharing.crashsharing import CrashReport
--- a/packages/core/src/vaneturn_core/traffic/admission/threshold.py
+++ b/packages/core/src/vaneturn_core/traffic/admission/threshold.py
@@ -16,7 +16,7 @@
 from vaneturn_core.traffic.admission.customers import CustomerRates
 from vaneturn_core.traffic.admission.demand import ServiceDemand
 from vaneturn_core.traffic.admission.projection import Projection, count_arrivals, count_in_progress, project
-from vaneturn_core.traffic.contents import Content
+from vaneturn_core.traffic.blame.contents import Content
 
 FLOOR: Final = 0.5  # of the mean admitted share, for each priority
 MAX_RISE_PER_S: Final = 0.2  # of a share: figures are up to 3 s old
--- a/packages/core/src/vaneturn_core/traffic/blame.py
+++ b/packages/core/src/vaneturn_core/traffic/blame/causes.py
@@ -15,8 +15,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Final
 
-from vaneturn_core.traffic.contents import Content, Fingerprint, Identity
-from vaneturn_core.traffic.crashes import ServerCrash
+from vaneturn_core.traffic.blame.contents import Content, Fingerprint, Identity
+from vaneturn_core.traffic.blame.crashes import ServerCrash
 from vaneturn_core.traffic.servers import ServerId, Software
 
 BLAME_WEIGHT: Final = 6  # two crashes before the first event, or three crashes in all
--- a/packages/core/src/vaneturn_core/traffic/clearances.py
+++ b/packages/core/src/vaneturn_core/traffic/blame/clearances.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Final, TypeVar
 
-from vaneturn_core.traffic.contents import Content, Fingerprint, Identity, PromptPart
+from vaneturn_core.traffic.blame.contents import Content, Fingerprint, Identity, PromptPart
 from vaneturn_core.traffic.servers import Software
 
 MAX_SOFTWARE: Final = 8  # versions, of all services together
--- a/packages/core/src/vaneturn_core/traffic/crashboard.py
+++ b/packages/core/src/vaneturn_core/traffic/blame/crashboard.py
@@ -7,11 +7,11 @@
 from typing import Final
 
 from vaneturn_core.identifiers import ServiceName
-from vaneturn_core.traffic.blame import Cause, Causes, find_causes, list_matching
-from vaneturn_core.traffic.clearances import Clearances
-from vaneturn_core.traffic.contents import Fingerprint, Identity
-from vaneturn_core.traffic.crashes import LostRequest, ServerCrash
-from vaneturn_core.traffic.pendingcrashes import PendingCrashes
+from vaneturn_core.traffic.blame.causes import Cause, Causes, find_causes, list_matching
+from vaneturn_core.traffic.blame.clearances import Clearances
+from vaneturn_core.traffic.blame.contents import Fingerprint, Identity
+from vaneturn_core.traffic.blame.crashes import LostRequest, ServerCrash
+from vaneturn_core.traffic.blame.pendingcrashes import PendingCrashes
 from vaneturn_core.traffic.servers import ServerId, Software
 
 DOUBT_TIME_S: Final = 60.0  # from the newest crash of an unconfirmed cause until its requests are tried again
--- a/packages/core/src/vaneturn_core/traffic/crashes.py
+++ b/packages/core/src/vaneturn_core/traffic/blame/crashes.py
@@ -13,7 +13,7 @@
 from enum import IntEnum
 from typing import Final
 
-from vaneturn_core.traffic.contents import Content, Fingerprint, Identity, PromptPart
+from vaneturn_core.traffic.blame.contents import Content, Fingerprint, Identity, PromptPart
 from vaneturn_core.traffic.servers import Software
 
 STARTING_TIME_S: Final = 1.0  # after its first event; a request that runs for longer is not suspected
--- a/packages/core/src/vaneturn_core/traffic/pendingcrashes.py
+++ b/packages/core/src/vaneturn_core/traffic/blame/pendingcrashes.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from vaneturn_core.traffic.crashes import STARTING_TIME_S, LostRequest, ServerCrash
+from vaneturn_core.traffic.blame.crashes import STARTING_TIME_S, LostRequest, ServerCrash
 from vaneturn_core.traffic.servers import ServerId, Software
 
 MAX_PENDING_AGE_S: Final = 8.0  # the entry of a crashed server is removed after three missed heartbeats
--- a/packages/node/src/vaneturn_node/platform/headers.py
+++ b/packages/node/src/vaneturn_node/platform/headers.py
@@ -9,8 +9,8 @@
 from typing import Final
 
 from vaneturn_core.identifiers import RequestId
+from vaneturn_core.traffic.blame.contents import PromptPart
 from vaneturn_core.traffic.chain import Chain, Part
-from vaneturn_core.traffic.contents import PromptPart
 from vaneturn_core.traffic.directives import ServerDirectives
 from vaneturn_core.traffic.servers import ServerAddress, ServerName
 from vaneturn_node.http1.messages import (
--- a/packages/node/src/vaneturn_node/traffic/duties/crashrecords.py
+++ b/packages/node/src/vaneturn_node/traffic/duties/crashrecords.py
@@ -14,7 +14,7 @@
 import msgspec
 from msgspec import Struct
 
-from vaneturn_core.traffic.crashboard import CrashBoard
+from vaneturn_core.traffic.blame.crashboard import CrashBoard
 from vaneturn_node.clock import read_clock
 from vaneturn_node.platform.epochs import NO_STATE, StoreState
 from vaneturn_node.platform.store import PlatformStore
--- a/packages/node/src/vaneturn_node/traffic/process/inspection.py
+++ b/packages/node/src/vaneturn_node/traffic/process/inspection.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from vaneturn_core.identifiers import NodeId, RequestId, VmId
-from vaneturn_core.traffic.blame import Cause, describe_kind
-from vaneturn_core.traffic.contents import format_identity, parse_identity
+from vaneturn_core.traffic.blame.causes import Cause, describe_kind
+from vaneturn_core.traffic.blame.contents import format_identity, parse_identity
 from vaneturn_core.traffic.servers import BackendServer
 from vaneturn_core.traffic.state import SeenBlock, SeenServer, TrafficState
 from vaneturn_node.clock import read_clock
--- a/packages/node/src/vaneturn_node/traffic/servers/crashrows.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/crashrows.py
@@ -4,8 +4,8 @@
 
 from msgspec import Struct
 
-from vaneturn_core.traffic.contents import Content, PromptPart
-from vaneturn_core.traffic.crashes import ServerCrash, Suspicion
+from vaneturn_core.traffic.blame.contents import Content, PromptPart
+from vaneturn_core.traffic.blame.crashes import ServerCrash, Suspicion
 from vaneturn_core.traffic.servers import ServerId, Software
 
 
--- a/packages/node/src/vaneturn_node/traffic/servers/crashwatch.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/crashwatch.py
@@ -5,10 +5,10 @@
 import logging
 from typing import Final
 
-from vaneturn_core.traffic.blame import Cause, Causes, describe_kind
-from vaneturn_core.traffic.contents import Fingerprint, format_content, format_identity
-from vaneturn_core.traffic.crashboard import CrashBoard
-from vaneturn_core.traffic.crashes import LostRequest
+from vaneturn_core.traffic.blame.causes import Cause, Causes, describe_kind
+from vaneturn_core.traffic.blame.contents import Fingerprint, format_content, format_identity
+from vaneturn_core.traffic.blame.crashboard import CrashBoard
+from vaneturn_core.traffic.blame.crashes import LostRequest
 from vaneturn_core.traffic.servers import BackendServer, ServerId, ServerState
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.clock import read_clock
--- a/packages/node/src/vaneturn_node/traffic/servers/exchange.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/exchange.py
@@ -17,9 +17,9 @@
 from vaneturn_core.traffic.admission.prioritized import DemandScope, derive_scope
 from vaneturn_core.traffic.arrivals import ArrivalRate
 from vaneturn_core.traffic.beliefs import ServerStatuses
+from vaneturn_core.traffic.blame.contents import Identity
+from vaneturn_core.traffic.blame.crashboard import TRIAL_INTERVAL_S, CrashBoard
 from vaneturn_core.traffic.configuration import EngineProfile, TrafficConfiguration
-from vaneturn_core.traffic.contents import Identity
-from vaneturn_core.traffic.crashboard import TRIAL_INTERVAL_S, CrashBoard
 from vaneturn_core.traffic.hearing import Reachability
 from vaneturn_core.traffic.layermap import LayerMap
 from vaneturn_core.traffic.loads import LoadBoard
--- a/packages/node/src/vaneturn_node/traffic/serving/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answering.py
@@ -12,11 +12,11 @@
 from anyio import CancelScope
 
 from vaneturn_core.identifiers import ServiceName
+from vaneturn_core.traffic.blame.contents import format_content, format_identity
 from vaneturn_core.traffic.configuration import (
     EngineProfile,
     TrafficConfiguration,
 )
-from vaneturn_core.traffic.contents import format_content, format_identity
 from vaneturn_core.traffic.pace import Pause
 from vaneturn_core.traffic.state import TrafficRequest
 from vaneturn_node.clock import read_clock
--- a/packages/node/src/vaneturn_node/traffic/serving/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plain.py
@@ -5,7 +5,7 @@
 import random
 from typing import Final
 
-from vaneturn_core.traffic.contents import Fingerprint
+from vaneturn_core.traffic.blame.contents import Fingerprint
 from vaneturn_core.traffic.servers import BackendServer
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import LinkError
--- a/packages/node/src/vaneturn_node/traffic/serving/streamrelay.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamrelay.py
@@ -5,8 +5,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Final, TypeVar
 
+from vaneturn_core.traffic.blame.crashes import STARTING_TIME_S
 from vaneturn_core.traffic.completeness import BodyEnd
-from vaneturn_core.traffic.crashes import STARTING_TIME_S
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
 from vaneturn_node.http1.messages import find_header
--- a/packages/node/src/vaneturn_node/traffic/sharing/crashsharing.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/crashsharing.py
@@ -15,7 +15,7 @@
 from msgspec import Struct
 
 from vaneturn_core.identifiers import VmId
-from vaneturn_core.traffic.crashboard import CrashBoard
+from vaneturn_core.traffic.blame.crashboard import CrashBoard
 from vaneturn_core.traffic.relays import list_relays, rank_relays
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.clock import read_clock
--- a/tests/core/traffic/admission/test_threshold.py
+++ b/tests/core/traffic/admission/test_threshold.py
@@ -19,7 +19,7 @@
     decide,
     fix_draw,
 )
-from vaneturn_core.traffic.contents import Content
+from vaneturn_core.traffic.blame.contents import Content
 
 
 def make_capacity(limit: float = 100.0) -> CapacityEstimate:
--- a/tests/core/traffic/test_blame.py
+++ b/tests/core/traffic/test_blame.py
@@ -6,17 +6,17 @@
 
 from core.traffic.test_crashes import SERVERS, V1, V2, Scene
 from vaneturn_core.identifiers import ServiceName
-from vaneturn_core.traffic.clearances import CLEARANCE_AGE_S, MAX_CLEARED_PARTS, MAX_SOFTWARE, Clearances
-from vaneturn_core.traffic.contents import Content, Fingerprint, PromptPart
-from vaneturn_core.traffic.crashboard import (
+from vaneturn_core.traffic.blame.clearances import CLEARANCE_AGE_S, MAX_CLEARED_PARTS, MAX_SOFTWARE, Clearances
+from vaneturn_core.traffic.blame.contents import Content, Fingerprint, PromptPart
+from vaneturn_core.traffic.blame.crashboard import (
     CONFIRMED_TIME_S,
     CONTEST_TIME_S,
     DOUBT_TIME_S,
     TRIAL_INTERVAL_S,
     CrashBoard,
 )
-from vaneturn_core.traffic.crashes import LostRequest, ServerCrash, Suspicion
-from vaneturn_core.traffic.pendingcrashes import MAX_PENDING_AGE_S
+from vaneturn_core.traffic.blame.crashes import LostRequest, ServerCrash, Suspicion
+from vaneturn_core.traffic.blame.pendingcrashes import MAX_PENDING_AGE_S
 from vaneturn_core.traffic.servers import BackendServer, ServerAddress, ServerId, ServerName, ServerState, Software
 
 DEADLY, FIRST, OTHER, RARE = (PromptPart(number) for number in (0xDEAD, 0xA1, 0xB2, 0xC3))
--- a/tests/core/traffic/test_crashes.py
+++ b/tests/core/traffic/test_crashes.py
@@ -9,9 +9,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from vaneturn_core.traffic.contents import Content, Fingerprint, Identity, digest_content
-from vaneturn_core.traffic.crashboard import DOUBT_TIME_S, MAX_CRASH_AGE_S, MAX_CRASHES, CrashBoard
-from vaneturn_core.traffic.crashes import MAX_SUSPECTS, LostRequest, ServerCrash, Suspicion
+from vaneturn_core.traffic.blame.contents import Content, Fingerprint, Identity, digest_content
+from vaneturn_core.traffic.blame.crashboard import DOUBT_TIME_S, MAX_CRASH_AGE_S, MAX_CRASHES, CrashBoard
+from vaneturn_core.traffic.blame.crashes import MAX_SUSPECTS, LostRequest, ServerCrash, Suspicion
 from vaneturn_core.traffic.servers import ServerId, Software
 
 GUILTY, OTHER = Fingerprint(Content(1)), Fingerprint(Content(2))
--- a/tests/node/traffic/following/test_serverentries.py
+++ b/tests/node/traffic/following/test_serverentries.py
@@ -23,8 +23,8 @@
 from vaneturn_core.faults import Fault
 from vaneturn_core.identifiers import NodeId, VmId
 from vaneturn_core.traffic.beliefs import ServerStatuses
-from vaneturn_core.traffic.contents import Content, Fingerprint
-from vaneturn_core.traffic.crashes import LostRequest, Suspicion
+from vaneturn_core.traffic.blame.contents import Content, Fingerprint
+from vaneturn_core.traffic.blame.crashes import LostRequest, Suspicion
 from vaneturn_core.traffic.servers import BackendServer, ServerName, identify_start
 from vaneturn_core.traffic.view import PlatformView, StoreContact
 from vaneturn_node.http1.caller import Caller, Failed, Reply
--- a/tests/node/traffic/samples.py
+++ b/tests/node/traffic/samples.py
@@ -6,7 +6,7 @@
 
 from vaneturn_core.identifiers import DataHall, VmId
 from vaneturn_core.traffic.beliefs import ServerStatuses
-from vaneturn_core.traffic.crashboard import CrashBoard
+from vaneturn_core.traffic.blame.crashboard import CrashBoard
 from vaneturn_core.traffic.hearing import Reachability
 from vaneturn_core.traffic.settings import Bounds
 from vaneturn_core.traffic.view import PlatformView
--- a/tests/node/traffic/servers/test_connectivity.py
+++ b/tests/node/traffic/servers/test_connectivity.py
@@ -15,8 +15,8 @@
 from rig.ports import find_port
 from rig.traffic import wait_for
 from vaneturn_core.traffic.beliefs import ServerStatuses
-from vaneturn_core.traffic.contents import Fingerprint, digest_content
-from vaneturn_core.traffic.crashes import LostRequest, Suspicion
+from vaneturn_core.traffic.blame.contents import Fingerprint, digest_content
+from vaneturn_core.traffic.blame.crashes import LostRequest, Suspicion
 from vaneturn_core.traffic.servers import BackendServer, ServerAddress
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller
--- a/tests/node/traffic/servers/test_exchange.py
+++ b/tests/node/traffic/servers/test_exchange.py
@@ -7,7 +7,7 @@
 from node.traffic.samples import make_parts
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.beliefs import ServerStatuses
-from vaneturn_core.traffic.contents import digest_content
+from vaneturn_core.traffic.blame.contents import digest_content
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller
 from vaneturn_node.http1.pool import LinkPool
--- a/tests/node/traffic/serving/test_blocking.py
+++ b/tests/node/traffic/serving/test_blocking.py
@@ -6,9 +6,9 @@
 
 from core.traffic.admission.samples import LLM, make_route
 from vaneturn_core.identifiers import RequestId
-from vaneturn_core.traffic.contents import Content, Fingerprint, PromptPart
-from vaneturn_core.traffic.crashboard import CONTEST_TIME_S, CrashBoard
-from vaneturn_core.traffic.crashes import LostRequest, Suspicion
+from vaneturn_core.traffic.blame.contents import Content, Fingerprint, PromptPart
+from vaneturn_core.traffic.blame.crashboard import CONTEST_TIME_S, CrashBoard
+from vaneturn_core.traffic.blame.crashes import LostRequest, Suspicion
 from vaneturn_core.traffic.servers import ServerId, Software
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.server import ClientRequest
--- a/tests/node/traffic/serving/test_streamtry.py
+++ b/tests/node/traffic/serving/test_streamtry.py
@@ -17,9 +17,9 @@
 from core.traffic.samples import make_server
 from node.traffic.samples import make_parts
 from vaneturn_core.traffic.beliefs import ServerStatuses
+from vaneturn_core.traffic.blame.contents import Content, Fingerprint
+from vaneturn_core.traffic.blame.crashes import LostRequest, Suspicion
 from vaneturn_core.traffic.chain import Chain, Part
-from vaneturn_core.traffic.contents import Content, Fingerprint
-from vaneturn_core.traffic.crashes import LostRequest, Suspicion
 from vaneturn_core.traffic.retries import SendClaim
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.caller import Caller
--- a/tests/node/traffic/sharing/test_crashsharing.py
+++ b/tests/node/traffic/sharing/test_crashsharing.py
@@ -12,9 +12,9 @@
 
 from rig.traffic import wait_for
 from vaneturn_core.identifiers import VmId
-from vaneturn_core.traffic.contents import Content, Fingerprint, PromptPart
-from vaneturn_core.traffic.crashboard import MAX_CRASHES, CrashBoard
-from vaneturn_core.traffic.crashes import LostRequest, Suspicion
+from vaneturn_core.traffic.blame.contents import Content, Fingerprint, PromptPart
+from vaneturn_core.traffic.blame.crashboard import MAX_CRASHES, CrashBoard
+from vaneturn_core.traffic.blame.crashes import LostRequest, Suspicion
 from vaneturn_core.traffic.relays import list_relays
 from vaneturn_core.traffic.servers import ServerId, Software
 from vaneturn_core.traffic.view import PlatformView
--- a/tests/rig/deadlymodel.py
+++ b/tests/rig/deadlymodel.py
@@ -14,9 +14,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from vaneturn_core.traffic.contents import Content, Fingerprint, Identity, PromptPart
-from vaneturn_core.traffic.crashboard import TRIAL_INTERVAL_S, CrashBoard
-from vaneturn_core.traffic.crashes import STARTING_TIME_S, LostRequest, Suspicion
+from vaneturn_core.traffic.blame.contents import Content, Fingerprint, Identity, PromptPart
+from vaneturn_core.traffic.blame.crashboard import TRIAL_INTERVAL_S, CrashBoard
+from vaneturn_core.traffic.blame.crashes import STARTING_TIME_S, LostRequest, Suspicion
 from vaneturn_core.traffic.servers import ServerId, Software
 
 MEAN_STREAM_TIME_S = 3.3  # mean duration of an answer in seconds
--- a/tests/rig/overloadmodel.py
+++ b/tests/rig/overloadmodel.py
@@ -28,7 +28,7 @@
     fix_draw,
 )
 from vaneturn_core.traffic.admission.waiting import WaitingQueue, WaitingRequest
-from vaneturn_core.traffic.contents import Content
+from vaneturn_core.traffic.blame.contents import Content
 
 TICK_S: Final = 0.01
 REPORT_S: Final = 0.8
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -363,7 +363,7 @@
         "tests/core/traffic/test_blame.py::test_part_is_found_when_the_others_differ",
         (
             Edit(
-                f"{CORE}/contents.py",
+                f"{CORE}/blame/contents.py",
                 "return frozenset((self.content, *self.parts))",
                 "return frozenset((self.content,))",
             ),
@@ -374,7 +374,7 @@
         "tests/core/traffic/test_blame.py::test_part_is_blocked_after_crashes_of_two_requests",
         (
             Edit(
-                f"{CORE}/blame.py",
+                f"{CORE}/blame/causes.py",
                 "if identity in causes and causes[identity].companions <= held]",
                 "if identity in causes]",
             ),
@@ -383,16 +383,12 @@
     Proof(
         "bystanders are excused by a cause that explains more crashes",
         "tests/core/traffic/test_blame.py::test_bystanders_of_two_crashes_are_excused_by_the_third",
-        (
-            Edit(
-                f"{CORE}/blame.py", "cause.servers < other.servers or _is_tied(cause, other)", "_is_tied(cause, other)"
-            ),
-        ),
+        (Edit(f"{CORE}/blame/causes.py", "not any(cause.servers < servers for servers in groups) and ", ""),),
     ),
     Proof(
         "a request that was sent after a crash is not suspected",
         "tests/core/traffic/test_blame.py::test_request_that_was_sent_after_the_crash_is_not_suspected",
-        (Edit(f"{CORE}/crashes.py", "        if lost.sent_at > self.at:\n            return False\n", ""),),
+        (Edit(f"{CORE}/blame/crashes.py", "        if lost.sent_at > self.at:\n            return False\n", ""),),
     ),
     Proof(
         "a connection that a running server has reset does not tell when it crashes",
@@ -400,7 +396,7 @@
         "test_earlier_reset_by_a_running_server_does_not_excuse_the_cause_of_its_crash",
         (
             Edit(
-                f"{CORE}/pendingcrashes.py",
+                f"{CORE}/blame/pendingcrashes.py",
                 "            self._pending[server].crashed_at = None\n",
                 "            pass\n",
             ),
@@ -415,12 +411,18 @@
         "a part that another one explains as well is tried before requests with it are rejected",
         "tests/core/traffic/test_blame.py::"
         "test_part_that_explains_one_more_crash_than_another_is_tried_before_it_is_rejected",
-        (Edit(f"{CORE}/blame.py", "is_contested=_is_contested(cause, candidates)", "is_contested=False"),),
+        (Edit(f"{CORE}/blame/causes.py", "is_contested=_is_contested(cause, all_groups)", "is_contested=False"),),
     ),
     Proof(
         "crashes of causes outlive other crashes",
         "tests/core/traffic/test_blame.py::test_confirmed_part_is_blocked_all_day_and_other_crashes_do_not_displace_it",
-        (Edit(f"{CORE}/crashboard.py", "(MAX_CRASH_AGE_S if server in of_causes else ORDINARY_CRASH_AGE_S)", "600.0"),),
+        (
+            Edit(
+                f"{CORE}/blame/crashboard.py",
+                "(MAX_CRASH_AGE_S if server in of_causes else ORDINARY_CRASH_AGE_S)",
+                "600.0",
+            ),
+        ),
     ),
     Proof(
         "a node that starts has a small part of the retry budget",
@@ -469,7 +471,7 @@
         "tests/core/traffic/test_blame.py::test_blocked_part_is_tried_at_one_node_first_and_by_one_request",
         (
             Edit(
-                f"{CORE}/crashboard.py",
+                f"{CORE}/blame/crashboard.py",
                 'return is_trial or now > self._trials.get(cause.identity, float("-inf")) + TRIAL_INTERVAL_S',
                 "return True",
             ),
@@ -523,7 +525,7 @@
     Proof(
         "a content that ended well anywhere is cleared",
         "tests/core/traffic/test_crashes.py::test_request_that_ends_well_anywhere_is_cleared_everywhere",
-        (Edit(f"{CORE}/crashes.py", "Suspicion.CLEARED: 0}", "Suspicion.CLEARED: 3}"),),
+        (Edit(f"{CORE}/blame/crashes.py", "Suspicion.CLEARED: 0}", "Suspicion.CLEARED: 3}"),),
     ),
     Proof(
         "what is known gets old while the VM is suspended",
