Search only the new bytes of a stream for the end of an event

Cause: each piece was joined to the bytes before it, and all of them were searched again. Change: a buffer is extended in place, and searched from two bytes before the new ones. Test: test_events.py::test_events_do_not_depend_on_the_pieces_in_which_they_arrive; the time is no test's.

--- a/packages/node/src/vaneturn_node/traffic/serving/events.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/events.py
@@ -9,6 +9,7 @@
 from vaneturn_core.traffic.completeness import BodyEnd
 
 MAX_EVENT_BYTES: Final = 2**20
+MAX_PARTIAL_END: Final = 2  # bytes of an event's end that may have arrived without the rest
 _EVENT_END: Final = re.compile(rb"\n\r?\n|\r\r")  # a blank line; lines end with LF, CRLF or CR
 _FIELD: Final = re.compile(rb"(?:^|[\r\n])[^:\r\n]")  # a line that is neither blank nor a comment
 _EVENT_ID: Final = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
@@ -27,7 +28,7 @@
     """Buffers the bytes of an incomplete event."""
 
     def __init__(self) -> None:
-        self._remainder = b""
+        self._remainder = bytearray()
         self._has_event = False
 
     @property
@@ -45,21 +46,22 @@
     @property
     def remainder(self) -> bytes:
         """Give the bytes after the last complete event."""
-        return self._remainder
+        return bytes(self._remainder)
 
     def split(self, data: bytes) -> list[Event]:
         """Add bytes; return the events that are now complete."""
-        remainder = self._remainder + data
+        searched = max(0, len(self._remainder) - MAX_PARTIAL_END)
+        self._remainder += data
         events = []
         start = 0
-        for match in _EVENT_END.finditer(remainder):
-            event = remainder[start : match.end()]
+        for match in _EVENT_END.finditer(self._remainder, searched):
+            event = bytes(self._remainder[start : match.end()])
             ids = _EVENT_ID.findall(event)
             has_fields = _FIELD.search(event) is not None
             self._has_event = self._has_event or has_fields
             events.append(Event(event, ids[-1].decode("latin-1") if ids else None, has_fields))
             start = match.end()
-        self._remainder = remainder[start:]
+        del self._remainder[:start]
         return events
 
 
--- a/tests/node/traffic/serving/test_events.py
+++ b/tests/node/traffic/serving/test_events.py
@@ -32,6 +32,17 @@
     assert b"".join(event.data for event in events) + splitter.remainder == data
 
 
+@given(st.text("\r\n:a", max_size=40), st.lists(st.integers(0, 40), max_size=6))
+def test_events_do_not_depend_on_the_pieces_in_which_they_arrive(text: str, cuts: list[int]) -> None:
+    """Only the bytes that are new, and the two before them, are searched for the end of an event."""
+    data = text.encode()
+    whole, parted = EventSplitter(), EventSplitter()
+    bounds = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
+    events = [event for start, stop in itertools.pairwise(bounds) for event in parted.split(data[start:stop])]
+    assert events == whole.split(data)
+    assert parted.remainder == whole.remainder
+
+
 @pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"], ids=["lf", "crlf", "cr"])
 def test_cut_at_any_byte_is_inside_an_event_or_after_one(line_end: bytes) -> None:
     event = b"".join(line + line_end for line in (b"id: 1", b"data: token 1", b""))
