Offer an answer without a retry to two nodes in a round

Cause: with no retry left anywhere, each waiting answer would be offered to eight nodes a second (by reading; not seen). Change: two in a round.

--- a/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -107,17 +107,24 @@
         )
 
     async def offer(
-        self, context: RequestContext, last_event_id: str | None, silence: float, *, is_resumed: bool = False
+        self,
+        context: RequestContext,
+        last_event_id: str | None,
+        silence: float,
+        *,
+        is_resumed: bool = False,
+        max_offers: int = MAX_OFFERS,
     ) -> PeerAnswer | MayHaveRun | NotRun:
         """Offer a request to other nodes; return the answer of the one that accepts, up to its head.
 
         :param last_event_id: id of the last event that the client has received.
         :param silence: seconds to wait for the head of the answer.
         :param is_resumed: whether the client has received a part of the answer.
+        :param max_offers: to different nodes.
         """
         nodes: Mapping[VmId, str | None] = self._parts.view.nodes
         asked: set[VmId] = set()
-        while not context.is_forwarded and len(asked) < MAX_OFFERS and context.time_left > 0:
+        while not context.is_forwarded and len(asked) < max_offers and context.time_left > 0:
             peer = self._choice.choose(nodes, asked)
             address = nodes.get(peer) if peer is not None else None
             if peer is None or address is None:
@@ -233,4 +240,4 @@
             await link.abort()
 
 
-__all__ = ["PEER_SILENCE_S", "PeerAnswer", "PeerForwarder"]
+__all__ = ["MAX_OFFERS", "PEER_SILENCE_S", "PeerAnswer", "PeerForwarder"]
--- a/packages/node/src/vaneturn_node/traffic/serving/peertry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peertry.py
@@ -8,7 +8,7 @@
 from vaneturn_node.traffic.serving.clientstream import ClientStream
 from vaneturn_node.traffic.serving.events import EventSplitter
 from vaneturn_node.traffic.serving.outcomes import MayHaveRun, NotRun, OwnAnswer, TryOutcome
-from vaneturn_node.traffic.serving.peerforwarding import PEER_SILENCE_S, PeerAnswer, PeerForwarder
+from vaneturn_node.traffic.serving.peerforwarding import MAX_OFFERS, PEER_SILENCE_S, PeerAnswer, PeerForwarder
 from vaneturn_node.traffic.serving.requests import RequestContext
 from vaneturn_node.traffic.serving.streamrelay import find_body_end
 from vaneturn_node.traffic.serving.streamtry import OnAccepted
@@ -27,15 +27,18 @@
         context: RequestContext,
         client: ClientStream,
         on_accepted: OnAccepted | None = None,
+        max_offers: int = MAX_OFFERS,
     ) -> None:
         """Prepare the try.
 
         :param on_accepted: called when a server has accepted the request at the other node.
+        :param max_offers: to different nodes, until one accepts.
         """
         self._forwarder = forwarder
         self._context = context
         self._client = client
         self._on_accepted = on_accepted
+        self._max_offers = max_offers
         self._events = 0
 
     async def run(self) -> TryOutcome | OwnAnswer | None:
@@ -43,7 +46,11 @@
         outcome: TryOutcome | OwnAnswer | None = MayHaveRun("cancelled")
         self._client.pace.record_step(PauseStep.RESUMED, read_clock())
         answer = await self._forwarder.offer(
-            self._context, self._client.last_event, PEER_SILENCE_S, is_resumed=self._client.is_begun
+            self._context,
+            self._client.last_event,
+            PEER_SILENCE_S,
+            is_resumed=self._client.is_begun,
+            max_offers=self._max_offers,
         )
         if not isinstance(answer, PeerAnswer):
             self._context.may_have_run = self._context.may_have_run or isinstance(answer, MayHaveRun)
--- a/packages/node/src/vaneturn_node/traffic/serving/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streams.py
@@ -35,6 +35,7 @@
 MAX_REFUSALS: Final = 3  # by servers without free capacity, before the request is refused
 CHAIN_SEARCH_INTERVAL_S: Final = 0.2  # between searches for a chain that can resume a begun answer
 PEER_ASK_INTERVAL_S: Final = 1.0  # between rounds in which other nodes are asked to resume a begun answer
+MAX_RETRY_OFFERS: Final = 2  # in a round; when no node has a retry, many answers ask at once
 
 
 class StreamForwarder:
@@ -187,7 +188,13 @@
         if not client.is_begun or context.is_forwarded or now - context.peers_asked_at < PEER_ASK_INTERVAL_S:
             return None
         context.peers_asked_at = now
-        return PeerTry(forwarder=self._peers, context=context, client=client, on_accepted=on_accepted)
+        return PeerTry(
+            forwarder=self._peers,
+            context=context,
+            client=client,
+            on_accepted=on_accepted,
+            max_offers=MAX_RETRY_OFFERS,
+        )
 
     def _make_chooser(self, context: RequestContext, engine: EngineProfile, *, is_begun: bool) -> ChainChooser:
         answer = min(context.facts.max_answer_tokens or engine.usual_answer, engine.usual_answer)
