Count the doubt about a lapsed entry from the return of the store, and no held-up watch as an outage

Cause, by the logs of the nodes: a node that follows a relay heard of the return 0.9 s after the relay, and began the time of trust then; and a watch of a node that had just turned to the store was held up with its process and counted as an outage, as only a watch after an answered one was asked again. Change: the time of trust begins when the store was reached again by this node or the relay that tells it so. A watch that failed late is asked again, whichever came before.

--- a/packages/core/src/vaneturn_core/traffic/lapses.py
+++ b/packages/core/src/vaneturn_core/traffic/lapses.py
@@ -34,10 +34,13 @@
         self._clock = clock
         self._lapses: dict[ServerId, _Lapse] = {}
 
-    def note(self, server: ServerId) -> None:
-        """Note that the entry of a server is gone and may have lapsed."""
-        now = self._clock()
-        self._lapses.setdefault(server, _Lapse(now + self._trusted_time, now + LAPSE_HOLD_S))
+    def note(self, server: ServerId, returned_at: float) -> None:
+        """Note that the entry of a server is gone and may have lapsed.
+
+        :param returned_at: monotonic time at which the store was reached again; this node may hear of it later.
+        """
+        lapse = _Lapse(returned_at + self._trusted_time, self._clock() + LAPSE_HOLD_S)
+        self._lapses.setdefault(server, lapse)
 
     def forget(self, server: ServerId) -> None:
         """Forget a lapse: the server is listed again, or removed."""
--- a/packages/node/src/vaneturn_node/traffic/following/follower.py
+++ b/packages/node/src/vaneturn_node/traffic/following/follower.py
@@ -190,7 +190,7 @@
         wait = self._choose_wait()
         started = read_clock()
         page = await self._store.watch(ALL_KEYS, revision, wait, self._server.arrival)
-        if isinstance(page, NotDone) and self._has_watched and not _is_silence(read_clock() - started, wait):
+        if isinstance(page, NotDone) and self._is_no_outage(read_clock() - started, wait):
             logger.info("store watch cut", extra={"cause": page.cause})
             started, wait = read_clock(), 0.0
             page = await self._store.watch(ALL_KEYS, revision, wait, self._server.arrival)
@@ -212,6 +212,14 @@
             await anyio.sleep(self._times.gather)
         return True
 
+    def _is_no_outage(self, seconds: float, wait: float) -> bool:
+        """Tell whether a watch that failed after some seconds does not show that the store is away.
+
+        It was cut before its time, right after one that the store had answered, or it was held up with this process. In
+        an outage, the entry of a server that leaves would count as lapsed.
+        """
+        return (self._has_watched and seconds < wait) or seconds > wait + WATCH_MARGIN_S + HELD_UP_S
+
     def _choose_wait(self) -> float:
         """Choose how long the store may wait for changes before it answers.
 
@@ -256,14 +264,4 @@
         return True
 
 
-def _is_silence(seconds: float, wait: float) -> bool:
-    """Tell whether a watch failed since the store did not answer in time.
-
-    A watch that failed earlier was cut, and one that failed later was held up with this process. Neither is an outage,
-    in which the entry of a server that leaves would count as lapsed.
-    """
-    due = wait + WATCH_MARGIN_S
-    return wait <= seconds <= due + HELD_UP_S
-
-
 __all__ = ["StoreFollower"]
--- a/tests/core/traffic/test_view.py
+++ b/tests/core/traffic/test_view.py
@@ -151,6 +151,23 @@
     assert view.remove_server(server.id)
 
 
+def test_doubt_counts_from_the_return_that_another_node_has_seen() -> None:
+    """A node that heard of an outage's end 1.3 s later than its relay used a server that had left for 2.2 s."""
+    clock = Clock()
+    view = PlatformView(5.0, clock, leaving_time=2.0)
+    lapsed, listed = make_server(1, None), make_server(2, None)
+    for server in (lapsed, listed):
+        view.put_server(server)
+    view.note_failure()
+    clock.now += 1.3
+    view.merge_contact(StoreContact(clock.now, failed_at=clock.now - 1.4, returned_at=clock.now - 0.9))
+    assert not view.remove_server(lapsed.id)
+    servers = view.list_servers(LLM)
+    assert view.lapsed.prefer_listed(servers) == [lapsed, listed]
+    clock.now += 0.2
+    assert view.lapsed.prefer_listed(servers) == [listed]
+
+
 def test_word_of_another_node_never_makes_the_view_older() -> None:
     clock = Clock()
     view = PlatformView(5.0, clock)
