Count the doubt about a lapsed entry from the last of several returns of the store

What callers could see: a server whose entry had lapsed got no requests, although it had not left, at a node that had reached the store itself before it heard of a later failure from its relay. Cause: the end of the outage was taken over from a relay only while the node itself was in trouble; the time in which entries count as lapsed began anew, the time of trust did not. Change: the later of both ends counts. Names and comments of the two modules say what they are in the terms of the field. Test: test_view.py::test_doubt_counts_from_the_last_return_of_several, 1 failed and 12 passed without the change, 13 passed with it.

Nothing else changed, nothing was measured for it.

--- a/packages/core/src/vaneturn_core/traffic/lapses.py
+++ b/packages/core/src/vaneturn_core/traffic/lapses.py
@@ -1,7 +1,8 @@
-"""Servers whose entries went around an outage of the store: they may have lapsed, or their servers may have left.
+"""Servers whose entries were removed around an outage of the store: either the lease expired, or the server left.
 
-A server writes a lapsed entry again soon after the outage. One that left serves on for a time that the settings bound,
-so its place is taken by listed servers in the first half of it, and the requests that it has begun end in the rest.
+A server whose lease expired writes its entry again soon after the outage. One that left serves requests for a limited
+time only. It gets new requests in the first half of that time at most, if another server can take them, so that they
+finish in the second half.
 """
 
 from __future__ import annotations
@@ -18,8 +19,8 @@
 
 @dataclass(frozen=True, slots=True)
 class _Lapse:
-    trusted_until: float  # used like a listed server
-    held_until: float  # used where no listed server can replace it
+    trusted_until: float  # until then, gets requests like a listed server
+    held_until: float  # until then, gets requests that no listed server can take
 
 
 class LapsedEntries:
@@ -34,12 +35,13 @@
         self._clock = clock
         self._lapses: dict[ServerId, _Lapse] = {}
 
-    def note(self, server: ServerId, returned_at: float) -> None:
+    def note(self, server: ServerId, outage_ended_at: float) -> None:
         """Note that the entry of a server is gone and may have lapsed.
 
-        :param returned_at: monotonic time at which the store was reached again; this node may hear of it later.
+        :param outage_ended_at: monotonic time of the first response of the store after the outage; a node that follows
+            a relay learns of it later.
         """
-        lapse = _Lapse(returned_at + self._trusted_time, self._clock() + LAPSE_HOLD_S)
+        lapse = _Lapse(outage_ended_at + self._trusted_time, self._clock() + LAPSE_HOLD_S)
         self._lapses.setdefault(server, lapse)
 
     def forget(self, server: ServerId) -> None:
@@ -56,7 +58,7 @@
         return lapse is None or self._clock() < lapse.held_until
 
     def prefer_listed(self, servers: Sequence[BackendServer]) -> list[BackendServer]:
-        """Leave out the servers that may have left and that the others can replace.
+        """Leave out the servers that may have left, unless they hold a layer that no other server holds.
 
         :param servers: of one service, eligible for new requests.
         """
@@ -65,13 +67,13 @@
         trusted = [server for server in servers if server.id not in doubtful]
         if len(trusted) == len(servers):
             return trusted
-        replaced = {layer for server in trusted for layers in server.layers for layer in layers.list()}
+        held_layers = {layer for server in trusted for layers in server.layers for layer in layers.list()}
         has_plain = any(server.kind is None for server in trusted)
 
         def can_be_replaced(server: BackendServer) -> bool:
             if server.kind is None:
                 return has_plain
-            return all(layer in replaced for layers in server.layers for layer in layers.list())
+            return all(layer in held_layers for layers in server.layers for layer in layers.list())
 
         return [server for server in servers if server.id not in doubtful or not can_be_replaced(server)]
 
--- a/packages/core/src/vaneturn_core/traffic/view.py
+++ b/packages/core/src/vaneturn_core/traffic/view.py
@@ -60,7 +60,7 @@
         self.contact = StoreContact()
         self._starts: dict[ServerName, ServerId] = {}  # the listed start of each server
         self.lapsed = LapsedEntries(leaving_time, clock)
-        self._reached_again_at = float("-inf")  # the store, after an outage, by this node or the one that told it so
+        self._outage_ended_at = float("-inf")  # first response of the store after an outage, to this node or its relay
 
     @property
     def age(self) -> float:
@@ -88,14 +88,14 @@
         """Record that the store has answered, and that the whole view was true at a time or later."""
         returned_at = self.contact.returned_at
         if self.contact.is_in_trouble:
-            returned_at = self._reached_again_at = self._clock()
+            returned_at = self._outage_ended_at = self._clock()
         confirmed_at = max(self.contact.confirmed_at, at)
         self.contact = StoreContact(confirmed_at, self.contact.failed_at, returned_at)
 
     def note_restore(self) -> None:
         """Record that the store was restored: as after an outage, servers write entries that it lacks again."""
-        self._reached_again_at = self._clock()
-        self.contact = dataclasses.replace(self.contact, returned_at=self._reached_again_at)
+        self._outage_ended_at = self._clock()
+        self.contact = dataclasses.replace(self.contact, returned_at=self._outage_ended_at)
 
     def note_failure(self) -> None:
         """Record that a call to the store failed."""
@@ -117,8 +117,7 @@
             return
         # this node's last failed call may end after the other node has reached the store again
         is_over = self.contact.is_in_trouble and not contact.is_in_trouble
-        if is_over:
-            self._reached_again_at = contact.returned_at
+        self._outage_ended_at = contact.returned_at if is_over else max(self._outage_ended_at, contact.returned_at)
         returned_at = self._clock() if is_over else max(self.contact.returned_at, contact.returned_at)
         self.contact = StoreContact(confirmed_at, self.contact.failed_at, returned_at)
 
@@ -164,7 +163,7 @@
         if server not in self.servers:
             return False
         if self.contact.is_in_trouble or now - self.contact.returned_at < RETURN_TIME_S:
-            self.lapsed.note(server, now if self.contact.is_in_trouble else self._reached_again_at)
+            self.lapsed.note(server, now if self.contact.is_in_trouble else self._outage_ended_at)
             return False
         self.drop_server(server)
         return True
--- a/tests/core/traffic/test_view.py
+++ b/tests/core/traffic/test_view.py
@@ -168,6 +168,21 @@
     assert view.lapsed.prefer_listed(servers) == [listed]
 
 
+def test_doubt_counts_from_the_last_return_of_several() -> None:
+    """A node that reached the store itself, and then heard of a later failure, gave lapsed servers no trust at all."""
+    clock = Clock()
+    view = PlatformView(5.0, clock, leaving_time=2.0)
+    lapsed, listed = make_server(1, None), make_server(2, None)
+    for server in (lapsed, listed):
+        view.put_server(server)
+    view.note_failure()
+    view.confirm(clock.now)
+    clock.now += 1.5
+    view.merge_contact(StoreContact(clock.now, failed_at=clock.now - 0.2, returned_at=clock.now - 0.1))
+    assert not view.remove_server(lapsed.id)
+    assert view.lapsed.prefer_listed([lapsed, listed]) == [lapsed, listed]
+
+
 def test_word_of_another_node_never_makes_the_view_older() -> None:
     clock = Clock()
     view = PlatformView(5.0, clock)
