Log each send of a request with its connection, and a second send of a request that must run once

What was missing: no log line told which connection had carried a request, or what was known when it was sent again, and a node that was killed left no trace of a second send; the hypotheses of docs/incidents/request-ran-twice.md could not be told apart. Change: sends in the log line and in explain, 'request sent again' before the send, vaneturn_repeated_sends_total. No decision changes. The description of a request moves to requesthistory.py.

--- a/packages/cli/src/vaneturn_cli/traffic.py
+++ b/packages/cli/src/vaneturn_cli/traffic.py
@@ -17,6 +17,7 @@
     SeenServer,
     SeenService,
     TrafficRequest,
+    TrafficSend,
     TrafficState,
 )
 
@@ -155,6 +156,13 @@
     return lines
 
 
+def _format_send(send: TrafficSend) -> str:
+    place = (
+        f"sent to {send.target} after {send.at * 1000:.0f} ms, connection {send.connection}, exchange {send.exchange}"
+    )
+    return f"{place}, {send.not_run or 'may have run'}"
+
+
 def format_request(request: TrafficRequest) -> str:
     """Format how a request was handled, step by step."""
     lines = [
@@ -163,6 +171,7 @@
         f"configuration {request.version}, confirmed {request.age:.3f} s before",
         *(STEP_INDENT + step for step in request.steps),
     ]
+    lines += [STEP_INDENT + _format_send(send) for send in request.sends]
     if request.events:
         span = f"the first after {request.first_event:.3f} s, the last after {request.last_event:.3f} s"
         pauses = f"{span}, longest pause {request.longest_pause:.3f} s"
--- a/packages/core/src/vaneturn_core/traffic/state.py
+++ b/packages/core/src/vaneturn_core/traffic/state.py
@@ -112,6 +112,16 @@
     customers: dict[str, float] = {}  # arrivals per second of the largest customers at that time
 
 
+class TrafficSend(Struct, frozen=True):
+    """One send of a request to a server or to another node."""
+
+    target: str
+    at: float  # seconds from the arrival of the request
+    connection: int  # its number within the process of the node
+    exchange: int  # its number on the connection, from 1
+    not_run: str = ""  # what shows that the request has not run there; empty if it may have
+
+
 class TrafficRequest(Struct, frozen=True):
     """The outcome of one request; the fields are also those of its log line."""
 
@@ -139,6 +149,7 @@
     answer_end: str = ""  # how its bytes ended: framed, closed, reset, silent or invalid
     answer_body_end: str = ""  # where its body ended: after event, inside event, empty, not needed or unknown
     forwarded_by: str = ""  # the node that forwarded it to this one
+    sends: list[TrafficSend] = []  # in their order
 
 
 __all__ = [
@@ -149,5 +160,6 @@
     "SeenServer",
     "SeenService",
     "TrafficRequest",
+    "TrafficSend",
     "TrafficState",
 ]
--- a/packages/node/src/vaneturn_node/http1/link.py
+++ b/packages/node/src/vaneturn_node/http1/link.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import itertools
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
-from typing import Final
+from typing import ClassVar, Final
 
 import anyio
 import h11
@@ -33,9 +34,13 @@
 class HttpLink:
     """A connection that carries one exchange at a time; all limits are in seconds."""
 
+    _numbers: ClassVar[Iterator[int]] = itertools.count(1)
+
     def __init__(self, stream: TcpStream) -> None:
         self._stream = stream
         self._protocol = h11.Connection(our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.number = next(self._numbers)  # within this process, for logs
+        self.exchanges = 0  # begun so far
         self._was_sent = False
         self._next_event: h11.Event | type[h11.PAUSED | h11.NEED_DATA] | None = None  # read ahead by wait_for_more()
         self._method = ""  # of the newest request
@@ -85,6 +90,7 @@
 
     def _begin_exchange(self, method: str) -> None:
         self._was_sent = False
+        self.exchanges += 1
         self._method = method
         self.framing = self.ending = None
 
--- a/packages/node/src/vaneturn_node/traffic/process/metricstext.py
+++ b/packages/node/src/vaneturn_node/traffic/process/metricstext.py
@@ -50,6 +50,7 @@
             endings.add_metric([ending], count)
         yield endings
         yield self._collect_broken_answers()
+        yield self._collect_repeats()
         yield self._collect_latencies()
         yield from self._collect_admissions()
         yield from self._collect_retries()
@@ -82,6 +83,16 @@
             broken.add_metric([end.framing.value, end.ending.value, end.body_end.value], count)
         return broken
 
+    def _collect_repeats(self) -> CounterMetricFamily:
+        repeats = CounterMetricFamily(
+            "vaneturn_repeated_sends",
+            "Sends after the first of their request, by what shows that it had not run at the send before",
+            labels=["must_run_once", "not_run"],
+        )
+        for repeat, count in self._metrics.repeats.items():
+            repeats.add_metric([str(repeat.must_run_once).lower(), repeat.not_run], count)
+        return repeats
+
     def _collect_admissions(self) -> Iterator[Metric]:
         admissions = CounterMetricFamily(
             "vaneturn_admissions",
--- a/packages/node/src/vaneturn_node/traffic/serving/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answering.py
@@ -12,14 +12,10 @@
 from anyio import CancelScope
 
 from vaneturn_core.identifiers import ServiceName
-from vaneturn_core.traffic.blame.contents import format_content, format_identity
 from vaneturn_core.traffic.configuration import (
     EngineProfile,
     TrafficConfiguration,
 )
-from vaneturn_core.traffic.pace import Pause
-from vaneturn_core.traffic.state import TrafficRequest
-from vaneturn_node.clock import read_clock
 from vaneturn_node.errors import UnexpectedErrors
 from vaneturn_node.http1.clientanswer import ClientAnswer
 from vaneturn_node.http1.requestreader import ClientRequest
@@ -33,12 +29,11 @@
 from vaneturn_node.traffic.serving.outcomes import Answered, OwnAnswer, Reason, refuse
 from vaneturn_node.traffic.serving.peerforwarding import PeerForwarder
 from vaneturn_node.traffic.serving.plain import PlainForwarder
-from vaneturn_node.traffic.serving.requesthistory import RequestHistory
+from vaneturn_node.traffic.serving.requesthistory import RequestHistory, describe_request
 from vaneturn_node.traffic.serving.requestrouting import OLD_KEYS_RETRY_S, RequestRouter
 from vaneturn_node.traffic.serving.requests import FirstNode, RequestContext
 from vaneturn_node.traffic.serving.streams import StreamForwarder
 
-NO_PAUSE: Final = Pause(0.0, 0.0)
 REFUSAL_STATUS: Final = 503  # promises that the request has not run
 
 logger = logging.getLogger(__name__)
@@ -189,42 +184,13 @@
         result: Answered | OwnAnswer | None,
         ending: str,
     ) -> None:
-        seconds = read_clock() - request.arrived
-        route = context.route.name if context is not None else ""
-        customer = context.customer.name if context is not None and context.customer is not None else ""
-        self._metrics.observe(route, customer, ending, seconds)
-        self._metrics.broken_answers.update(context.broken_answers if context is not None else ())
-        configuration = self._parts.view.configuration
-        end = context.answer_end if context is not None else None
-        pause = (context.longest_pause if context is not None else None) or NO_PAUSE
-        record = TrafficRequest(
-            request=facts.id,
-            route=route,
-            customer=customer,
-            ending=ending,
-            seconds=round(seconds, 3),
-            version=configuration.version if configuration is not None else None,
-            age=round(self._parts.view.finite_age, 3),
-            steps=context.steps if context is not None else [],
-            reason=result.reason.value if isinstance(result, OwnAnswer) else "",
-            cause=result.cause if isinstance(result, OwnAnswer) else "",
-            events=context.events if context is not None else 0,
-            first_event=round(context.first_event, 3) if context is not None else 0.0,
-            last_event=round(context.last_event, 3) if context is not None else 0.0,
-            longest_pause=round(pause.length, 3),
-            looked=round(pause.looked, 3),
-            found=round(pause.found, 3),
-            went_on=round(pause.went_on, 3),
-            answer_framing=end.framing.value if end is not None else "",
-            answer_end=end.ending.value if end is not None else "",
-            answer_body_end=end.body_end.value if end is not None else "",
-            forwarded_by=context.first_node.vm if context is not None and context.first_node is not None else "",
-            content=format_content(context.fingerprint.content) if context is not None else "",
-            shared_parts=[format_identity(part) for part in facts.shared_parts],
-            admission=context.admission if context is not None else None,
-        )
+        record = describe_request(request, facts, context, result, ending=ending, view=self._parts.view)
+        self._metrics.observe(record.route, record.customer, ending, record.seconds)
+        if context is not None:
+            self._metrics.broken_answers.update(context.broken_answers)
+            self._metrics.repeats.update(context.history.list_repeats(must_run_once=not context.route.may_repeat))
         self._history.add(facts.id, record)
-        extra = msgspec.structs.asdict(record)
+        extra = msgspec.to_builtins(record)
         del extra["admission"]  # has a log line of its own
         logger.info("request ended", extra=extra)
 
--- a/packages/node/src/vaneturn_node/traffic/serving/metrics.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/metrics.py
@@ -10,6 +10,7 @@
 from vaneturn_core.identifiers import ServiceName
 from vaneturn_core.traffic.admission.prioritized import DemandScope
 from vaneturn_core.traffic.completeness import AnswerEnd
+from vaneturn_node.traffic.serving.sends import Repeat
 
 LATENCY_BUCKETS_S: Final = (0.025, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0)  # upper bounds
 MAX_ROUTES: Final = 32  # labels; further routes share one
@@ -44,6 +45,7 @@
         self.latencies: dict[tuple[str, str], Latencies] = {}
         self.admissions: Counter[AdmissionLabels] = Counter()
         self.broken_answers: Counter[AnswerEnd] = Counter()  # of servers and other nodes, broken off
+        self.repeats: Counter[Repeat] = Counter()
         self._scope = DemandScope()  # of the labels of admissions
         self._routes: set[str] = set()
         self._customers: set[str] = set()
--- a/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -20,6 +20,7 @@
 from vaneturn_node.traffic.serving.answerends import AnswerEnds
 from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, OwnAnswer, Reason
 from vaneturn_node.traffic.serving.requests import RequestContext
+from vaneturn_node.traffic.serving.sends import Evidence, Send
 from vaneturn_node.traffic.sharing.forwarding import (
     FORWARDED_PATH,
     AnswerKind,
@@ -148,6 +149,7 @@
         is_resumed: bool,
     ) -> PeerAnswer | MayHaveRun | NotRun | _Declined:
         link: HttpLink | None = None
+        send: Send | None = None
         is_kept = False
         self._choice.record_begun(peer)
         try:
@@ -156,6 +158,7 @@
                 return NotRun("keys too old")
             message = encode_forwarded(self._make_message(context, last_event_id, is_resumed=is_resumed))
             headers = [(b"host", address.encode()), (b"content-type", b"application/msgpack")]
+            send = context.record_send(peer, link)
             await link.send_when_accepted("POST", FORWARDED_PATH, headers, message, ACCEPT_TIMEOUT_S)
             context.sends += 1
             context.add_step(f"forwarded to {peer}")
@@ -163,6 +166,7 @@
             marks = read_marks(head.headers)
             if marks is None or marks.kind is AnswerKind.DECLINED:
                 context.sends -= 1
+                send.evidence = Evidence.DECLINED
                 reason = marks.reason if marks is not None else DeclineReason.NO_PATH
                 return _Declined(f"declined with {head.status}, {reason.value}", reason)
             self._choice.record_accepted(peer)
@@ -172,6 +176,8 @@
             return PeerAnswer(peer, link, AnswerHead(head.status, list(drop_marks(head.headers))), marks)
         except LinkError as error:
             if not error.was_sent:
+                if send is not None:
+                    send.evidence = Evidence.NOT_SENT
                 return _Declined(error.cause, DeclineReason.NO_ANSWER)
             context.runs += 1
             context.add_step(f"{peer}: {error.cause}")
--- a/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
@@ -18,6 +18,7 @@
 from vaneturn_node.traffic.serving.answerends import AnswerEnds
 from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, TryOutcome
 from vaneturn_node.traffic.serving.requests import RequestContext
+from vaneturn_node.traffic.serving.sends import Evidence, Send
 
 FIRST_TRY_OBJECTIVE_SHARE: Final = 0.6  # after this time, a safe request goes to a second server
 FIRST_TRY_TIME_LEFT_SHARE: Final = 0.4  # used if it is longer
@@ -74,6 +75,7 @@
 
     async def _exchange(self, context: RequestContext, server: BackendServer, timeout_s: float) -> TryOutcome:
         link: HttpLink | None = None
+        send: Send | None = None
         is_whole = False
         sent_at = float("inf")
         try:
@@ -84,16 +86,20 @@
                 obstacle = context.claim_send(self._parts.beliefs[server.id])
                 if obstacle is not None:
                     return NotRun(obstacle)
+                send = context.record_send(server.id, link)
                 sent_at = read_clock()
                 answer = await self._send_and_receive(context, server, link, timeout_s)
-            if link is None:
+            if link is None or send is None:
                 return NotRun("no connection in time", is_unreachable=True)
             if answer is None:
                 context.runs += 1
                 return MayHaveRun("no answer in time")
             # the check of an answer that has arrived has a limit of its own
             outcome = await self._judge(context, server, link, answer)
+            send.evidence = Evidence.REFUSED if isinstance(outcome, NotRun) else None
         except LinkError as error:
+            if send is not None and not error.was_sent:
+                send.evidence = Evidence.NOT_SENT
             return await self._handle_lost(context, server, error, sent_at)
         except anyio.get_cancelled_exc_class():
             if sent_at < read_clock():
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -21,9 +21,11 @@
 from vaneturn_core.traffic.servers import ServerId, ServerName
 from vaneturn_core.traffic.state import AdmissionRecord
 from vaneturn_node.clock import read_clock
+from vaneturn_node.http1.link import HttpLink
 from vaneturn_node.http1.requestreader import ClientRequest
 from vaneturn_node.platform.headers import Dispatch, RequestFacts
 from vaneturn_node.traffic.serving.outcomes import OwnAnswer, Reason, refuse
+from vaneturn_node.traffic.serving.sends import Send, SendHistory
 
 QUARANTINE_RETRY_S: Final = 1.0  # added to Retry-After, so that a request like it can be tried and reported before
 ANSWER_MARGIN_S: Final = 0.03  # a request is given up that long before its deadline, so that the answer arrives in time
@@ -68,6 +70,7 @@
     # one draw for all tries, which decides whether the request belongs to a given share of requests
     draw: float = field(default_factory=random.random)
     steps: list[str] = field(default_factory=list)  # decisions made, for the log
+    history: SendHistory = field(default_factory=SendHistory)
     is_sound: bool = False  # a server has run it for a while, so it does not crash servers
     is_trial: bool = False  # whether it was sent to try a blocked identity again
     admission: AdmissionRecord | None = None  # of a request that was not admitted at once
@@ -97,6 +100,12 @@
         content = digest_content(self.facts.host, self.request.method, target, caller, self.request.body)
         return Fingerprint(content, self.facts.shared_parts)
 
+    def record_send(self, target: str, link: HttpLink) -> Send:
+        """Record that it is about to be sent to a server or another node."""
+        send = Send(target, self.age, link.number, link.exchanges + 1)
+        self.history.record(send, self.facts.id, must_run_once=not self.route.may_repeat)
+        return send
+
     def find_block(self) -> Cause | None:
         """Find why it may not run any more: servers crash when they begin to run it, or others like it."""
         return self.crashes.find_block(self.fingerprint, self.service, is_trial=self.is_trial)
--- a/tests/cli/test_traffic.py
+++ b/tests/cli/test_traffic.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from vaneturn_cli.traffic import format_request, format_states
-from vaneturn_core.traffic.state import AdmissionRecord, SeenService, TrafficRequest, TrafficState
+from vaneturn_core.traffic.state import AdmissionRecord, SeenService, TrafficRequest, TrafficSend, TrafficState
 
 
 def test_refused_request_is_explained_with_the_figures_of_that_time() -> None:
@@ -40,6 +40,13 @@
     assert "framed" not in format_request(TrafficRequest("r-1", "later", "agency", "client left", 0.11, 3, 0.1, []))
 
 
+def test_request_tells_over_which_connection_it_was_sent() -> None:
+    sends = [TrafficSend("i-1", 0.002, 7, 3, "refused"), TrafficSend("i-2", 0.004, 9, 1)]
+    shown = format_request(TrafficRequest("r-1", "later", "agency", "status 200", 0.11, 3, 0.1, [], sends=sends))
+    assert "sent to i-1 after 2 ms, connection 7, exchange 3, refused" in shown
+    assert "sent to i-2 after 4 ms, connection 9, exchange 1, may have run" in shown
+
+
 def test_state_names_services_only_where_requests_are_admitted_by_priority() -> None:
     state = TrafficState("entry-1", "n", 3, 0.1, True, False, False, ["entry-1"], None, 4, [])  # noqa: FBT003 # in order
     assert "prioritized" not in format_states([state])
--- a/tests/node/traffic/serving/test_plaintry.py
+++ b/tests/node/traffic/serving/test_plaintry.py
@@ -73,6 +73,7 @@
         request=SimpleNamespace(method="GET", target="/", headers=[], body=b""),
         facts=SimpleNamespace(id=None),
         claim_send=lambda _: None,
+        record_send=lambda *_: SimpleNamespace(evidence=None),
         make_dispatch=lambda name: SimpleNamespace(
             server=name, priority=0, deadline=None, customer=None, chain=None, last_event_id=None
         ),
--- a/tests/system/platform/test_plain.py
+++ b/tests/system/platform/test_plain.py
@@ -156,3 +156,24 @@
     assert line["route"] == "once"
     assert line["customer"] == "broker"
     assert desk.id in line["steps"][0]
+
+
+async def test_log_names_the_connection_of_each_send(traffic: Traffic) -> None:
+    await traffic.add_desk()
+    for request in ("first", "second"):
+        await traffic.ask("/once/1", X_Request_Id=request)
+    first, second = [(await traffic.nodes[0].wait_for_log(request))["sends"] for request in ("first", "second")]
+    assert [send["exchange"] for send in (*first, *second)] == [1, 2]
+    assert first[0]["connection"] == second[0]["connection"]
+
+
+async def test_second_send_of_a_request_that_must_run_once_is_logged_and_counted(traffic: Traffic) -> None:
+    servers = [await traffic.add_desk(), await traffic.add_desk()]
+    for server in servers:
+        server.refused_share = 1.0
+    await traffic.ask("/once/1", X_Request_Id="refused")
+    await traffic.nodes[0].wait_for_log("refused")
+    again = [line for line in traffic.nodes[0].read_log() if line["message"] == "request sent again"]
+    assert [(line["request"], line["not_run"]) for line in again] == [("refused", "refused")]
+    metrics = await traffic.client.get(f"http://127.0.0.1:{traffic.nodes[0].metrics_port}/metrics")
+    assert 'vaneturn_repeated_sends_total{must_run_once="true",not_run="refused"} 1.0' in metrics.text
