Keep what was sent with the exchange, and give a connection to one exchange at a time

What callers saw: before, requests that must run once ran twice now and then. Cause: "sent" was a mark of the connection. A second exchange on a connection in use cleared it, failed, and closed the connection; the first exchange, which the server had, was told that it was not sent, and its request went to another server. Change: HttpLink is one exchange and owns its Connection until the end; a second claim raises, an exchange that has given its connection back cannot close it, and the pool reports a connection in use (log, vaneturn_connection_conflicts_total) and leaves it alone.

--- a/packages/node/src/vaneturn_node/http1/link.py
+++ b/packages/node/src/vaneturn_node/http1/link.py
@@ -1,26 +1,22 @@
-"""One HTTP connection to a server; its errors state whether the request was sent and how the answer ended."""
+"""One HTTP exchange with a server; its errors state whether the request was sent and how the answer ended."""
 
 from __future__ import annotations
 
-import itertools
-from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
-from typing import ClassVar, Final
+from typing import Final
 
 import anyio
 import h11
 
 from vaneturn_core.traffic.completeness import Ending, Framing
+from vaneturn_node.http1.connection import Connection
 from vaneturn_node.http1.linkerror import LinkError
-from vaneturn_node.http1.messages import BODILESS_STATUSES, Headers, find_header, parse_count
+from vaneturn_node.http1.messages import BODILESS_STATUSES, Headers
 from vaneturn_node.http1.tcp import TcpStream
 
 RECEIVE_BYTES: Final = 65536
-MAX_HEAD_BYTES: Final = 65536
 MAX_INFORMATIONAL_HEADS: Final = 16  # before the head of an answer
 MAX_WHOLE_BYTES: Final = 8 * 2**20  # of an answer that is kept until its end has arrived
-DEFAULT_IDLE_TIMEOUT_S: Final = 2.0  # servers without a Keep-Alive timeout keep an idle connection at least so long
-IDLE_MARGIN_S: Final = 0.8  # subtracted from the Keep-Alive timeout, for the transit of the next request
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,24 +28,26 @@
 
 
 class HttpLink:
-    """A connection that carries one exchange at a time; all limits are in seconds."""
+    """One exchange on a connection that is its own until it ends; all limits are in seconds.
 
-    _numbers: ClassVar[Iterator[int]] = itertools.count(1)
+    What was sent is a fact of the exchange, not of the connection: otherwise the next exchange would overwrite it.
+    """
 
-    def __init__(self, stream: TcpStream) -> None:
-        self._stream = stream
-        self._protocol = h11.Connection(our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        self.number = next(self._numbers)  # within this process, for logs
-        self.exchanges = 0  # begun so far
-        self._was_sent = False
+    def __init__(self, connection: Connection) -> None:
+        """Take a connection for one exchange.
+
+        :raises ConnectionInUseError: another exchange has it.
+        """
+        connection.claim(self)
+        self.connection = connection
+        self.was_sent = False  # whether a part of the request may have been sent
+        self._is_begun = False
         self._next_event: h11.Event | type[h11.PAUSED | h11.NEED_DATA] | None = None  # read ahead by wait_for_more()
-        self._method = ""  # of the newest request
+        self._method = ""
         self._is_closed_by_peer = False
-        self.framing: Framing | None = None  # of the newest answer; None until its head has arrived
-        self.ending: Ending | None = None  # of the newest answer; None while it may still arrive
-        self.trailers: Headers = ()  # of the newest answer that was read to its end
-        self._idle_timeout = DEFAULT_IDLE_TIMEOUT_S
-        self.idle_since = 0.0  # set by the pool
+        self.framing: Framing | None = None  # of the answer; None until its head has arrived
+        self.ending: Ending | None = None  # of the answer; None while it may still arrive
+        self.trailers: Headers = ()  # of an answer that was read to its end
 
     @classmethod
     async def open(cls, address: str, limit: float) -> HttpLink:
@@ -60,7 +58,7 @@
         host, _, port = address.rpartition(":")
         try:
             with anyio.fail_after(limit):
-                return cls(await TcpStream.connect(host, int(port)))
+                return cls(Connection(await TcpStream.connect(host, int(port))))
         except TimeoutError:
             raise LinkError("connecting took too long", was_sent=False, is_unresponsive=True) from None
         except OSError as error:
@@ -77,30 +75,30 @@
         framed = [*headers, (b"content-length", str(len(body)).encode())] if body or method != "GET" else list(headers)
         data = self._make_head(method, target, framed)
         if body:
-            data += self._protocol.send(h11.Data(data=body)) or b""
-        data += self._protocol.send(h11.EndOfMessage()) or b""
-        self._was_sent = True
+            data += self.connection.protocol.send(h11.Data(data=body)) or b""
+        data += self.connection.protocol.send(h11.EndOfMessage()) or b""
+        self.was_sent = True
         await self._send_bytes(data, limit)
 
     def _make_head(self, method: str, target: str, headers: list[tuple[bytes, bytes]]) -> bytes:
         try:
-            return self._protocol.send(h11.Request(method=method, target=target, headers=headers)) or b""
+            return self.connection.protocol.send(h11.Request(method=method, target=target, headers=headers)) or b""
         except h11.LocalProtocolError as error:
             raise LinkError(f"not a request: {error}", was_sent=False) from None
 
     def _begin_exchange(self, method: str) -> None:
-        self._was_sent = False
-        self.exchanges += 1
+        if self._is_begun:
+            raise RuntimeError("an exchange sends one request")
+        self._is_begun = True
         self._method = method
-        self.framing = self.ending = None
 
     async def _send_bytes(self, data: bytes, limit: float) -> None:
         try:
-            await self._stream.send(data, limit)
+            await self.connection.stream.send(data, limit)
         except TimeoutError:
-            raise LinkError("sending took too long", was_sent=self._was_sent, is_unresponsive=True) from None
+            raise LinkError("sending took too long", was_sent=self.was_sent, is_unresponsive=True) from None
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            raise LinkError("connection lost while sending", was_sent=self._was_sent) from None
+            raise LinkError("connection lost while sending", was_sent=self.was_sent) from None
 
     async def send_when_accepted(
         self, method: str, target: str, headers: Headers, body: bytes, accept_limit: float
@@ -116,9 +114,9 @@
         event = await self._read_event(accept_limit)
         if not isinstance(event, h11.InformationalResponse):
             raise LinkError("the request was not accepted", was_sent=False)
-        data = self._protocol.send(h11.Data(data=body)) or b""
-        data += self._protocol.send(h11.EndOfMessage()) or b""
-        self._was_sent = True
+        data = self.connection.protocol.send(h11.Data(data=body)) or b""
+        data += self.connection.protocol.send(h11.EndOfMessage()) or b""
+        self.was_sent = True
         await self._send_bytes(data, accept_limit)
 
     async def read_head(self, limit: float) -> AnswerHead:
@@ -130,9 +128,10 @@
         for _ in range(MAX_INFORMATIONAL_HEADS + 1):
             event = await self._read_event(until - anyio.current_time())
             if isinstance(event, h11.Response):
-                self._update_idle_timeout(event.headers.raw_items())
+                headers = [(name.lower(), value) for name, value in event.headers]
+                self.connection.update_idle_timeout(headers)
                 self.framing = _find_framing(self._method, event)
-                return AnswerHead(event.status_code, [(name.lower(), value) for name, value in event.headers])
+                return AnswerHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise LinkError("connection ended before an answer", was_sent=True)
         raise self.reject("too many informational answers")
@@ -185,54 +184,34 @@
         until = anyio.current_time() + limit
         while True:
             try:
-                event = self._protocol.next_event()
+                event = self.connection.protocol.next_event()
             except h11.RemoteProtocolError as error:
                 self.ending = Ending.CLOSED if self._is_closed_by_peer else Ending.INVALID
                 raise LinkError(f"not an answer: {error}", was_sent=True) from None
             if event is not h11.NEED_DATA:
                 return event
             try:
-                data = await self._stream.receive(RECEIVE_BYTES, max(0.0, until - anyio.current_time()))
+                data = await self.connection.stream.receive(RECEIVE_BYTES, max(0.0, until - anyio.current_time()))
             except TimeoutError:
                 self.ending = Ending.SILENT
-                raise LinkError("no bytes in time", was_sent=self._was_sent, is_unresponsive=True) from None
+                raise LinkError("no bytes in time", was_sent=self.was_sent, is_unresponsive=True) from None
             except anyio.EndOfStream:
                 data = b""
                 self._is_closed_by_peer = True
             except (anyio.BrokenResourceError, anyio.ClosedResourceError):
                 self.ending = Ending.RESET
-                raise LinkError("connection reset", was_sent=self._was_sent) from None
+                raise LinkError("connection reset", was_sent=self.was_sent) from None
             self.ending = None
-            self._protocol.receive_data(data)
-
-    def _update_idle_timeout(self, headers: Sequence[tuple[bytes, bytes]]) -> None:
-        keep_alive = find_header([(name.lower(), value) for name, value in headers], b"keep-alive")
-        if keep_alive is None:
-            return
-        for parameter in keep_alive.split(b","):
-            name, _, value = parameter.strip().partition(b"=")
-            seconds = parse_count(value) if name.lower() == b"timeout" else None
-            if seconds is not None:
-                self._idle_timeout = max(0.0, seconds - IDLE_MARGIN_S)
+            self.connection.protocol.receive_data(data)
 
     def finish(self) -> bool:
-        """Prepare for the next exchange; return whether the connection can carry one."""
-        if self._protocol.our_state is not h11.DONE or self._protocol.their_state is not h11.DONE:
-            return False
-        if self._protocol.trailing_data[0]:
-            return False
-        self._protocol.start_next_cycle()
-        return True
-
-    def is_fresh(self, now: float, max_idle: float) -> bool:
-        """Return whether an idle connection can carry another request: not idle too long, not closed, no stray data."""
-        if now - self.idle_since >= min(self._idle_timeout, max_idle):
-            return False
-        return not self._stream.has_input()
+        """Give the connection back; return whether it can carry another exchange."""
+        return self.connection.is_used_by(self) and self.connection.finish()
 
     async def abort(self) -> None:
-        """Close immediately."""
-        await self._stream.aclose()
+        """Close the connection immediately, unless it was given back."""
+        if self.connection.is_used_by(self):
+            await self.connection.abort()
 
 
 def _find_framing(method: str, response: h11.Response) -> Framing:
--- a/packages/node/src/vaneturn_node/http1/pool.py
+++ b/packages/node/src/vaneturn_node/http1/pool.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 from collections import defaultdict
 from typing import Final
 
 import anyio
 
 from vaneturn_node.clock import read_clock
+from vaneturn_node.http1.connection import Connection
 from vaneturn_node.http1.link import HttpLink
 
 CONNECT_TIMEOUT_S: Final = 0.3  # a healthy server accepts within a few milliseconds
@@ -15,12 +17,18 @@
 MAX_IDLE_PER_ADDRESS: Final = 8
 MAX_IDLE_S: Final = 60.0  # an upper bound; the Keep-Alive timeout of the server is shorter
 
+logger = logging.getLogger(__name__)
+
 
 class LinkPool:
-    """Connections by address; each carries one exchange at a time."""
+    """Idle connections by address; each carries one exchange at a time.
+
+    :ivar conflicts: how often a connection that carries an exchange was found among the idle ones.
+    """
 
     def __init__(self) -> None:
-        self._idle: defaultdict[str, list[HttpLink]] = defaultdict(list)
+        self._idle: defaultdict[str, list[Connection]] = defaultdict(list)
+        self.conflicts = 0
 
     async def acquire(self, address: str, max_idle: float = MAX_IDLE_S) -> HttpLink:
         """Take a connection that was idle for less than `max_idle` seconds, or open a new one.
@@ -34,12 +42,21 @@
         now = read_clock()
         idle = self._idle[address]
         while idle:
-            link = idle.pop()
-            if link.is_fresh(now, max_idle):
-                return link
-            await link.abort()
+            connection = idle.pop()
+            if connection.is_in_use:
+                self._report_conflict(connection, address)
+            elif connection.is_fresh(now, max_idle):
+                return HttpLink(connection)
+            else:
+                await connection.abort()
         return None
 
+    def _report_conflict(self, connection: Connection, address: str) -> None:
+        """Report a connection that carries an exchange, which goes on."""
+        self.conflicts += 1
+        extra = {"address": address, "connection": connection.number, "exchange": connection.exchanges}
+        logger.error("connection in use found among idle ones", extra=extra)
+
     async def open(self, address: str) -> HttpLink:
         """Open a new connection.
 
@@ -51,8 +68,8 @@
         """Return a connection whose exchange has ended to the pool, or close it."""
         idle = self._idle[address]
         if len(idle) < MAX_IDLE_PER_ADDRESS and link.finish():
-            link.idle_since = read_clock()
-            idle.append(link)
+            link.connection.idle_since = read_clock()
+            idle.append(link.connection)
             return
         await link.abort()
 
@@ -62,12 +79,15 @@
             await anyio.sleep(SWEEP_INTERVAL_S)
             now = read_clock()
             for address, idle in list(self._idle.items()):
-                stale = [link for link in idle if not link.is_fresh(now, MAX_IDLE_S)]
-                idle[:] = [link for link in idle if link not in stale]  # a request may be taking one from this list
+                for connection in [each for each in idle if each.is_in_use]:
+                    self._report_conflict(connection, address)
+                    idle.remove(connection)
+                stale = [each for each in idle if not each.is_fresh(now, MAX_IDLE_S)]
+                idle[:] = [each for each in idle if each not in stale]  # a request may be taking one from this list
                 if not idle:
                     del self._idle[address]
-                for link in stale:
-                    await link.abort()
+                for connection in stale:
+                    await connection.abort()
 
 
 __all__ = ["LinkPool"]
--- a/packages/node/src/vaneturn_node/traffic/process/inspection.py
+++ b/packages/node/src/vaneturn_node/traffic/process/inspection.py
@@ -106,6 +106,7 @@
             blocks=Counter(describe_kind(cause) for cause in self._parts.crashes.list_blocks()),
             lost_paths=len(self._parts.connectivity.list_lost()),
             errors=self._errors.counts,
+            connection_conflicts=self._parts.pool.conflicts,
             retry_budgets=self._parts.retries.describe(),
         )
         return render_metrics(self._metrics, gauges)
--- a/packages/node/src/vaneturn_node/traffic/process/metricstext.py
+++ b/packages/node/src/vaneturn_node/traffic/process/metricstext.py
@@ -32,6 +32,7 @@
     services: Sequence[SeenService] = ()  # prioritized ones
     errors: Mapping[str, int] = field(default_factory=dict)  # unexpected ones, by place
     retry_budgets: Sequence[SeenRetryBudget] = ()
+    connection_conflicts: int = 0  # connections in use that were found among the idle ones
     lost_paths: int = 0  # services whose servers cannot be reached
     blocks: Mapping[str, int] = field(default_factory=dict)  # identities of blocked requests, by kind
 
@@ -71,6 +72,11 @@
         yield GaugeMetricFamily("vaneturn_backend_servers", "Backend servers in the list", gauges.servers)
         yield GaugeMetricFamily("vaneturn_rate_limited_servers", "Backend servers with a rate limit", gauges.limited)
         yield GaugeMetricFamily("vaneturn_lost_paths", "Services whose servers cannot be reached", gauges.lost_paths)
+        conflicts = CounterMetricFamily(
+            "vaneturn_connection_conflicts", "Connections in use that were found among the idle ones"
+        )
+        conflicts.add_metric([], gauges.connection_conflicts)
+        yield conflicts
         yield GaugeMetricFamily("vaneturn_closed_servers", "Backend servers that want no requests", gauges.closed)
         yield GaugeMetricFamily("vaneturn_reported_nodes", "Nodes in the latest sum of demand", gauges.reported_nodes)
 
--- a/tests/node/traffic/test_pool.py
+++ b/tests/node/traffic/test_pool.py
@@ -9,6 +9,8 @@
 import pytest
 
 from vaneturn_node.http1 import pool as pool_module
+from vaneturn_node.http1.connection import Connection, ConnectionInUseError
+from vaneturn_node.http1.link import HttpLink
 from vaneturn_node.http1.pool import LinkPool
 
 pytestmark = pytest.mark.anyio
@@ -17,17 +19,13 @@
 SWEEP_S = 0.01
 
 
-class IdleLink:
+class IdleConnection(Connection):
     """An idle connection; closing it takes a moment."""
 
-    idle_since = 0.0
-
     def __init__(self, *, is_open: bool) -> None:
+        super().__init__(Any)  # type: ignore[arg-type] # has no stream
         self._is_open = is_open
 
-    def finish(self) -> bool:
-        return True
-
     def is_fresh(self, now: float, max_idle: float) -> bool:
         assert now <= time.monotonic() + max_idle
         return self._is_open
@@ -42,9 +40,7 @@
     """Two requests got the same connection; one was shut with a protocol error."""
     monkeypatch.setattr(pool_module, "SWEEP_INTERVAL_S", SWEEP_S)
     pool = LinkPool()
-    links: list[Any] = [IdleLink(is_open=True), IdleLink(is_open=False), IdleLink(is_open=False)]
-    for link in links:
-        await pool.release(link, ADDRESS)
+    pool._idle[ADDRESS] += [IdleConnection(is_open=is_open) for is_open in (True, False, False)]
     taken: list[Any] = []
 
     async def take() -> None:
@@ -58,3 +54,34 @@
         await anyio.sleep(20 * SWEEP_S)
         tasks.cancel_scope.cancel()
     assert len([link for link in taken if link is not None]) == 1
+
+
+async def test_connection_in_use_is_neither_handed_out_nor_closed_by_the_pool(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its exchange would be ended by the next one, or by the sweep."""
+    monkeypatch.setattr(pool_module, "SWEEP_INTERVAL_S", SWEEP_S)
+    pool = LinkPool()
+    used = IdleConnection(is_open=False)
+    link = HttpLink(used)
+    pool._idle[ADDRESS] += [used, used]
+    assert await pool.take_idle(ADDRESS) is None
+    assert pool.conflicts == 2
+    pool._idle[ADDRESS].append(used)
+    aborted: list[Connection] = []
+    monkeypatch.setattr(used, "abort", lambda: aborted.append(used))
+    with anyio.move_on_after(5 * SWEEP_S):
+        await pool.run()
+    assert (pool.conflicts, aborted) == (3, [])
+    assert used.is_used_by(link)
+
+
+async def test_exchange_that_gave_its_connection_back_does_not_close_it() -> None:
+    connection = IdleConnection(is_open=True)
+    first = HttpLink(connection)
+    connection._user = None  # as after the end of its answer
+    second = HttpLink(connection)
+    await first.abort()
+    assert not first.finish()
+    assert connection.is_used_by(second)
+    with pytest.raises(ConnectionInUseError):
+        HttpLink(connection)
+    assert connection.is_used_by(second)
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -109,18 +109,23 @@
             ),
         ),
     ),
+    Proof(
+        "a connection carries one exchange at a time",
+        "tests/node/traffic/test_pool.py::test_exchange_that_gave_its_connection_back_does_not_close_it",
+        (Edit("node/src/vaneturn_node/http1/connection.py", "if self._user is not None:", "if False:"),),
+    ),
     Proof(
         "an answer must be the one to the request",
         f"{SYSTEM}/test_plain.py::test_surplus_answer_is_never_passed_on",
         (
             Edit(
-                "node/src/vaneturn_node/http1/link.py",
-                "        if self._protocol.trailing_data[0]:\n            return False\n",
+                "node/src/vaneturn_node/http1/connection.py",
+                "        if self.protocol.trailing_data[0]:\n            return False\n",
                 "",
             ),
             Edit(
-                "node/src/vaneturn_node/http1/link.py",
-                "        return not self._stream.has_input()\n",
+                "node/src/vaneturn_node/http1/connection.py",
+                "        return not self.stream.has_input()\n",
                 "        return True\n",
             ),
             Edit(
