Take an answer for a refusal only if it names the request, and decide in one module what has not run

What callers saw: requests that must run once ran on a second server while the first one answered later. Cause: an answer with the mark of a refusal counted as the request's own although it named no request. A surplus answer on a kept connection stands in the place of the one due. Class: a claim about one request is believed of an answer that does not say which request it is about. Change: a refusal without the id of the request means that it may have run. A 504 of another node to an answer in progress counted as not run; it is not any more.

--- a/packages/node/src/vaneturn_node/traffic/serving/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answering.py
@@ -5,7 +5,6 @@
 import logging
 from collections.abc import Callable
 from functools import partial
-from typing import Final
 
 import anyio
 import msgspec
@@ -26,7 +25,7 @@
 from vaneturn_node.traffic.serving.admitting import StreamAdmitter
 from vaneturn_node.traffic.serving.answermarks import mark_answer, mark_broken_off
 from vaneturn_node.traffic.serving.metrics import TrafficMetrics
-from vaneturn_node.traffic.serving.outcomes import Answered, OwnAnswer, Reason, refuse
+from vaneturn_node.traffic.serving.outcomes import REFUSAL_STATUS, Answered, OwnAnswer, Reason, refuse
 from vaneturn_node.traffic.serving.peerforwarding import PeerForwarder
 from vaneturn_node.traffic.serving.plain import PlainForwarder
 from vaneturn_node.traffic.serving.requesthistory import RequestHistory, describe_request
@@ -34,8 +33,6 @@
 from vaneturn_node.traffic.serving.requests import FirstNode, RequestContext
 from vaneturn_node.traffic.serving.streams import StreamForwarder
 
-REFUSAL_STATUS: Final = 503  # promises that the request has not run
-
 logger = logging.getLogger(__name__)
 
 
--- a/packages/node/src/vaneturn_node/traffic/serving/chainreservation.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/chainreservation.py
@@ -10,6 +10,7 @@
 from vaneturn_node.platform.servers import OrderOutcome
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.serving.requests import RequestContext
+from vaneturn_node.traffic.serving.sends import Send
 
 
 class ChainReservation:
@@ -23,6 +24,7 @@
         self.is_reserved = False
         self.reserved_at = 0.0  # monotonic time
         self.sent_at = 0.0  # monotonic time at which the request was sent to the first server
+        self.send: Send | None = None  # to the first server
         self.is_run_counted = False  # as a run of the request
 
     @property
--- a/packages/node/src/vaneturn_node/traffic/serving/heads.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/heads.py
@@ -2,24 +2,27 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import Final
 
 from vaneturn_core.traffic.completeness import BodyEnd
 from vaneturn_node.clock import read_clock
-from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
-from vaneturn_node.platform.headers import read_answer_facts
+from vaneturn_node.http1.link import AnswerHead, LinkError
+from vaneturn_node.platform.headers import AnswerFacts, read_answer_facts
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.serving.answerends import AnswerEnds
 from vaneturn_node.traffic.serving.chainreservation import ChainReservation
+from vaneturn_node.traffic.serving.notrun import judge_refusal
 from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, TryOutcome
 from vaneturn_node.traffic.serving.requests import RequestContext
+from vaneturn_node.traffic.serving.sends import Send
 
 SUCCESS_STATUSES: Final = range(200, 300)
 MIN_BODY_TIMEOUT_S: Final = 0.05  # for the body of an answer that is no success
 
 
 async def handle_head(
-    parts: TrafficParts, context: RequestContext, reservation: ChainReservation, link: HttpLink, head: AnswerHead
+    parts: TrafficParts, context: RequestContext, reservation: ChainReservation, send: Send, head: AnswerHead
 ) -> TryOutcome | None:
     """Handle the head of an answer; return the outcome of the try if it is no success.
 
@@ -35,7 +38,7 @@
     if not facts.is_wrong_server:
         parts.directives.apply(reservation.first_server, facts.directives, reservation.sent_at)
     if head.status not in SUCCESS_STATUSES:
-        return await _read_failure(parts, context, reservation, link, head)
+        return await _read_failure(parts, context, reservation, send, head)
     if not facts.is_sealed:
         raise LinkError("unsealed answer", was_sent=True)
     reservation.count_run()
@@ -44,15 +47,15 @@
 
 
 async def _read_failure(
-    parts: TrafficParts, context: RequestContext, reservation: ChainReservation, link: HttpLink, head: AnswerHead
+    parts: TrafficParts, context: RequestContext, reservation: ChainReservation, send: Send, head: AnswerHead
 ) -> TryOutcome:
     """Read an answer that is no success; return the outcome of the try."""
     facts = read_answer_facts(head.status, head.headers)
     timeout_s = max(MIN_BODY_TIMEOUT_S, context.time_left)
     body_end = BodyEnd.NOT_NEEDED if facts.was_refused else BodyEnd.UNKNOWN
-    body = await AnswerEnds(parts, context).read_whole(link, timeout_s, body_end, reservation.first_server)
+    body = await AnswerEnds(parts, context).read_whole(send.link, timeout_s, body_end, reservation.first_server)
     if facts.was_refused:
-        return NotRun(f"refused with {head.status} at {reservation.record_refusal(facts).id}")
+        return _take_refusal(context, reservation, send, facts)
     reservation.count_run()
     context.avoided.add(reservation.first_server.id)
     parts.beliefs[reservation.first_server.id].record_error(read_clock())
@@ -61,4 +64,16 @@
     return MayHaveRun(f"unsealed answer {head.status}")
 
 
+def _take_refusal(
+    context: RequestContext, reservation: ChainReservation, send: Send, facts: AnswerFacts
+) -> NotRun | MayHaveRun:
+    outcome = judge_refusal(send, facts, context.facts.id, f"refused with {facts.status}")
+    if isinstance(outcome, NotRun):
+        faulty = reservation.record_refusal(facts)
+        return dataclasses.replace(outcome, cause=f"{outcome.cause} at {faulty.id}")
+    reservation.count_run()
+    context.avoided.add(reservation.first_server.id)
+    return outcome
+
+
 __all__ = ["handle_head"]
--- a/packages/node/src/vaneturn_node/traffic/serving/lostconnections.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/lostconnections.py
@@ -7,6 +7,7 @@
 from vaneturn_node.http1.link import LinkError
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.serving.chainreservation import ChainReservation
+from vaneturn_node.traffic.serving.notrun import judge_lost
 from vaneturn_node.traffic.serving.outcomes import MayHaveRun, NotRun, TryOutcome
 from vaneturn_node.traffic.serving.requests import RequestContext
 
@@ -33,9 +34,9 @@
     if error.has_no_path:
         parts.retries.take_back(context.service, claim)
         context.sends -= 1
-        return NotRun(error.cause, has_no_path=True)
-    if not error.was_sent:
-        return NotRun(error.cause, is_unreachable=True)
+    outcome = judge_lost(reservation.send, error)
+    if isinstance(outcome, NotRun):
+        return outcome
     reservation.count_run()
     is_cut_off = parts.connectivity.is_lost(context.service)
     if not is_cut_off and not error.is_unresponsive:
--- a/packages/node/src/vaneturn_node/traffic/serving/outcomes.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/outcomes.py
@@ -4,16 +4,19 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Final
 
 from vaneturn_core.traffic.retries import RetryReason
 from vaneturn_node.http1.messages import Headers
+from vaneturn_node.traffic.serving.sends import Evidence
 
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """The server did not and will not run the request: no byte of it was sent, or the server said so."""
+    """The request has not run where it was sent, and will not; only the functions of `notrun` make this outcome."""
 
     cause: str
+    evidence: Evidence
     is_unreachable: bool = False  # the server did not even accept a connection
     has_no_path: bool = False  # this node reaches no server of the service
     is_rate_limited: bool = False  # it was not sent, because of the server's rate limit
@@ -85,9 +88,22 @@
     cause: str = ""
 
 
-def refuse(reason: Reason, retry_after: float, cause: str = "") -> OwnAnswer:
-    """Refuse a request that has not run."""
-    return OwnAnswer(503, reason, retry_after, cause)
+REFUSAL_STATUS: Final = 503  # promises that the request has not run
 
 
-__all__ = ["Answered", "MayHaveRun", "NotRun", "OwnAnswer", "Reason", "TryOutcome", "classify_retry", "refuse"]
+def refuse(reason: Reason, retry_after: float, cause: str = "") -> OwnAnswer:
+    """Refuse a request that has not run."""
+    return OwnAnswer(REFUSAL_STATUS, reason, retry_after, cause)
+
+
+__all__ = [
+    "REFUSAL_STATUS",
+    "Answered",
+    "MayHaveRun",
+    "NotRun",
+    "OwnAnswer",
+    "Reason",
+    "TryOutcome",
+    "classify_retry",
+    "refuse",
+]
--- a/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -7,24 +7,21 @@
 from typing import Final
 
 import anyio
-import msgspec
 
 from vaneturn_core.identifiers import VmId
-from vaneturn_core.traffic.completeness import BodyEnd
 from vaneturn_core.traffic.peerchoice import DeclineReason, PeerChoice
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
-from vaneturn_node.http1.messages import find_header, parse_decimal
-from vaneturn_node.platform.directives import RETRY_AFTER
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.serving.answerends import AnswerEnds
-from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, OwnAnswer, Reason
+from vaneturn_node.traffic.serving.notrun import accept_decline, judge_lost, withhold
+from vaneturn_node.traffic.serving.outcomes import MayHaveRun, NotRun
+from vaneturn_node.traffic.serving.peeranswer import PeerAnswer
 from vaneturn_node.traffic.serving.requests import RequestContext
-from vaneturn_node.traffic.serving.sends import Evidence, Send
+from vaneturn_node.traffic.serving.sends import Send
 from vaneturn_node.traffic.sharing.forwarding import (
     FORWARDED_PATH,
     AnswerKind,
-    AnswerMarks,
     ForwardedRequest,
     drop_marks,
     encode_forwarded,
@@ -37,50 +34,6 @@
 PEER_SILENCE_S: Final = 1.0  # of a node that has accepted a request, until a request that may run again is moved
 
 
-class _ErrorBody(msgspec.Struct):
-    """The body of an answer that a node makes itself."""
-
-    error: str = ""
-    cause: str = ""
-
-
-@dataclass
-class PeerAnswer:
-    """The answer of the node that has accepted a request; its body is still to be read."""
-
-    peer: VmId
-    link: HttpLink
-    head: AnswerHead  # without marks
-    marks: AnswerMarks
-
-    async def read_whole(self, ends: AnswerEnds, limit: float) -> Answered | OwnAnswer | MayHaveRun | NotRun:
-        """Read the rest of an answer that is not a stream.
-
-        :raises LinkError: it did not arrive whole, or not in time.
-        """
-        body = await ends.read_whole(self.link, limit, BodyEnd.UNKNOWN, None)
-        if self.marks.kind is AnswerKind.SERVER:
-            return Answered(self.head.status, self.head.headers, body)
-        return self._decode_own(body)
-
-    def _decode_own(self, body: bytes) -> OwnAnswer | MayHaveRun | NotRun:
-        try:
-            error = msgspec.json.decode(body, type=_ErrorBody)
-        except msgspec.DecodeError:
-            error = _ErrorBody()
-        cause = f"{self.peer}: {error.cause or error.error}"
-        if self.marks.kind is AnswerKind.DECLINED:
-            return NotRun(cause, has_no_path=True)
-        known = {reason.value: reason for reason in Reason}
-        reason = known.get(error.error, Reason.NOT_RUN if self.head.status == 503 else Reason.MAY_HAVE_RUN)  # noqa: PLR2004 # "not run" for both interfaces
-        if reason is Reason.MAY_HAVE_RUN:
-            return MayHaveRun(cause)
-        retry_after = find_header(self.head.headers, RETRY_AFTER)
-        return OwnAnswer(
-            self.head.status, reason, parse_decimal(retry_after) if retry_after is not None else None, cause
-        )
-
-
 @dataclass(frozen=True, slots=True)
 class _Declined:
     """A node did not take a request, which it has not sent to any server."""
@@ -136,7 +89,7 @@
                 return outcome
             context.add_step(f"{peer}: {outcome.cause}")
             self._choice.record_declined(peer, outcome.reason)
-        return NotRun(f"none of {len(asked)} nodes asked has taken it", has_no_path=True)
+        return withhold(f"none of {len(asked)} nodes asked has taken it", has_no_path=True)
 
     async def _offer_to(
         self,
@@ -155,7 +108,7 @@
         try:
             link = await self._parts.pool.acquire(address, MAX_PEER_IDLE_S)
             if not context.may_send():
-                return NotRun("keys too old")
+                return withhold("keys too old")
             message = encode_forwarded(self._make_message(context, last_event_id, is_resumed=is_resumed))
             headers = [(b"host", address.encode()), (b"content-type", b"application/msgpack")]
             send = context.record_send(peer, link)
@@ -166,7 +119,7 @@
             marks = read_marks(head.headers)
             if marks is None or marks.kind is AnswerKind.DECLINED:
                 context.sends -= 1
-                send.evidence = Evidence.DECLINED
+                accept_decline(send)
                 reason = marks.reason if marks is not None else DeclineReason.NO_PATH
                 return _Declined(f"declined with {head.status}, {reason.value}", reason)
             self._choice.record_accepted(peer)
@@ -175,9 +128,7 @@
             is_kept = True
             return PeerAnswer(peer, link, AnswerHead(head.status, list(drop_marks(head.headers))), marks)
         except LinkError as error:
-            if not error.was_sent:
-                if send is not None:
-                    send.evidence = Evidence.NOT_SENT
+            if isinstance(judge_lost(send, error), NotRun):
                 return _Declined(error.cause, DeclineReason.NO_ANSWER)
             context.runs += 1
             context.add_step(f"{peer}: {error.cause}")
--- a/packages/node/src/vaneturn_node/traffic/serving/peertry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peertry.py
@@ -7,8 +7,10 @@
 from vaneturn_node.http1.link import LinkError
 from vaneturn_node.traffic.serving.clientstream import ClientStream
 from vaneturn_node.traffic.serving.events import EventSplitter
-from vaneturn_node.traffic.serving.outcomes import MayHaveRun, NotRun, OwnAnswer, TryOutcome
-from vaneturn_node.traffic.serving.peerforwarding import MAX_OFFERS, PEER_SILENCE_S, PeerAnswer, PeerForwarder
+from vaneturn_node.traffic.serving.notrun import judge_refusing_node
+from vaneturn_node.traffic.serving.outcomes import REFUSAL_STATUS, MayHaveRun, OwnAnswer, TryOutcome
+from vaneturn_node.traffic.serving.peeranswer import PeerAnswer
+from vaneturn_node.traffic.serving.peerforwarding import MAX_OFFERS, PEER_SILENCE_S, PeerForwarder
 from vaneturn_node.traffic.serving.requests import RequestContext
 from vaneturn_node.traffic.serving.streamrelay import find_body_end
 from vaneturn_node.traffic.serving.streamtry import OnAccepted
@@ -71,7 +73,8 @@
         if answer.marks.kind is not AnswerKind.SERVER or answer.head.status not in SUCCESS_STATUSES:
             outcome = await answer.read_whole(ends, self._context.time_left)
             if isinstance(outcome, OwnAnswer) and self._client.is_begun:
-                return NotRun(outcome.cause)  # an answer in progress is resumed again
+                is_refusal = outcome.status == REFUSAL_STATUS
+                return judge_refusing_node(outcome.cause, is_refusal=is_refusal)  # the answer is resumed again
             return outcome
         self._context.release_place()
         if self._on_accepted is not None:
--- a/packages/node/src/vaneturn_node/traffic/serving/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plain.py
@@ -10,6 +10,7 @@
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import LinkError
 from vaneturn_node.traffic.servers.exchange import TrafficParts
+from vaneturn_node.traffic.serving.notrun import withhold
 from vaneturn_node.traffic.serving.outcomes import (
     Answered,
     MayHaveRun,
@@ -20,7 +21,8 @@
     classify_retry,
     refuse,
 )
-from vaneturn_node.traffic.serving.peerforwarding import PEER_SILENCE_S, PeerAnswer, PeerForwarder
+from vaneturn_node.traffic.serving.peeranswer import PeerAnswer
+from vaneturn_node.traffic.serving.peerforwarding import PEER_SILENCE_S, PeerForwarder
 from vaneturn_node.traffic.serving.plaintry import MIN_SERVER_ERROR_STATUS, PlainTry, compute_try_timeout
 from vaneturn_node.traffic.serving.requests import RequestContext
 
@@ -95,7 +97,7 @@
         if not await self._parts.permits.obtain(server.id):
             retries.take_back(service, claim)
             context.add_step(f"{server.id} has no room by its rate limit")
-            return NotRun("rate limit", is_rate_limited=True)
+            return withhold("rate limit", is_rate_limited=True)
         outcome = await self._exchange.run(context, server)
         if isinstance(outcome, NotRun) and outcome.has_no_path:
             retries.take_back(service, claim)
--- a/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
@@ -16,9 +16,10 @@
 from vaneturn_node.platform.headers import AnswerFacts, build_server_headers, read_answer_facts
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.serving.answerends import AnswerEnds
+from vaneturn_node.traffic.serving.notrun import judge_lost, judge_refusal, withhold
 from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, TryOutcome
 from vaneturn_node.traffic.serving.requests import RequestContext
-from vaneturn_node.traffic.serving.sends import Evidence, Send
+from vaneturn_node.traffic.serving.sends import Send
 
 FIRST_TRY_OBJECTIVE_SHARE: Final = 0.6  # after this time, a safe request goes to a second server
 FIRST_TRY_TIME_LEFT_SHARE: Final = 0.4  # used if it is longer
@@ -85,22 +86,19 @@
                 link = await self._parts.connectivity.acquire(server, max_idle)
                 obstacle = context.claim_send(self._parts.beliefs[server.id])
                 if obstacle is not None:
-                    return NotRun(obstacle)
+                    return withhold(obstacle)
                 send = context.record_send(server.id, link)
                 sent_at = read_clock()
                 answer = await self._send_and_receive(context, server, link, timeout_s)
             if link is None or send is None:
-                return NotRun("no connection in time", is_unreachable=True)
+                return withhold("no connection in time", is_unreachable=True)
             if answer is None:
                 context.runs += 1
                 return MayHaveRun("no answer in time")
             # the check of an answer that has arrived has a limit of its own
-            outcome = await self._judge(context, server, link, answer)
-            send.evidence = Evidence.REFUSED if isinstance(outcome, NotRun) else None
+            outcome = await self._judge(context, server, send, answer)
         except LinkError as error:
-            if send is not None and not error.was_sent:
-                send.evidence = Evidence.NOT_SENT
-            return await self._handle_lost(context, server, error, sent_at)
+            return await self._handle_lost(context, server, error, send, sent_at)
         except anyio.get_cancelled_exc_class():
             if sent_at < read_clock():
                 self._parts.crash_watch.record_cancelled(server, context.describe_loss(0, sent_at))
@@ -113,14 +111,15 @@
                 await self._parts.release(link, server.address, is_whole=is_whole)
 
     async def _handle_lost(
-        self, context: RequestContext, server: BackendServer, error: LinkError, sent_at: float
+        self, context: RequestContext, server: BackendServer, error: LinkError, send: Send | None, sent_at: float
     ) -> TryOutcome:
-        if not error.was_sent:
-            return NotRun(error.cause, is_unreachable=not error.has_no_path, has_no_path=error.has_no_path)
+        outcome = judge_lost(send, error)
+        if isinstance(outcome, NotRun):
+            return outcome
         context.runs += 1
         if not error.is_unresponsive:
             await self._parts.crash_watch.record_cut_connection(server, context.describe_loss(0, sent_at))
-        return MayHaveRun(error.cause)
+        return outcome
 
     async def _send_and_receive(
         self,
@@ -140,13 +139,13 @@
         return _ReceivedAnswer(head, facts, body, body_end, sent_at)
 
     async def _judge(
-        self, context: RequestContext, server: BackendServer, link: HttpLink, answer: _ReceivedAnswer
+        self, context: RequestContext, server: BackendServer, send: Send, answer: _ReceivedAnswer
     ) -> TryOutcome:
         """Decide what an answer whose bytes have ended means for the request.
 
         :raises LinkError: it was broken off, or answers another request.
         """
-        await AnswerEnds(self._parts, context).require_whole(link, answer.body_end, server)
+        await AnswerEnds(self._parts, context).require_whole(send.link, answer.body_end, server)
         head, facts = answer.head, answer.facts
         server_status = self._parts.beliefs[server.id]
         if facts.load is not None:
@@ -156,9 +155,13 @@
         if not facts.is_wrong_server:
             self._parts.directives.apply(server, facts.directives, answer.sent_at)
         if facts.was_refused:
-            server_status.is_replaced = server_status.is_replaced or facts.is_wrong_server
-            return NotRun(f"refused with {head.status}")
+            refusal = judge_refusal(send, facts, context.facts.id, f"refused with {head.status}")
+            if isinstance(refusal, NotRun):
+                server_status.is_replaced = server_status.is_replaced or facts.is_wrong_server
+                return refusal
         context.runs += 1
+        if facts.was_refused:
+            return refusal
         if facts.is_sealed:
             return Answered(head.status, head.headers, answer.body)
         return MayHaveRun(f"unsealed answer {head.status}")
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -102,7 +102,7 @@
 
     def record_send(self, target: str, link: HttpLink) -> Send:
         """Record that it is about to be sent to a server or another node."""
-        send = Send(target, self.age, link.connection.number, link.connection.exchanges)
+        send = Send(target, self.age, link, link.connection.number, link.connection.exchanges)
         self.history.record(send, self.facts.id, must_run_once=not self.route.may_repeat)
         return send
 
--- a/packages/node/src/vaneturn_node/traffic/serving/sends.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/sends.py
@@ -11,6 +11,7 @@
 
 from vaneturn_core.identifiers import RequestId
 from vaneturn_core.traffic.state import TrafficSend
+from vaneturn_node.http1.link import HttpLink
 
 logger = logging.getLogger(__name__)
 
@@ -29,10 +30,16 @@
 
     target: str  # a server or another node
     at: float  # seconds since the request arrived
+    link: HttpLink
     connection: int  # its number within this process
     exchange: int  # its number on the connection, from 1
     evidence: Evidence | None = None  # None while the request may have run there
 
+    @property
+    def was_written(self) -> bool:
+        """Tell whether a byte of the request may have been written."""
+        return self.link.was_sent
+
     @property
     def not_run(self) -> str:
         """Give what shows that the request has not run there, for logs; empty if it may have."""
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -26,10 +26,10 @@
 from vaneturn_node.traffic.serving.clientstream import ClientStream
 from vaneturn_node.traffic.serving.heads import handle_head
 from vaneturn_node.traffic.serving.lostconnections import handle_lost_connection
+from vaneturn_node.traffic.serving.notrun import withhold
 from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, OwnAnswer, TryOutcome
 from vaneturn_node.traffic.serving.repair import ChainRepair, TryEndedError
 from vaneturn_node.traffic.serving.requests import RequestContext
-from vaneturn_node.traffic.serving.sends import Evidence, Send
 from vaneturn_node.traffic.serving.streamrelay import StreamRelay
 
 HEAD_PROBE_DELAY_S: Final = 0.2  # before the first event; most arrive in 0.16 s, and the target is 0.5 s
@@ -77,7 +77,6 @@
         self._prepare_next = prepare_next
         self._on_accepted = on_accepted
         self._link: HttpLink | None = None
-        self._send: Send | None = None
         self._is_replaced = False  # another try has replaced it
         self._has_resumed = False  # it resumed while another try was opening, which has to end
         self._waits_for_retry = False
@@ -98,8 +97,6 @@
         except TryEndedError as ended:
             outcome = ended.outcome
         except LinkError as error:
-            if self._send is not None and not error.was_sent:
-                self._send.evidence = Evidence.NOT_SENT
             outcome = await handle_lost_connection(
                 self._parts, self._context, self._reservation, error, claim=self._claim, events=self._relay.events
             )
@@ -124,26 +121,25 @@
         context = self._context
         if not await self._parts.permits.obtain(self._first_server.id):
             self._parts.retries.take_back(context.service, self._claim)
-            return NotRun(f"{self._first_server.id} has no room by its rate limit", is_rate_limited=True)
+            return withhold(f"{self._first_server.id} has no room by its rate limit", is_rate_limited=True)
         context.sends += 1
         self._client.pace.record_step(PauseStep.RESUMED, read_clock())
         self._reservation.reserve()
         self._link = link = await self._parts.connectivity.acquire(self._first_server)
         obstacle = context.claim_send(self._parts.beliefs[self._first_server.id])
         if obstacle is not None:
-            return NotRun(obstacle)
+            return withhold(obstacle)
         dispatch = context.make_dispatch(
             self._first_server.name, self._reservation.chain, self._client.last_event, is_resumed=self._client.is_begun
         )
         headers = build_server_headers(context.request.headers, dispatch)
-        self._send = context.record_send(self._first_server.id, link)
+        self._reservation.send = context.record_send(self._first_server.id, link)
         self._reservation.sent_at = read_clock()
         await link.send(
             context.request.method, context.request.target, headers, context.request.body, context.time_left
         )
         head = await self._relay.wait_for(link.read_head, HEAD_PROBE_DELAY_S)
-        outcome = await handle_head(self._parts, context, self._reservation, link, head)
-        self._send.evidence = Evidence.REFUSED if isinstance(outcome, NotRun) else None
+        outcome = await handle_head(self._parts, context, self._reservation, self._reservation.send, head)
         self._parts.retries.record_outcome(context.service, self._claim, is_accepted=outcome is None)
         if outcome is not None:
             return outcome
--- a/tests/node/traffic/serving/test_plaintry.py
+++ b/tests/node/traffic/serving/test_plaintry.py
@@ -29,6 +29,7 @@
 class FakeLink:
     """Delivers the end of its answer in the round of the event loop in which the limit of the try passes."""
 
+    was_sent = True
     framing, ending = Framing.CLOSE, Ending.CLOSED
 
     async def send(self, *_: object) -> None:
@@ -73,7 +74,7 @@
         request=SimpleNamespace(method="GET", target="/", headers=[], body=b""),
         facts=SimpleNamespace(id=None),
         claim_send=lambda _: None,
-        record_send=lambda *_: SimpleNamespace(evidence=None),
+        record_send=lambda target, _: SimpleNamespace(target=target, link=link, was_written=True, evidence=None),
         make_dispatch=lambda name: SimpleNamespace(
             server=name, priority=0, deadline=None, customer=None, chain=None, last_event_id=None
         ),
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -109,6 +109,11 @@
             ),
         ),
     ),
+    Proof(
+        "a refusal must name the request",
+        f"{SYSTEM}/test_plain.py::test_late_surplus_refusal_does_not_repeat_a_request_that_must_run_once",
+        (Edit(f"{TRAFFIC}/serving/notrun.py", "if facts.id is None or facts.id != request:", "if False:"),),
+    ),
     Proof(
         "a connection carries one exchange at a time",
         "tests/node/traffic/test_pool.py::test_exchange_that_gave_its_connection_back_does_not_close_it",
--- a/tests/standins/platform/servers.py
+++ b/tests/standins/platform/servers.py
@@ -231,7 +231,8 @@
         call = exchange.call
         expected = call.headers.get("x-expect-instance")
         if expected not in {None, self.id}:
-            await exchange.reply(421, {"X-Instance-Id": self.id})
+            request = call.headers.get("x-request-id")
+            await exchange.reply(421, {"X-Instance-Id": self.id, **({"X-Request-Id": request} if request else {})})
         elif call.path == "/api/report":
             await anyio.sleep(self.report_time)
             await exchange.reply_json(200, self._report())
