Count a forwarded request as declined only if the other node says so

What callers could see: a request that must run once ran at two nodes. Cause: an answer without marks counted as declined. A node answers 500 without marks when an unexpected error leaves the handler of a request that a server may have. Class: the absence of a statement is taken for the statement that allows a second run. Change: an answer without marks means that it may have run. Answers to requests that a node has not read whole (408, 413, 400) are marked as declined, so that these still go to the next node.

--- a/packages/node/src/vaneturn_node/http1/server.py
+++ b/packages/node/src/vaneturn_node/http1/server.py
@@ -13,6 +13,7 @@
 from vaneturn_core.traffic.configuration import ClientLimits
 from vaneturn_node.http1.clientanswer import ClientAnswer, ClientLeftError
 from vaneturn_node.http1.framing import Rejection
+from vaneturn_node.http1.messages import Headers
 from vaneturn_node.http1.requestreader import ClientRequest, RequestReader
 from vaneturn_node.http1.tcp import TcpStream
 
@@ -44,12 +45,14 @@
         *,
         is_stopping: Callable[[], bool],
         on_error: Callable[[Exception], object],
+        list_unread_headers: Callable[[], Headers] = tuple,
     ) -> None:
         """Prepare a connection.
 
         :param get_limits: called for each request.
         :param on_error: called with an unexpected error, which ends the connection.
         :param is_stopping: called for each answer; tells whether the connection closes after it.
+        :param list_unread_headers: called for the answer to a request that was not read whole; lists its headers.
         :param idle_scopes: contains the scope of this connection while it has no request; cancelling closes it.
         """
         self._stream = stream
@@ -57,6 +60,7 @@
         self._reader = RequestReader(stream, get_limits, idle_scopes)
         self._is_stopping = is_stopping
         self._on_error = on_error
+        self._list_unread_headers = list_unread_headers
         self._has_disconnected = False  # the client
 
     async def run(self) -> None:
@@ -91,7 +95,7 @@
         if request is None:
             return False
         if isinstance(request, Rejection):
-            await self._reject(request)
+            await self._reject(request, self._list_unread_headers())
             return False
         answer = ClientAnswer(self._stream, self._reader.protocol, request.method, self._is_stopping)
         await self._answer(request, answer)
@@ -118,14 +122,14 @@
             finally:
                 self._stream.watch_end(None)
 
-    async def _reject(self, rejection: Rejection) -> None:
+    async def _reject(self, rejection: Rejection, headers: Headers = ()) -> None:
         """Answer a refused request and end the connection, as the rest of the request is not read."""
         logger.info("request rejected", extra={"status": rejection.status, "reason": rejection.reason})
         if self._reader.protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
         answer = ClientAnswer(self._stream, self._reader.protocol, "GET", lambda: True)
         body = rejection.reason.encode()
-        await answer.send_whole(rejection.status, [(b"content-type", b"text/plain")], body)
+        await answer.send_whole(rejection.status, [(b"content-type", b"text/plain"), *headers], body)
         await self._end_connection()
 
     async def _end_connection(self) -> None:
--- a/packages/node/src/vaneturn_node/traffic/process/listeners.py
+++ b/packages/node/src/vaneturn_node/traffic/process/listeners.py
@@ -15,12 +15,14 @@
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.errors import Supervisor, UnexpectedErrors
 from vaneturn_node.http1.clientanswer import ClientAnswer
+from vaneturn_node.http1.messages import Headers
 from vaneturn_node.http1.requestreader import ClientRequest
 from vaneturn_node.http1.server import ClientConnection, Handler
 from vaneturn_node.http1.tcp import TcpStream, listen
 from vaneturn_node.traffic.process.inspection import OperatorHandler
 from vaneturn_node.traffic.process.stopping import Lifecycle
 from vaneturn_node.traffic.serving.answering import RequestHandler
+from vaneturn_node.traffic.serving.answermarks import mark_unread
 from vaneturn_node.traffic.serving.forwardedrequests import ForwardedRequestHandler
 from vaneturn_node.traffic.sharing.changeserver import ChangeServer
 from vaneturn_node.traffic.sharing.forwarding import FORWARDED_PATH
@@ -90,16 +92,24 @@
         await self._serve(stream, self._operators.answer)
 
     async def _serve_peer(self, stream: TcpStream) -> None:
-        await self._serve(stream, self._answer_peer, extra_bytes=MAX_FORWARDED_HEAD_BYTES)
+        mark = partial(mark_unread, self._view)
+        await self._serve(stream, self._answer_peer, extra_bytes=MAX_FORWARDED_HEAD_BYTES, list_unread_headers=mark)
 
     async def _answer_peer(self, request: ClientRequest, answer: ClientAnswer) -> None:
         is_forwarded = request.path == FORWARDED_PATH
         await (self._forwarded if is_forwarded else self._changes).answer(request, answer)
 
-    async def _serve(self, stream: TcpStream, handler: Handler, extra_bytes: int = 0) -> None:
+    async def _serve(
+        self,
+        stream: TcpStream,
+        handler: Handler,
+        extra_bytes: int = 0,
+        list_unread_headers: Callable[[], Headers] = tuple,
+    ) -> None:
         """Serve a connection.
 
         :param extra_bytes: allowed in the body of a request beyond the limit for clients.
+        :param list_unread_headers: as for the connection.
         """
 
         def get_limits() -> ClientLimits:
@@ -115,6 +125,7 @@
             lifecycle.idle_scopes,
             is_stopping=lambda: lifecycle.is_stopping,
             on_error=partial(self._errors.record, "connection"),
+            list_unread_headers=list_unread_headers,
         )
         await connection.run()
 
--- a/packages/node/src/vaneturn_node/traffic/serving/answermarks.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answermarks.py
@@ -33,6 +33,11 @@
     return _build(view, AnswerKind.DECLINED, runs, _DECLINE_REASONS.get(result.reason, DeclineReason.NOT_ADMITTED))
 
 
+def mark_unread(view: PlatformView) -> Headers:
+    """Build the marks of the answer to a request that was not read whole, so that no handler got it."""
+    return _build(view, AnswerKind.DECLINED, 0, DeclineReason.NO_ANSWER)
+
+
 def mark_broken_off(view: PlatformView, context: RequestContext) -> Headers:
     """Build the marks at the end of a begun answer that is not whole."""
     return _build(view, AnswerKind.BROKEN_OFF, context.runs)
@@ -54,4 +59,4 @@
     return is_untouched and (first_node.is_resumed or result.reason is Reason.MAY_HAVE_RUN)
 
 
-__all__ = ["mark_answer", "mark_broken_off"]
+__all__ = ["mark_answer", "mark_broken_off", "mark_unread"]
--- a/packages/node/src/vaneturn_node/traffic/serving/forwardedrequests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/forwardedrequests.py
@@ -15,6 +15,7 @@
 from vaneturn_node.http1.requestreader import ClientRequest
 from vaneturn_node.platform.headers import replace_last_event_id
 from vaneturn_node.traffic.serving.answering import RequestHandler
+from vaneturn_node.traffic.serving.answermarks import mark_unread
 from vaneturn_node.traffic.serving.requests import FirstNode
 from vaneturn_node.traffic.sharing.forwarding import (
     AnswerKind,
@@ -50,7 +51,7 @@
         """Handle a request of another node, or decline it before any server has received it."""
         forwarded = decode_forwarded(request.body)
         if forwarded is None:
-            await answer.send_whole(400, [], b"")
+            await answer.send_whole(400, mark_unread(self._view), b"")
             return
         reason = await self._find_obstacle(forwarded)
         if reason is not None:
--- a/packages/node/src/vaneturn_node/traffic/serving/notrun.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/notrun.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 from vaneturn_core.identifiers import RequestId
+from vaneturn_core.traffic.peerchoice import DeclineReason
 from vaneturn_node.http1.link import LinkError
 from vaneturn_node.platform.headers import AnswerFacts
 from vaneturn_node.traffic.serving.outcomes import MayHaveRun, NotRun
 from vaneturn_node.traffic.serving.sends import Evidence, Send
+from vaneturn_node.traffic.sharing.forwarding import AnswerKind, AnswerMarks
 
 
 def withhold(
@@ -48,9 +50,17 @@
     return NotRun(cause, Evidence.REFUSED)
 
 
-def accept_decline(send: Send) -> None:
-    """Record that another node has declined a request: it has sent it to no server."""
+def judge_node_answer(send: Send, marks: AnswerMarks | None) -> DeclineReason | None:
+    """Judge the marks of another node's answer; return why it has declined the request, None if it has not.
+
+    :raises LinkError: the answer has no marks, as one to a request that an error has ended, which may have run.
+    """
+    if marks is None:
+        raise LinkError("answer without marks", was_sent=True)
+    if marks.kind is not AnswerKind.DECLINED:
+        return None
     send.evidence = Evidence.DECLINED
+    return marks.reason
 
 
 def judge_refusing_node(cause: str, *, is_refusal: bool) -> NotRun | MayHaveRun:
@@ -58,4 +68,4 @@
     return NotRun(cause, Evidence.REFUSED) if is_refusal else MayHaveRun(cause)
 
 
-__all__ = ["accept_decline", "judge_lost", "judge_refusal", "judge_refusing_node", "withhold"]
+__all__ = ["judge_lost", "judge_node_answer", "judge_refusal", "judge_refusing_node", "withhold"]
--- a/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -14,14 +14,13 @@
 from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.serving.answerends import AnswerEnds
-from vaneturn_node.traffic.serving.notrun import accept_decline, judge_lost, withhold
+from vaneturn_node.traffic.serving.notrun import judge_lost, judge_node_answer, withhold
 from vaneturn_node.traffic.serving.outcomes import MayHaveRun, NotRun
 from vaneturn_node.traffic.serving.peeranswer import PeerAnswer
 from vaneturn_node.traffic.serving.requests import RequestContext
 from vaneturn_node.traffic.serving.sends import Send
 from vaneturn_node.traffic.sharing.forwarding import (
     FORWARDED_PATH,
-    AnswerKind,
     ForwardedRequest,
     drop_marks,
     encode_forwarded,
@@ -117,11 +116,11 @@
             context.add_step(f"forwarded to {peer}")
             head = await self._read_head(link, context, silence)
             marks = read_marks(head.headers)
-            if marks is None or marks.kind is AnswerKind.DECLINED:
+            reason = judge_node_answer(send, marks)
+            if reason is not None:
                 context.sends -= 1
-                accept_decline(send)
-                reason = marks.reason if marks is not None else DeclineReason.NO_PATH
                 return _Declined(f"declined with {head.status}, {reason.value}", reason)
+            assert marks is not None  # noqa: S101 # an answer without marks has raised
             self._choice.record_accepted(peer)
             self._newest_version = max(self._newest_version, marks.version)
             context.runs = max(context.runs, marks.runs)
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -109,6 +109,18 @@
             ),
         ),
     ),
+    Proof(
+        "a node's answer without marks declines nothing",
+        "tests/node/traffic/serving/test_peerforwarding.py"
+        "::test_request_is_offered_to_no_other_node_after_an_answer_without_marks",
+        (
+            Edit(
+                f"{TRAFFIC}/serving/notrun.py",
+                'raise LinkError("answer without marks", was_sent=True)',
+                "return DeclineReason.NO_PATH",
+            ),
+        ),
+    ),
     Proof(
         "a refusal must name the request",
         f"{SYSTEM}/test_plain.py::test_late_surplus_refusal_does_not_repeat_a_request_that_must_run_once",
--- a/tests/system/platform/test_input.py
+++ b/tests/system/platform/test_input.py
@@ -52,6 +52,17 @@
     assert not traffic.fleet.runs
 
 
+async def test_request_of_another_node_that_is_not_read_whole_is_marked_as_declined(traffic: Traffic) -> None:
+    """Without marks, the node that forwarded it must assume that it may have run."""
+    head = HEAD.replace("/once/1", "/forwarded") + "Content-Length: 5\r\n\r\n"
+    async with await anyio.connect_tcp("127.0.0.1", traffic.nodes[0].peer_port) as node:
+        await node.send((head + "ab").encode())
+        answer = await node.receive()
+    assert answer.startswith(b"HTTP/1.1 408")
+    assert b"vaneturn-answer: declined" in answer
+    assert b"vaneturn-answer" not in await send(traffic, HEAD + "Content-Length: 5\r\n\r\nab")
+
+
 async def test_pipelined_requests_are_answered_in_order(traffic: Traffic) -> None:
     await traffic.add_desk()
     data = "".join(HEAD + f"X-Request-Id: r{n}\r\nContent-Length: 2\r\n\r\nab" for n in range(2))
