Check once more right before a send that a request which must run once has not run

What callers could see: a second run after any fault in the code between a send and the next one that loses "may have run"; and two nodes with different versions of a route that judge a forwarded request by different kinds. Cause: whether a second send was allowed was known only from outcomes handed on by each caller. Class: an invariant that every caller keeps by itself is checked nowhere. A forwarded request says that it must run once, and the other node keeps to that.

--- a/packages/node/src/vaneturn_node/traffic/serving/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answering.py
@@ -24,13 +24,14 @@
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.serving.admitting import StreamAdmitter
 from vaneturn_node.traffic.serving.answermarks import mark_answer, mark_broken_off
+from vaneturn_node.traffic.serving.firstnode import FirstNode
 from vaneturn_node.traffic.serving.metrics import TrafficMetrics
 from vaneturn_node.traffic.serving.outcomes import REFUSAL_STATUS, Answered, OwnAnswer, Reason, refuse
 from vaneturn_node.traffic.serving.peerforwarding import PeerForwarder
 from vaneturn_node.traffic.serving.plain import PlainForwarder
 from vaneturn_node.traffic.serving.requesthistory import RequestHistory, describe_request
 from vaneturn_node.traffic.serving.requestrouting import OLD_KEYS_RETRY_S, RequestRouter
-from vaneturn_node.traffic.serving.requests import FirstNode, RequestContext
+from vaneturn_node.traffic.serving.requests import RequestContext
 from vaneturn_node.traffic.serving.streams import StreamForwarder
 
 logger = logging.getLogger(__name__)
@@ -185,7 +186,7 @@
         self._metrics.observe(record.route, record.customer, ending, record.seconds)
         if context is not None:
             self._metrics.broken_answers.update(context.broken_answers)
-            self._metrics.repeats.update(context.history.list_repeats(must_run_once=not context.route.may_repeat))
+            self._metrics.repeats.update(context.history.list_repeats(must_run_once=not context.may_repeat))
         self._history.add(facts.id, record)
         extra = msgspec.to_builtins(record)
         del extra["admission"]  # has a log line of its own
--- a/packages/node/src/vaneturn_node/traffic/serving/answermarks.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answermarks.py
@@ -7,8 +7,9 @@
 from vaneturn_core.traffic.peerchoice import DeclineReason
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.http1.messages import Headers
+from vaneturn_node.traffic.serving.firstnode import FirstNode
 from vaneturn_node.traffic.serving.outcomes import Answered, OwnAnswer, Reason
-from vaneturn_node.traffic.serving.requests import FirstNode, RequestContext
+from vaneturn_node.traffic.serving.requests import RequestContext
 from vaneturn_node.traffic.sharing.forwarding import AnswerKind, AnswerMarks, build_marks
 
 _DECLINE_REASONS: Final = {
--- /dev/null
+++ b/packages/node/src/vaneturn_node/traffic/serving/firstnode.py
@@ -0,0 +1,24 @@
+"""The node that forwarded a request to this one."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from vaneturn_core.identifiers import VmId
+from vaneturn_core.traffic.servers import ServerId
+
+
+@dataclass(frozen=True, slots=True)
+class FirstNode:
+    """The node that forwarded a request to this one, and what it had done with the request before."""
+
+    vm: VmId
+    sends: int
+    runs: int
+    may_have_run: bool
+    is_resumed: bool  # the client has received a part of the answer
+    must_run_once: bool = False
+    avoided: frozenset[ServerId] = frozenset()  # servers that have lost or refused it
+
+
+__all__ = ["FirstNode"]
--- a/packages/node/src/vaneturn_node/traffic/serving/forwardedrequests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/forwardedrequests.py
@@ -16,7 +16,7 @@
 from vaneturn_node.platform.headers import replace_last_event_id
 from vaneturn_node.traffic.serving.answering import RequestHandler
 from vaneturn_node.traffic.serving.answermarks import mark_unread
-from vaneturn_node.traffic.serving.requests import FirstNode
+from vaneturn_node.traffic.serving.firstnode import FirstNode
 from vaneturn_node.traffic.sharing.forwarding import (
     AnswerKind,
     AnswerMarks,
@@ -103,6 +103,7 @@
         forwarded.runs,
         may_have_run=forwarded.may_have_run,
         is_resumed=forwarded.is_resumed,
+        must_run_once=forwarded.must_run_once,
         avoided=frozenset(forwarded.avoided),
     )
 
--- a/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -106,8 +106,9 @@
         self._choice.record_begun(peer)
         try:
             link = await self._parts.pool.acquire(address, MAX_PEER_IDLE_S)
-            if not context.may_send():
-                return withhold("keys too old")
+            obstacle = context.find_obstacle()
+            if obstacle is not None:
+                return withhold(obstacle)
             message = encode_forwarded(self._make_message(context, last_event_id, is_resumed=is_resumed))
             headers = [(b"host", address.encode()), (b"content-type", b"application/msgpack")]
             send = context.record_send(peer, link)
@@ -169,6 +170,7 @@
             may_have_run=context.may_have_run,
             last_event_id=last_event_id,
             is_resumed=is_resumed,
+            must_run_once=not context.may_repeat,
             avoided=[] if is_path_lost else sorted(context.avoided),
         )
 
--- a/packages/node/src/vaneturn_node/traffic/serving/repair.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/repair.py
@@ -96,7 +96,7 @@
         """
         if await self._parts.connectivity.check(self._context.service, read_clock() - PATH_CHECK_AGE_S):
             return
-        if self._context.is_forwarded and self._context.route.may_repeat:
+        if self._context.is_forwarded and self._context.may_repeat:
             raise TryEndedError(MayHaveRun("no path to any server"))  # the first node asks another one
         await self._move("no path to any server", is_first_lost=True)
 
@@ -133,7 +133,7 @@
         self._reservation.record_lost_part(self._reservation.chain.parts[0])
         await self._move("first server lost", is_first_lost=True)
         # the request can get no answer but this one
-        is_only_answer = self._client.is_begun or not self._context.route.may_repeat
+        is_only_answer = self._client.is_begun or not self._context.may_repeat
         if self._has_first_ended() or not is_only_answer:
             self._reservation.undo_run_count()
             raise TryEndedError(MayHaveRun("first server lost"))
--- a/packages/node/src/vaneturn_node/traffic/serving/requestrouting.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requestrouting.py
@@ -11,8 +11,9 @@
 from vaneturn_node.http1.requestreader import ClientRequest
 from vaneturn_node.platform.headers import RequestFacts
 from vaneturn_node.traffic.servers.exchange import TrafficParts
+from vaneturn_node.traffic.serving.firstnode import FirstNode
 from vaneturn_node.traffic.serving.outcomes import OwnAnswer, Reason, refuse
-from vaneturn_node.traffic.serving.requests import FirstNode, RequestContext
+from vaneturn_node.traffic.serving.requests import RequestContext
 
 NO_CONFIGURATION_RETRY_S: Final = 0.3  # a node reads its configuration within a second of its start
 OLD_KEYS_RETRY_S: Final = 0.2  # short, since other nodes may reach the store
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -8,7 +8,7 @@
 from functools import cached_property
 from typing import Final
 
-from vaneturn_core.identifiers import ServiceName, VmId
+from vaneturn_core.identifiers import ServiceName
 from vaneturn_core.traffic.beliefs import ServerStatus
 from vaneturn_core.traffic.blame.causes import Cause
 from vaneturn_core.traffic.blame.contents import Fingerprint, digest_content, format_identity
@@ -24,6 +24,7 @@
 from vaneturn_node.http1.link import HttpLink
 from vaneturn_node.http1.requestreader import ClientRequest
 from vaneturn_node.platform.headers import Dispatch, RequestFacts
+from vaneturn_node.traffic.serving.firstnode import FirstNode
 from vaneturn_node.traffic.serving.outcomes import OwnAnswer, Reason, refuse
 from vaneturn_node.traffic.serving.sends import Send, SendHistory
 
@@ -33,18 +34,6 @@
 LEAST_URGENT: Final = 9
 
 
-@dataclass(frozen=True, slots=True)
-class FirstNode:
-    """The node that forwarded a request to this one, and what it had done with the request before."""
-
-    vm: VmId
-    sends: int
-    runs: int
-    may_have_run: bool
-    is_resumed: bool  # the client has received a part of the answer
-    avoided: frozenset[ServerId] = frozenset()  # servers that have lost or refused it
-
-
 @dataclass
 class RequestContext:
     """An admitted request and the state of its tries."""
@@ -103,7 +92,7 @@
     def record_send(self, target: str, link: HttpLink) -> Send:
         """Record that it is about to be sent to a server or another node."""
         send = Send(target, self.age, link, link.connection.number, link.connection.exchanges)
-        self.history.record(send, self.facts.id, must_run_once=not self.route.may_repeat)
+        self.history.record(send, self.facts.id, must_run_once=not self.may_repeat)
         return send
 
     def find_block(self) -> Cause | None:
@@ -130,10 +119,23 @@
         """
         return self.is_key_valid() and self.find_block() is None
 
-    def claim_send(self, server_status: ServerStatus) -> str | None:
-        """Claim a send right before it is made; return what forbids it, None if nothing does."""
+    def find_obstacle(self) -> str | None:
+        """Find what forbids a send right before it is made.
+
+        That a request must run once is checked here once more, from the sends themselves.
+        """
         if not self.may_send():
             return "keys too old"
+        if not self.may_repeat and (self.may_have_run or self.history.may_have_run):
+            self.may_have_run = True
+            return "it may have run before"
+        return None
+
+    def claim_send(self, server_status: ServerStatus) -> str | None:
+        """Claim a send to a server right before it is made; return what forbids it, None if nothing does."""
+        obstacle = self.find_obstacle()
+        if obstacle is not None:
+            return obstacle
         if not server_status.claim_send(read_clock()):
             return "the server asked for no more requests"
         self.is_trial = self.crashes.begin_trial(self.fingerprint, self.service)
@@ -152,15 +154,20 @@
         """Give the seconds until it must be answered."""
         return self.expires_at - read_clock()
 
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether it may run a second time, here and by the node that forwarded it."""
+        return self.route.may_repeat and not (self.first_node is not None and self.first_node.must_run_once)
+
     @property
     def may_run_again(self) -> bool:
         """Tell whether it may run on one more server."""
-        return self.route.may_repeat and self.runs < self.route.max_attempts
+        return self.may_repeat and self.runs < self.route.max_attempts
 
     @property
     def may_leave_try(self) -> bool:
         """Tell whether a try in progress, which is not counted yet, may be given up for another one."""
-        return self.route.may_repeat and self.runs + 1 < self.route.max_attempts
+        return self.may_repeat and self.runs + 1 < self.route.max_attempts
 
     @property
     def age(self) -> float:
--- a/packages/node/src/vaneturn_node/traffic/serving/sends.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/sends.py
@@ -40,6 +40,11 @@
         """Tell whether a byte of the request may have been written."""
         return self.link.was_sent
 
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether the request may have run there."""
+        return self.was_written and self.evidence is None
+
     @property
     def not_run(self) -> str:
         """Give what shows that the request has not run there, for logs; empty if it may have."""
@@ -77,6 +82,11 @@
             logger.info("request sent again", extra=extra)
         self._sends.append(send)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether the request may have run anywhere."""
+        return any(send.may_have_run for send in self._sends)
+
     def list_repeats(self, *, must_run_once: bool) -> Iterator[Repeat]:
         """List the sends after the first, for metrics."""
         for before, _ in itertools.pairwise(self._sends):
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -175,7 +175,7 @@
         if is_first_lost and has_path and lost is not None:
             await self._parts.crash_watch.record_unresponsive(self._first_server, lost)
         runs = context.runs + (not self._reservation.is_run_counted) - is_first_lost
-        if not context.route.may_repeat or runs >= context.route.max_attempts:
+        if not context.may_repeat or runs >= context.route.max_attempts:
             context.add_wait_step(f"{cause}; waits")
             return
         if read_clock() >= self._next_move_at:
--- a/packages/node/src/vaneturn_node/traffic/sharing/forwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/forwarding.py
@@ -41,6 +41,7 @@
     may_have_run: bool = False
     last_event_id: str | None = None  # that the client has received from this answer or an earlier one
     is_resumed: bool = False  # the client has received a part of this answer
+    must_run_once: bool = False  # by the first node's configuration
     avoided: list[ServerId] = []  # servers on which the first node has lost it or was refused
 
 
--- a/tests/node/traffic/serving/test_plaintry.py
+++ b/tests/node/traffic/serving/test_plaintry.py
@@ -70,7 +70,7 @@
     monkeypatch.setattr(parts.liveness, "check", check)
     monkeypatch.setattr(parts, "release", release)
     context: Any = SimpleNamespace(
-        route=SimpleNamespace(may_repeat=True),
+        may_repeat=True,
         request=SimpleNamespace(method="GET", target="/", headers=[], body=b""),
         facts=SimpleNamespace(id=None),
         claim_send=lambda _: None,
--- a/tests/node/traffic/sharing/test_forwarding.py
+++ b/tests/node/traffic/sharing/test_forwarding.py
@@ -20,7 +20,17 @@
 def test_forwarded_request_arrives_unchanged() -> None:
     headers = [(b"host", b"desk.example"), (b"x-request-id", b"\xff1")]
     sent = ForwardedRequest(
-        VmId("entry-1"), "POST", "/letter/1?a=b", headers, b"\x00\xff", 0.5, 7, 1, 1, last_event_id="12"
+        VmId("entry-1"),
+        "POST",
+        "/letter/1?a=b",
+        headers,
+        b"\x00\xff",
+        0.5,
+        7,
+        1,
+        1,
+        last_event_id="12",
+        must_run_once=True,
     )
     assert decode_forwarded(encode_forwarded(sent)) == sent
 
--- a/tests/rig/ablation.py
+++ b/tests/rig/ablation.py
@@ -96,11 +96,7 @@
     Mechanism(
         "idle-bound",
         "a request that may not run twice lost on a connection that the server forgot",
-        (
-            Edit(
-                f"{TRAFFIC}/serving/plaintry.py", "max_idle = MAX_IDLE_S if context.route.may_repeat else", "max_idle ="
-            ),
-        ),
+        (Edit(f"{TRAFFIC}/serving/plaintry.py", "max_idle = MAX_IDLE_S if context.may_repeat else", "max_idle ="),),
     ),
     Mechanism(
         "retry-shares",
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -104,9 +104,12 @@
         (
             Edit(
                 f"{TRAFFIC}/serving/requests.py",
-                "return self.route.may_repeat and self.runs < self.route.max_attempts",
+                "return self.may_repeat and self.runs < self.route.max_attempts",
                 "return self.runs < 2",
             ),
+            Edit(
+                f"{TRAFFIC}/serving/requests.py", "if not self.may_repeat and (self.may_have_run", "if False and (True"
+            ),
         ),
     ),
     Proof(
@@ -121,6 +124,15 @@
             ),
         ),
     ),
+    Proof(
+        "a second send needs evidence that the first has not run",
+        "tests/node/traffic/serving/test_requestcontext.py::test_second_send_needs_evidence_that_the_first_has_not_run",
+        (
+            Edit(
+                f"{TRAFFIC}/serving/requests.py", "if not self.may_repeat and (self.may_have_run", "if False and (True"
+            ),
+        ),
+    ),
     Proof(
         "a refusal must name the request",
         f"{SYSTEM}/test_plain.py::test_late_surplus_refusal_does_not_repeat_a_request_that_must_run_once",
--- a/tests/system/platform/test_soak.py
+++ b/tests/system/platform/test_soak.py
@@ -8,6 +8,7 @@
 
 from rig.deadlysoak import DeadlyPartSoak, DeadlySoak
 from rig.endingsoak import EndingSoak
+from rig.oncesoak import OnceSoak
 from rig.partitionsoak import PartitionSoak
 from rig.retrysoak import RetrySoak
 from rig.trafficsoak import run_traffic_soak
@@ -70,3 +71,11 @@
     assert findings.faults == []
     assert findings.counts["letter 200"]
     assert findings.counts["retries at llm"]
+
+
+@pytest.mark.parametrize("seed", [1])
+async def test_surplus_answers_and_closed_connections_let_no_request_run_twice(tmp_path: Path, seed: int) -> None:
+    findings = await run_traffic_soak(tmp_path, 2 * SECONDS, seed, OnceSoak)
+    assert findings.faults == []
+    assert findings.counts["once 200"]
+    assert findings.counts["surplus refusal without an id"]
