Tell the answer to a call from a surplus answer to a request

What operators could see: a sound server that counts as gone, or is believed not to run a request that it runs. Cause: calls for reports and orders share their connections with requests, and took any answer as theirs. Change: an answer that names a request is none to a call; the connection is closed.

--- a/packages/node/src/vaneturn_node/http1/caller.py
+++ b/packages/node/src/vaneturn_node/http1/caller.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
 
 from vaneturn_core.traffic.completeness import AnswerEnd, BodyEnd, Completeness, Framing, find_document_end, judge_end
 from vaneturn_node.clock import read_clock
-from vaneturn_node.http1.link import MAX_WHOLE_BYTES, HttpLink, LinkError
+from vaneturn_node.http1.link import MAX_WHOLE_BYTES, AnswerHead, HttpLink, LinkError
 from vaneturn_node.http1.messages import Headers
 from vaneturn_node.http1.pool import LinkPool
 
@@ -42,6 +43,10 @@
     last_data_at: float = float("-inf")  # monotonic time when bytes of a body last arrived
 
 
+def _is_any_due(_: Headers) -> bool:
+    return True
+
+
 class Caller:
     """Makes short calls over pooled connections."""
 
@@ -58,8 +63,12 @@
         body: bytes = b"",
         headers: Headers = (),
         arrival: BodyArrival | None = None,
+        is_due: Callable[[Headers], bool] = _is_any_due,
     ) -> Reply | Failed:
-        """Call a server; the limit in seconds covers the whole call, and `arrival` extends it for a long answer."""
+        """Call a server; the limit in seconds covers the whole call, and `arrival` extends it for a long answer.
+
+        :param is_due: tells from the headers of an answer whether it may be the one to this call.
+        """
         link: HttpLink | None = None
         parts: list[bytes] = []
         head = [(b"host", address.encode()), *headers]
@@ -69,7 +78,7 @@
             with anyio.move_on_after(limit) as scope:
                 link = await self._pool.acquire(address)
                 await link.send(method, target, head, body, limit)
-                answer = await link.read_head(limit)
+                answer = await _read_head(link, limit, is_due)
                 if arrival is not None:
                     scope.deadline += arrival.extra_time
                 await _read_body(link, limit, arrival, parts)
@@ -95,6 +104,13 @@
         return Reply(answer.status, whole, answer.headers)
 
 
+async def _read_head(link: HttpLink, limit: float, is_due: Callable[[Headers], bool]) -> AnswerHead:
+    answer = await link.read_head(limit)
+    if not is_due(answer.headers):
+        raise link.reject("to this call")
+    return answer
+
+
 async def _read_body(link: HttpLink, limit: float, arrival: BodyArrival | None, parts: list[bytes]) -> None:
     while (data := await link.read_data(limit if arrival is None else arrival.stall_timeout)) is not None:
         parts.append(data)
--- a/packages/node/src/vaneturn_node/platform/servers.py
+++ b/packages/node/src/vaneturn_node/platform/servers.py
@@ -22,8 +22,8 @@
     identify_start,
 )
 from vaneturn_node.http1.caller import Caller, Failed, Reply
-from vaneturn_node.http1.messages import encode_name
-from vaneturn_node.platform.headers import EXPECTED_SERVER, WRONG_SERVER, format_chain
+from vaneturn_node.http1.messages import Headers, encode_name, find_header
+from vaneturn_node.platform.headers import EXPECTED_SERVER, REQUEST_ID, WRONG_SERVER, format_chain
 
 SERVERS_PREFIX: Final = "servers/"
 REPORT_TIMEOUT_S: Final = 0.4  # a healthy server answers in a few milliseconds
@@ -165,7 +165,7 @@
 
     async def read_report(self, server: BackendServer, limit: float = REPORT_TIMEOUT_S) -> ServerReport | Failed:
         """Request the report of a server."""
-        reply = await self._caller.call(server.address, "GET", "/api/report", limit, headers=_build_expectation(server))
+        reply = await self._call(server, "GET", "/api/report", limit)
         if isinstance(reply, Failed):
             return reply
         if reply.status == WRONG_SERVER:
@@ -206,9 +206,7 @@
 
     async def _order(self, server: BackendServer, order: dict[str, object]) -> OrderOutcome:
         body = msgspec.json.encode(order)
-        reply = await self._caller.call(
-            server.address, "POST", "/api/order", ORDER_TIMEOUT_S, body=body, headers=_build_expectation(server)
-        )
+        reply = await self._call(server, "POST", "/api/order", ORDER_TIMEOUT_S, body)
         if isinstance(reply, Failed):
             return OrderOutcome.UNKNOWN if reply.was_sent else OrderOutcome.REFUSED
         outcomes = {
@@ -220,9 +218,18 @@
         }
         return outcomes.get(reply.status, OrderOutcome.REFUSED)
 
+    async def _call(
+        self, server: BackendServer, method: str, target: str, limit: float, body: bytes = b""
+    ) -> Reply | Failed:
+        headers = [(EXPECTED_SERVER, encode_name(server.name))]
+        return await self._caller.call(
+            server.address, method, target, limit, body=body, headers=headers, is_due=_is_due_to_call
+        )
+
 
-def _build_expectation(server: BackendServer) -> list[tuple[bytes, bytes]]:
-    return [(EXPECTED_SERVER, encode_name(server.name))]
+def _is_due_to_call(headers: Headers) -> bool:
+    """Tell whether an answer may be one to a call; a surplus one to a request of a client names that request."""
+    return find_header(headers, REQUEST_ID) is None
 
 
 T = TypeVar("T")
--- a/packages/node/src/vaneturn_node/traffic/serving/firstnode.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/firstnode.py
@@ -17,7 +17,7 @@
     runs: int
     may_have_run: bool
     is_resumed: bool  # the client has received a part of the answer
-    must_run_once: bool = False
+    must_run_once: bool = False  # by the configuration of that node
     avoided: frozenset[ServerId] = frozenset()  # servers that have lost or refused it
 
 
--- a/packages/node/src/vaneturn_node/traffic/serving/notrun.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/notrun.py
@@ -63,9 +63,9 @@
     return marks.reason
 
 
-def judge_refusing_node(cause: str, *, is_refusal: bool) -> NotRun | MayHaveRun:
+def judge_node_refusal(cause: str, *, is_refusal: bool) -> NotRun | MayHaveRun:
     """Judge the answer of another node, other than a server's, to a request whose answer is in progress."""
     return NotRun(cause, Evidence.REFUSED) if is_refusal else MayHaveRun(cause)
 
 
-__all__ = ["judge_lost", "judge_node_answer", "judge_refusal", "judge_refusing_node", "withhold"]
+__all__ = ["judge_lost", "judge_node_answer", "judge_node_refusal", "judge_refusal", "withhold"]
--- a/packages/node/src/vaneturn_node/traffic/serving/peertry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peertry.py
@@ -7,7 +7,7 @@
 from vaneturn_node.http1.link import LinkError
 from vaneturn_node.traffic.serving.clientstream import ClientStream
 from vaneturn_node.traffic.serving.events import EventSplitter
-from vaneturn_node.traffic.serving.notrun import judge_refusing_node
+from vaneturn_node.traffic.serving.notrun import judge_node_refusal
 from vaneturn_node.traffic.serving.outcomes import REFUSAL_STATUS, MayHaveRun, OwnAnswer, TryOutcome
 from vaneturn_node.traffic.serving.peeranswer import PeerAnswer
 from vaneturn_node.traffic.serving.peerforwarding import MAX_OFFERS, PEER_SILENCE_S, PeerForwarder
@@ -74,7 +74,7 @@
             outcome = await answer.read_whole(ends, self._context.time_left)
             if isinstance(outcome, OwnAnswer) and self._client.is_begun:
                 is_refusal = outcome.status == REFUSAL_STATUS
-                return judge_refusing_node(outcome.cause, is_refusal=is_refusal)  # the answer is resumed again
+                return judge_node_refusal(outcome.cause, is_refusal=is_refusal)  # the answer is resumed again
             return outcome
         self._context.release_place()
         if self._on_accepted is not None:
--- a/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
@@ -158,10 +158,10 @@
             refusal = judge_refusal(send, facts, context.facts.id, f"refused with {head.status}")
             if isinstance(refusal, NotRun):
                 server_status.is_replaced = server_status.is_replaced or facts.is_wrong_server
-                return refusal
-        context.runs += 1
-        if facts.was_refused:
+            else:
+                context.runs += 1
             return refusal
+        context.runs += 1
         if facts.is_sealed:
             return Answered(head.status, head.headers, answer.body)
         return MayHaveRun(f"unsealed answer {head.status}")
