--- a/packages/node/src/vaneturn_node/http1/pool.py
+++ b/packages/node/src/vaneturn_node/http1/pool.py
@@ -52,7 +52,7 @@
         return None
 
     def _report_conflict(self, connection: Connection, address: str) -> None:
-        """Report a connection that carries an exchange, which goes on."""
+        """Report a connection in use; its exchange continues."""
         self.conflicts += 1
         extra = {"address": address, "connection": connection.number, "exchange": connection.exchanges}
         logger.error("connection in use found among idle ones", extra=extra)
