Send a request once on each connection, so that an answer belongs to one send

What callers saw: a stream that must run once, refused by a server because of a later part of its chain, ran on two servers and got 502; others got a surplus 500 or an empty 200 in the place of their own answer. Cause: an answer is told from another by the id of its request, which is the same for all sends of that request. The second send went to the same server over the same pooled connection, where a surplus answer to the first send stood in the place of the one to the second. Change: a connection keeps a digest of each request that it has carried. The pool passes it over for such a request, and recording a second send on it raises. It is closed after 1,000 exchanges, which bounds the digests.

--- a/packages/node/src/vaneturn_node/http1/connection.py
+++ b/packages/node/src/vaneturn_node/http1/connection.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 import itertools
+import zlib
+from array import array
 from collections.abc import Iterator
 from typing import ClassVar, Final
 
 import h11
 
+from vaneturn_core.identifiers import RequestId
 from vaneturn_node.http1.messages import Headers, find_header, parse_count
 from vaneturn_node.http1.tcp import TcpStream
 
 MAX_HEAD_BYTES: Final = 65536
 DEFAULT_IDLE_TIMEOUT_S: Final = 2.0  # servers without a Keep-Alive timeout keep an idle connection at least so long
+MAX_EXCHANGES: Final = 1000  # on one connection; bounds the digests of requests that it keeps
 IDLE_MARGIN_S: Final = 0.8  # subtracted from the Keep-Alive timeout, for the transit of the next request
 
 
@@ -20,8 +24,15 @@
     """An exchange was to begin on a connection that carries another one."""
 
 
+class RequestRepeatedError(Exception):
+    """A request was to be sent on a connection that has carried it before."""
+
+
 class Connection:
-    """A connection that at most one exchange uses at a time."""
+    """A connection that at most one exchange uses at a time, and that carries each request once.
+
+    An answer names its request. Only on a connection that carries a request once does this also name the send.
+    """
 
     _numbers: ClassVar[Iterator[int]] = itertools.count(1)
 
@@ -32,6 +43,7 @@
         self.exchanges = 0  # that have used it so far
         self.idle_since = 0.0  # set by the pool
         self._user: object | None = None
+        self._requests = array("I")  # digests of those sent so far
         self._idle_timeout = DEFAULT_IDLE_TIMEOUT_S
 
     def claim(self, user: object) -> None:
@@ -53,8 +65,23 @@
         """Tell whether the given exchange has the connection."""
         return self._user is user
 
+    def record_request(self, request: RequestId) -> None:
+        """Record a request that is about to be sent.
+
+        :raises RequestRepeatedError: it was sent on this connection before.
+        """
+        if self.has_carried(request):
+            raise RequestRepeatedError(f"connection {self.number} has carried request {request}")
+        self._requests.append(_digest(request))
+
+    def has_carried(self, request: RequestId) -> bool:
+        """Tell whether a request was sent on this connection; by chance, one in millions is taken for another."""
+        return _digest(request) in self._requests
+
     def finish(self) -> bool:
         """End the exchange; return whether the connection can carry another one."""
+        if self.exchanges >= MAX_EXCHANGES:
+            return False
         if self.protocol.our_state is not h11.DONE or self.protocol.their_state is not h11.DONE:
             return False
         if self.protocol.trailing_data[0]:
@@ -85,4 +112,8 @@
         await self.stream.aclose()
 
 
-__all__ = ["Connection", "ConnectionInUseError"]
+def _digest(request: RequestId) -> int:
+    return zlib.crc32(request.encode())
+
+
+__all__ = ["Connection", "ConnectionInUseError", "RequestRepeatedError"]
--- a/packages/node/src/vaneturn_node/http1/pool.py
+++ b/packages/node/src/vaneturn_node/http1/pool.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from vaneturn_core.identifiers import RequestId
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.connection import Connection
 from vaneturn_node.http1.link import HttpLink
@@ -30,19 +31,26 @@
         self._idle: defaultdict[str, list[Connection]] = defaultdict(list)
         self.conflicts = 0
 
-    async def acquire(self, address: str, max_idle: float = MAX_IDLE_S) -> HttpLink:
+    async def acquire(
+        self, address: str, max_idle: float = MAX_IDLE_S, *, request: RequestId | None = None
+    ) -> HttpLink:
         """Take a connection that was idle for less than `max_idle` seconds, or open a new one.
 
+        :param request: to be sent on it; a connection that has carried it before is not taken.
         :raises LinkError: no connection could be opened.
         """
-        return await self.take_idle(address, max_idle) or await self.open(address)
+        return await self.take_idle(address, max_idle, request=request) or await self.open(address)
 
-    async def take_idle(self, address: str, max_idle: float = MAX_IDLE_S) -> HttpLink | None:
-        """Take a connection that was idle for less than `max_idle` seconds; None if there is none."""
+    async def take_idle(
+        self, address: str, max_idle: float = MAX_IDLE_S, *, request: RequestId | None = None
+    ) -> HttpLink | None:
+        """Take a connection that was idle for less than `max_idle` seconds; None if there is none.
+
+        :param request: to be sent on it; a connection that has carried it before is not taken.
+        """
         now = read_clock()
         idle = self._idle[address]
-        while idle:
-            connection = idle.pop()
+        while (connection := _pop_newest(idle, request)) is not None:
             if connection.is_in_use:
                 self._report_conflict(connection, address)
             elif connection.is_fresh(now, max_idle):
@@ -90,4 +98,12 @@
                     await connection.abort()
 
 
+def _pop_newest(idle: list[Connection], request: RequestId | None) -> Connection | None:
+    """Take the newest connection that has not carried a request; None if there is none."""
+    for index in reversed(range(len(idle))):
+        if request is None or not idle[index].has_carried(request):
+            return idle.pop(index)
+    return None
+
+
 __all__ = ["LinkPool"]
--- a/packages/node/src/vaneturn_node/traffic/servers/connectivity.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/connectivity.py
@@ -14,7 +14,7 @@
 import anyio
 from anyio import CancelScope
 
-from vaneturn_core.identifiers import ServiceName
+from vaneturn_core.identifiers import RequestId, ServiceName
 from vaneturn_core.traffic.beliefs import ServerStatuses
 from vaneturn_core.traffic.paths import ServicePath, choose_probed
 from vaneturn_core.traffic.servers import BackendServer
@@ -73,13 +73,16 @@
         lost_at = self._paths[service].lost_at if service in self._paths else None
         return 0.0 if lost_at is None else read_clock() - lost_at
 
-    async def acquire(self, server: BackendServer, max_idle: float = MAX_IDLE_S) -> HttpLink:
+    async def acquire(
+        self, server: BackendServer, max_idle: float = MAX_IDLE_S, *, request: RequestId | None = None
+    ) -> HttpLink:
         """Take a pooled connection to a server or open a new one.
 
+        :param request: to be sent on it; a connection that has carried it before is not taken.
         :raises LinkError: no connection could be opened; `has_no_path` states that no server of the service accepts
             connections from this node.
         """
-        pooled = await self._pool.take_idle(server.address, max_idle)
+        pooled = await self._pool.take_idle(server.address, max_idle, request=request)
         if pooled is not None:
             return pooled
         started = read_clock()
--- a/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -105,7 +105,7 @@
         is_kept = False
         self._choice.record_begun(peer)
         try:
-            link = await self._parts.pool.acquire(address, MAX_PEER_IDLE_S)
+            link = await self._parts.pool.acquire(address, MAX_PEER_IDLE_S, request=context.facts.id)
             obstacle = context.find_obstacle()
             if obstacle is not None:
                 return withhold(obstacle)
--- a/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
@@ -83,7 +83,7 @@
             answer: _ReceivedAnswer | None = None
             with anyio.move_on_after(timeout_s):
                 max_idle = MAX_IDLE_S if context.may_repeat else UNSAFE_IDLE_LIMIT_S
-                link = await self._parts.connectivity.acquire(server, max_idle)
+                link = await self._parts.connectivity.acquire(server, max_idle, request=context.facts.id)
                 obstacle = context.claim_send(self._parts.beliefs[server.id])
                 if obstacle is not None:
                     return withhold(obstacle)
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -91,6 +91,8 @@
 
     def record_send(self, target: str, link: HttpLink) -> Send:
         """Record that it is about to be sent to a server or another node."""
+        if self.facts.id is not None:
+            link.connection.record_request(self.facts.id)
         send = Send(target, self.age, link, link.connection.number, link.connection.exchanges)
         self.history.record(send, self.facts.id, must_run_once=not self.may_repeat)
         return send
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -125,7 +125,7 @@
         context.sends += 1
         self._client.pace.record_step(PauseStep.RESUMED, read_clock())
         self._reservation.reserve()
-        self._link = link = await self._parts.connectivity.acquire(self._first_server)
+        self._link = link = await self._parts.connectivity.acquire(self._first_server, request=context.facts.id)
         obstacle = context.claim_send(self._parts.beliefs[self._first_server.id])
         if obstacle is not None:
             return withhold(obstacle)
--- a/tests/node/traffic/serving/test_peerforwarding.py
+++ b/tests/node/traffic/serving/test_peerforwarding.py
@@ -55,7 +55,7 @@
     return SimpleNamespace(
         request=request, service=ServiceName("desk"), is_forwarded=False, sends=0, runs=0, may_have_run=False,
         avoided=set(), age=0.0, time_left=1.0, may_repeat=False, may_leave_try=False,
-        find_obstacle=lambda: None, add_step=lambda _: None,
+        find_obstacle=lambda: None, add_step=lambda _: None, facts=SimpleNamespace(id="r-1"),
         record_send=lambda _, link: SimpleNamespace(was_written=link.was_sent, evidence=None),
     )  # fmt: skip
 
--- a/tests/node/traffic/serving/test_plaintry.py
+++ b/tests/node/traffic/serving/test_plaintry.py
@@ -56,7 +56,7 @@
     parts = make_parts("entry-1", PlatformView(5.0, time.monotonic), ServerStatuses(), Caller(LinkPool()))
     server, link = make_server(1, "a100", layers=(0, 80)), FakeLink()
 
-    async def acquire(*_: object) -> Any:
+    async def acquire(*_: object, **__: object) -> Any:
         return link
 
     async def check(*_: object) -> Liveness:
--- a/tests/node/traffic/serving/test_requestcontext.py
+++ b/tests/node/traffic/serving/test_requestcontext.py
@@ -10,6 +10,7 @@
 
 from vaneturn_core.identifiers import ServiceName, VmId
 from vaneturn_core.traffic.beliefs import ServerStatus
+from vaneturn_node.http1.connection import Connection
 from vaneturn_node.traffic.serving.firstnode import FirstNode
 from vaneturn_node.traffic.serving.requests import RequestContext
 from vaneturn_node.traffic.serving.sends import Evidence
@@ -26,7 +27,7 @@
 
 
 def make_link(*, was_sent: bool) -> Any:
-    return SimpleNamespace(was_sent=was_sent, connection=SimpleNamespace(number=1, exchanges=1))
+    return SimpleNamespace(was_sent=was_sent, connection=Connection(Any))  # type: ignore[arg-type] # has no stream
 
 
 def claim_again(context: RequestContext, evidence: Evidence | None, *, was_sent: bool) -> str | None:
--- a/tests/node/traffic/test_pool.py
+++ b/tests/node/traffic/test_pool.py
@@ -6,10 +6,12 @@
 from typing import Any
 
 import anyio
+import h11
 import pytest
 
+from vaneturn_core.identifiers import RequestId
 from vaneturn_node.http1 import pool as pool_module
-from vaneturn_node.http1.connection import Connection, ConnectionInUseError
+from vaneturn_node.http1.connection import MAX_EXCHANGES, Connection, ConnectionInUseError, RequestRepeatedError
 from vaneturn_node.http1.link import HttpLink
 from vaneturn_node.http1.pool import LinkPool
 
@@ -85,3 +87,34 @@
     with pytest.raises(ConnectionInUseError):
         HttpLink(connection)
     assert connection.is_used_by(second)
+
+
+async def test_connection_that_has_carried_a_request_is_not_taken_for_it_again() -> None:
+    """A surplus answer to its first send would be taken for that to the second."""
+    pool = LinkPool()
+    older, newest = (IdleConnection(is_open=True) for _ in range(2))
+    pool._idle[ADDRESS] += [older, newest]
+    newest.record_request(RequestId("refused"))
+    link = await pool.take_idle(ADDRESS, request=RequestId("refused"))
+    assert link is not None
+    assert link.connection is older
+    older.record_request(RequestId("refused"))
+    with pytest.raises(RequestRepeatedError):
+        older.record_request(RequestId("refused"))
+    assert await pool.take_idle(ADDRESS, request=RequestId("refused")) is None
+    other = await pool.take_idle(ADDRESS, request=RequestId("another"))
+    assert other is not None
+    assert other.connection is newest
+
+
+async def test_connection_is_not_kept_after_its_last_exchange() -> None:
+    """It keeps a digest of each request that it has carried."""
+    connection = IdleConnection(is_open=True)
+    connection.exchanges = MAX_EXCHANGES - 1
+    link = HttpLink(connection)
+    connection.protocol.send(h11.Request(method="GET", target="/", headers=[("Host", "a")]))
+    connection.protocol.send(h11.EndOfMessage())
+    connection.protocol.receive_data(b"HTTP/1.1 204 No Content\r\n\r\n")
+    assert isinstance(connection.protocol.next_event(), h11.Response)
+    assert isinstance(connection.protocol.next_event(), h11.EndOfMessage)
+    assert not link.finish()
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -10,6 +10,17 @@
 SYSTEM = "tests/system/platform"
 
 TRAFFIC_PROOFS = (
+    Proof(
+        "a connection carries a request once",
+        "tests/node/traffic/test_pool.py::test_connection_that_has_carried_a_request_is_not_taken_for_it_again",
+        (
+            Edit(
+                "node/src/vaneturn_node/http1/pool.py",
+                "if request is None or not idle[index].has_carried(request):",
+                "if index >= 0:",
+            ),
+        ),
+    ),
     Proof(
         "keys are closed when the store is away",
         f"{SYSTEM}/test_keys.py::test_keys_close_when_the_store_is_away_and_public_routes_do_not",
--- a/tests/standins/platform/servers.py
+++ b/tests/standins/platform/servers.py
@@ -94,6 +94,7 @@
     plan_answer: Callable[[Run, list[bytes]], AnswerPlan | None] = lambda _run, _pieces: None  # how each answer is sent
     crash_server: Callable[[Server], Awaitable[None]] = lambda server: server.crash()  # when its planned answer ends
     after_answer: AfterAnswer = keep_connection  # what becomes of kept connections
+    refused_once: set[str] = field(default_factory=set)  # requests refused once, for the last part of their chain
     reports_births: bool = False  # whether servers report when they started
     crashes: list[tuple[float, str]] = field(default_factory=list)  # monotonic time and address of each crash
     runs: list[Run] = field(default_factory=list)
@@ -371,6 +372,9 @@
         request = call.headers["x-request-id"]
         chain = parse_chain(call.headers.get("path", f"{self.address}=0-{self.fleet.layers}"))
         lost = next((part for part in chain if not self._is_alive(part)), None)
+        if request in self.fleet.refused_once:
+            self.fleet.refused_once.remove(request)
+            lost = chain[-1]
         if lost is not None or chain[0].address != self.address:
             at = lost.address if lost is not None else self.address
             await exchange.reply(503, {"X-Not-Executed": "1", "At-Server": at, "X-Request-Id": request})
