Let the randomised run close connections only while no call waits on them

Cause: the task that closes a connection later read its newest exchange when it began to run, which may be the next call already; it then closed the connection inside that answer, and the run called the broken stream 'no excuse'. The exchange after which the connection is to be closed is given to the task now, so a close inside an answer is a finding again.

--- a/tests/rig/oncesoak.py
+++ b/tests/rig/oncesoak.py
@@ -47,17 +47,16 @@
 
     def _spoil_connection(self, exchange: Exchange, connection: KeptConnection) -> None:
         tasks = self.traffic.fleet.tasks
-        tasks.start_soon(self._close_idle, connection, LINGER_S)
+        tasks.start_soon(self._close_idle, exchange, connection, LINGER_S)
         if self._rng.random() < CLOSED_SHARE:
-            tasks.start_soon(self._close_idle, connection, self._rng.uniform(0.0, MAX_DELAY_S))
+            tasks.start_soon(self._close_idle, exchange, connection, self._rng.uniform(0.0, MAX_DELAY_S))
         elif self._rng.random() < SURPLUS_SHARE:
             tasks.start_soon(self._send_surplus, exchange, connection, self._rng.uniform(0.0, MAX_DELAY_S))
 
-    async def _close_idle(self, connection: KeptConnection, delay: float) -> None:
-        """Close a connection later, unless a call waits for its answer then."""
-        newest = connection.newest
+    async def _close_idle(self, exchange: Exchange, connection: KeptConnection, delay: float) -> None:
+        """Close a connection some time after an exchange, unless another one has begun on it."""
         await anyio.sleep(delay)
-        if connection.newest is newest:
+        if connection.newest is exchange:
             await connection.close()
 
     async def _send_surplus(self, exchange: Exchange, connection: KeptConnection, delay: float) -> None:
