--- a/tests/rig/faults.py
+++ b/tests/rig/faults.py
@@ -31,7 +31,8 @@
 
     async def fail(exchange: Exchange, run: Run) -> None:
         await exchange.begin(200, {"X-Request-Id": run.request, "X-Response-Seal": f"seal-{run.server}"})
-        for number in range(1, events + 1):
+        first = int(run.headers.get("last-event-id", "0")) + 1
+        for number in range(first, first + events):
             await exchange.send(f"id: {number}\ndata: token {number} of {run.request}\n\n".encode())
         await exchange.reset()
 
--- a/tests/system/platform/test_partitions.py
+++ b/tests/system/platform/test_partitions.py
@@ -11,8 +11,9 @@
 import httpx
 import pytest
 
+from rig.faults import break_off, set_faults
 from rig.ports import find_port
-from rig.traffic import Node, Traffic, assert_layers_once_in_order, list_ids, open_traffic, wait_for
+from rig.traffic import Node, Traffic, assert_layers_once_in_order, get_address, list_ids, open_traffic, wait_for
 from standins.link import Link
 from standins.platform.servers import Server
 from standins.vm import CutKind
@@ -90,6 +91,26 @@
     assert_layers_once_in_order(fleet.fleet)
 
 
+async def test_run_on_a_server_that_the_second_node_no_longer_reaches_is_no_attempt(fleet: Traffic) -> None:
+    """It counted as one of two attempts, so that the stream was broken off when its next server failed."""
+    fleet.fleet.answer_tokens, fleet.fleet.token_time = TOKENS, TOKEN_TIME_S
+    fleet.nodes[CUT].cut(list_addresses(fleet), CutKind.SILENT)
+    await anyio.sleep(DETECTION_TIME_S)
+
+    async def cut_second_node() -> None:
+        await wait_for(lambda: any(len(run.tokens) > 5 for run in fleet.fleet.runs))
+        caller = fleet.fleet.record.arrivals[-1].node
+        second = next(node for number, node in enumerate(fleet.nodes) if get_address(number) == caller)
+        set_faults(fleet, break_off(events=3))
+        second.cut(list_addresses(fleet), CutKind.SILENT)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(cut_second_node)
+        answer = await fleet.ask("/letter/1", node=CUT, X_Deadline_Ms="15000")
+    assert list_ids(answer.text) == list(range(1, TOKENS + 1))
+    assert len(fleet.fleet.runs) == 3
+
+
 async def test_stream_on_a_connection_that_lives_on_is_not_moved(fleet: Traffic) -> None:
     answer = await ask_in_progress(fleet, "/letter/1", CutKind.NEW_ONLY)
     assert list_ids(answer.text) == list(range(1, TOKENS + 1))
