Count no attempt for a send that its server does not know and has not begun to answer

Cause: each of these sends counted as an attempt of the route, although its server has not run the request. Change: such a send is counted once its answer begins. Requests that must run once are still not sent again.

--- a/packages/node/src/vaneturn_node/traffic/serving/chainreservation.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/chainreservation.py
@@ -26,6 +26,7 @@
         self.sent_at = 0.0  # monotonic time at which the request was sent to the first server
         self.send: Send | None = None  # to the first server
         self.is_run_counted = False  # as a run of the request
+        self._is_unknown = False  # the first server says so of the request, and has not begun its answer
 
     @property
     def first_server(self) -> BackendServer:
@@ -48,9 +49,22 @@
         self.is_reserved = False
         self._adjust_load(-1)
 
+    @property
+    def would_count(self) -> bool:
+        """Tell whether the end of this try would count one more run."""
+        return not self.is_run_counted and not self._is_unknown
+
+    def record_answered(self) -> None:
+        """Record that the first server has begun its answer."""
+        self._is_unknown = False
+        self.count_run()
+
     def count_run(self) -> None:
-        """Count that the request may have run on the first server, at most once per try."""
-        if not self.is_run_counted:
+        """Count that the request may have run on the first server, at most once per try.
+
+        A server that does not know the request has not run it.
+        """
+        if self.would_count:
             self.is_run_counted = True
             self._context.runs += 1
 
@@ -109,7 +123,9 @@
         assert self._context.facts.id is not None  # noqa: S101 # a request without an id is not admitted
         parts = list(self.chain.parts)  # ordered to stay on its chain, a request runs on as before
         outcome = await self._parts.calls.reroute_request(self.first_server, self._context.facts.id, parts)
-        return outcome is not OrderOutcome.NOT_FOUND
+        is_known = outcome is not OrderOutcome.NOT_FOUND
+        self._is_unknown = not is_known and not self.is_run_counted
+        return is_known
 
     async def order_detour(self, chain: Chain) -> OrderOutcome:
         """Order the first server to run the rest of the request over another chain."""
--- a/packages/node/src/vaneturn_node/traffic/serving/heads.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/heads.py
@@ -41,7 +41,7 @@
         return await _read_failure(parts, context, reservation, send, head)
     if not facts.is_sealed:
         raise LinkError("unsealed answer", was_sent=True)
-    reservation.count_run()
+    reservation.record_answered()
     server_status.record_success(now - reservation.reserved_at)
     return None
 
--- a/tests/standins/platform/servers.py
+++ b/tests/standins/platform/servers.py
@@ -7,7 +7,7 @@
 import random
 import re
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -94,6 +94,7 @@
     plan_answer: Callable[[Run, list[bytes]], AnswerPlan | None] = lambda _run, _pieces: None  # how each answer is sent
     crash_server: Callable[[Server], Awaitable[None]] = lambda server: server.crash()  # when its planned answer ends
     after_answer: AfterAnswer = keep_connection  # what becomes of kept connections
+    lost_sends: Counter[str] = field(default_factory=Counter)  # of requests, which servers lose without a trace
     refused_once: set[str] = field(default_factory=set)  # requests refused once, for the last part of their chain
     reports_births: bool = False  # whether servers report when they started
     crashes: list[tuple[float, str]] = field(default_factory=list)  # monotonic time and address of each crash
@@ -245,6 +246,10 @@
     async def _serve(self, exchange: Exchange) -> None:
         self.fleet.record.note_arrival(self.id, exchange.caller)
         request = exchange.call.headers["x-request-id"]
+        if self.fleet.lost_sends[request]:
+            self.fleet.lost_sends[request] -= 1
+            await exchange.watch_client()
+            await exchange.close()
         self.fleet.arrivals.append(Arrival(time.monotonic(), self.service, request))
         if self.rest is not None:
             headers = {"X-Not-Executed": "1", "X-Request-Id": request}
--- a/tests/system/platform/test_lostrequests.py
+++ b/tests/system/platform/test_lostrequests.py
@@ -52,3 +52,14 @@
     answer = await ask_in_a_silence(traffic, "/notice/1")
     assert answer.status_code == 504
     assert len(traffic.fleet.runs) == 1
+
+
+async def test_stream_that_two_servers_in_turn_do_not_know_is_sent_to_a_third(traffic: Traffic) -> None:
+    """Both sends counted as attempts of the route, so that the stream waited until its deadline."""
+    await traffic.add_chains()
+    traffic.fleet.lost_sends["lost"] = 2
+    answer = await traffic.ask("/letter/1", X_Request_Id="lost")
+    assert answer.status_code == 200
+    assert list_ids(answer.text) == list(range(1, 11))
+    assert len((await traffic.nodes[0].wait_for_log("lost"))["sends"]) == 3
+    assert len(traffic.fleet.runs) == 1
