--- a/packages/node/src/vaneturn_node/http1/connection.py
+++ b/packages/node/src/vaneturn_node/http1/connection.py
@@ -16,7 +16,7 @@
 
 MAX_HEAD_BYTES: Final = 65536
 DEFAULT_IDLE_TIMEOUT_S: Final = 2.0  # servers without a Keep-Alive timeout keep an idle connection at least so long
-MAX_REQUESTS: Final = 256  # on one connection; with 1000, a search among their digests takes 0.04 ms
+MAX_REQUESTS: Final = 256  # on one connection, which keeps a digest of each and searches them at each send
 IDLE_MARGIN_S: Final = 0.8  # subtracted from the Keep-Alive timeout, for the transit of the next request
 
 
--- a/packages/node/src/vaneturn_node/traffic/serving/chainreservation.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/chainreservation.py
@@ -26,7 +26,9 @@
         self.sent_at = 0.0  # monotonic time at which the request was sent to the first server
         self.send: Send | None = None  # to the first server
         self.is_run_counted = False  # as a run of the request
-        self._is_unknown = False  # the first server says so of the request, and has not begun its answer
+        self._is_unknown = (
+            False  # the first server says that it does not know the request, and has not begun its answer
+        )
 
     @property
     def first_server(self) -> BackendServer:
@@ -62,7 +64,7 @@
     def count_run(self) -> None:
         """Count that the request may have run on the first server, at most once per try.
 
-        A server that does not know the request has not run it.
+        A send that its server does not know counts once its answer begins.
         """
         if self.would_count:
             self.is_run_counted = True
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -174,9 +174,9 @@
         lost = context.describe_loss(self._relay.events, self._reservation.sent_at)
         if is_first_lost and has_path and lost is not None:
             await self._parts.crash_watch.record_unresponsive(self._first_server, lost)
-        reservation = self._reservation
-        # the run on a lost server no longer counts
-        runs = context.runs + (-reservation.is_run_counted if is_first_lost else reservation.would_count)
+        runs = context.runs + self._reservation.would_count
+        if is_first_lost:  # the run on it no longer counts
+            runs = context.runs - self._reservation.is_run_counted
         if not context.may_repeat or runs >= context.route.max_attempts:
             context.add_wait_step(f"{cause}; waits")
             return
