Send a request no second time once a newer version says that it must run once

What callers saw: nothing yet; read in the search for requests that ran twice, and shown by a test. A request kept the kind of its route at its arrival, so one that waited for its first server while the operator made the route unsafe was sent to a second server by the old kind. Change: a request may repeat only if its route at arrival, the node that forwarded it and the configuration in force all allow it. A route that was removed says nothing.

--- a/packages/node/src/vaneturn_node/traffic/serving/requestrouting.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requestrouting.py
@@ -60,6 +60,7 @@
             is_key_valid=lambda: self._is_key_valid(route, facts, customer),
             crashes=self._parts.crashes,
             first_node=first_node,
+            is_repeatable=lambda: self._is_repeatable(request, facts),
         )
 
     def _choose_service(self, route: TrafficRoute, facts: RequestFacts) -> ServiceName | OwnAnswer:
@@ -72,6 +73,12 @@
             return refuse(Reason.STOPPING, STOPPING_RETRY_S)
         return service
 
+    def _is_repeatable(self, request: ClientRequest, facts: RequestFacts) -> bool:
+        """Tell whether the configuration in force lets a request run a second time; a removed route says nothing."""
+        configuration = self._parts.view.configuration
+        route = configuration.find_route(facts.host, request.path) if configuration is not None else None
+        return route is None or route.may_repeat
+
     def _is_key_valid(self, route: TrafficRoute, facts: RequestFacts, customer: TrafficCustomer | None) -> bool:
         """Tell whether the key of a request is still valid in a configuration that the store confirmed recently."""
         configuration = self._parts.view.configuration
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -46,6 +46,7 @@
     is_key_valid: Callable[[], bool]  # called right before each send: the key may have been revoked meanwhile
     crashes: CrashBoard
     first_node: FirstNode | None = None  # that forwarded it; such a request is not forwarded again
+    is_repeatable: Callable[[], bool] = lambda: True  # by the configuration in force, which may be newer than its route
     sends: int = 0
     runs: int = 0  # sends that count as attempts; those to servers that are gone do not
     may_have_run: bool = False  # if so, no answer of this node may promise that it has not run
@@ -146,9 +147,7 @@
     @property
     def expires_at(self) -> float:
         """Give the monotonic time at which it must be answered."""
-        allowed = self.route.timeout
-        if self.facts.deadline is not None:
-            allowed = min(allowed, self.facts.deadline)
+        allowed = self.route.timeout if self.facts.deadline is None else min(self.route.timeout, self.facts.deadline)
         return self.request.arrived + allowed - ANSWER_MARGIN_S
 
     @property
@@ -159,7 +158,8 @@
     @property
     def may_repeat(self) -> bool:
         """Tell whether it may run a second time, here and by the node that forwarded it."""
-        return self.route.may_repeat and not (self.first_node is not None and self.first_node.must_run_once)
+        must_run_once = self.first_node is not None and self.first_node.must_run_once
+        return self.route.may_repeat and not must_run_once and self.is_repeatable()
 
     @property
     def may_run_again(self) -> bool:
--- a/tests/system/platform/test_plain.py
+++ b/tests/system/platform/test_plain.py
@@ -6,6 +6,7 @@
 import pytest
 
 from rig.traffic import Traffic, wait_for
+from standins.platform.operator import configure, make_configuration
 from standins.platform.servers import Run
 from standins.platform.wire import Exchange, KeptConnection
 
@@ -72,6 +73,24 @@
     assert len(traffic.fleet.runs) == 1
 
 
+async def test_request_is_not_repeated_once_a_newer_version_says_that_it_must_run_once(traffic: Traffic) -> None:
+    """It was sent to a second server, since its route was one of safe requests when it arrived."""
+    servers = [await traffic.add_desk(), await traffic.add_desk()]
+    routes = make_configuration(2)["routes"]
+    unsafe = [{**route, "route_type": "unsafe"} if route["name"] == "check" else route for route in routes]
+
+    async def change_and_lose_answer(exchange: Exchange, _: Run) -> None:
+        configure(traffic.fleet.store, make_configuration(2, routes=unsafe))
+        await wait_for(lambda: any(line.get("version") == 2 for line in traffic.nodes[0].read_log()), limit=1.0)
+        await exchange.reset()
+
+    for server in servers:
+        server.fault_handler = change_and_lose_answer
+    answer = await traffic.ask("/check/1", X_Request_Id="mine")
+    assert answer.status_code == 502
+    assert len(traffic.fleet.find_runs("mine")) == 1
+
+
 @pytest.mark.parametrize("fault", FAULTS)
 async def test_safe_request_is_answered_by_another_server(traffic: Traffic, fault: object) -> None:
     servers = [await traffic.add_desk(), await traffic.add_desk()]
