Refuse no request as not run whose time ends while it is sent to another node

What callers saw: nothing yet; read in the search for requests that ran twice, and shown by a test. A forwarded request counted as sent when its last byte had been taken, so that one whose time ended before got 503, which promises that it has not run, although the other node may have had all of it. Evidence: the new test of test_answering.py got 503 on the code before, 504 now. Needs a connection that takes no more bytes at the deadline, which no run with real processes has shown.

--- a/packages/node/src/vaneturn_node/traffic/serving/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answering.py
@@ -131,7 +131,7 @@
         context.add_step("time is up")
         if answer.is_begun:
             return None
-        if context.sends:
+        if context.sends or context.history.may_have_run:
             return OwnAnswer(504, Reason.TIMEOUT)
         return refuse(Reason.TIMEOUT, OLD_KEYS_RETRY_S)
 
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -225,7 +225,7 @@
         cause = f"servers ended when they began to run {subject}: {servers}"
         if not block.is_contested:
             return OwnAnswer(400, Reason.ENDS_SERVERS, cause=cause)
-        if self.sends:
+        if self.sends or self.history.may_have_run:
             return self.make_may_have_run_answer(cause)
         wait = max(0.0, self.crashes.get_end(block) - read_clock())
         return refuse(Reason.QUARANTINED, wait + QUARANTINE_RETRY_S * (1 + random.random()), cause)
--- a/tests/node/traffic/serving/test_answering.py
+++ b/tests/node/traffic/serving/test_answering.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
 
+import anyio
 import pytest
 
 from rig.localnode import open_local_node
+from vaneturn_node.http1.connection import Connection
 from vaneturn_node.traffic.serving.outcomes import OwnAnswer, Reason, refuse
 from vaneturn_node.traffic.serving.requests import RequestContext
 
@@ -30,3 +34,21 @@
         answer = await local.ask("/check/1", "request-1")
     expected = (502, "may_have_run") if may_have_run else (503, "keys_too_old")
     assert (answer.status_code, answer.json()["error"]) == expected
+
+
+async def test_request_whose_time_ends_while_it_is_sent_is_not_refused_as_not_run(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It counted as sent to another node only when its last byte had been taken."""
+
+    async def forward(context: RequestContext) -> OwnAnswer:
+        link: Any = SimpleNamespace(was_sent=True, connection=Connection(Any))  # type: ignore[arg-type] # has no stream
+        context.record_send("entry-2", link)
+        await anyio.sleep_forever()
+        raise AssertionError
+
+    async with open_local_node(tmp_path) as local:
+        await local.traffic.add_desk()
+        monkeypatch.setattr(local.node._request_handler._plain, "forward", forward)
+        answer = await local.ask("/once/1", "request-1")
+    assert (answer.status_code, answer.json()["error"]) == (504, "timeout")
