Play late data, a proxy before crashed servers and processes that go on later

Cause: the run of requests that must run once had no distances: data never crossed a close on their way, a connection to a crashed server was refused at once, and a server that fell silent forgot the requests in its sockets, where a stopped process runs them when it goes on. Change: rig.distancesoak adds to rig.oncesoak delays of up to 20 ms to servers, a proxy that accepts connections for crashed servers and closes them later, servers that are stopped with requests in their sockets, and two nodes that are stopped at once, of which one goes on before the other.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := packages/core packages/node packages/cli
 SOURCES := packages tests bench
 
-.PHONY: demo test lint unit soak traffic-soak deadly-soak deadly-part-soak load-soak long-answer-soak partition-soak ending-soak retry-soak once-soak proofs bench capacity clean
+.PHONY: demo test lint unit soak traffic-soak deadly-soak deadly-part-soak load-soak long-answer-soak partition-soak ending-soak retry-soak once-soak distance-soak proofs bench capacity clean
 
 $(STAMP): constraints.txt requirements-test.txt $(PACKAGES:%=%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -66,6 +66,9 @@
 once-soak: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python -m rig.oncesoak --seconds $(SECONDS) --seeds $(SEEDS)
 
+distance-soak: $(STAMP)
+	PYTHONPATH=tests $(BIN)/python -m rig.distancesoak --seconds $(SECONDS) --seeds $(SEEDS)
+
 proofs: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python -m rig.proofs
 
--- a/tests/standins/platform/servers.py
+++ b/tests/standins/platform/servers.py
@@ -15,6 +15,7 @@
 
 import anyio
 import anyio.lowlevel
+from anyio import Event
 from anyio.abc import Listener, SocketStream, TaskGroup
 
 from standins.platform.directives import DirectiveRecord
@@ -25,8 +26,10 @@
     Call,
     Exchange,
     FindLink,
+    GetDelay,
     KeptConnection,
     find_no_link,
+    get_no_delay,
     keep_connection,
     serve,
 )
@@ -94,6 +97,8 @@
     plan_answer: Callable[[Run, list[bytes]], AnswerPlan | None] = lambda _run, _pieces: None  # how each answer is sent
     crash_server: Callable[[Server], Awaitable[None]] = lambda server: server.crash()  # when its planned answer ends
     after_answer: AfterAnswer = keep_connection  # what becomes of kept connections
+    get_delay: GetDelay = get_no_delay  # gives the seconds that data of a node are on their way
+    hold_time: float | None = None  # seconds for which a proxy keeps connections to crashed servers; None without one
     lost_sends: Counter[str] = field(default_factory=Counter)  # of requests, which servers lose without a trace
     refused_once: set[str] = field(default_factory=set)  # requests refused once, for the last part of their chain
     reports_births: bool = False  # whether servers report when they started
@@ -185,6 +190,7 @@
     refused_share: float = 0.0  # of the requests that reach it
     rest: float | None = None  # seconds of rest that it asks for when it rejects requests
     announces_leaving: bool = False  # in its answers, whatever its entry in the store says
+    thawed: Event | None = None  # set when its process, which is stopped, goes on; None while it runs
     active: dict[str, Run] = field(default_factory=dict)  # the newest run of each request
     _listener: Listener[SocketStream] | None = None
     _open: set[Exchange] = field(default_factory=set)
@@ -196,6 +202,7 @@
             self.fleet.tasks,
             self.fleet.find_link,
             self._keep_connection,
+            get_delay=self.fleet.get_delay,
         )
         self.announce()
 
@@ -221,10 +228,32 @@
         self.is_crashed = True
         if self._listener is not None:
             await self._listener.aclose()
+        if self.fleet.hold_time is not None:
+            self._listener = await serve(self.address, self._hold_connection, self.fleet.tasks)
         if not is_listed:
             self.fleet.store.remove(f"servers/{self.id}")
 
+    async def _hold_connection(self, exchange: Exchange) -> None:
+        """Take a call for a crashed server, and close its connection later without an answer."""
+        await anyio.sleep(random.uniform(0.0, self.fleet.hold_time or 0.0))
+        await exchange.close()
+
+    def freeze(self) -> None:
+        """Stop the process; calls wait in its sockets until it goes on."""
+        self.thawed = Event()
+
+    def thaw(self) -> None:
+        """Let the process go on with the calls that have arrived, also those whose callers have left."""
+        if self.thawed is not None:
+            self.thawed.set()
+        self.thawed = None
+
+    async def _wait_while_frozen(self) -> None:
+        while self.thawed is not None:
+            await self.thawed.wait()
+
     async def _answer(self, exchange: Exchange) -> None:
+        await self._wait_while_frozen()
         if self.is_unresponsive:
             await exchange.watch_client()
             await exchange.close()
@@ -328,17 +357,18 @@
 
     def _is_alive(self, part: Part) -> bool:
         server = self.fleet.servers.get(part.address)
-        if server is None or server.is_unresponsive or server.is_crashed or server.held is None:
+        if server is None or server.is_unresponsive or server.thawed or server.is_crashed or server.held is None:
             return False
         return server.held[0] <= part.first and part.end <= server.held[1]
 
     async def _serve_plain(self, exchange: Exchange) -> None:
         call = exchange.call
-        run = Run(call.headers["x-request-id"], self.id, call.headers, call.body)
+        run = Run(call.headers["x-request-id"], self.id, call.headers, call.body, started=exchange.received_at)
         self.fleet.runs.append(run)
         if self.fleet.crashes_on(self, call):
             await self._crash_on(exchange)
         await anyio.sleep(self.work_time)
+        await self._wait_while_frozen()
         if self.fault_handler is not None:
             await self.fault_handler(exchange, run)
             return
@@ -385,6 +415,7 @@
             await exchange.reply(503, {"X-Not-Executed": "1", "At-Server": at, "X-Request-Id": request})
             return
         run = Run(request, self.id, call.headers, call.body, chains=[chain], is_stream=True)
+        run.started = exchange.received_at
         self.fleet.runs.append(run)
         self.active[request] = run
         try:
--- a/tests/standins/platform/wire.py
+++ b/tests/standins/platform/wire.py
@@ -7,6 +7,7 @@
 import json
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -54,6 +55,7 @@
         self._link = link  # of the caller; None if answers pass no link
         self._protocol = protocol
         self.call = call
+        self.received_at = time.monotonic()
         self.is_begun = False  # the answer
         self.is_ended = False
 
@@ -126,6 +128,7 @@
         self._stream = stream
         self._link: Link | None = None
         self.newest: Exchange | None = None
+        self.is_closed = False  # by this side
 
     def note(self, exchange: Exchange, link: Link | None) -> None:
         """Note the newest exchange on the connection."""
@@ -137,6 +140,7 @@
         return self.newest is not None and self.newest.is_begun and not self.newest.is_ended
 
     async def close(self) -> None:
+        self.is_closed = True
         await self._stream.aclose()
 
     async def send_surplus(self, answer: bytes) -> None:
@@ -153,12 +157,18 @@
 Handler = Callable[[Exchange], Awaitable[None]]
 AfterAnswer = Callable[[Exchange, KeptConnection], object]
 FindLink = Callable[[SocketStream], Link | None]
+GetDelay = Callable[[], float]
 
 
 def find_no_link(_stream: SocketStream) -> None:
     """Find no link: the caller has none of its own."""
 
 
+def get_no_delay() -> float:
+    """Give the delay of a path without distance."""
+    return 0.0
+
+
 def keep_connection(_exchange: Exchange, _connection: KeptConnection) -> None:
     """Leave a connection as it is after an answer."""
 
@@ -169,11 +179,14 @@
     tasks: TaskGroup,
     find_link: FindLink = find_no_link,
     after_answer: AfterAnswer = keep_connection,
+    *,
+    get_delay: GetDelay = get_no_delay,
 ) -> anyio.abc.Listener[SocketStream]:
     """Listen on IP:PORT; each connection is a task of its own.
 
     :param find_link: finds the link over which answers to a caller are sent.
     :param after_answer: called after each answer on a connection that is kept.
+    :param get_delay: gives the seconds that data of a caller are on their way.
     """
     host, _, port = address.rpartition(":")
     listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
@@ -182,7 +195,7 @@
         async with stream:
             link = find_link(stream)
             try:
-                await _serve_connection(stream, handler, link, after_answer)
+                await _serve_connection(stream, handler, link, after_answer, get_delay)
                 if link is not None:
                     await link.flush()
             except* (ConnectionEndedError, h11.ProtocolError, anyio.BrokenResourceError, anyio.ClosedResourceError):
@@ -199,14 +212,14 @@
 
 
 async def _serve_connection(
-    stream: SocketStream, handler: Handler, link: Link | None, after_answer: AfterAnswer
+    stream: SocketStream, handler: Handler, link: Link | None, after_answer: AfterAnswer, get_delay: GetDelay
 ) -> None:
     protocol = h11.Connection(h11.SERVER)
     connection = KeptConnection(stream)
     caller = str(stream.extra(SocketAttribute.remote_address)[0])  # noqa: S610 # not a SQL query
     while True:
-        call = await _read_call(stream, protocol)
-        if call is None:
+        call = await _read_call(stream, protocol, get_delay)
+        if call is None or connection.is_closed:  # a call that crosses the close of its connection is not read
             return
         exchange = Exchange(stream, protocol, call, link, caller)
         connection.note(exchange, link)
@@ -217,16 +230,18 @@
         after_answer(exchange, connection)
 
 
-async def _read_call(stream: SocketStream, protocol: h11.Connection) -> Call | None:
+async def _read_call(stream: SocketStream, protocol: h11.Connection, get_delay: GetDelay) -> Call | None:
     head: h11.Request | None = None
     body = b""
     while True:
         event = protocol.next_event()
         if event is h11.NEED_DATA:
             try:
-                protocol.receive_data(await stream.receive())
+                data = await stream.receive()
             except anyio.EndOfStream:
                 return None
+            await anyio.sleep(get_delay())
+            protocol.receive_data(data)
         elif isinstance(event, h11.Request):
             head = event
         elif isinstance(event, h11.Data):
@@ -244,8 +259,10 @@
     "ConnectionEndedError",
     "Exchange",
     "FindLink",
+    "GetDelay",
     "KeptConnection",
     "find_no_link",
+    "get_no_delay",
     "keep_connection",
     "serve",
 ]
--- a/tests/system/platform/test_soak.py
+++ b/tests/system/platform/test_soak.py
@@ -7,6 +7,7 @@
 import pytest
 
 from rig.deadlysoak import DeadlyPartSoak, DeadlySoak
+from rig.distancesoak import DistanceSoak
 from rig.endingsoak import EndingSoak
 from rig.oncesoak import OnceSoak
 from rig.partitionsoak import PartitionSoak
@@ -79,3 +80,12 @@
     assert findings.faults == []
     assert findings.counts["once 200"]
     assert findings.counts["surplus refusal without an id"]
+
+
+@pytest.mark.parametrize("seed", [1])
+async def test_late_data_and_processes_that_go_on_later_let_no_request_run_twice(tmp_path: Path, seed: int) -> None:
+    findings = await run_traffic_soak(tmp_path, 2 * SECONDS, seed, DistanceSoak)
+    assert findings.faults == []
+    assert findings.counts["once 200"]
+    assert findings.counts["fault: server frozen"]
+    assert findings.counts["fault: two nodes frozen"]
