Lend a retry with a request that another node is to send once more

Cause: a send over another node was taken from the budget of that node alone. Change: the first node spends a retry of its own part and says so in the message; the other node makes its next send without one. It is taken back if no node takes the request, so the sum over all nodes stays the same.

--- a/packages/core/src/vaneturn_core/traffic/blame/causes.py
+++ b/packages/core/src/vaneturn_core/traffic/blame/causes.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Final
 
-from vaneturn_core.traffic.blame.contents import Content, Fingerprint, Identity
+from vaneturn_core.traffic.blame.contents import Content, Fingerprint, Identity, format_identity
 from vaneturn_core.traffic.blame.crashes import ServerCrash
 from vaneturn_core.traffic.servers import ServerId, Software
 
@@ -43,6 +43,12 @@
         """Tell whether it has crashed servers with any of the given software."""
         return not self.software.isdisjoint(software)
 
+    def describe(self) -> str:
+        """Describe it to callers and operators."""
+        parts = " ".join(sorted(format_identity(part) for part in self.companions))
+        subject = f"requests with {parts}" if self.is_part else "it"
+        return f"servers ended when they began to run {subject}: {', '.join(sorted(self.servers))}"
+
     @property
     def is_confirmed(self) -> bool:
         """Tell whether there are enough crashes to exclude chance."""
--- a/packages/core/src/vaneturn_core/traffic/retries.py
+++ b/packages/core/src/vaneturn_core/traffic/retries.py
@@ -42,6 +42,7 @@
     at: float  # monotonic time; of an earned retry, when it was earned
     reason: RetryReason | None  # none for the first send of a request
     is_earned: bool = False  # by a first send; other retries are taken from the slack
+    is_lent: bool = False  # by another node, whose budget counts it
 
 
 @dataclass
@@ -105,8 +106,17 @@
         (self.counts.declined if claim is None else self.counts.sent)[reason] += 1
         return claim
 
+    def lend(self, reason: RetryReason) -> SendClaim | None:
+        """Spend one retry on a send that another node makes; without one, that node may have one of its own."""
+        self._forget()
+        claim = self._claim(reason)
+        self.counts.sent[reason] += claim is not None
+        return claim
+
     def take_back(self, claim: SendClaim) -> None:
-        """Remove a send that was not made after all."""
+        """Remove a send that was not made after all; a lent one stays counted at the node that lent it."""
+        if claim.is_lent:
+            return
         if claim.reason is None:
             self._credit -= self._earned_per_send
             return
@@ -118,7 +128,7 @@
 
     def record_outcome(self, claim: SendClaim, *, is_accepted: bool) -> None:
         """Record whether a server has accepted a send."""
-        if claim.reason is None:
+        if claim.reason is None or claim.is_lent:
             return
         self.counts.accepted[claim.reason] += is_accepted
         if claim.reason is RetryReason.REFUSED:
--- a/packages/node/src/vaneturn_node/traffic/servers/retrybudgets.py
+++ b/packages/node/src/vaneturn_node/traffic/servers/retrybudgets.py
@@ -47,8 +47,16 @@
             )
         return budget
 
-    def spend(self, service: ServiceName, reason: RetryReason) -> SendClaim | None:
-        """Spend one retry; none when this node has used up its part of the budget."""
+    def claim(self, service: ServiceName, reason: RetryReason | None, *, is_lent: bool) -> SendClaim | None:
+        """Claim a send; none when it is a retry and this node has used up its part of the budget.
+
+        :param reason: of a retry; none for the first send of a request.
+        :param is_lent: whether another node has spent a retry on it.
+        """
+        if reason is None:
+            return self.get(service).record_first()
+        if is_lent:
+            return SendClaim(read_clock(), reason, is_lent=True)
         claim = self.get(service).spend(reason)
         if claim is None:
             self._log_declined(service, reason)
--- a/packages/node/src/vaneturn_node/traffic/serving/firstnode.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/firstnode.py
@@ -18,6 +18,7 @@
     may_have_run: bool
     is_resumed: bool  # the client has received a part of the answer
     must_run_once: bool = False  # by the configuration of that node
+    has_retry: bool = False  # of its budget, for the next send
     avoided: frozenset[ServerId] = frozenset()  # servers that have lost or refused it
 
 
--- a/packages/node/src/vaneturn_node/traffic/serving/forwardedrequests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/forwardedrequests.py
@@ -104,6 +104,7 @@
         may_have_run=forwarded.may_have_run,
         is_resumed=forwarded.is_resumed,
         must_run_once=forwarded.must_run_once,
+        has_retry=forwarded.has_retry,
         avoided=frozenset(forwarded.avoided),
     )
 
--- a/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 import anyio
 
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.peerchoice import DeclineReason, PeerChoice
+from vaneturn_core.traffic.retries import RetryReason, SendClaim
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import AnswerHead, HttpLink, LinkError
 from vaneturn_node.traffic.servers.exchange import TrafficParts
@@ -32,6 +34,8 @@
 MAX_OFFERS: Final = 8  # of one request to other nodes
 PEER_SILENCE_S: Final = 1.0  # of a node that has accepted a request, until a request that may run again is moved
 
+MakeMessage = Callable[[], ForwardedRequest]
+
 
 @dataclass(frozen=True, slots=True)
 class _Declined:
@@ -75,6 +79,24 @@
         :param is_resumed: whether the client has received a part of the answer.
         :param max_offers: to different nodes.
         """
+        lent = self._lend_retry(context, is_resumed=is_resumed)
+        make_message = partial(
+            self._make_message, context, last_event_id, is_resumed=is_resumed, has_retry=lent is not None
+        )
+        outcome = await self._offer_to_nodes(context, make_message, silence, max_offers)
+        if lent is not None and isinstance(outcome, NotRun):
+            self._parts.retries.take_back(context.service, lent)
+        return outcome
+
+    def _lend_retry(self, context: RequestContext, *, is_resumed: bool) -> SendClaim | None:
+        """Spend a retry on a request that is to be sent once more by another node, which may have none itself."""
+        if not context.sends or context.is_forwarded:
+            return None
+        return self._parts.retries.get(context.service).lend(RetryReason.MOVED if is_resumed else RetryReason.LOST)
+
+    async def _offer_to_nodes(
+        self, context: RequestContext, make_message: MakeMessage, silence: float, max_offers: int
+    ) -> PeerAnswer | MayHaveRun | NotRun:
         nodes: Mapping[VmId, str | None] = self._parts.view.nodes
         asked: set[VmId] = set()
         while not context.is_forwarded and len(asked) < max_offers and context.time_left > 0:
@@ -83,7 +105,7 @@
             if peer is None or address is None:
                 break
             asked.add(peer)
-            outcome = await self._offer_to(peer, address, context, last_event_id, silence, is_resumed=is_resumed)
+            outcome = await self._offer_to(peer, address, context, make_message, silence)
             if not isinstance(outcome, _Declined):
                 return outcome
             context.add_step(f"{peer}: {outcome.cause}")
@@ -95,10 +117,8 @@
         peer: VmId,
         address: str,
         context: RequestContext,
-        last_event_id: str | None,
+        make_message: MakeMessage,
         silence: float,
-        *,
-        is_resumed: bool,
     ) -> PeerAnswer | MayHaveRun | NotRun | _Declined:
         link: HttpLink | None = None
         send: Send | None = None
@@ -109,8 +129,8 @@
             obstacle = context.find_obstacle()
             if obstacle is not None:
                 return withhold(obstacle)
-            message = encode_forwarded(self._make_message(context, last_event_id, is_resumed=is_resumed))
             headers = [(b"host", address.encode()), (b"content-type", b"application/msgpack")]
+            message = encode_forwarded(make_message())
             send = context.record_send(peer, link)
             await link.send_when_accepted("POST", FORWARDED_PATH, headers, message, ACCEPT_TIMEOUT_S)
             context.sends += 1
@@ -151,7 +171,7 @@
                     raise
 
     def _make_message(
-        self, context: RequestContext, last_event_id: str | None, *, is_resumed: bool
+        self, context: RequestContext, last_event_id: str | None, *, is_resumed: bool, has_retry: bool
     ) -> ForwardedRequest:
         configuration = self._parts.view.configuration
         request = context.request
@@ -171,6 +191,7 @@
             last_event_id=last_event_id,
             is_resumed=is_resumed,
             must_run_once=not context.may_repeat,
+            has_retry=has_retry,
             avoided=[] if is_path_lost else sorted(context.avoided),
         )
 
--- a/packages/node/src/vaneturn_node/traffic/serving/plain.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plain.py
@@ -89,7 +89,8 @@
         """Send a request to a server; return None if the retry budget is used up."""
         retries, service = self._parts.retries, context.service
         reason = classify_retry(last_outcome) if context.sends else None
-        claim = retries.get(service).record_first() if reason is None else retries.spend(service, reason)
+        claim = retries.claim(service, reason, is_lent=context.has_lent_retry)
+        context.has_lent_retry = False
         if claim is None:
             context.has_no_retry = True
             context.add_step(f"{classify_retry(last_outcome).value}; retry budget used up")
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -11,7 +11,7 @@
 from vaneturn_core.identifiers import ServiceName
 from vaneturn_core.traffic.beliefs import ServerStatus
 from vaneturn_core.traffic.blame.causes import Cause
-from vaneturn_core.traffic.blame.contents import Fingerprint, digest_content, format_identity
+from vaneturn_core.traffic.blame.contents import Fingerprint, digest_content
 from vaneturn_core.traffic.blame.crashboard import CrashBoard
 from vaneturn_core.traffic.blame.crashes import EARLIEST_CRASH_S, LostRequest, Suspicion
 from vaneturn_core.traffic.chain import Chain
@@ -66,6 +66,7 @@
     admission: AdmissionRecord | None = None  # of a request that was not admitted at once
     wait_steps: set[str] = field(default_factory=set)  # reasons to wait since the newest event; each is logged once
     has_no_retry: bool = False  # the retry budget was used up when it was to be sent last
+    has_lent_retry: bool = False  # for its next send, from the budget of the node that forwarded it
     has_declined_peers: bool = False  # no other node has accepted it
     peers_asked_at: float = float("-inf")  # monotonic time at which other nodes were asked for a retry
     release_place: Callable[[], None] = lambda: None  # ends its admission by this node, when another has admitted it
@@ -75,6 +76,7 @@
         if self.first_node is not None:
             self.sends, self.runs = self.first_node.sends, self.first_node.runs
             self.may_have_run = self.first_node.may_have_run
+            self.has_lent_retry = self.first_node.has_retry
             self.avoided |= self.first_node.avoided
 
     @property
@@ -219,10 +221,7 @@
 
         While it is not clear whether it does, it is refused until another one like it may have been tried.
         """
-        servers = ", ".join(sorted(block.servers))
-        parts = " ".join(sorted(format_identity(part) for part in block.companions))
-        subject = f"requests with {parts}" if block.is_part else "it"
-        cause = f"servers ended when they began to run {subject}: {servers}"
+        cause = block.describe()
         if not block.is_contested:
             return OwnAnswer(400, Reason.ENDS_SERVERS, cause=cause)
         if self.sends or self.history.may_have_run:
--- a/packages/node/src/vaneturn_node/traffic/serving/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streams.py
@@ -135,7 +135,7 @@
     ) -> StreamTry | PeerTry | Shortage:
         """Prepare a try: choose its chain and, unless it is the first, take it from the retry budget.
 
-        A try over another node is taken from the budget of that node.
+        A try over another node is taken from the budget of that node, if this one has no retry to lend.
 
         :param reason: of the try, unless it is the first.
         """
@@ -149,9 +149,9 @@
         chain = chooser.choose(self._parts.list_eligible(context.service, context.avoided))
         if chain is None:
             return Shortage.CROSSING if chooser.is_crossing_refused else Shortage.CHAIN
-        retries = self._parts.retries
-        is_first = not context.sends
-        claim = retries.get(context.service).record_first() if is_first else retries.spend(context.service, reason)
+        retry_reason = reason if context.sends else None
+        claim = self._parts.retries.claim(context.service, retry_reason, is_lent=context.has_lent_retry)
+        context.has_lent_retry = False
         context.has_no_retry = claim is None
         if claim is None:
             context.add_wait_step(f"{reason.value}; retry budget used up")
--- a/packages/node/src/vaneturn_node/traffic/sharing/forwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/forwarding.py
@@ -42,6 +42,7 @@
     last_event_id: str | None = None  # that the client has received from this answer or an earlier one
     is_resumed: bool = False  # the client has received a part of this answer
     must_run_once: bool = False  # by the first node's configuration
+    has_retry: bool = False  # of the first node's budget, for the next send
     avoided: list[ServerId] = []  # servers on which the first node has lost it or was refused
 
 
--- a/tests/core/traffic/test_retries.py
+++ b/tests/core/traffic/test_retries.py
@@ -7,7 +7,13 @@
 
 from vaneturn_core.identifiers import VmId
 from vaneturn_core.traffic.nodeshare import SETTLE_TIME_S, STARTING_SHARE, NodeShare
-from vaneturn_core.traffic.retries import EARNED_LIFETIME_S, MAX_ARRIVAL_DELAY_S, RetryReason, WindowedRetryBudget
+from vaneturn_core.traffic.retries import (
+    EARNED_LIFETIME_S,
+    MAX_ARRIVAL_DELAY_S,
+    RetryReason,
+    SendClaim,
+    WindowedRetryBudget,
+)
 
 VM, OTHER = VmId("entry-1"), VmId("entry-2")
 
@@ -61,6 +67,19 @@
     assert budget.count_earned() <= 1
 
 
+def test_lent_retry_counts_at_the_node_that_has_lent_it() -> None:
+    lender, borrower = make_budget(0.0, 2.0, [0.0]), make_budget(0.0, 2.0, [0.0])
+    claim = lender.lend(RetryReason.MOVED)
+    assert claim
+    borrower.take_back(SendClaim(0.0, RetryReason.MOVED, is_lent=True))
+    assert [len(budget.counts.sent) for budget in (lender, borrower)] == [1, 0]
+    assert not lender.spend(RetryReason.MOVED)
+    assert not lender.lend(RetryReason.MOVED)
+    assert not lender.counts.declined[RetryReason.LOST]
+    lender.take_back(claim)
+    assert lender.spend(RetryReason.MOVED)
+
+
 def test_retry_that_was_not_made_is_available_again() -> None:
     budget = make_budget(0.0, 2.0, [0.0])
     claim = budget.spend(RetryReason.REFUSED)
--- a/tests/system/platform/test_retrybudget.py
+++ b/tests/system/platform/test_retrybudget.py
@@ -9,9 +9,10 @@
 import anyio.to_thread
 import pytest
 
-from rig.traffic import Traffic, list_ids, open_traffic, wait_for
-from standins.platform.servers import Run
+from rig.traffic import START_TIME, Traffic, list_ids, open_traffic, wait_for
+from standins.platform.servers import Run, Server
 from standins.platform.wire import Exchange
+from standins.vm import CutKind
 from vaneturn_cli.commands import main as run_command
 from vaneturn_cli.exits import Exit
 from vaneturn_core.traffic.ratelimits import SETTLE_TIME_S
@@ -73,3 +74,35 @@
         steps = (await traffic.nodes[1].wait_for_log("moved"))["steps"]
         assert any("retry budget used up" in step for step in steps)
         assert any("forwarded to entry-1" in step for step in steps)
+
+
+async def use_up_retries(traffic: Traffic, servers: list[Server]) -> None:
+    """Let servers refuse requests to the first node until it has no retry left."""
+    for server in servers:
+        server.refused_share = 1.0
+    with anyio.fail_after(START_TIME):
+        while not any(line["message"] == "retry budget used up" for line in traffic.nodes[0].read_log()):
+            await traffic.ask("/letter/1")
+            await anyio.sleep(0.05)
+    for server in servers:
+        server.refused_share = 0.0
+
+
+async def test_answer_at_a_node_without_a_path_is_resumed_by_one_without_retries(tmp_path: Path) -> None:
+    """The other node declined it again and again, while the retries of its own node lay idle."""
+    bounds = {"retry_ratio": 0.0, "retry_slack": 20.0}
+    async with open_traffic(tmp_path, nodes=2, link_rate=125_000_000.0, **bounds) as traffic:
+        servers = await traffic.add_chains()
+        await use_up_retries(traffic, servers)
+        traffic.fleet.answer_tokens, traffic.fleet.token_time = 60, 0.02
+        answers: list[list[int]] = []
+
+        async def ask() -> None:
+            answers.append(list_ids((await traffic.ask("/letter/1", node=1, X_Request_Id="moved")).text))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await wait_for(lambda: any(len(run.tokens) > 10 for run in traffic.fleet.find_runs("moved")))
+            traffic.cut_off(traffic.nodes[1], CutKind.SILENT)
+        assert answers == [list(range(1, 61))]
+        assert len(traffic.fleet.find_runs("moved")) == 2
