Let a begun answer wait between refusals instead of breaking it off after three

Cause: the bounds of sends and refusals, made for requests whose clients may come back, counted for answers in progress too, without a pause in between. Change: after a refusal a begun answer waits for 0.2 s, as it does without a chain; ten refusals break it off, and no longer count as sends. Each try is still taken from the retry budget, and tries that may have run are bounded by the route's attempts as before. Evidence: the new test of test_streams.py broke off before (all servers refuse for 0.7 s after four events), whole now; test_kepttries.py, test_emptyends.py, test_retrybudget.py: 42 passed with it.

--- a/packages/node/src/vaneturn_node/traffic/serving/streams.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streams.py
@@ -32,6 +32,7 @@
 
 MAX_SENDS: Final = 5  # of one request, including those that servers refused
 MAX_REFUSALS: Final = 3  # by servers without free capacity, before the request is refused
+MAX_BEGUN_REFUSALS: Final = 10  # the same of one whose answer has begun, with a wait after each
 CHAIN_SEARCH_INTERVAL_S: Final = 0.2  # between searches for a chain that can resume a begun answer
 PEER_ASK_INTERVAL_S: Final = 1.0  # between rounds in which other nodes are asked to resume a begun answer
 MAX_RETRY_OFFERS: Final = 2  # in a round; when no node has a retry, many answers ask at once
@@ -78,16 +79,12 @@
     ) -> Answered | OwnAnswer | None:
         outcome: TryOutcome | None = None
         refusals = 0
-        while context.sends < MAX_SENDS and refusals < MAX_REFUSALS and context.time_left > 0 and context.may_send():
+        while self._may_try(context, client, refusals):
             is_moved = client.is_begun or context.is_resumed_here
             reason = RetryReason.MOVED if is_moved else classify_retry(outcome)
             prepared = self._prepare_try(context, engine, client, reason)
             if isinstance(prepared, Shortage):
-                if prepared in {Shortage.CHAIN, Shortage.CROSSING} and client.is_begun:
-                    await self._wait_for_chain(context, "no chain")
-                    continue
-                if prepared is Shortage.BUDGET and client.is_begun:
-                    await self._wait_for_retry(context)
+                if client.is_begun and await self._wait_for(context, prepared):
                     continue
                 return give_up_stream(self._parts, context, client, outcome, prepared)
             result = await prepared.run()
@@ -100,11 +97,21 @@
                 if isinstance(prepared, PeerTry) and not await self._may_search_path(context, client):
                     return give_up_stream(self._parts, context, client, outcome, Shortage.PATH)
                 continue
-            refusals += isinstance(outcome, NotRun) and not outcome.is_rate_limited
-            if not isinstance(outcome, NotRun) and not context.may_run_again:
+            if isinstance(outcome, NotRun):
+                refusals += not outcome.is_rate_limited
+                await self._wait_after_refusal(context, client, outcome)
+            elif not context.may_run_again:
                 break
         return give_up_stream(self._parts, context, client, outcome)
 
+    def _may_try(self, context: RequestContext, client: ClientStream, refusals: int) -> bool:
+        """Tell whether one more try is worth its cost; a begun answer would be lost without it."""
+        if context.time_left <= 0 or not context.may_send():
+            return False
+        if client.is_begun:
+            return context.sends - refusals < MAX_SENDS and refusals < MAX_BEGUN_REFUSALS
+        return context.sends < MAX_SENDS and refusals < MAX_REFUSALS
+
     async def _may_search_path(self, context: RequestContext, client: ClientStream) -> bool:
         """Tell whether a request that no other node has accepted may be tried again; a begun one waits before."""
         if client.is_begun:
@@ -114,10 +121,19 @@
         context.has_declined_peers = True
         return may_try
 
-    async def _wait_for_retry(self, context: RequestContext) -> None:
-        """Wait until this node may resume a begun answer."""
-        with self._parts.retries.wait(context.service):
-            await self._wait_for_chain(context, "retry budget used up")
+    async def _wait_for(self, context: RequestContext, shortage: Shortage) -> bool:
+        """Wait for what a begun answer lacks; return false if waiting is in vain."""
+        if shortage in {Shortage.CHAIN, Shortage.CROSSING}:
+            await self._wait_for_chain(context, "no chain")
+        elif shortage is Shortage.BUDGET:
+            with self._parts.retries.wait(context.service):
+                await self._wait_for_chain(context, "retry budget used up")
+        return shortage in {Shortage.CHAIN, Shortage.CROSSING, Shortage.BUDGET}
+
+    async def _wait_after_refusal(self, context: RequestContext, client: ClientStream, outcome: NotRun) -> None:
+        """Wait before the next try of a begun answer: servers may refuse several within milliseconds."""
+        if client.is_begun:
+            await self._wait_for_chain(context, outcome.cause)
 
     async def _wait_for_chain(self, context: RequestContext, reason: str) -> None:
         """Wait before the next search for a chain that can resume a begun answer."""
--- a/tests/system/platform/test_streams.py
+++ b/tests/system/platform/test_streams.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from rig.faults import set_faults
+from rig.faults import break_off, set_faults
 from rig.ports import find_port
 from rig.traffic import Traffic, assert_layers_once_in_order, list_ids, wait_for
 from standins.platform.servers import Run
@@ -187,3 +187,27 @@
     answer = await traffic.ask("/letter/1")
     assert list_ids(answer.text) == list(range(1, 11))
     assert "nobody" not in answer.text
+
+
+async def test_begun_answer_outlasts_servers_that_refuse_for_a_moment(traffic: Traffic) -> None:
+    """It was broken off after three refusals within milliseconds, seconds before its deadline."""
+    servers = await traffic.add_chains(per_hall=6)
+
+    async def break_off_beside_refusals(exchange: Exchange, run: Run) -> None:
+        for server in servers:
+            server.refused_share = 1.0
+        await break_off(4)(exchange, run)
+
+    set_faults(traffic, break_off_beside_refusals)
+    answers: list[list[int]] = []
+
+    async def ask() -> None:
+        answers.append(list_ids((await traffic.ask("/letter/1")).text))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        await wait_for(lambda: bool(traffic.fleet.runs))
+        await anyio.sleep(0.7)
+        for server in servers:
+            server.refused_share = 0.0
+    assert answers == [list(range(1, 11))]
