--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -170,11 +170,55 @@
             ),
             Edit(
                 f"{TRAFFIC}/serving/plaintry.py",
-                "if facts.id is not None and facts.id != context.facts.id:",
+                "if not facts.may_answer(context.facts.id):",
                 "if False:",
             ),
         ),
     ),
+    Proof(
+        "an answer that clients get names its request",
+        f"{SYSTEM}/test_streams.py::test_stream_gets_no_answer_that_names_no_request",
+        (
+            Edit(
+                "node/src/vaneturn_node/platform/headers.py",
+                "(self.id is None and not self.is_sealed)",
+                "self.id is None",
+            ),
+        ),
+    ),
+    Proof(
+        "the newest version may say that a request must run once",
+        f"{SYSTEM}/test_plain.py::test_request_is_not_repeated_once_a_newer_version_says_that_it_must_run_once",
+        (Edit(f"{TRAFFIC}/serving/requests.py", " and self.is_repeatable()", ""),),
+    ),
+    Proof(
+        "a request counts as sent from its first byte on",
+        "tests/node/traffic/serving/test_answering.py"
+        "::test_request_whose_time_ends_while_it_is_sent_is_not_refused_as_not_run",
+        (
+            Edit(
+                f"{TRAFFIC}/serving/answering.py",
+                "if context.sends or context.history.may_have_run:",
+                "if context.sends:",
+            ),
+        ),
+    ),
+    Proof(
+        "a node without a path lends a retry",
+        f"{SYSTEM}/test_retrybudget.py::test_answer_at_a_node_without_a_path_is_resumed_by_one_without_retries",
+        (Edit(f"{TRAFFIC}/serving/peerforwarding.py", "if not context.sends or context.is_forwarded:", "if True:"),),
+    ),
+    Proof(
+        "a begun answer waits between refusals",
+        f"{SYSTEM}/test_streams.py::test_begun_answer_outlasts_servers_that_refuse_for_a_moment",
+        (
+            Edit(
+                f"{TRAFFIC}/serving/streams.py",
+                "            return context.sends - refusals < MAX_SENDS and refusals < MAX_BEGUN_REFUSALS\n",
+                "            return context.sends < MAX_SENDS and refusals < MAX_REFUSALS\n",
+            ),
+        ),
+    ),
     Proof(
         "a server that drains gets no new work",
         f"{SYSTEM}/test_plain.py::test_draining_server_gets_no_new_work",
