Decide in one place of the serving package which answer may be that to a request

Cause: had put the decision into the adapter of the platform's wire format, which decides nothing. Change: a function beside the handling of heads, used by both kinds of tries; nothing changes in what it decides.

--- a/packages/node/src/vaneturn_node/platform/headers.py
+++ b/packages/node/src/vaneturn_node/platform/headers.py
@@ -73,10 +73,6 @@
     load: tuple[int, int, int] | None  # running requests, waiting requests, slots
     directives: ServerDirectives
 
-    def may_answer(self, request: RequestId | None) -> bool:
-        """Tell whether this may be the answer to a request; one that clients get names its request."""
-        return self.id == request or (self.id is None and not self.is_sealed)
-
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
--- a/packages/node/src/vaneturn_node/traffic/serving/chainreservation.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/chainreservation.py
@@ -26,9 +26,7 @@
         self.sent_at = 0.0  # monotonic time at which the request was sent to the first server
         self.send: Send | None = None  # to the first server
         self.is_run_counted = False  # as a run of the request
-        self._is_unknown = (
-            False  # the first server says that it does not know the request, and has not begun its answer
-        )
+        self._is_unknown = False  # the request, to the first server, which has not begun to answer it either
 
     @property
     def first_server(self) -> BackendServer:
--- a/packages/node/src/vaneturn_node/traffic/serving/heads.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/heads.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import Final
 
+from vaneturn_core.identifiers import RequestId
 from vaneturn_core.traffic.completeness import BodyEnd
 from vaneturn_node.clock import read_clock
 from vaneturn_node.http1.link import AnswerHead, LinkError
@@ -33,7 +34,7 @@
     now = read_clock()
     if facts.load is not None:
         server_status.take_load(facts.load[0] + facts.load[1], now)
-    if not facts.may_answer(context.facts.id):
+    if not may_answer(facts, context.facts.id):
         raise LinkError("answer to another request", was_sent=True)
     if not facts.is_wrong_server:
         parts.directives.apply(reservation.first_server, facts.directives, reservation.sent_at)
@@ -46,6 +47,11 @@
     return None
 
 
+def may_answer(facts: AnswerFacts, request: RequestId | None) -> bool:
+    """Tell whether an answer may be that to a request; only a refusal or an error may lack the id of its request."""
+    return facts.id == request or (facts.id is None and not facts.is_sealed)
+
+
 async def _read_failure(
     parts: TrafficParts, context: RequestContext, reservation: ChainReservation, send: Send, head: AnswerHead
 ) -> TryOutcome:
@@ -76,4 +82,4 @@
     return outcome
 
 
-__all__ = ["handle_head"]
+__all__ = ["handle_head", "may_answer"]
--- a/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
@@ -16,6 +16,7 @@
 from vaneturn_node.platform.headers import AnswerFacts, build_server_headers, read_answer_facts
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.serving.answerends import AnswerEnds
+from vaneturn_node.traffic.serving.heads import may_answer
 from vaneturn_node.traffic.serving.notrun import judge_lost, judge_refusal, withhold
 from vaneturn_node.traffic.serving.outcomes import Answered, MayHaveRun, NotRun, TryOutcome
 from vaneturn_node.traffic.serving.requests import RequestContext
@@ -150,7 +151,7 @@
         server_status = self._parts.beliefs[server.id]
         if facts.load is not None:
             server_status.take_load(facts.load[0] + facts.load[1], read_clock())
-        if not facts.may_answer(context.facts.id):
+        if not may_answer(facts, context.facts.id):
             raise LinkError("answer to another request", was_sent=True)
         if not facts.is_wrong_server:
             self._parts.directives.apply(server, facts.directives, answer.sent_at)
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -170,7 +170,7 @@
             ),
             Edit(
                 f"{TRAFFIC}/serving/plaintry.py",
-                "if not facts.may_answer(context.facts.id):",
+                "if not may_answer(facts, context.facts.id):",
                 "if False:",
             ),
         ),
@@ -180,9 +180,9 @@
         f"{SYSTEM}/test_streams.py::test_stream_gets_no_answer_that_names_no_request",
         (
             Edit(
-                "node/src/vaneturn_node/platform/headers.py",
-                "(self.id is None and not self.is_sealed)",
-                "self.id is None",
+                f"{TRAFFIC}/serving/heads.py",
+                "(facts.id is None and not facts.is_sealed)",
+                "facts.id is None",
             ),
         ),
     ),
