Bound the doublings of delays, so that a long series of failures ends no task

A server that fails 1,024 tries in a row would have ended each further try with the same error. Cause: a delay doubled per failure was computed from 2**failures, which no float holds from 1,024 on, before its bound was applied. Change: one function computes delays that double, with at most 64 doublings; the three places that did so use it (store, servers, ejections of the own interface).

--- a/packages/core/src/vaneturn_core/routing/health.py
+++ b/packages/core/src/vaneturn_core/routing/health.py
@@ -8,6 +8,7 @@
 from enum import Enum
 from typing import Final
 
+from vaneturn_core.backoff import compute_backoff
 from vaneturn_core.identifiers import VmId
 
 FAILURES_TO_EJECT: Final = 3
@@ -126,7 +127,7 @@
         ejected = sum(self._is_ejected(other) for other in self._servers.values())
         if ejected + 1 > MAX_EJECTED_SHARE * len(self._servers):
             return
-        health.ejected_until = self._clock() + min(MAX_EJECTION_S, EJECTION_S * 2**health.ejections)
+        health.ejected_until = self._clock() + compute_backoff(EJECTION_S, MAX_EJECTION_S, health.ejections)
         health.ejections += 1
 
     def mark_leaving(self, vm: VmId, source: LeavingSource) -> None:
--- a/packages/core/src/vaneturn_core/traffic/beliefs.py
+++ b/packages/core/src/vaneturn_core/traffic/beliefs.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 from typing import Final
 
+from vaneturn_core.backoff import compute_backoff
 from vaneturn_core.traffic.servers import BackendServer, ServerId, ServerLoad, ServerState
 
 FIRST_BACKOFF_S: Final = 0.7  # after a first failure; about the time that a process takes to restart
 MAX_BACKOFF_S: Final = 8.0  # a server that has ended leaves the list sooner
-BACKOFF_GROWTH: Final = 2.0  # factor for each consecutive failure
 FULL_BACKOFF_S: Final = 0.25  # after a refusal by a full server; some of its requests end in that time
 ALIVE_AGE_S: Final = 0.5  # a server that sent a token within this time and refuses is full, not lost
 # share of memory or places in use from which a refusal is taken as lack of capacity; below 1, since reported loads are
@@ -156,7 +156,7 @@
         """Record a failure and return the seconds of backoff."""
         if now - self.failed_at > FAILURE_MEMORY_S:
             self.failures = 0
-        rest = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * BACKOFF_GROWTH**self.failures)
+        rest = compute_backoff(FIRST_BACKOFF_S, MAX_BACKOFF_S, self.failures)
         self.failures += 1
         self.failed_at = now
         self.failed_until = now + rest
--- a/packages/core/src/vaneturn_core/traffic/outage.py
+++ b/packages/core/src/vaneturn_core/traffic/outage.py
@@ -12,6 +12,8 @@
 import random
 from typing import Final
 
+from vaneturn_core.backoff import compute_backoff
+
 RETRY_DELAY_S: Final = 0.1  # with full jitter, doubled after each consecutive failure
 MAX_RETRY_DELAY_S: Final = 0.8  # refused calls are charged for, and nodes may take a few seconds after an outage
 DELAY_PER_NODE_S: Final = 0.05  # so that all nodes together make 20 calls per second
@@ -20,7 +22,7 @@
 
 def draw_retry(failures: int) -> float:
     """Draw the seconds until a node retries, from the number of consecutive failures."""
-    return random.uniform(0, min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * 2**failures))
+    return random.uniform(0, compute_backoff(RETRY_DELAY_S, MAX_RETRY_DELAY_S, failures))
 
 
 def draw_store_retry(nodes: int, shortest_bound: float) -> float:
