End the nodes of a randomised run that is ended by SIGTERM

Cause: a run ended by SIGTERM left its nodes behind. They went on calling the ports of their store and of each other, which other tests got from the same block.

--- a/tests/rig/trafficsoak.py
+++ b/tests/rig/trafficsoak.py
@@ -225,6 +225,7 @@
     parser.add_argument("--seeds", type=int, nargs="+", default=[1])
     parser.add_argument("--keep", type=Path, help="folder for the node logs of seeds with faults")
     options = parser.parse_args()
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that an ended run ends its nodes, too
     failed = 0
     for seed in options.seeds:
         with tempfile.TemporaryDirectory() as folder:
