Let stand-in servers close a connection only when their answer has left

Cause, by the trace: the server made its last event at 0.82 s, the node had it at 0.84 s and saw the end of the connection, without the end of the answer, at 0.88 s. The stand-in had closed the connection while the end of its answer waited in the node's link, which dropped it; a real server's kernel sends it first. Change: the close waits until the answer has passed the link, and is dropped if another exchange has begun by then. Evidence: the new test of test_rig.py (a link that is held for 0.1 s) failed before, passes now.

--- a/tests/rig/oncesoak.py
+++ b/tests/rig/oncesoak.py
@@ -56,8 +56,7 @@
     async def _close_idle(self, exchange: Exchange, connection: KeptConnection, delay: float) -> None:
         """Close a connection some time after an exchange, unless another one has begun on it."""
         await anyio.sleep(delay)
-        if connection.newest is exchange:
-            await connection.close()
+        await connection.close_idle(exchange)
 
     async def _send_surplus(self, exchange: Exchange, connection: KeptConnection, delay: float) -> None:
         await anyio.sleep(delay)
--- a/tests/standins/platform/wire.py
+++ b/tests/standins/platform/wire.py
@@ -139,9 +139,13 @@
         """Tell whether an answer has begun and has not ended."""
         return self.newest is not None and self.newest.is_begun and not self.newest.is_ended
 
-    async def close(self) -> None:
-        self.is_closed = True
-        await self._stream.aclose()
+    async def close_idle(self, newest: Exchange) -> None:
+        """Close the connection, once the given answer has left, if no exchange has begun on it since."""
+        if self._link is not None:
+            await self._link.flush()
+        if self.newest is newest:
+            self.is_closed = True
+            await self._stream.aclose()
 
     async def send_surplus(self, answer: bytes) -> None:
         """Send an answer that no call asked for, in the place of the next one due."""
--- a/tests/system/platform/test_rig.py
+++ b/tests/system/platform/test_rig.py
@@ -9,12 +9,14 @@
 from typing import Any
 
 import anyio
+import httpx
 import pytest
 
 from rig.ports import find_port
 from rig.traffic import open_traffic
+from standins.link import Link
 from standins.platform.store import Store
-from standins.platform.wire import ConnectionEndedError, Exchange, serve
+from standins.platform.wire import ConnectionEndedError, Exchange, KeptConnection, serve
 
 pytestmark = pytest.mark.anyio
 
@@ -78,6 +80,27 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_server_that_closes_a_connection_after_an_answer_loses_no_part_of_it() -> None:
+    """The end of an answer waited in the link of its caller when the connection was closed, and was dropped."""
+    link, address = Link(), f"127.0.0.1:{find_port()}"
+
+    async def answer(exchange: Exchange) -> None:
+        await exchange.begin(200, {"Transfer-Encoding": "chunked"})
+        await exchange.send(b"whole")
+        link.fill(0.1)
+        await exchange.end()
+
+    async with anyio.create_task_group() as tasks, httpx.AsyncClient() as client:
+        tasks.start_soon(link.run)
+
+        def close(exchange: Exchange, connection: KeptConnection) -> None:
+            tasks.start_soon(connection.close_idle, exchange)
+
+        await serve(address, answer, tasks, lambda _: link, close)
+        assert (await client.get(f"http://{address}/")).text == "whole"
+        tasks.cancel_scope.cancel()
+
+
 def block_loop(seconds: float) -> None:
     """Block the event loop, so that all callbacks due meanwhile run in one iteration after it."""
     time.sleep(seconds)
