--- a/packages/node/src/vaneturn_node/traffic/serving/heads.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/heads.py
@@ -27,7 +27,7 @@
 ) -> TryOutcome | None:
     """Handle the head of an answer; return the outcome of the try if it is no success.
 
-    :raises LinkError: the answer is to another request, or not from the server.
+    :raises LinkError: the answer does not name the request, or is not from the server.
     """
     facts = read_answer_facts(head.status, head.headers)
     server_status = parts.beliefs[reservation.first_server.id]
@@ -35,7 +35,7 @@
     if facts.load is not None:
         server_status.take_load(facts.load[0] + facts.load[1], now)
     if not may_answer(facts, context.facts.id):
-        raise LinkError("answer to another request", was_sent=True)
+        raise LinkError("the answer does not name the request", was_sent=True)
     if not facts.is_wrong_server:
         parts.directives.apply(reservation.first_server, facts.directives, reservation.sent_at)
     if head.status not in SUCCESS_STATUSES:
--- a/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/plaintry.py
@@ -144,7 +144,7 @@
     ) -> TryOutcome:
         """Decide what an answer whose bytes have ended means for the request.
 
-        :raises LinkError: it was broken off, or answers another request.
+        :raises LinkError: it was broken off, or does not name the request.
         """
         await AnswerEnds(self._parts, context).require_whole(send.link, answer.body_end, server)
         head, facts = answer.head, answer.facts
@@ -152,7 +152,7 @@
         if facts.load is not None:
             server_status.take_load(facts.load[0] + facts.load[1], read_clock())
         if not may_answer(facts, context.facts.id):
-            raise LinkError("answer to another request", was_sent=True)
+            raise LinkError("the answer does not name the request", was_sent=True)
         if not facts.is_wrong_server:
             self._parts.directives.apply(server, facts.directives, answer.sent_at)
         if facts.was_refused:
