Answer a stream that its server has lost once nothing is left to try

Callers saw: a stream whose server had lost it waited for its time limit of 20 s and got 504, while the retry budget had nothing left. Cause: once the server has answered that it does not know the request, the try was kept until another one replaced it. Without a retry, or without another chain, none ever did, and other nodes were asked for a retry only by answers that had begun. Change: such a request asks other nodes for a retry too. A second after it could have been sent last its try ends: it goes to any chain that is left, also that of its own server, or is answered 502 may_have_run, so that its client may send it again. Begun answers and requests that must run once wait as before. Ruled out: 503, as bytes that a path has held up may still reach the server.

--- a/packages/node/src/vaneturn_node/traffic/serving/repair.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/repair.py
@@ -18,6 +18,7 @@
 MAX_DETOURS: Final = 3
 PATH_CHECK_AGE_S: Final = 0.1  # a connection that was opened before says nothing about the path now
 LOST_REQUEST_AGE_S: Final = 1.0  # without an event; half of the time after which clients leave
+LOST_REQUEST_WAIT_S: Final = 1.0  # for a chain or a retry, before its client may send it again
 
 
 class TryEndedError(Exception):
@@ -57,7 +58,8 @@
         self._move = move
         self._finder = LossFinder(parts, context.facts.id)
         self._asked_at = float("-inf")  # monotonic time at which the first server was asked for the request
-        self._is_request_lost = False  # its answer
+        # monotonic time since which it does not know the request and no other try was sent; None if it may know it
+        self._lost_since: float | None = None
         self._probes_slowness_at = float("-inf")  # monotonic time of the next probes for slowness
 
     @property
@@ -109,16 +111,31 @@
         """
         now = read_clock()
         if now - self._get_heard_at() < LOST_REQUEST_AGE_S:
-            self._is_request_lost = False
+            self._lost_since = None
             return
         if now - self._asked_at >= LOST_REQUEST_AGE_S:
             self._asked_at = now
-            self._is_request_lost = not await self._reservation.is_known_to_server()
-        if self._is_request_lost:  # there may be no other server, or no retry budget, until later
-            cause = "first server does not know the request"
-            await self._move(cause, is_first_lost=False)
-            if self._client.is_resumed and self._context.may_repeat and not self._context.may_run_again:
-                raise TryEndedError(MayHaveRun(cause))  # no other server may run it, but this one may once more
+            is_known = await self._reservation.is_known_to_server()
+            self._lost_since = None if is_known else self._lost_since or now
+        if self._lost_since is None:
+            return
+        self._context.is_lost = True
+        cause = "first server does not know the request"
+        sends = self._context.sends
+        await self._move(cause, is_first_lost=False)  # there may be no other server, or no retry, until later
+        if self._context.sends > sends:
+            self._lost_since = read_clock()
+        if self._context.may_repeat and self._may_leave_lost(read_clock() - self._lost_since):
+            raise TryEndedError(MayHaveRun(cause))
+
+    def _may_leave_lost(self, waited: float) -> bool:
+        """Tell whether the try of a lost request ends though no other has replaced it.
+
+        :param waited: seconds since another try could have been sent.
+        """
+        if self._client.is_resumed and not self._context.may_run_again:
+            return True  # no other server may run it, but this one may once more
+        return not self._client.is_begun and waited >= LOST_REQUEST_WAIT_S
 
     async def measure_slowness(self) -> None:
         """Ask the parts for their slowness, at most once in `SLOWNESS_AGE_S`, so that later requests avoid slow ones.
--- a/packages/node/src/vaneturn_node/traffic/serving/trypreparation.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/trypreparation.py
@@ -19,7 +19,7 @@
 from vaneturn_node.traffic.serving.streamtry import OnAccepted, StreamTry
 
 MAX_SENDS: Final = 5  # of one request, including those that servers refused
-PEER_ASK_INTERVAL_S: Final = 1.0  # between rounds in which other nodes are asked to resume a begun answer
+PEER_ASK_INTERVAL_S: Final = 1.0  # between rounds in which other nodes are asked for a retry of one request
 MAX_RETRY_OFFERS: Final = 2  # in a round; when no node has a retry, many answers ask at once
 
 
@@ -104,12 +104,14 @@
     def _prepare_peer_retry(
         self, context: RequestContext, client: ClientStream, on_accepted: OnAccepted | None
     ) -> PeerTry | None:
-        """Prepare to resume a begun answer with a retry of another node; none if the others were asked just before.
+        """Prepare to send a request with a retry of another node; none if the others were asked just before.
 
-        A node that has just started has few retries itself.
+        Only for a begun answer, and for a request that its server has lost: a node that has just started has few
+        retries itself.
         """
         now = read_clock()
-        if not client.is_begun or context.is_forwarded or now - context.peers_asked_at < PEER_ASK_INTERVAL_S:
+        may_ask = (client.is_begun or context.is_lost) and not context.is_forwarded
+        if not may_ask or now - context.peers_asked_at < PEER_ASK_INTERVAL_S:
             return None
         context.peers_asked_at = now
         return PeerTry(
--- a/tests/node/traffic/serving/test_repair.py
+++ b/tests/node/traffic/serving/test_repair.py
@@ -9,7 +9,12 @@
 import pytest
 
 from vaneturn_node.traffic.serving import repair
-from vaneturn_node.traffic.serving.repair import LOST_REQUEST_AGE_S, ChainRepair, TryEndedError
+from vaneturn_node.traffic.serving.repair import (
+    LOST_REQUEST_AGE_S,
+    LOST_REQUEST_WAIT_S,
+    ChainRepair,
+    TryEndedError,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -46,7 +51,7 @@
 
 def make_context(*, may_run_again: bool, may_repeat: bool = True) -> Any:
     facts = SimpleNamespace(id="request-1")
-    return SimpleNamespace(facts=facts, may_repeat=may_repeat, may_run_again=may_run_again)
+    return SimpleNamespace(facts=facts, may_repeat=may_repeat, may_run_again=may_run_again, is_lost=False, sends=1)
 
 
 async def test_lost_request_is_moved_at_each_probe_until_a_server_takes_it(clock: Clock) -> None:
@@ -58,7 +63,7 @@
         assert not is_first_lost
         moves.append(clock.now)
 
-    reservation, client = Reservation(), SimpleNamespace(last_event_at=None, is_resumed=True)
+    reservation, client = Reservation(), SimpleNamespace(last_event_at=None, is_resumed=True, is_begun=True)
     context = make_context(may_run_again=True)
     chain: Any = reservation
     answer: Any = client
@@ -95,8 +100,29 @@
 
     context = make_context(may_run_again=may_run_again, may_repeat=may_repeat)
     chain: Any = Reservation()
-    answer: Any = SimpleNamespace(last_event_at=None, is_resumed=is_resumed)
+    answer: Any = SimpleNamespace(last_event_at=None, is_resumed=is_resumed, is_begun=is_resumed)
     lost = ChainRepair(context, context, chain, answer, move)
     clock.now += LOST_REQUEST_AGE_S
     with pytest.raises(TryEndedError) if is_ended else nullcontext():
         await lost._find_lost_request()
+
+
+@pytest.mark.parametrize("may_repeat", [True, False])
+async def test_lost_request_without_another_try_is_given_up_if_it_may_be_repeated(
+    clock: Clock, *, may_repeat: bool
+) -> None:
+    """It waited until its deadline; a request that must run once still does, as its server may yet receive it."""
+
+    async def move(cause: str, *, is_first_lost: bool) -> None:
+        assert cause
+        assert not is_first_lost
+
+    context = make_context(may_run_again=may_repeat, may_repeat=may_repeat)
+    chain: Any = Reservation()
+    answer: Any = SimpleNamespace(last_event_at=None, is_resumed=False, is_begun=False)
+    lost = ChainRepair(context, context, chain, answer, move)
+    clock.now += LOST_REQUEST_AGE_S
+    await lost._find_lost_request()
+    clock.now += LOST_REQUEST_WAIT_S
+    with pytest.raises(TryEndedError) if may_repeat else nullcontext():
+        await lost._find_lost_request()
--- a/tests/rig/overloadmechanisms.py
+++ b/tests/rig/overloadmechanisms.py
@@ -113,11 +113,21 @@
         (
             Edit(
                 f"{TRAFFIC}/serving/repair.py",
-                "if self._client.is_resumed and self._context.may_repeat and not self._context.may_run_again:",
+                "if self._client.is_resumed and not self._context.may_run_again:",
                 "if False:",
             ),
         ),
     ),
+    Proof(
+        "a lost stream without a retry is answered at once",
+        "tests/system/platform/test_lostrequests.py::test_lost_stream_without_a_retry_is_answered_at_once",
+        (Edit(f"{TRAFFIC}/serving/repair.py", "and waited >= LOST_REQUEST_WAIT_S", "and waited < 0"),),
+    ),
+    Proof(
+        "a lost stream is served with the retry of another node",
+        "tests/system/platform/test_lostrequests.py::test_lost_stream_is_served_with_the_retry_of_another_node",
+        (Edit(f"{TRAFFIC}/serving/trypreparation.py", "(client.is_begun or context.is_lost)", "client.is_begun"),),
+    ),
     Proof(
         "nodes name the servers of a request to each other",
         "tests/system/platform/test_forwardedends.py::test_forwarded_stream_that_lost_only_its_end_is_whole[reset]",
@@ -248,8 +258,8 @@
         (
             Edit(
                 f"{TRAFFIC}/serving/repair.py",
-                "if self._is_request_lost:",
-                "if False:",
+                "if self._lost_since is None:",
+                "if True:",
             ),
         ),
     ),
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -110,7 +110,7 @@
         (
             Edit(
                 f"{TRAFFIC}/serving/trypreparation.py",
-                "if not client.is_begun or context.is_forwarded or",
+                "if not may_ask or",
                 "if True or",
             ),
         ),
--- a/tests/system/platform/test_lostrequests.py
+++ b/tests/system/platform/test_lostrequests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Any
 
 import anyio
@@ -9,10 +10,12 @@
 import pytest
 
 from rig.faults import break_off, set_faults
-from rig.traffic import Traffic, list_ids
+from rig.traffic import Traffic, list_ids, open_traffic
 from standins.platform.servers import Run, Server
 from standins.platform.wire import Exchange
 from system.platform.test_emptyattempts import allow_one_attempt
+from vaneturn_core.traffic.ratelimits import SETTLE_TIME_S
+from vaneturn_core.traffic.retries import MAX_ARRIVAL_DELAY_S
 
 pytestmark = pytest.mark.anyio
 
@@ -103,3 +106,46 @@
     assert answer.status_code == 200
     assert list_ids(answer.text) == list(range(1, 11))
     assert len(set(await list_targets(traffic, "lost"))) == 1
+
+
+async def ask_with_timing(traffic: Traffic, path: str) -> tuple[httpx.Response, float]:
+    """Send a stream that its first server loses; return the answer and the seconds until it came."""
+    await traffic.add_chains()
+    traffic.fleet.lost_sends["lost"] = 1
+    started = anyio.current_time()
+    answer = await traffic.ask(path, X_Request_Id="lost", X_Deadline_Ms="9000")
+    return answer, anyio.current_time() - started
+
+
+async def test_lost_stream_without_a_retry_is_answered_at_once(tmp_path: Path) -> None:
+    """It got 504 at its time limit, though the node knew that it could not be served: its client may send it again."""
+    async with open_traffic(tmp_path, retry_ratio=0.0, retry_slack=0.0) as traffic:
+        answer, duration = await ask_with_timing(traffic, "/letter/1")
+        assert answer.status_code == 502
+        assert duration < 9.0 / 2
+        steps = (await traffic.nodes[0].wait_for_log("lost"))["steps"]
+        assert any("first server does not know the request" in step for step in steps)
+
+
+async def test_lost_stream_is_sent_to_its_server_again_if_there_is_no_other_chain(traffic: Traffic) -> None:
+    """It waited until its time limit, as the server that had lost it was avoided while attempts were left."""
+    await traffic.add_chains(halls=("east",), per_hall=2)
+    traffic.fleet.lost_sends["lost"] = 1
+    answer = await traffic.ask("/letter/1", X_Request_Id="lost", X_Deadline_Ms="9000")
+    assert answer.status_code == 200
+    assert list_ids(answer.text) == list(range(1, 11))
+
+
+async def test_lost_stream_is_served_with_the_retry_of_another_node(tmp_path: Path) -> None:
+    """Other nodes were asked for a retry only by streams whose answer had begun."""
+    bounds = {"retry_ratio": 0.0, "retry_slack": 3.0, "retry_window_s": 0.5}
+    async with open_traffic(tmp_path, nodes=1, **bounds) as traffic:
+        await anyio.sleep(SETTLE_TIME_S + MAX_ARRIVAL_DELAY_S + 1.0)  # until the first node has its whole part
+        await traffic.start_node()
+        await traffic.add_chains()
+        traffic.fleet.lost_sends["lost"] = 1
+        answer = await traffic.ask("/letter/1", node=1, X_Request_Id="lost", X_Deadline_Ms="9000")
+        assert answer.status_code == 200
+        assert list_ids(answer.text) == list(range(1, 11))
+        steps = (await traffic.nodes[1].wait_for_log("lost"))["steps"]
+        assert any("forwarded to entry-1" in step for step in steps)
