Serve the first request of connections that were opened before a planned stop

Callers saw: a connection opened before SIGTERM, whose first request came 0.2 or 0.6 s after it, was closed after 50 ms; one opened after the signal was served. Cause: the signal closed each connection that waited for a request, whether or not it had ever carried one. Change: IdleConnections tells the two apart. A connection between two requests closes at the signal, after its last look; one without a request yet is kept until the node takes no more clients (2.6 s), is served once and then closes. The tests of connections pass this class in place of a bare set of scopes.

--- a/packages/node/src/vaneturn_node/http1/requestreader.py
+++ b/packages/node/src/vaneturn_node/http1/requestreader.py
@@ -18,6 +18,7 @@
 from vaneturn_node.http1.clientrequest import ClientRequest
 from vaneturn_node.http1.connectiontable import ConnectionSlot, ConnectionState
 from vaneturn_node.http1.framing import BodyTooLongError, Rejection, check_framing, measure_head
+from vaneturn_node.http1.idleconnections import IdleConnections
 from vaneturn_node.http1.messages import find_header
 from vaneturn_node.http1.parsers import make_body_parser, make_parser, replace_parser
 from vaneturn_node.http1.parsingturns import EVENTS_PER_TURN
@@ -36,14 +37,14 @@
         self,
         stream: TcpStream,
         get_limits: Callable[[], ClientLimits],
-        idle_scopes: set[anyio.CancelScope],
+        idle: IdleConnections,
         resources: SharedResources,
         slot: ConnectionSlot,
     ) -> None:
         """Prepare to read.
 
         :param get_limits: called for each request, as a connection may outlast the configuration that it began under.
-        :param idle_scopes: contains the scope of this connection while it has no request; cancelling closes it.
+        :param idle: the connections that wait for a request.
         :param resources: shared by all connections.
         :param slot: of this connection; its state follows the requests.
         """
@@ -57,7 +58,8 @@
         self._request_size = 0  # bytes of the current request once it is complete
         self._get_limits = get_limits
         self._limits = get_limits()
-        self._idle_scopes = idle_scopes
+        self._idle = idle
+        self._has_read = False  # a request
         self.protocol = make_parser(self._limits.header_bytes)  # replaced when the limits change, and in long bodies
 
     async def read(self) -> ClientRequest | Rejection | None:
@@ -75,6 +77,7 @@
             head = await self._read_event(started + self._limits.header_time)
             if not isinstance(head, h11.Request):
                 return None
+            self._has_read = True
             return await self._read_body(head, arrived, started + max(self._limits.header_time, self._limits.idle_time))
         except TimeoutError:
             return Rejection(408, "the request took too long to arrive")
@@ -122,17 +125,13 @@
     async def _wait_for_request(self) -> bool:
         """Wait for a request; return false if none arrives.
 
-        A planned stop cancels the wait. Closing immediately would cut off a request that arrived at the same moment and
+        A planned stop ends the wait. Closing immediately would cut off a request that arrived at the same moment and
         was never read, so the connection is read once more. A connection with an answer in progress always closes after
         it: a request taken then might not end before the process does.
         """
         self._slot.change(ConnectionState.IDLE)
-        with anyio.CancelScope() as scope:
-            self._idle_scopes.add(scope)
-            try:
-                return await self._read_first(self._limits.idle_time)
-            finally:
-                self._idle_scopes.discard(scope)
+        with self._idle.wait(is_used=self._has_read):
+            return await self._read_first(self._limits.idle_time)
         return await self._read_first(LAST_WAIT_S)
 
     async def _read_first(self, limit: float) -> bool:
--- a/packages/node/src/vaneturn_node/http1/server.py
+++ b/packages/node/src/vaneturn_node/http1/server.py
@@ -15,6 +15,7 @@
 from vaneturn_node.http1.clientanswer import ClientAnswer, ClientLeftError
 from vaneturn_node.http1.connectiontable import ConnectionSlot
 from vaneturn_node.http1.framing import Rejection
+from vaneturn_node.http1.idleconnections import IdleConnections
 from vaneturn_node.http1.messages import Headers
 from vaneturn_node.http1.requestreader import ClientRequest, RequestReader
 from vaneturn_node.http1.resources import SharedResources
@@ -45,7 +46,7 @@
         stream: TcpStream,
         handler: Handler,
         get_limits: Callable[[], ClientLimits],
-        idle_scopes: set[anyio.CancelScope],
+        idle: IdleConnections,
         *,
         resources: SharedResources,
         slot: ConnectionSlot,
@@ -61,12 +62,12 @@
         :param on_error: called with an unexpected error, which ends the connection.
         :param is_stopping: called for each answer; tells whether the connection closes after it.
         :param list_unread_headers: called for the answer to a request that was not read whole; lists its headers.
-        :param idle_scopes: contains the scope of this connection while it has no request; cancelling closes it.
+        :param idle: the connections that wait for a request.
         """
         self._stream = stream
         self._handler = handler
         self._get_limits = get_limits
-        self._reader = RequestReader(stream, get_limits, idle_scopes, resources, slot)
+        self._reader = RequestReader(stream, get_limits, idle, resources, slot)
         self._is_stopping = is_stopping
         self._on_error = on_error
         self._list_unread_headers = list_unread_headers
--- a/packages/node/src/vaneturn_node/traffic/process/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/process/daemon.py
@@ -201,7 +201,7 @@
             until_abort = self._lifecycle.get_time_left()
             await anyio.sleep(max(ABORT_POLL_INTERVAL_S, min(STOP_POLL_INTERVAL_S, until_abort)))
             if self._lifecycle.is_closed_to_clients():
-                self._lifecycle.close_idle()  # connections that were opened after the signal
+                self._lifecycle.idle.close_all()  # connections without a request yet
                 self._first_reading.end()  # requests that wait for it are refused, as the process may end before it
             if self._lifecycle.is_closed_to_clients() and self._listeners.close_to_clients():
                 logger.info("no more clients", extra={"in_progress": self._request_handler.in_progress})
--- a/packages/node/src/vaneturn_node/traffic/process/listeners.py
+++ b/packages/node/src/vaneturn_node/traffic/process/listeners.py
@@ -144,7 +144,7 @@
             stream,
             handler,
             get_limits,
-            lifecycle.idle_scopes,
+            lifecycle.idle,
             resources=self._limits.resources,
             slot=slot,
             is_stopping=lambda: lifecycle.is_stopping,
--- a/packages/node/src/vaneturn_node/traffic/process/stopping.py
+++ b/packages/node/src/vaneturn_node/traffic/process/stopping.py
@@ -7,6 +7,7 @@
 import anyio
 
 from vaneturn_node.clock import read_clock
+from vaneturn_node.http1.idleconnections import IdleConnections
 
 UNREADY_TIME_S: Final = 2.6  # until the platform notices that a node is not ready and sends no new clients
 UNREADY_SHARE: Final = 1 / 3  # largest part of a short stop in which every new client is served
@@ -26,7 +27,7 @@
         self._closed_after = min(UNREADY_TIME_S, UNREADY_SHARE * stop_time)
         self._aborted_after = stop_time - self._abort_margin
         self.stop_requested_at: float | None = None
-        self.idle_scopes: set[anyio.CancelScope] = set()
+        self.idle = IdleConnections()
         self._stop_requested = anyio.Event()
 
     @property
@@ -42,12 +43,7 @@
         """Begin the planned stop."""
         self.stop_requested_at = read_clock()
         self._stop_requested.set()
-        self.close_idle()
-
-    def close_idle(self) -> None:
-        """Close the connections that wait for a request."""
-        for scope in list(self.idle_scopes):
-            scope.cancel()
+        self.idle.close_used()
 
     def get_time_left(self) -> float:
         """Give the seconds until a request that arrives now is aborted; infinite until new clients are refused."""
--- a/tests/node/test_chunks.py
+++ b/tests/node/test_chunks.py
@@ -17,6 +17,7 @@
 from vaneturn_node.http1.clientanswer import ClientLeftError
 from vaneturn_node.http1.connectiontable import ConnectionTable
 from vaneturn_node.http1.framing import Rejection
+from vaneturn_node.http1.idleconnections import IdleConnections
 from vaneturn_node.http1.parsingturns import EVENTS_PER_TURN, ParsingTurns
 from vaneturn_node.http1.requestreader import RequestReader
 from vaneturn_node.http1.resources import SharedResources
@@ -85,7 +86,7 @@
     resources = resources or SharedResources(ByteBudget(BUDGET_BYTES))
     stream = PieceStream(pieces)
     slot = ConnectionTable("client", 1).add("", lambda: None)
-    reader = RequestReader(stream, lambda: LIMITS, set(), resources, slot)
+    reader = RequestReader(stream, lambda: LIMITS, IdleConnections(), resources, slot)
     try:
         request = await reader.read()
     except h11.RemoteProtocolError as error:
--- a/tests/node/traffic/test_connection.py
+++ b/tests/node/traffic/test_connection.py
@@ -15,6 +15,7 @@
 from vaneturn_node.bytebudget import ByteBudget
 from vaneturn_node.http1.clientanswer import ClientAnswer
 from vaneturn_node.http1.connectiontable import ConnectionSlot, ConnectionTable
+from vaneturn_node.http1.idleconnections import IdleConnections
 from vaneturn_node.http1.listener import listen
 from vaneturn_node.http1.requestreader import ClientRequest
 from vaneturn_node.http1.resources import SharedResources
@@ -68,7 +69,7 @@
             BrokenStream(),
             handle,
             ClientLimits,
-            set(),
+            IdleConnections(),
             is_stopping=lambda: False,
             resources=SharedResources(ByteBudget(BUDGET_BYTES)),
             slot=ConnectionTable("client", 1).add("", fail_close),
@@ -90,7 +91,7 @@
             BrokenStream(head),
             handle,
             ClientLimits,
-            set(),
+            IdleConnections(),
             is_stopping=lambda: False,
             resources=resources,
             slot=slot,
@@ -124,7 +125,7 @@
             stream,
             handle,
             ClientLimits,
-            set(),
+            IdleConnections(),
             is_stopping=lambda: False,
             resources=SharedResources(ByteBudget(BUDGET_BYTES)),
             slot=slot,
@@ -160,7 +161,7 @@
                 stream,
                 handle,
                 ClientLimits,
-                set(),
+                IdleConnections(),
                 is_stopping=lambda: False,
                 resources=SharedResources(ByteBudget(BUDGET_BYTES)),
                 slot=ConnectionTable("client", 1).add("", fail_close),
@@ -214,7 +215,7 @@
 
 async def test_request_sent_at_the_moment_of_a_stop_is_answered() -> None:
     """A connection that closes while a request is on its way ends without a response, and nothing logs the request."""
-    idle_scopes: set[anyio.CancelScope] = set()
+    idle = IdleConnections()
 
     async def handle(_: ClientRequest, answer: ClientAnswer) -> None:
         await answer.send_whole(200, [], b"whole")
@@ -226,7 +227,7 @@
                 stream,
                 handle,
                 ClientLimits,
-                idle_scopes,
+                idle,
                 is_stopping=lambda: True,
                 resources=SharedResources(ByteBudget(BUDGET_BYTES)),
                 slot=ConnectionTable("client", 1).add("", fail_close),
@@ -236,9 +237,8 @@
         server = await listen("127.0.0.1", 0, serve, tasks, backlog=1)
         port: int = server.sockets[0].getsockname()[1]
         async with await anyio.connect_tcp("127.0.0.1", port) as client:
-            await wait_for(lambda: bool(idle_scopes))
-            for scope in list(idle_scopes):
-                scope.cancel()
+            await wait_for(lambda: bool(len(idle)))
+            idle.close_all()
             await anyio.sleep(0.005)  # the connection has noticed the stop
             await client.send(b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
             assert (await client.receive()).startswith(b"HTTP/1.1 200")
--- a/tests/node/traffic/test_evictions.py
+++ b/tests/node/traffic/test_evictions.py
@@ -11,6 +11,7 @@
 from vaneturn_node.bytebudget import ByteBudget
 from vaneturn_node.http1.clientanswer import ClientAnswer
 from vaneturn_node.http1.connectiontable import ConnectionTable
+from vaneturn_node.http1.idleconnections import IdleConnections
 from vaneturn_node.http1.listener import listen
 from vaneturn_node.http1.requestreader import ClientRequest
 from vaneturn_node.http1.resources import SharedResources
@@ -39,7 +40,7 @@
                 stream,
                 self._answer,
                 ClientLimits,
-                set(),
+                IdleConnections(),
                 is_stopping=lambda: False,
                 resources=SharedResources(ByteBudget(BUDGET_BYTES)),
                 slot=slot,
--- a/tests/node/traffic/test_unreadanswers.py
+++ b/tests/node/traffic/test_unreadanswers.py
@@ -15,6 +15,7 @@
 from vaneturn_node.bytebudget import ByteBudget
 from vaneturn_node.http1.clientanswer import ClientAnswer
 from vaneturn_node.http1.connectiontable import ConnectionTable
+from vaneturn_node.http1.idleconnections import IdleConnections
 from vaneturn_node.http1.listener import listen
 from vaneturn_node.http1.requestreader import ClientRequest
 from vaneturn_node.http1.resources import SharedResources
@@ -63,7 +64,7 @@
             stream,
             self.handle,
             lambda: ClientLimits(idle_time=IDLE_TIME_S),
-            set(),
+            IdleConnections(),
             is_stopping=lambda: False,
             resources=SharedResources(ByteBudget(1_000_000)),
             slot=ConnectionTable("client", 1).add("", stream.close),
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -605,11 +605,16 @@
         (
             Edit(
                 f"{TRAFFIC}/process/daemon.py",
-                "                self._lifecycle.close_idle()  #",
+                "                self._lifecycle.idle.close_all()  #",
                 "                pass  #",
             ),
         ),
     ),
+    Proof(
+        "a connection without a request yet is served after the signal",
+        f"{SYSTEM}/test_stopping.py::test_connection_without_a_request_yet_is_served_after_the_signal",
+        (Edit(f"{TRAFFIC}/process/stopping.py", "self.idle.close_used()", "self.idle.close_all()"),),
+    ),
     Proof(
         "one request at a time tries a blocked identity",
         "tests/core/traffic/test_blame.py::test_blocked_part_is_tried_at_one_node_first_and_by_one_request",
--- a/tests/system/platform/test_stopping.py
+++ b/tests/system/platform/test_stopping.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
 
 import anyio
@@ -178,3 +179,38 @@
     assert answer.startswith(b"HTTP/1.1 503 ")
     assert b'"stopping"' in answer
     assert not traffic.fleet.find_runs("late")
+
+
+@pytest.mark.parametrize("delay", [0.2, 0.6])
+async def test_connection_without_a_request_yet_is_served_after_the_signal(traffic: Traffic, delay: float) -> None:
+    """It was closed after 50 ms, while a connection that was opened after the signal was served."""
+    await traffic.add_desk()
+    node = traffic.nodes[0]
+    request = traffic.build("/check/1", "GET")
+    head = "".join(f"{name}: {value}\r\n" for name, value in request.headers.items())
+    async with await anyio.connect_tcp("127.0.0.1", node.client_port) as client:
+        await anyio.sleep(0.1)
+        node.process.send(signal.SIGTERM)
+        await anyio.sleep(delay)
+        await client.send(f"GET /check/1 HTTP/1.1\r\n{head}\r\n".encode() + request.content)
+        answer = b""
+        with anyio.fail_after(4.0), contextlib.suppress(anyio.EndOfStream):
+            while True:
+                answer += await client.receive()
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    assert b"connection: close" in answer.lower()
+
+
+async def test_connection_between_two_requests_is_closed_at_the_signal(traffic: Traffic) -> None:
+    """Its client may use another one, which the platform leads to another node."""
+    await traffic.add_desk()
+    node = traffic.nodes[0]
+    request = traffic.build("/check/1", "GET")
+    head = "".join(f"{name}: {value}\r\n" for name, value in request.headers.items())
+    async with await anyio.connect_tcp("127.0.0.1", node.client_port) as client:
+        await client.send(f"GET /check/1 HTTP/1.1\r\n{head}\r\n".encode() + request.content)
+        assert (await client.receive()).startswith(b"HTTP/1.1 200 ")
+        node.process.send(signal.SIGTERM)
+        with anyio.fail_after(2.0), contextlib.suppress(anyio.EndOfStream):
+            while True:
+                await client.receive()
