Read the limits of the process from its environment

The variables override the settings file; a wrong one is named in the error of the start. The line 'serving' of the log states both limits.

--- a/packages/core/src/vaneturn_core/traffic/settings.py
+++ b/packages/core/src/vaneturn_core/traffic/settings.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Mapping
 from pathlib import Path
-from typing import Annotated, Final
+from typing import Annotated, Final, get_type_hints
 
-from msgspec import Meta, Struct
+from msgspec import Meta, Struct, ValidationError, convert
+from msgspec.structs import replace
 
 from vaneturn_core.decoding import MalformedError, decode_json
 from vaneturn_core.faults import Fault
@@ -15,6 +17,8 @@
 
 BYTE_BUDGET_SHARE: Final = 0.3  # of the memory; a body is held twice at most, while nodes forward it
 SETTINGS_VARIABLE: Final = "VANETURN_NODE_FILE"  # path of the settings file, used when the option is absent
+# variables that override settings: the limits of the process are those of where it is started
+LIMIT_VARIABLES: Final = {"VANETURN_MEMORY_MB": "memory_mb", "VANETURN_MAX_DESCRIPTORS": "max_descriptors"}
 Milliseconds = Annotated[float, Meta(ge=0)]
 PositiveMilliseconds = Annotated[float, Meta(gt=0)]
 Descriptors = Annotated[int, Meta(ge=256)]
@@ -35,7 +39,7 @@
 
 
 class TrafficSettings(Struct, frozen=True, kw_only=True):
-    """The contents of a node's settings file."""
+    """The contents of a node's settings file; variables of the environment override the limits of the process."""
 
     vm: VmId
     data_hall: DataHall
@@ -61,14 +65,32 @@
     return option or (Path(named) if named else None)
 
 
-def load_traffic_settings(path: Path) -> TrafficSettings | Fault:
-    """Read and validate a settings file; a fault names the file and the position of the error in it."""
+def load_traffic_settings(path: Path, environment: Mapping[str, str] = os.environ) -> TrafficSettings | Fault:
+    """Read and validate a settings file; a fault names the file or the variable, and the position of the error.
+
+    :param environment: of the process; an empty variable counts as absent.
+    """
     try:
-        return decode_json(path.read_bytes(), TrafficSettings)
+        settings = decode_json(path.read_bytes(), TrafficSettings)
     except OSError as error:
         return Fault(str(path), f"expected a readable JSON file ({error.strerror})")
     except MalformedError as error:
         return Fault(f"{path}: {error.fault.path}", error.fault.expected)
+    return _override_limits(settings, environment)
+
+
+def _override_limits(settings: TrafficSettings, environment: Mapping[str, str]) -> TrafficSettings | Fault:
+    types = get_type_hints(TrafficSettings, include_extras=True)
+    for variable, field in LIMIT_VARIABLES.items():
+        text = environment.get(variable)
+        if not text:
+            continue
+        try:
+            value = convert(text, types[field], strict=False)
+        except ValidationError as error:
+            return Fault(variable, str(error))
+        settings = replace(settings, **{field: value})
+    return settings
 
 
-__all__ = ["Bounds", "TrafficSettings", "find_settings_path", "load_traffic_settings"]
+__all__ = ["LIMIT_VARIABLES", "Bounds", "TrafficSettings", "find_settings_path", "load_traffic_settings"]
--- a/packages/node/src/vaneturn_node/traffic/process/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/process/daemon.py
@@ -18,7 +18,7 @@
 from vaneturn_core.traffic.hearing import Reachability
 from vaneturn_core.traffic.relays import RelayTimes, rank_candidate
 from vaneturn_core.traffic.servers import ServerAddress
-from vaneturn_core.traffic.settings import TrafficSettings, load_traffic_settings
+from vaneturn_core.traffic.settings import LIMIT_VARIABLES, TrafficSettings, load_traffic_settings
 from vaneturn_core.traffic.view import PlatformView
 from vaneturn_node.clock import read_clock, watch_suspensions
 from vaneturn_node.errors import Supervisor, UnexpectedErrors
@@ -184,7 +184,8 @@
                 watch = partial(watch_suspensions, self._request_handler.shorten_timeouts)
                 tasks.start_soon(self._supervisor.run, "watch_suspensions", watch)
                 await self._listeners.open(tasks)
-                logger.info("serving", extra={"address": self._settings.client_address, "node": self.id})
+                limits = {name: getattr(self._settings, name) for name in LIMIT_VARIABLES.values()}
+                logger.info("serving", extra={"address": self._settings.client_address, "node": self.id, **limits})
                 tasks.start_soon(self._await_stop, tasks.cancel_scope)
                 async for signal_number in signals:
                     if signal_number == signal.SIGHUP:
