Check in randomised stops that connections without a request yet are served

rig.stopsoak let clients rest before their first request, but accepted that a planned stop closed their connections, so that it never found the fault that mends.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := packages/core packages/node packages/cli
 SOURCES := packages tests bench
 
-.PHONY: demo test lint unit soak traffic-soak deadly-soak deadly-part-soak load-soak long-answer-soak partition-soak ending-soak retry-soak once-soak distance-soak silence-soak proofs bench capacity clean
+.PHONY: demo test lint unit soak traffic-soak deadly-soak deadly-part-soak load-soak long-answer-soak partition-soak ending-soak retry-soak once-soak distance-soak stop-soak silence-soak proofs bench capacity clean
 
 $(STAMP): constraints.txt requirements-test.txt $(PACKAGES:%=%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -69,6 +69,9 @@
 distance-soak: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python -m rig.distancesoak --seconds $(SECONDS) --seeds $(SEEDS)
 
+stop-soak: $(STAMP)
+	PYTHONPATH=tests $(BIN)/python -m rig.stopsoak --seconds $(SECONDS) --seeds $(SEEDS)
+
 silence-soak: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python -m rig.silencesoak --seconds $(SECONDS) --seeds $(SEEDS)
 
--- a/tests/rig/soakclients.py
+++ b/tests/rig/soakclients.py
@@ -50,6 +50,7 @@
     troubles_by_source: Troubles = field(default_factory=Troubles)
     longest_waits: dict[str, float] = field(default_factory=dict)  # seconds without a processor, by process
     first_tries: list[FirstTry] = field(default_factory=list)
+    stops: defaultdict[int, list[float]] = field(default_factory=lambda: defaultdict(list))  # SIGTERMs, by node
     restarts: defaultdict[int, list[Span]] = field(default_factory=lambda: defaultdict(list))  # planned ones, by node
 
 
--- a/tests/rig/soakfaults.py
+++ b/tests/rig/soakfaults.py
@@ -310,9 +310,13 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._ask_through_a_stop, number)
                 await anyio.sleep(0.2)
-                node.process.send(signal.SIGTERM)
+                self._send_stop(node)
             await self._finish_stop(node)
 
+    def _send_stop(self, node: Node) -> None:
+        node.process.send(signal.SIGTERM)
+        self.findings.stops[self.traffic.nodes.index(node)].append(time.monotonic())
+
     async def _finish_stop(self, node: Node) -> None:
         with anyio.fail_after(STOP_TIME_S + SLACK_S):
             await asyncio.to_thread(node.process.popen.wait)
@@ -333,7 +337,7 @@
             self._write_configuration()
             await self._replace_lost(rng, tasks)
             await anyio.sleep(rng.uniform(0.0, 0.3))
-            node.process.send(signal.SIGTERM)
+            self._send_stop(node)
             await self._finish_stop(node)
 
     async def _replace_lost(self, rng: random.Random, tasks: TaskGroup) -> None:
--- a/tests/system/platform/test_soak.py
+++ b/tests/system/platform/test_soak.py
@@ -13,6 +13,7 @@
 from rig.partitionsoak import PartitionSoak
 from rig.retrysoak import RetrySoak
 from rig.silencesoak import SilenceSoak
+from rig.stopsoak import StopSoak
 from rig.trafficsoak import run_traffic_soak
 
 pytestmark = pytest.mark.anyio
@@ -100,3 +101,11 @@
     assert findings.counts["fault: 2 servers of a stream silent"]
     assert findings.counts["streams cut after all events"]
     assert findings.counts["requests on all the servers allowed"]
+
+
+@pytest.mark.parametrize("seed", [1])
+async def test_planned_stops_beside_resting_connections_break_no_promise(tmp_path: Path, seed: int) -> None:
+    findings = await run_traffic_soak(tmp_path, 2 * SECONDS, seed, StopSoak)
+    assert findings.faults == []
+    assert findings.counts["fault: node stopped"]
+    assert findings.counts["rested, and sent to a stopping node"]
