Record when the process of a test has no processor

Developers could not tell whether a test that failed on a busy machine had found a fault: stand-ins, clients and checks run in the test's own process, and nothing recorded when that process did not run. So most entries of KNOWN-RED.txt say "suspected, not shown".

A thread beside each test, from its set-up on, now reads every 20 ms from the scheduler (schedstat) for how long the test's main thread ran and for how long it was runnable without a processor. A failed test, also a listed one, prints one line with both and the time without any idle time, in which its event loop was held up, and keeps it with the spans in failed-tests/. A test that has no tmp_path keeps its failure there, too. No bound of any test changes.

Without the readings in between, a wait would look like idle time, as the scheduler counts it only at its end; the spans are therefore counted back from there. A ping of the event loop was ruled out: tests on virtual time must not get calls from outside.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 from hypothesis import settings
 
 from rig.installation import Installation
+from rig.starvation import StarvationWatch
 
 settings.register_profile("same-verdict", derandomize=True, deadline=None)  # the same examples on every machine
 settings.load_profile("same-verdict")
@@ -18,6 +19,7 @@
 KEPT_LOGS = ROOT / "failed-tests"
 MAX_NAME_LENGTH = 120
 KNOWN_RED = ROOT / "KNOWN-RED.txt"  # one line each: test, cause, issue
+STARVATION = pytest.StashKey[StarvationWatch]()
 
 
 def read_known_red() -> dict[str, str]:
@@ -34,16 +36,29 @@
             item.add_marker(pytest.mark.xfail(reason=f"KNOWN-RED: {known_red[item.nodeid]}", strict=False))
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_protocol(item: pytest.Item) -> Generator[None, object, object]:
+    """Record when the process of the test has no processor, from its set-up on."""
+    with StarvationWatch() as watch:
+        item.stash[STARVATION] = watch
+        return (yield)
+
+
 @pytest.hookimpl(wrapper=True)
 def pytest_runtest_makereport(item: pytest.Item) -> Generator[None, pytest.TestReport, pytest.TestReport]:
     """Keep the logs of the processes of a failed test, also of a listed one."""
     report = yield
+    if report.when == "teardown" or report.passed or (report.skipped and not hasattr(report, "wasxfail")):
+        return report
+    summary, *spans = item.stash[STARVATION].describe()
+    kept = KEPT_LOGS / re.sub(r"[^\w.-]+", "-", item.nodeid)[-MAX_NAME_LENGTH:]
+    kept.mkdir(parents=True, exist_ok=True)
     folder = getattr(item, "funcargs", {}).get("tmp_path")
-    if report.when != "teardown" and not report.passed and isinstance(folder, Path):
-        kept = KEPT_LOGS / re.sub(r"[^\w.-]+", "-", item.nodeid)[-MAX_NAME_LENGTH:]
+    if isinstance(folder, Path):
         shutil.copytree(folder, kept, dirs_exist_ok=True, ignore=shutil.ignore_patterns("*.sock"))
-        (kept / "failure.txt").write_text(f"{item.nodeid}\n{report.longreprtext}\n")
-        report.sections.append(("logs", f"kept in {kept.relative_to(ROOT)}"))
+    (kept / "failure.txt").write_text("\n".join([item.nodeid, report.longreprtext, summary, *spans, ""]))
+    report.sections.append(("processor", summary))
+    report.sections.append(("logs", f"kept in {kept.relative_to(ROOT)}"))
     return report
 
 
