Read long bodies in stand-ins without copying what came before

Callers of a stand-in server got 502 'no answer in time' for a request of 40 MB when the machine was busy: the stand-in appended each received part to bytes, which copies the whole body so far. No bound of any test changes.

That the node or the client was slow is ruled out, as only the stand-in changed.

--- a/tests/standins/platform/wire.py
+++ b/tests/standins/platform/wire.py
@@ -261,7 +261,7 @@
 
 async def _read_call(stream: SocketStream, protocol: h11.Connection, get_delay: GetDelay) -> Call | None:
     head: h11.Request | None = None
-    body = b""
+    body = bytearray()  # appending to bytes would copy all of a long body for each part of it
     while True:
         event = protocol.next_event()
         if event is h11.NEED_DATA:
@@ -277,7 +277,7 @@
             body += event.data
         elif isinstance(event, h11.EndOfMessage) and head is not None:
             headers = {name.decode().lower(): value.decode() for name, value in head.headers}
-            return Call(head.method.decode(), head.target.decode(), headers, body)
+            return Call(head.method.decode(), head.target.decode(), headers, bytes(body))
         else:
             return None
 
--- a/tests/system/platform/test_rig.py
+++ b/tests/system/platform/test_rig.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import anyio
+import h11
 import httpx
 import pytest
 
@@ -16,10 +17,21 @@
 from rig.traffic import open_traffic
 from standins.link import Link
 from standins.platform.store import Store
-from standins.platform.wire import ConnectionEndedError, Exchange, KeptConnection, serve
+from standins.platform.wire import (
+    ConnectionEndedError,
+    Exchange,
+    KeptConnection,
+    _read_call,
+    get_no_delay,
+    serve,
+)
 
 pytestmark = pytest.mark.anyio
 
+LARGE_BODY_BYTES = 40_000_000
+RECEIVED_BYTES = 65536  # at a time
+MAX_READ_TIME_S = 1.0  # of processor time
+
 
 async def test_waiting_connection_is_accepted_before_the_stand_ins_stop(tmp_path: Path) -> None:
     """asyncio raises InvalidStateError when a connection arrives in the loop iteration that cancels its listener."""
@@ -104,3 +116,24 @@
 def block_loop(seconds: float) -> None:
     """Block the event loop, so that all callbacks due meanwhile run in one iteration after it."""
     time.sleep(seconds)
+
+
+class ReceivedBytes:
+    """Stands for a connection on which all bytes have arrived."""
+
+    def __init__(self, data: bytes) -> None:
+        self._parts = iter([data[start : start + RECEIVED_BYTES] for start in range(0, len(data), RECEIVED_BYTES)])
+
+    async def receive(self) -> bytes:
+        return next(self._parts)
+
+
+async def test_long_body_is_read_without_copies_of_all_that_came_before() -> None:
+    """Stand-ins copied the whole body for each part of it, so that callers on a busy machine got no answer in time."""
+    head = f"POST / HTTP/1.1\r\nHost: check\r\nContent-Length: {LARGE_BODY_BYTES}\r\n\r\n".encode()
+    received: Any = ReceivedBytes(head + bytes(LARGE_BODY_BYTES))
+    began = time.thread_time()
+    call = await _read_call(received, h11.Connection(h11.SERVER), get_no_delay)
+    assert time.thread_time() - began < MAX_READ_TIME_S
+    assert call is not None
+    assert call.body == bytes(LARGE_BODY_BYTES)
