Answer a lost stream before its client leaves

Clients leave after 2 s without an event, or four times the objective if that is longer (here 4 x 0.5 s), so the answer that invites them to send it again met nobody. Cause: the first server is asked after 1.0 s, and the try was then kept for another 1.0 s, which with the pauses between probes is always more than 2 s. Change: the wait is half a second. Evidence: the new test, on a clock of its own, fails before (3 failed: the try was still kept after 2 s) and passes now. Ruled out: a shorter time until the first question, which would ask servers for requests that are only slow.

--- a/packages/node/src/vaneturn_node/traffic/serving/repair.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/repair.py
@@ -18,7 +18,7 @@
 MAX_DETOURS: Final = 3
 PATH_CHECK_AGE_S: Final = 0.1  # a connection that was opened before says nothing about the path now
 LOST_REQUEST_AGE_S: Final = 1.0  # without an event; half of the time after which clients leave
-LOST_REQUEST_WAIT_S: Final = 1.0  # for a chain or a retry, before its client may send it again
+LOST_REQUEST_WAIT_S: Final = 0.5  # for a chain or a retry; the answer then still meets a client that leaves after 2 s
 
 
 class TryEndedError(Exception):
--- a/tests/node/traffic/serving/test_repair.py
+++ b/tests/node/traffic/serving/test_repair.py
@@ -15,10 +15,13 @@
     ChainRepair,
     TryEndedError,
 )
+from vaneturn_node.traffic.serving.streamrelay import PROBE_INTERVAL_S
 
 pytestmark = pytest.mark.anyio
 
 SENT_AT = 100.0
+CLIENT_SILENCE_S = 2.0  # without an event, after which clients of streams leave at the earliest
+MAX_DELAY_S = 0.2  # of the request on its way to the server, and of the answer to the client
 
 
 class Reservation:
@@ -126,3 +129,29 @@
     clock.now += LOST_REQUEST_WAIT_S
     with pytest.raises(TryEndedError) if may_repeat else nullcontext():
         await lost._find_lost_request()
+
+
+@pytest.mark.parametrize("phase", [0.0, 0.05, 0.099])
+async def test_lost_request_without_another_try_is_given_up_before_its_client_leaves(
+    clock: Clock, phase: float
+) -> None:
+    """The try ended 2.0 to 2.2 s after the send, when its client had left."""
+
+    async def move(cause: str, *, is_first_lost: bool) -> None:
+        assert cause
+        assert not is_first_lost
+
+    context = make_context(may_run_again=True)
+    chain: Any = Reservation()
+    answer: Any = SimpleNamespace(last_event_at=None, is_resumed=False, is_begun=False)
+    lost = ChainRepair(context, context, chain, answer, move)
+    clock.now += phase
+
+    async def probe_until_client_leaves() -> None:
+        while clock.now < SENT_AT + CLIENT_SILENCE_S:
+            clock.now += PROBE_INTERVAL_S
+            await lost._find_lost_request()
+
+    with pytest.raises(TryEndedError):
+        await probe_until_client_leaves()
+    assert clock.now - SENT_AT < CLIENT_SILENCE_S - MAX_DELAY_S
