Settle the attempt of an offer that is cancelled by the other node's count

A stream whose server had been silent and went on again was broken off at its next loss, a second after its server had no further event, though its client had all events. While the server was silent, the node offered the stream to others. An offer that is cancelled after it was sent kept its attempt spent, on a server that the first node did not know: no other server could be asked whether the stream is over.

The first node now ends its bytes and reads on in the background, for up to a second. The other node stops as before, since the end of the bytes cancels its work, and answers with its final count and the servers that count, in the trailers if the answer has begun. That settles the loan: unused, it is given back; used, it counts by the server's id, which may be asked again. Without an answer, or from an older build, the attempt stays spent, so that no third server gets the request. The servers without an event that such an answer names are not taken over: the stream may have gone on since.

Weighed and left: to wait for the head of the other node's answer, which a silent server holds back and which lets the run there go on; a message of its own that withdraws the request, which may arrive before the request.

--- a/packages/node/src/vaneturn_node/traffic/process/daemon.py
+++ b/packages/node/src/vaneturn_node/traffic/process/daemon.py
@@ -178,7 +178,7 @@
                 self._reload()
             async with anyio.create_task_group() as tasks:
                 duties = (self._follower, self._tenure, self._registration, self._placer, self._crash_recorder)
-                shared = (self._sharing, self._losses, self._crashes, self._pool, self._request_handler.admitter)
+                shared = (self._sharing, self._losses, self._crashes, self._pool, *self._request_handler.backgrounds)
                 for background in (*duties, *shared, self._connectivity, self._silences):
                     tasks.start_soon(self._supervisor.run, type(background).__name__, background.run)
                 watch = partial(watch_suspensions, self._request_handler.shorten_timeouts)
--- a/packages/node/src/vaneturn_node/traffic/serving/answering.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answering.py
@@ -11,10 +11,7 @@
 from anyio import CancelScope
 
 from vaneturn_core.identifiers import ServiceName
-from vaneturn_core.traffic.configuration import (
-    EngineProfile,
-    TrafficConfiguration,
-)
+from vaneturn_core.traffic.configuration import EngineProfile, TrafficConfiguration
 from vaneturn_node.errors import UnexpectedErrors
 from vaneturn_node.http1.clientanswer import ClientAnswer
 from vaneturn_node.http1.requestreader import ClientRequest
@@ -23,7 +20,7 @@
 from vaneturn_node.platform.headers import RequestFacts, build_client_headers, read_request_facts
 from vaneturn_node.traffic.servers.exchange import TrafficParts
 from vaneturn_node.traffic.serving.admitting import StreamAdmitter
-from vaneturn_node.traffic.serving.answermarks import mark_answer, mark_broken_off
+from vaneturn_node.traffic.serving.answermarks import end_unfinished, mark_answer
 from vaneturn_node.traffic.serving.blocking import find_settled_block
 from vaneturn_node.traffic.serving.firstnode import FirstNode
 from vaneturn_node.traffic.serving.metrics import TrafficMetrics
@@ -63,6 +60,7 @@
         self._plain = PlainForwarder(parts, peers)
         self.admitter = StreamAdmitter(parts, metrics)
         self._streams = StreamForwarder(parts, self.admitter, peers)
+        self.backgrounds = (self.admitter, peers.withdrawals)
         self._open_requests: dict[CancelScope, RequestContext] = {}
         self._is_aborting = False
         self.in_progress = 0
@@ -94,8 +92,12 @@
             if context is not None:
                 yield_unread_answers(context, answer)
             ending = await self._finish(result, answer)
-            if first_node is not None and context is not None and answer.is_begun and not answer.is_ended:
-                await answer.end(mark_broken_off(self._parts.view, context))
+            if first_node is not None and not answer.is_ended:
+                await end_unfinished(self._parts.view, first_node, context, answer)
+        except anyio.get_cancelled_exc_class():
+            if first_node is not None and not answer.is_ended:
+                await end_unfinished(self._parts.view, first_node, context, answer)
+            raise
         finally:
             self.in_progress -= 1
             for holder in context.held_answers if context is not None else ():
--- a/packages/node/src/vaneturn_node/traffic/serving/answermarks.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answermarks.py
@@ -2,17 +2,25 @@
 
 from __future__ import annotations
 
+import contextlib
 from dataclasses import replace
 from typing import Final
 
+import anyio
+
 from vaneturn_core.traffic.peerchoice import DeclineReason
 from vaneturn_core.traffic.view import PlatformView
+from vaneturn_node.http1.clientanswer import ClientAnswer
 from vaneturn_node.http1.messages import Headers
+from vaneturn_node.http1.server import CLIENT_LEFT_ERRORS
 from vaneturn_node.traffic.serving.firstnode import FirstNode
 from vaneturn_node.traffic.serving.outcomes import Answered, OwnAnswer, Reason
 from vaneturn_node.traffic.serving.requests import RequestContext
 from vaneturn_node.traffic.sharing.forwarding import AnswerKind, AnswerMarks, build_marks
 
+FINAL_COUNT_TIMEOUT_S: Final = 0.1  # for the first node to take it; a planned stop has no more time
+UNFINISHED_STATUS: Final = 502  # promises nothing
+
 _DECLINE_REASONS: Final = {
     Reason.NO_PATH: DeclineReason.NO_PATH,
     Reason.NO_CONFIGURATION: DeclineReason.OLDER_CONFIGURATION,
@@ -41,9 +49,28 @@
     return _build(view, AnswerKind.DECLINED, None, 0, DeclineReason.NO_ANSWER)
 
 
-def mark_broken_off(view: PlatformView, context: RequestContext) -> Headers:
-    """Build the marks at the end of a begun answer that is not whole."""
-    return _build(view, AnswerKind.BROKEN_OFF, context)
+def mark_broken_off(view: PlatformView, context: RequestContext | None, runs: int = 0) -> Headers:
+    """Build the marks of an answer that is not whole.
+
+    :param runs: that count as attempts, of a request without a context.
+    """
+    return _build(view, AnswerKind.BROKEN_OFF, context, runs)
+
+
+async def end_unfinished(
+    view: PlatformView, first_node: FirstNode, context: RequestContext | None, answer: ClientAnswer
+) -> None:
+    """End an answer that is not whole with the final count, which the first node may still read when it has left.
+
+    :param context: None for a request that was not admitted.
+    """
+    marks = mark_broken_off(view, context, first_node.runs)
+    with anyio.move_on_after(FINAL_COUNT_TIMEOUT_S, shield=True), contextlib.suppress(*CLIENT_LEFT_ERRORS):
+        if answer.is_begun:
+            await answer.end(marks)
+            return
+        answer.list_added_headers = None
+        await answer.send_whole(UNFINISHED_STATUS, marks, b"")
 
 
 def _build(
@@ -77,4 +104,4 @@
     return is_untouched and (first_node.is_resumed or result.reason is Reason.MAY_HAVE_RUN)
 
 
-__all__ = ["mark_answer", "mark_broken_off", "mark_unread"]
+__all__ = ["end_unfinished", "mark_answer", "mark_broken_off", "mark_unread"]
--- a/packages/node/src/vaneturn_node/traffic/serving/attempts.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/attempts.py
@@ -103,6 +103,11 @@
         if attempts.count < max_attempts:
             self._set_lent(is_lent=True)
 
+    @property
+    def is_lent(self) -> bool:
+        """Tell whether the attempt counts, though no server is known that has used it."""
+        return self._is_lent
+
     def record_begun(self, count: int, servers: Collection[ServerId] = ()) -> None:
         """Count what the other node has used so far; it may use the attempt later, so that this lowers no count.
 
--- a/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/peerforwarding.py
@@ -22,6 +22,7 @@
 from vaneturn_node.traffic.serving.peeranswer import PeerAnswer
 from vaneturn_node.traffic.serving.requests import RequestContext
 from vaneturn_node.traffic.serving.sends import Send
+from vaneturn_node.traffic.serving.withdrawals import Withdrawals
 from vaneturn_node.traffic.sharing.forwarding import (
     FORWARDED_PATH,
     MAX_STATED_SERVERS,
@@ -52,6 +53,7 @@
 
     def __init__(self, parts: TrafficParts) -> None:
         self._parts = parts
+        self.withdrawals = Withdrawals()
         self._choice = PeerChoice(parts.vm, read_clock)
         self._newest_version = 0  # of the configuration by which a request of this node was answered
 
@@ -163,7 +165,8 @@
                 loan.take_back()
             if not is_kept:
                 self._choice.record_ended(peer)
-                await _abort(link)
+                if link is not None:
+                    await self.withdrawals.withdraw(link, loan)
 
     async def _read_head(self, link: HttpLink, context: RequestContext, silence: float) -> AnswerHead:
         """Wait for the head of the answer, until the deadline if the request may not run once more.
@@ -210,10 +213,10 @@
         return AnswerEnds(self._parts, context)
 
     async def release(self, answer: PeerAnswer, *, is_whole: bool) -> None:
-        """Return the connection to the pool if the answer is whole; else close it, so that the other node stops."""
+        """Return the connection to the pool if the answer is whole; else take the request back from the other node."""
         self._choice.record_ended(answer.peer)
         if not is_whole:
-            await _abort(answer.link)
+            await self.withdrawals.withdraw(answer.link, answer.loan)
             return
         address = self._parts.view.nodes.get(answer.peer)
         with anyio.CancelScope(shield=True):
@@ -223,10 +226,4 @@
                 await self._parts.pool.release(answer.link, address)
 
 
-async def _abort(link: HttpLink | None) -> None:
-    if link is not None:
-        with anyio.CancelScope(shield=True):
-            await link.abort()
-
-
 __all__ = ["MAX_OFFERS", "PEER_SILENCE_S", "PeerAnswer", "PeerForwarder"]
--- a/packages/node/src/vaneturn_node/traffic/sharing/forwarding.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/forwarding.py
@@ -63,7 +63,7 @@
     SERVER = "server"
     NODE = "node"  # that the request was forwarded to
     DECLINED = "declined"  # that node has not sent it to any server and will not
-    BROKEN_OFF = "broken off"  # in trailers: that node has ended a begun answer that is not whole
+    BROKEN_OFF = "broken off"  # that node has ended without a whole answer; in trailers once it has begun
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/rig/overloadmechanisms.py
+++ b/tests/rig/overloadmechanisms.py
@@ -157,6 +157,22 @@
             ),
         ),
     ),
+    Proof(
+        "a withdrawn request settles the attempt that was lent",
+        "tests/node/traffic/serving/test_withdrawals.py"
+        "::test_attempt_of_a_withdrawn_request_counts_as_the_other_node_has_used_it[unused]",
+        (Edit(f"{TRAFFIC}/serving/withdrawals.py", "loan.is_lent and _may_answer(link)", "False"),),
+    ),
+    Proof(
+        "a node from which a request is withdrawn states its final count",
+        "tests/system/platform/test_forwardedattempts.py"
+        "::test_attempt_of_an_offer_that_is_cancelled_counts_as_the_server_that_has_it",
+        (
+            Edit(
+                f"{TRAFFIC}/serving/answermarks.py", 'await answer.send_whole(UNFINISHED_STATUS, marks, b"")', "return"
+            ),
+        ),
+    ),
     Proof(
         "one server does not end a stream beside others that could not be asked",
         "tests/node/traffic/serving/test_emptyends.py"
--- a/tests/system/platform/test_forwardedattempts.py
+++ b/tests/system/platform/test_forwardedattempts.py
@@ -23,9 +23,11 @@
 LINK_RATE_BYTES_PER_S = 125_000_000.0
 MAX_ATTEMPTS = 2  # of the routes for letters and checks
 DETECTION_TIME_S = 1.0
+EVENTS, EVENTS_BEFORE_CUT = 10, 4  # of an answer whose connection is reset after its last event
 TOKENS = 60
 TOKEN_TIME_S = 0.02
 SILENCE_S = 1.3  # sound servers may be silent for a second or so
+ARRIVAL_TIME_S = 0.05  # of bytes that were sent, over the link of a node
 STOP_S = 2.5  # of a node, longer than the first node waits
 CUT = 0  # number of the node that reaches no server
 
@@ -194,3 +196,42 @@
     steps = await collect_steps(fleet, "closed")
     assert (answer.status_code, list_ids(answer.text)) == (200, list(range(1, events + 1))), steps
     assert len(set(list_servers(fleet, "closed"))) <= MAX_ATTEMPTS, (list_servers(fleet, "closed"), steps)
+
+
+async def test_attempt_of_an_offer_that_is_cancelled_counts_as_the_server_that_has_it(fleet: Traffic) -> None:
+    """The first node did not know which server had it, and could ask no other for the end of the stream."""
+    await fleet.add_chains(HALLS, per_hall=4)
+    is_healed = anyio.Event()
+
+    async def send_as_the_path_is_cut(exchange: Exchange, run: Run) -> None:
+        await exchange.begin(200, {"X-Request-Id": run.request, "X-Response-Seal": f"seal-{run.server}"})
+        for number in range(1, EVENTS + 1):
+            if number == EVENTS_BEFORE_CUT + 1:
+                await is_healed.wait()
+            await exchange.send(f"id: {number}\ndata: token {number} of {run.request}\n\n".encode())
+        await exchange.flush()
+        await anyio.sleep(ARRIVAL_TIME_S)
+        await exchange.reset()
+
+    async def heal_and_wait(exchange: Exchange, _run: Run) -> None:
+        fleet.nodes[CUT].heal()
+        is_healed.set()
+        await exchange.watch_client()
+        await exchange.close()
+
+    async def cut_path() -> None:
+        await wait_for(lambda: fleet.fleet.runs)
+        await anyio.sleep(ARRIVAL_TIME_S)
+        fleet.nodes[CUT].cut(list(fleet.fleet.servers), CutKind.SILENT)
+
+    set_faults(fleet, send_as_the_path_is_cut, heal_and_wait)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(cut_path)
+        received = []
+        with contextlib.suppress(httpx.RemoteProtocolError):
+            answer = await fleet.ask("/letter/1", node=CUT, X_Deadline_Ms="9000", X_Request_Id="withdrawn")
+            received = list_ids(answer.text)
+    steps = await collect_steps(fleet, "withdrawn")
+    assert "goes on where it was" in str(steps), steps
+    assert received == list(range(1, EVENTS + 1)), steps
+    assert len(set(list_servers(fleet, "withdrawn"))) <= MAX_ATTEMPTS, (list_servers(fleet, "withdrawn"), steps)
