End a resumed stream when a server repeats its newest event, not when servers send none

Callers saw: a stream of ten events ended as whole after four when two servers in a row sent a well-framed answer without events to its resumed request. Cause: two empty answers counted as the end of the stream. An absence says nothing, however many servers send it. Change: after an empty answer the next server is asked from the event before the newest one. A healthy server has at least one event to send then; the newest event is left out for the client, further ones are relayed, and the end of that answer ends the stream. An answer without the newest event shows nothing, and the next try goes on after it. The number of sends of a stream that lost only its end stays three. A node that has relayed no event knows no place to ask from, and still needs two servers that agree. Tests: the third Last-Event-Id in test_emptyends.py is "3" in place of "4" (all events are still required), and of a stream that lost only its end "9" is now required as well; the test of that one is renamed after what it shows. Ruled out: the most tokens asked for (an upper bound, and events hold several), seal and id (in the head), an order for the request (its server forgets it with its connection, over or not).

--- a/packages/node/src/vaneturn_node/traffic/serving/clientstream.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/clientstream.py
@@ -38,6 +38,8 @@
         self.pace = StreamPace()
         self.empty_ends = empty_ends or EmptyEnds()
         self._has_newest_id = True  # no event without an id came after the last one with one
+        self._earlier_event: str | None = None  # id of the event before the newest one; None if that is the first
+        self._has_earlier = False  # whether this is known
 
     @property
     def is_resumed(self) -> bool:
@@ -52,6 +54,20 @@
         """
         return self._has_newest_id
 
+    @property
+    def repeated_event(self) -> str | None:
+        """Give the id of the newest event if the next try is to repeat it, to show whether the stream ends there.
+
+        A server without events after the newest one proves nothing; one that repeats this event and ends its answer
+        does. None while no server was without events, or if it is not known where such an answer is to begin.
+        """
+        return self.last_event if self._has_earlier and self.empty_ends.servers else None
+
+    @property
+    def resume_point(self) -> str | None:
+        """Give the id of the event after which the next try goes on; None for the start of the stream."""
+        return self.last_event if self.repeated_event is None else self._earlier_event
+
     def measure_progress(self) -> tuple[float, int]:
         """Return the progress: the time of the newest event, and the number of servers without a later one."""
         return self.last_event_at or 0.0, len(self.empty_ends.servers)
@@ -87,7 +103,9 @@
         if any(event.has_fields for event in events):
             self.empty_ends.clear()
         for event in events:
-            self.last_event = event.id or self.last_event
+            if event.id:
+                self._has_earlier = event.id != self.last_event
+                self._earlier_event, self.last_event = self.last_event, event.id
             self._has_newest_id = bool(event.id) or (self._has_newest_id and not event.has_fields)
         return len(events)
 
--- a/packages/node/src/vaneturn_node/traffic/serving/emptyends.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/emptyends.py
@@ -8,14 +8,16 @@
 from vaneturn_core.traffic.servers import ServerId
 from vaneturn_node.traffic.serving.outcomes import Answered
 
-AGREEING_SERVERS: Final = 2  # that have no event after the newest one, so that a stream counts as over
+AGREEING_SERVERS: Final = 2  # without an event after the newest one, where that event cannot be repeated
 
 
 class EmptyEnds:
     """The servers that had no event after the newest one of a stream.
 
-    One of them proves nothing: a faulty server may send such an answer too, and the client would take the stream for
-    whole.
+    They prove nothing: a faulty server may send such an answer too, and the client would take the stream for whole.
+    The next server is asked to repeat the newest event, and its own end is the end of the stream. Only a node that has
+    not relayed the newest event itself, and does not know where such an answer is to begin, takes the stream for over
+    when two servers agree.
 
     :ivar answer: the newest of their answers whose end is stated by its framing; None before the first.
     """
--- a/packages/node/src/vaneturn_node/traffic/serving/events.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/events.py
@@ -27,8 +27,14 @@
 class EventSplitter:
     """Buffers the bytes of an incomplete event."""
 
-    def __init__(self) -> None:
+    def __init__(self, repeated: str | None = None) -> None:
+        """Begin a body.
+
+        :param repeated: id of an event that the reader has already: this one and those before it are left out, and the
+            body counts as empty until it has arrived.
+        """
         self._remainder = bytearray()
+        self._repeated = repeated
         self._has_event = False
 
     @property
@@ -58,9 +64,16 @@
             event = bytes(self._remainder[start : match.end()])
             ids = _EVENT_ID.findall(event)
             has_fields = _FIELD.search(event) is not None
-            self._has_event = self._has_event or has_fields
-            events.append(Event(event, ids[-1].decode("latin-1") if ids else None, has_fields))
+            event_id = ids[-1].decode("latin-1") if ids else None
             start = match.end()
+            if self._repeated is not None:
+                if event_id != self._repeated:
+                    continue
+                self._repeated = None
+                self._has_event = True
+                continue
+            self._has_event = self._has_event or has_fields
+            events.append(Event(event, event_id, has_fields))
         del self._remainder[:start]
         return events
 
--- a/packages/node/src/vaneturn_node/traffic/serving/streamrelay.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamrelay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import Final, TypeVar
+from typing import Final, NoReturn, TypeVar
 
 from vaneturn_core.traffic.blame.crashes import STARTING_TIME_S
 from vaneturn_core.traffic.completeness import BodyEnd, Ending
@@ -52,13 +52,14 @@
         self.events = 0
         self._first_event_at = float("inf")  # monotonic time
 
-    async def run(self, link: HttpLink, head: AnswerHead) -> None:
+    async def run(self, link: HttpLink, head: AnswerHead, repeated: str | None = None) -> None:
         """Relay the events of an answer, and its end.
 
+        :param repeated: id of the newest event of the client, which the answer is to repeat.
         :raises LinkError: the connection was lost, or the answer is not whole.
         :raises TryEndedError: another try has replaced this one, or this one cannot continue.
         """
-        splitter = EventSplitter()
+        splitter = EventSplitter(repeated)
         server = self._reservation.first_server
         is_resumed = self._client.is_resumed
         self._client.set_head(head)
@@ -73,6 +74,8 @@
                 body_end = find_body_end(head, splitter, is_resumed=is_resumed)
                 await self._ends.require_whole(link, body_end, server, may_be_empty=is_resumed)
                 if body_end is BodyEnd.EMPTY:
+                    if repeated is not None:
+                        self._reject_repetition(repeated)
                     self._require_agreement(link, head, splitter)
                 await self._client.end(splitter)
                 if self.events:  # an answer resumed after its last event has none, so the server has not run it
@@ -84,15 +87,29 @@
                 self._ends.record_lost(link, find_body_end(head, splitter, is_resumed=is_resumed), server)
                 raise error
 
+    def _reject_repetition(self, repeated: str) -> NoReturn:
+        """End a try whose answer lacks the event that it is to repeat, which shows nothing about the end.
+
+        The next try goes on after the newest event, as another run may divide its answer into other events.
+
+        :raises TryEndedError: always.
+        """
+        server = self._reservation.first_server.id
+        self._client.empty_ends.clear()
+        self._context.avoided.add(server)
+        raise TryEndedError(MayHaveRun(f"{server} has not repeated event {repeated}"))
+
     def _require_agreement(self, link: HttpLink, head: AnswerHead, splitter: EventSplitter) -> None:
         """Return if an answer without events, like one of another server before, shows that the stream is over.
 
+        Where the newest event can be repeated, a server that repeats it is to show that.
+
         :raises TryEndedError: another server is to be asked.
         """
         server = self._reservation.first_server.id
         is_stated = link.ending is Ending.FRAMED
         answer = Answered(head.status, head.headers, splitter.remainder) if is_stated else None
-        if self._client.empty_ends.record(server, answer):
+        if self._client.empty_ends.record(server, answer) and self._client.repeated_event is None:
             return
         self._context.avoided.add(server)
         raise TryEndedError(MayHaveRun(f"{server} has no event after the newest one"))
--- a/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamtry.py
@@ -128,8 +128,9 @@
         obstacle = context.claim_send(self._parts.beliefs[self._first_server.id])
         if obstacle is not None:
             return withhold(obstacle)
+        repeated, resume_point = self._client.repeated_event, self._client.resume_point
         dispatch = context.make_dispatch(
-            self._first_server.name, self._reservation.chain, self._client.last_event, is_resumed=self._client.is_begun
+            self._first_server.name, self._reservation.chain, resume_point, is_resumed=self._client.is_begun
         )
         headers = build_server_headers(context.request.headers, dispatch)
         self._reservation.send = context.record_send(self._first_server.id, link)
@@ -145,7 +146,7 @@
         if self._on_accepted is not None:
             await self._on_accepted()
             self._on_accepted = None
-        await self._relay.run(link, head)
+        await self._relay.run(link, head, repeated)
         return None
 
     async def _close(self, *, is_whole: bool) -> None:
--- a/tests/node/traffic/serving/test_events.py
+++ b/tests/node/traffic/serving/test_events.py
@@ -70,3 +70,20 @@
     splitter = EventSplitter()
     assert len(splitter.split(b"data: x\n\r\ndata: y\r\n\n")) == 2
     assert splitter.body_end is BodyEnd.AFTER_EVENT
+
+
+@pytest.mark.parametrize("size", [1, 7, 1000])
+def test_events_are_left_out_up_to_the_repeated_one(size: int) -> None:
+    splitter = EventSplitter("3")
+    events = [event for start in range(0, len(STREAM), size) for event in splitter.split(STREAM[start : start + size])]
+    assert [event.id for event in events] == ["4", "5", "6", "7"]
+
+
+def test_body_is_empty_until_the_repeated_event_has_arrived() -> None:
+    splitter = EventSplitter("2")
+    pieces = [b"id: 1\ndata: x\n\n", b"id: 2\nda", b"ta: y\n\n"]
+    ends = []
+    for piece in pieces:
+        assert splitter.split(piece) == []
+        ends.append(splitter.body_end)
+    assert ends == [BodyEnd.EMPTY, BodyEnd.INSIDE_EVENT, BodyEnd.AFTER_EVENT]
--- a/tests/rig/overloadmechanisms.py
+++ b/tests/rig/overloadmechanisms.py
@@ -179,6 +179,18 @@
         "::test_stream_does_not_end_with_the_word_of_one_server_beside_another",
         (Edit(f"{TRAFFIC}/serving/streamrefusal.py", "if _has_asked_all(parts, context, client):", "if True:"),),
     ),
+    Proof(
+        "two servers without a further event do not end a stream",
+        "tests/system/platform/test_emptyends.py"
+        "::test_stream_is_not_whole_because_several_servers_have_no_more_events[2]",
+        (
+            Edit(
+                f"{TRAFFIC}/serving/clientstream.py",
+                "return self.last_event if self._has_earlier and self.empty_ends.servers else None",
+                "return None",
+            ),
+        ),
+    ),
     Proof(
         "nodes tell each other which servers have no further event",
         "tests/system/platform/test_forwardedends.py"
--- a/tests/system/platform/test_emptyends.py
+++ b/tests/system/platform/test_emptyends.py
@@ -1,4 +1,4 @@
-"""A resumed stream is over when two servers have no more events, not when one of them sends none."""
+"""A resumed stream is over when a server repeats its newest event and ends there, not when servers send no event."""
 
 from __future__ import annotations
 
@@ -44,7 +44,45 @@
     set_faults(traffic, break_off(4), send_empty(headers, body))
     answer = await traffic.ask("/letter/1")
     assert list_ids(answer.text) == ALL_IDS
-    assert [run.headers.get("last-event-id") for run in traffic.fleet.runs] == [None, "4", "4"]
+    assert [run.headers.get("last-event-id") for run in traffic.fleet.runs] == [None, "4", "3"]
+
+
+@pytest.mark.parametrize("empty_answers", [2, 3])
+async def test_stream_is_not_whole_because_several_servers_have_no_more_events(
+    traffic: Traffic, empty_answers: int
+) -> None:
+    """Two empty answers in a row ended a stream of ten events as whole after four."""
+    await traffic.add_chains(per_hall=4)
+    set_faults(traffic, break_off(4), *[send_empty(*ENDS["length"])] * empty_answers)
+    answer = await traffic.ask("/letter/1")
+    assert list_ids(answer.text) == ALL_IDS
+
+
+async def test_stream_that_lost_only_its_end_is_whole_after_an_empty_answer_to_the_question_for_its_last_event(
+    traffic: Traffic,
+) -> None:
+    await traffic.add_chains(per_hall=4)
+    empty = send_empty(*ENDS["length"])
+    set_faults(traffic, break_off(10), empty, empty)
+    answer = await traffic.ask("/letter/1")
+    assert list_ids(answer.text) == ALL_IDS
+
+
+async def test_stream_of_one_event_that_lost_only_its_end_is_whole(traffic: Traffic) -> None:
+    await traffic.add_chains(per_hall=4)
+    traffic.fleet.answer_tokens = 1
+    set_faults(traffic, break_off(1))
+    answer = await traffic.ask("/letter/1")
+    assert list_ids(answer.text) == [1]
+    assert [run.headers.get("last-event-id") for run in traffic.fleet.runs] == [None, "1", None]
+
+
+async def test_client_that_resumed_gets_its_newest_event_once(traffic: Traffic) -> None:
+    await traffic.add_chains(per_hall=4)
+    set_faults(traffic, break_off(1), send_empty(*ENDS["length"]))
+    answer = await traffic.ask("/letter/1", Last_Event_Id="4")
+    assert list_ids(answer.text) == ALL_IDS[4:]
+    assert [run.headers.get("last-event-id") for run in traffic.fleet.runs] == ["4", "5", "4"]
 
 
 async def test_stream_that_only_one_server_can_resume_is_broken_off_if_that_one_has_no_events(traffic: Traffic) -> None:
@@ -55,7 +93,9 @@
         await traffic.ask("/letter/1")
 
 
-async def test_stream_that_lost_only_its_end_is_whole_when_two_servers_have_no_more_events(traffic: Traffic) -> None:
+async def test_stream_that_lost_only_its_end_is_whole_when_a_server_repeats_the_last_event_and_ends(
+    traffic: Traffic,
+) -> None:
     await traffic.add_chains(per_hall=4)
     set_faults(traffic, break_off(10))
     answer = await traffic.ask("/letter/1", X_Request_Id="mine")
@@ -64,6 +104,7 @@
     assert len(servers) == 3
     assert len(set(servers)) == 2  # as many as the route allows
     assert servers[1] != servers[2]
+    assert [run.headers.get("last-event-id") for run in traffic.fleet.runs] == [None, "10", "9"]
     steps = (await traffic.nodes[0].wait_for_log("mine"))["steps"]
     assert len([step for step in steps if "has no event after the newest one" in step]) == 1
 
