Name an infinite memory limit in the error of the start

What was seen: with VANETURN_MEMORY_MB=inf a node ended with a traceback (OverflowError: cannot convert float infinity to integer) when it computed its byte budget, while any other wrong limit is named with its variable. JSON has no infinity, but text from the environment may hold one ("inf", "Infinity"). Cause: the limit of memory had a lower bound only. Change: it has an upper bound of 1e9 MB, which holds for the settings file and the variable. "nan" was rejected before, and has a case in the test now. Ruled out by a run over 13 texts for both variables: "300.0" and "3e2" give whole numbers, "300.5" is rejected for descriptors, and blanks, "null", "true" and a gap that was not filled are rejected for both, with the variable's name.

--- a/packages/core/src/vaneturn_core/traffic/settings.py
+++ b/packages/core/src/vaneturn_core/traffic/settings.py
@@ -22,7 +22,7 @@
 Milliseconds = Annotated[float, Meta(ge=0)]
 PositiveMilliseconds = Annotated[float, Meta(gt=0)]
 Descriptors = Annotated[int, Meta(ge=256)]
-Megabytes = Annotated[float, Meta(ge=32)]
+Megabytes = Annotated[float, Meta(ge=32, le=1e9)]  # finite: a variable may hold "inf"
 PositiveSeconds = Annotated[float, Meta(gt=0)]
 
 
--- a/tests/core/traffic/test_settings.py
+++ b/tests/core/traffic/test_settings.py
@@ -39,7 +39,15 @@
     assert settings.max_descriptors == max_descriptors
 
 
-@pytest.mark.parametrize(("variable", "value"), [("VANETURN_MEMORY_MB", "much"), ("VANETURN_MAX_DESCRIPTORS", "-1")])
+@pytest.mark.parametrize(
+    ("variable", "value"),
+    [
+        ("VANETURN_MEMORY_MB", "much"),
+        ("VANETURN_MEMORY_MB", "inf"),  # the byte budget cannot be computed from it
+        ("VANETURN_MEMORY_MB", "nan"),
+        ("VANETURN_MAX_DESCRIPTORS", "-1"),
+    ],
+)
 def test_wrong_limit_in_the_environment_is_named(path: Path, variable: str, value: str) -> None:
     fault = load_traffic_settings(path, {variable: value})
     assert isinstance(fault, Fault)
