Find a lost request while a part of its chain is lost, too

Callers saw: a stream whose first server had lost it, and a later part of whose chain then crashed or fell silent, got 504 at its time limit when the retry budget had nothing left (trials: after 5.99 and 5.98 s of 6 s). Cause: repair_losses asked for the request only if no part was lost; while one was, or the first server stalled, 'not found' counted as any failed detour. Change: the first server is asked after a detour that it has not taken, and after a move away from a stalled first server that found no other try. A server that knows the request goes on as before. The edit of one older proof follows the moved line; a new proof is added. The branch of a stalled first server is by reading, without a test of its own.

--- a/packages/node/src/vaneturn_node/traffic/serving/repair.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/repair.py
@@ -83,12 +83,12 @@
             pace.record_step(PauseStep.FOUND, read_clock())
         if losses.is_first_lost:
             await self._handle_lost_first()
-        elif self._reservation.chain.parts[0] in losses.parts:
+            return
+        if self._reservation.chain.parts[0] in losses.parts:
             await self._move("first server stalls", is_first_lost=False)
-        elif losses.parts:
-            await self._replace_parts(losses.parts)
-        else:
-            await self._find_lost_request()
+        elif losses.parts and await self._replace_parts(losses.parts):
+            return
+        await self._find_lost_request()
 
     async def _leave_lost_path(self) -> None:
         """Move to another node if this one has lost its path to the servers; until one accepts, the try is kept.
@@ -164,8 +164,8 @@
         """Return the monotonic time of the newest event, or of the send."""
         return max(self._reservation.sent_at, self._client.last_event_at or float("-inf"))
 
-    async def _replace_parts(self, lost: list[Part]) -> None:
-        """Replace the lost parts with other servers."""
+    async def _replace_parts(self, lost: list[Part]) -> bool:
+        """Replace the lost parts with other servers; return whether the first server has taken the new chain."""
         context = self._context
         context.add_wait_step(f"lost {[part.server.id for part in lost]}")
         for part in lost:
@@ -175,16 +175,17 @@
             chain = self._reservation.find_detour()
             if chain is None:
                 await self._move("no server in place of the lost one", is_first_lost=False)
-                return
+                return False
             if chain.count_crossings() > self._reservation.chain.count_crossings():
                 await self._move("another hall reads the prompt sooner than it crosses the pipe", is_first_lost=False)
             self._client.pace.record_step(PauseStep.RESUMED, read_clock())
             outcome = await self._reservation.order_detour(chain)
             if outcome is OrderOutcome.TAKEN:
-                return
+                return True
             if outcome is not OrderOutcome.CONFLICT:
                 break
         await self._move("no detour", is_first_lost=False)
+        return False
 
 
 __all__ = ["ChainRepair", "MoveToNextTry", "TryEndedError"]
--- a/tests/rig/overloadmechanisms.py
+++ b/tests/rig/overloadmechanisms.py
@@ -123,6 +123,18 @@
         "tests/system/platform/test_lostrequests.py::test_lost_stream_without_a_retry_is_answered_at_once",
         (Edit(f"{TRAFFIC}/serving/repair.py", "and waited >= LOST_REQUEST_WAIT_S", "and waited < 0"),),
     ),
+    Proof(
+        "a lost stream whose chain has lost a part is answered at once",
+        "tests/system/platform/test_lostrequests.py"
+        "::test_lost_stream_whose_chain_has_lost_a_part_is_answered_at_once[True]",
+        (
+            Edit(
+                f"{TRAFFIC}/serving/repair.py",
+                "elif losses.parts and await self._replace_parts(losses.parts):",
+                "elif losses.parts and [await self._replace_parts(losses.parts)]:",
+            ),
+        ),
+    ),
     Proof(
         "a lost stream is served with the retry of another node",
         "tests/system/platform/test_lostrequests.py::test_lost_stream_is_served_with_the_retry_of_another_node",
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -258,8 +258,8 @@
         (
             Edit(
                 f"{TRAFFIC}/serving/repair.py",
-                "            await self._replace_parts(losses.parts)\n",
-                "            return\n",
+                "elif losses.parts and await self._replace_parts(losses.parts):",
+                "elif losses.parts:",
             ),
         ),
     ),
--- a/tests/system/platform/test_lostrequests.py
+++ b/tests/system/platform/test_lostrequests.py
@@ -149,3 +149,34 @@
         assert list_ids(answer.text) == list(range(1, 11))
         steps = (await traffic.nodes[1].wait_for_log("lost"))["steps"]
         assert any("forwarded to entry-1" in step for step in steps)
+
+
+@pytest.mark.parametrize("is_crashed", [True, False])
+async def test_lost_stream_whose_chain_has_lost_a_part_is_answered_at_once(tmp_path: Path, *, is_crashed: bool) -> None:
+    """It got 504 at its time limit: while a part was lost, the first server was not asked for the request."""
+    async with open_traffic(tmp_path, retry_ratio=0.0, retry_slack=0.0) as traffic:
+        servers = await traffic.add_chains()
+        traffic.fleet.lost_sends["lost"] = 1
+        answers: list[httpx.Response] = []
+
+        async def ask() -> None:
+            answers.append(await traffic.ask("/letter/1", X_Request_Id="lost", X_Deadline_Ms="9000"))
+
+        started = anyio.current_time()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await anyio.sleep(SILENCE_S)
+            for server in servers:
+                if server.held != (0, 4):
+                    await lose_part(server, is_crashed=is_crashed)
+        assert answers[0].status_code == 502
+        assert anyio.current_time() - started < 9.0 / 2
+        steps = (await traffic.nodes[0].wait_for_log("lost"))["steps"]
+        assert any("first server does not know the request" in step for step in steps)
+
+
+async def lose_part(server: Server, *, is_crashed: bool) -> None:
+    if is_crashed:
+        await server.crash()
+    else:
+        server.is_unresponsive = True
