Keep the logs of tests whose set-up failed

Developers found no logs in failed-tests/ when a fixture failed, as the installation of a system test does when it times out: the folder was read from the arguments of the test, which do not hold tmp_path yet while a fixture that uses it is being made. The folder is noted when tmp_path is made now.

Its tests of the kept record run one case each now instead of one test with branches; each asserts what it did. Asking the request for tmp_path at the failure was ruled out, as it would make the folder for tests that have none.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -20,6 +20,7 @@
 MAX_NAME_LENGTH = 120
 KNOWN_RED = ROOT / "KNOWN-RED.txt"  # one line each: test, cause, issue
 STARVATION = pytest.StashKey[StarvationWatch]()
+FOLDER = pytest.StashKey[Path]()  # the tmp_path of a test, also of one whose set-up failed
 
 
 def read_known_red() -> dict[str, str]:
@@ -44,6 +45,17 @@
         return (yield)
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_fixture_setup(
+    fixturedef: pytest.FixtureDef[object], request: pytest.FixtureRequest
+) -> Generator[None, object, object]:
+    """Note the folder of a test: its arguments lack it if a fixture that uses it fails."""
+    value = yield
+    if fixturedef.argname == "tmp_path" and isinstance(value, Path):
+        request.node.stash[FOLDER] = value
+    return value
+
+
 @pytest.hookimpl(wrapper=True)
 def pytest_runtest_makereport(item: pytest.Item) -> Generator[None, pytest.TestReport, pytest.TestReport]:
     """Keep the logs of the processes of a failed test, also of a listed one."""
@@ -53,8 +65,8 @@
     summary, *spans = item.stash[STARVATION].describe()
     kept = KEPT_LOGS / re.sub(r"[^\w.-]+", "-", item.nodeid)[-MAX_NAME_LENGTH:]
     kept.mkdir(parents=True, exist_ok=True)
-    folder = getattr(item, "funcargs", {}).get("tmp_path")
-    if isinstance(folder, Path):
+    folder = item.stash.get(FOLDER, None)
+    if folder is not None:
         shutil.copytree(folder, kept, dirs_exist_ok=True, ignore=shutil.ignore_patterns("*.sock"))
     (kept / "failure.txt").write_text("\n".join([item.nodeid, report.longreprtext, summary, *spans, ""]))
     report.sections.append(("processor", summary))
--- a/tests/test_starvation.py
+++ b/tests/test_starvation.py
@@ -11,16 +11,24 @@
 from contextlib import contextmanager
 from pathlib import Path
 
-import pytest
-
 from rig.starvation import StarvationRecord, StarvationWatch, Times
 
 TESTS = Path(__file__).parent
 BUSY_PROCESSES = 4
 WAIT_S = 0.3  # seconds without a processor that must be found
-FAILING_TEST = """
+SAMPLE = """
 import time
 
+import pytest
+
+@pytest.fixture
+def broken(tmp_path):
+    (tmp_path / "node.log").write_text("held up")
+    raise TimeoutError
+
+def test_whose_set_up_fails(broken):
+    pass
+
 def test_that_fails():
     until = time.monotonic() + 0.3
     while time.monotonic() < until:
@@ -102,26 +110,39 @@
     assert float(summary.removeprefix("the test's process waited ").split()[0]) >= WAIT_S
 
 
-@pytest.mark.parametrize("test", ["test_that_fails", "test_that_passes"])
-def test_failed_test_prints_and_keeps_the_record(tmp_path: Path, test: str) -> None:
-    folder = tmp_path / "tests"
-    folder.mkdir()
-    shutil.copy(TESTS / "conftest.py", folder)
-    (folder / "test_sample.py").write_text(FAILING_TEST)
-    run = subprocess.run(
+def run_sample(folder: Path, test: str) -> subprocess.CompletedProcess[str]:
+    """Run a test of the sample with a copy of the configuration of these tests."""
+    tests = folder / "tests"
+    tests.mkdir()
+    shutil.copy(TESTS / "conftest.py", tests)
+    (tests / "test_sample.py").write_text(SAMPLE)
+    return subprocess.run(
         [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", f"tests/test_sample.py::{test}"],
-        cwd=tmp_path,
+        cwd=folder,
         env={**os.environ, "PYTHONPATH": str(TESTS)},
         capture_output=True,
         text=True,
         check=False,
     )
-    kept = list((tmp_path / "failed-tests").glob("*/failure.txt"))
-    if test == "test_that_passes":
-        assert run.returncode == 0
-        assert not kept
-        return
+
+
+def test_failed_test_prints_and_keeps_the_record(tmp_path: Path) -> None:
+    run = run_sample(tmp_path, "test_that_fails")
     assert run.returncode == 1
-    line = next(line for line in run.stdout.splitlines() if line.startswith("the test's process waited"))
-    assert line in kept[0].read_text().splitlines()
-    assert "no idle time" in kept[0].read_text().splitlines()[-1]
+    kept = next((tmp_path / "failed-tests").glob("*/failure.txt")).read_text().splitlines()
+    assert next(line for line in run.stdout.splitlines() if line.startswith("the test's process waited")) in kept
+    assert "no idle time" in kept[-1]
+
+
+def test_failed_set_up_keeps_the_logs(tmp_path: Path) -> None:
+    """The folder is no argument of the test yet when a fixture that uses it fails."""
+    run = run_sample(tmp_path, "test_whose_set_up_fails")
+    assert run.returncode == 1
+    folder = next((tmp_path / "failed-tests").iterdir())
+    assert (folder / "node.log").read_text() == "held up"
+    assert "the test's process waited" in (folder / "failure.txt").read_text()
+
+
+def test_passed_test_keeps_nothing(tmp_path: Path) -> None:
+    assert run_sample(tmp_path, "test_that_passes").returncode == 0
+    assert not (tmp_path / "failed-tests").exists()
