Start the stand-ins of engines without the HTTP client

Set-ups of system tests time out on a busy machine; their time goes to the starts of processes. Each of the six engines of the small installation imported httpx, with rich and click for its command line, which only engines that load from a weight store use. They import it when they are made now, the others not at all.

An import of networkx at its first use was ruled out, as it would hold up a serving node.

--- a/tests/standins/parts.py
+++ b/tests/standins/parts.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import argparse
+import importlib
 from collections.abc import Callable, Sequence
 
 import anyio
-import httpx
 
 from standins.serving import Journal
 from vaneturn_core.engine.messages import Hold, Open
@@ -27,6 +27,8 @@
         list_used: Callable[[], Sequence[Part]],
         report: Callable[[], None],
     ) -> None:
+        if options.weight_store is not None:
+            importlib.import_module("httpx")  # before the first load; without a weight store it would delay the start
         self._options = options
         self._journal = journal
         self._list_used = list_used
@@ -86,6 +88,8 @@
                 self._report()
 
     async def _fetch(self, part: Part) -> None:
+        import httpx  # noqa: PLC0415 # only engines with a weight store need it
+
         url = f"{self._options.weight_store}/v1/weights/{part.model}/{part.version}/{part.first}/{part.end}"
         async with httpx.AsyncClient(timeout=60) as client:
             while True:
