Ask the only server of a stream that lost its end to repeat the newest event

Callers saw: a stream of a route with one attempt lost its connection after its last event and was broken off a second later, though its client had all events. Cause: its one server had no event after the newest one and was not asked again; no second server may be asked, and two had to agree. Change: once the attempts are spent and every server that counts was without an event, these servers may be asked again. They are asked to repeat the newest event, which an empty answer cannot do, so that a faulty server does not end such a stream early by sending two. Not changed: such a stream is still broken off if its server cannot be reached for a second.

--- a/packages/node/src/vaneturn_node/traffic/serving/trypreparation.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/trypreparation.py
@@ -86,16 +86,20 @@
         """List the servers that may get the request, but none that had no event after the newest one.
 
         Whether a stream is over is asked of a server that ran it, also if it has just lost its connection: this is no
-        further attempt. A begun stream whose attempts are spent has no other servers left, and asks them at its own
-        pace: the backoff of a server that fails may be longer than its client waits. It asks none that is silent, as a
-        try there would be in vain.
+        further attempt. One that had no event is asked again, to repeat the newest one, if no other may be. A begun
+        stream whose attempts are spent has no other servers left, and asks them at its own pace: the backoff of a
+        server that fails may be longer than its client waits. It asks none that is silent, as a try there would be in
+        vain.
         """
         ended = client.empty_ends.servers
         is_spent = client.is_begun and not context.may_run_again
         eligible = self._parts.list_eligible(context.service, context.avoided | ended)
         if ended or is_spent:
             listed = self._parts.view.list_servers(context.service)
-            ran = [server for server in listed if server.id in context.attempts.servers - (ended or context.avoided)]
+            attempted = context.attempts.servers
+            may_ask_again = is_spent and client.repeated_event is not None and attempted <= ended
+            asked = attempted if may_ask_again else attempted - (ended or context.avoided)
+            ran = [server for server in listed if server.id in asked]
             eligible += self._parts.beliefs.list_eligible(ran, (), read_clock())
         silences = self._parts.silences
         is_unreachable = silences.is_silent if is_spent else silences.is_lost
--- a/tests/rig/overloadmechanisms.py
+++ b/tests/rig/overloadmechanisms.py
@@ -203,6 +203,17 @@
             ),
         ),
     ),
+    Proof(
+        "the only server that may be asked repeats the newest event",
+        "tests/system/platform/test_emptyattempts.py::test_stream_with_one_attempt_that_lost_only_its_end_is_whole",
+        (
+            Edit(
+                f"{TRAFFIC}/serving/trypreparation.py",
+                "asked = attempted if may_ask_again else attempted - (ended or context.avoided)",
+                "asked = attempted - (ended or context.avoided)",
+            ),
+        ),
+    ),
     Proof(
         "nodes tell each other which servers have no further event",
         "tests/system/platform/test_forwardedends.py"
--- a/tests/system/platform/test_emptyattempts.py
+++ b/tests/system/platform/test_emptyattempts.py
@@ -86,9 +86,24 @@
 
 
 async def test_stream_with_one_attempt_that_lost_only_its_end_is_whole(traffic: Traffic) -> None:
-    """Its server says that it has no further event, but a second one that agrees may not be asked."""
+    """Its server is the only one that may be asked, and repeats the last event."""
     await traffic.add_chains(per_hall=4)
     await allow_one_attempt(traffic)
     set_faults(traffic, break_off(EVENTS))
     answer = await traffic.ask("/letter/1", X_Request_Id="end")
     assert list_ids(answer.text) == list(range(1, EVENTS + 1))
+    assert len({run.server for run in traffic.fleet.runs}) == 1
+
+
+@pytest.mark.parametrize("empty_answers", [1, 2])
+async def test_stream_with_one_attempt_goes_on_after_empty_answers_of_its_server(
+    traffic: Traffic, empty_answers: int
+) -> None:
+    """Its server is the only one that may be asked."""
+    await traffic.add_chains(per_hall=4)
+    await allow_one_attempt(traffic)
+    set_faults(traffic, break_off(4), *[EMPTY] * empty_answers)
+    answer = await traffic.ask("/letter/1", X_Request_Id="rest")
+    steps = (await traffic.nodes[0].wait_for_log("rest"))["steps"]
+    assert list_ids(answer.text) == list(range(1, EVENTS + 1)), steps
+    assert len({run.server for run in traffic.fleet.runs}) == 1
