Count a request at a frozen server from when the server received it

The randomised runs check that a node sends a resting server no more than two requests, from half a second after the node has the answer that asks for rest. A request counted from when its server took it up: one that a frozen server had received before, within the half second or before the answer was written, counted as sent when the server went on, up to 1.5 s later. Runs already begin with the receipt. An arrival is now the receipt of the request, too. This is as strict as the rule, which is about what nodes send: a request that a frozen server receives within the rest counts now even if the server goes on after it; it did not before. The same times serve the checks of rate limits and of servers that leave.

A finding now names each request around the answer, and when the answer had passed the link, so that the next one can be traced.

--- a/tests/rig/directivejudge.py
+++ b/tests/rig/directivejudge.py
@@ -68,11 +68,23 @@
         count = _count_between(_list_arrival_times(record.arrivals, directive), start, end)
         if count > REST_EXTRA_REQUESTS and not is_excused(directive.node, directive.at, end):
             breaches.append(
-                f"{directive.server} asked {directive.node} for {directive.rest} s of rest and got {count} requests"
+                f"{directive.server} asked {directive.node} for {directive.rest} s of rest and got {count} requests: "
+                f"it had passed after {heard_at - directive.at:.2f} s{_describe_arrivals(record.arrivals, directive)}"
             )
     return breaches
 
 
+def _describe_arrivals(arrivals: Sequence[Arrival], directive: Directive) -> str:
+    """Describe the requests around a request for rest, by the seconds since it was written."""
+    assert directive.rest is not None
+    start, end = directive.at - DIRECTIVE_DELAY_S, directive.at + directive.rest
+    return "".join(
+        f"; {arrival.request} at {arrival.at - directive.at:.2f} s"
+        for arrival in arrivals
+        if (arrival.server, arrival.node) == (directive.server, directive.node) and start < arrival.at <= end
+    )
+
+
 def _find_drain_breaches(record: DirectiveRecord, is_excused: IsExcused) -> list[str]:
     first_announcements: dict[tuple[str, str], Directive] = {}
     for directive in record.directives:
--- a/tests/standins/platform/directives.py
+++ b/tests/standins/platform/directives.py
@@ -10,9 +10,10 @@
 class Arrival(NamedTuple):
     """A request that reached a server."""
 
-    at: float
+    at: float  # when it was received, which may be long before a frozen server goes on
     server: str
     node: str  # address of the caller
+    request: str = ""  # its id
 
 
 class Directive(NamedTuple):
@@ -29,13 +30,13 @@
 
 @dataclass
 class DirectiveRecord:
-    """All arrivals and directives, in order of time."""
+    """All arrivals, in the order in which servers took them up, and directives, in order of time."""
 
     arrivals: list[Arrival] = field(default_factory=list)
     directives: list[Directive] = field(default_factory=list)
 
-    def note_arrival(self, server: str, node: str) -> None:
-        self.arrivals.append(Arrival(time.monotonic(), server, node))
+    def note_arrival(self, server: str, node: str, at: float, request: str) -> None:
+        self.arrivals.append(Arrival(at, server, node, request))
 
     def note_answer(self, server: str, node: str, headers: dict[str, str]) -> int:
         """Record the directives in an answer that is about to be sent; return their place in the list."""
--- a/tests/standins/platform/servers.py
+++ b/tests/standins/platform/servers.py
@@ -285,8 +285,8 @@
             await self._serve(exchange)
 
     async def _serve(self, exchange: Exchange) -> None:
-        self.fleet.record.note_arrival(self.id, exchange.caller)
         request = exchange.call.headers["x-request-id"]
+        self.fleet.record.note_arrival(self.id, exchange.caller, exchange.received_at, request)
         if self.fleet.lost_sends[request]:
             self.fleet.lost_sends[request] -= 1
             await exchange.watch_client()
