--- a/tests/system/platform/test_begunstreams.py
+++ b/tests/system/platform/test_begunstreams.py
@@ -30,10 +30,11 @@
 DEADLINE_MS = "9000"
 
 
-@pytest.fixture
-async def frugal(tmp_path: Path) -> AsyncIterator[Traffic]:
-    """Nodes that may send no request a second time."""
-    async with open_traffic(tmp_path, nodes=NODES, retry_ratio=0.0, retry_slack=0.0) as traffic:
+@pytest.fixture(params=[pytest.param(None, id="wide"), pytest.param(2.5e6, id="narrow")])
+async def frugal(request: pytest.FixtureRequest, tmp_path: Path) -> AsyncIterator[Traffic]:
+    """Nodes that may send no request a second time, without links or on links of some bytes per second."""
+    bounds = {"retry_ratio": 0.0, "retry_slack": 0.0}
+    async with open_traffic(tmp_path, nodes=NODES, link_rate=request.param, **bounds) as traffic:
         await traffic.add_chains(per_hall=6)
         traffic.fleet.answer_tokens, traffic.fleet.token_time = TOKENS, TOKEN_TIME_S
         yield traffic
