Ask a second node for a retry if the first one has none

Callers saw: a lost stream without a retry asked one other node, though two are meant to be asked (MAX_RETRY_OFFERS). Where many were lost at once, each question also counted as a send and restarted the wait, so that some were answered only after nine seconds. Cause: a node without a retry answered 503 no_chain marked as its own answer, not as declined, unless the client had a part of the answer already. The first node took that for a node that had accepted the request. Change: a node that has sent a forwarded request nowhere for lack of a retry declines it; DeclineReason.NOT_ADMITTED already says so. A proof is added. Evidence: the new test fails before ({'entry-2'} asked of entry-2 and entry-3) and passes now. 163 tests of serving, lost requests, forwarded attempts and ends and retry budgets pass.

--- a/packages/node/src/vaneturn_node/traffic/serving/answermarks.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/answermarks.py
@@ -96,12 +96,14 @@
 def _is_declined(first_node: FirstNode, context: RequestContext | None, result: OwnAnswer) -> bool:
     """Tell whether the first node is to ask another one, as this one has not sent the request to any server.
 
-    An answer in progress has no other use for the refusal of one node.
+    An answer in progress has no other use for the refusal of one node, and another node may have the retry that this
+    one lacks.
     """
     if result.reason in _DECLINE_REASONS:
         return True
     is_untouched = context is None or context.is_declinable
-    return is_untouched and (first_node.is_resumed or result.reason is Reason.MAY_HAVE_RUN)
+    has_no_retry = context is not None and context.has_no_retry
+    return is_untouched and (first_node.is_resumed or has_no_retry or result.reason is Reason.MAY_HAVE_RUN)
 
 
 __all__ = ["end_unfinished", "mark_answer", "mark_broken_off", "mark_unread"]
--- a/tests/rig/overloadmechanisms.py
+++ b/tests/rig/overloadmechanisms.py
@@ -135,6 +135,12 @@
             ),
         ),
     ),
+    Proof(
+        "a lost stream asks a second node for a retry",
+        "tests/system/platform/test_lostrequests.py"
+        "::test_lost_stream_asks_a_second_node_for_a_retry_if_the_first_has_none",
+        (Edit(f"{TRAFFIC}/serving/answermarks.py", "has_no_retry or result.reason", "result.reason"),),
+    ),
     Proof(
         "a lost stream is served with the retry of another node",
         "tests/system/platform/test_lostrequests.py::test_lost_stream_is_served_with_the_retry_of_another_node",
--- a/tests/system/platform/test_lostrequests.py
+++ b/tests/system/platform/test_lostrequests.py
@@ -180,3 +180,15 @@
         await server.crash()
     else:
         server.is_unresponsive = True
+
+
+async def test_lost_stream_asks_a_second_node_for_a_retry_if_the_first_has_none(tmp_path: Path) -> None:
+    """Only one was asked, and its refusal counted as a send."""
+    async with open_traffic(tmp_path, nodes=3, retry_ratio=0.0, retry_slack=0.0) as traffic:
+        answer, _ = await ask_with_timing(traffic, "/letter/1")
+        assert answer.status_code == 502
+        steps = (await traffic.nodes[0].wait_for_log("lost"))["steps"]
+        assert {node for node in ("entry-2", "entry-3") if any(f"forwarded to {node}" in step for step in steps)} == {
+            "entry-2",
+            "entry-3",
+        }
