Move hops of resumed answers, whose route states no rates

Callers saw: an answer that another node had resumed was broken off (ZeroDivisionError) when one of its stages was to move to another server. Cause: a resume point names servers and layers of its route, not their rates; the estimate of a rebuild divided by the rate of a hop whose server had not run a prompt of this node yet. Change: without a rate, the time for a token is the server's own latency, and 0 while that is unknown, so that the hop is rebuilt. Evidence: the new test failed before in both cases (ZeroDivisionError at moving.py:114) and passes; tests/system/test_resume.py: 5 passed, 2 listed tests passed. Ruled out: rates in the resume point, as they would change what older nodes read.

--- a/packages/node/src/vaneturn_node/answers/moving.py
+++ b/packages/node/src/vaneturn_node/answers/moving.py
@@ -111,7 +111,12 @@
         return method
 
     def _list_position_seconds(self, hops: Sequence[Hop]) -> list[float]:
-        return [self._healths[hop.vm].position_seconds or 1 / (DEFAULT_PREFILL_RATIO * hop.rate) for hop in hops]
+        return [self._healths[hop.vm].position_seconds or self._assume_position_seconds(hop) for hop in hops]
+
+    def _assume_position_seconds(self, hop: Hop) -> float:
+        """Derive the time for one position of a prompt from that for a token; a resumed route states no rates."""
+        token_seconds = 1 / hop.rate if hop.rate else self._healths.estimate_latency(hop.vm)
+        return token_seconds / DEFAULT_PREFILL_RATIO
 
 
 __all__ = ["CHECK_INTERVAL_S", "MoveSuggestion", "Mover"]
