--- a/packages/node/src/vaneturn_node/traffic/serving/clientstream.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/clientstream.py
@@ -65,7 +65,7 @@
 
     @property
     def resume_point(self) -> str | None:
-        """Give the id of the event after which the next try goes on; None for the start of the stream."""
+        """Give the id of the event after which the next try resumes; None for the start of the stream."""
         return self.last_event if self.repeated_event is None else self._earlier_event
 
     def measure_progress(self) -> tuple[float, int]:
--- a/packages/node/src/vaneturn_node/traffic/serving/repair.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/repair.py
@@ -58,7 +58,7 @@
         self._move = move
         self._finder = LossFinder(parts, context.facts.id)
         self._asked_at = float("-inf")  # monotonic time at which the first server was asked for the request
-        # monotonic time since which it does not know the request and no other try was sent; None if it may know it
+        # monotonic time since which it has denied the request, or of the newest other try; None if it may know it
         self._lost_since: float | None = None
         self._probes_slowness_at = float("-inf")  # monotonic time of the next probes for slowness
 
@@ -119,19 +119,19 @@
             self._lost_since = None if is_known else self._lost_since or now
         if self._lost_since is None:
             return
-        self._context.is_lost = True
+        self._context.was_lost_by_server = True
         cause = "first server does not know the request"
         sends = self._context.sends
         await self._move(cause, is_first_lost=False)  # there may be no other server, or no retry, until later
         if self._context.sends > sends:
             self._lost_since = read_clock()
-        if self._context.may_repeat and self._may_leave_lost(read_clock() - self._lost_since):
+        if self._context.may_repeat and self._should_give_up(read_clock() - self._lost_since):
             raise TryEndedError(MayHaveRun(cause))
 
-    def _may_leave_lost(self, waited: float) -> bool:
-        """Tell whether the try of a lost request ends though no other has replaced it.
+    def _should_give_up(self, waited: float) -> bool:
+        """Tell whether the try of a request that its server has lost ends, though no other try has replaced it.
 
-        :param waited: seconds since another try could have been sent.
+        :param waited: seconds since the server has denied the request, or since the newest other try.
         """
         if self._client.is_resumed and not self._context.may_run_again:
             return True  # no other server may run it, but this one may once more
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -72,7 +72,7 @@
     spent_at: float | None = None  # monotonic time since which no server that its attempts allow could take it
     wait_steps: set[str] = field(default_factory=set)  # reasons to wait since the newest event; each is logged once
     has_no_retry: bool = False  # the retry budget was used up when it was to be sent last
-    is_lost: bool = False  # a server has answered that it does not know it, after it was sent there
+    was_lost_by_server: bool = False  # a server that it was sent to has answered that it does not know it
     has_lent_retry: bool = False  # for its next send, from the budget of the node that forwarded it
     has_declined_peers: bool = False  # no other node has accepted it
     peers_asked_at: float = float("-inf")  # monotonic time at which other nodes were asked for a retry
--- a/packages/node/src/vaneturn_node/traffic/serving/streamrelay.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamrelay.py
@@ -90,7 +90,7 @@
     def _reject_repetition(self, repeated: str) -> NoReturn:
         """End a try whose answer lacks the event that it is to repeat, which shows nothing about the end.
 
-        The next try goes on after the newest event, as another run may divide its answer into other events.
+        The next try resumes after the newest event, as another run may divide its answer into other events.
 
         :raises TryEndedError: always.
         """
--- a/packages/node/src/vaneturn_node/traffic/serving/trypreparation.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/trypreparation.py
@@ -114,7 +114,7 @@
         retries itself.
         """
         now = read_clock()
-        may_ask = (client.is_begun or context.is_lost) and not context.is_forwarded
+        may_ask = (client.is_begun or context.was_lost_by_server) and not context.is_forwarded
         if not may_ask or now - context.peers_asked_at < PEER_ASK_INTERVAL_S:
             return None
         context.peers_asked_at = now
--- a/tests/node/traffic/serving/test_repair.py
+++ b/tests/node/traffic/serving/test_repair.py
@@ -54,7 +54,9 @@
 
 def make_context(*, may_run_again: bool, may_repeat: bool = True) -> Any:
     facts = SimpleNamespace(id="request-1")
-    return SimpleNamespace(facts=facts, may_repeat=may_repeat, may_run_again=may_run_again, is_lost=False, sends=1)
+    return SimpleNamespace(
+        facts=facts, may_repeat=may_repeat, may_run_again=may_run_again, was_lost_by_server=False, sends=1
+    )
 
 
 async def test_lost_request_is_moved_at_each_probe_until_a_server_takes_it(clock: Clock) -> None:
--- a/tests/rig/overloadmechanisms.py
+++ b/tests/rig/overloadmechanisms.py
@@ -144,7 +144,13 @@
     Proof(
         "a lost stream is served with the retry of another node",
         "tests/system/platform/test_lostrequests.py::test_lost_stream_is_served_with_the_retry_of_another_node",
-        (Edit(f"{TRAFFIC}/serving/trypreparation.py", "(client.is_begun or context.is_lost)", "client.is_begun"),),
+        (
+            Edit(
+                f"{TRAFFIC}/serving/trypreparation.py",
+                "(client.is_begun or context.was_lost_by_server)",
+                "client.is_begun",
+            ),
+        ),
     ),
     Proof(
         "nodes name the servers of a request to each other",
--- a/tests/system/platform/test_reviewcases.py
+++ b/tests/system/platform/test_reviewcases.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parents[3]
-HELD = 0  # exit code of a case whose rule held; 2 is that of one that could not run
+HELD_EXIT_CODE = 0  # of a case whose rule held; 2 is that of one that could not run
 
 
 def test_case_runs_to_its_verdict(tmp_path: Path) -> None:
@@ -26,4 +26,4 @@
     case = shutil.copy(ROOT / "review" / "2" / "case.py", tmp_path)  # it writes its record beside itself
     command = [sys.executable, "-S", case]
     run = subprocess.run(command, cwd=tmp_path, env=environment, capture_output=True, text=True, check=False)
-    assert run.returncode == HELD, run.stdout
+    assert run.returncode == HELD_EXIT_CODE, run.stdout
