--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -220,8 +220,8 @@
         (
             Edit(
                 f"{TRAFFIC}/serving/streams.py",
-                "            return context.sends - refusals - productive < MAX_SENDS and refusals < MAX_BEGUN_REFUSALS\n",
-                "            return context.sends < MAX_SENDS and refusals < MAX_REFUSALS\n",
+                "return context.sends - refusals - productive < MAX_SENDS and refusals < MAX_BEGUN_REFUSALS",
+                "return context.sends < MAX_SENDS and refusals < MAX_REFUSALS",
             ),
         ),
     ),
