Leave a run that is past the event it is to repeat

Callers saw: a stream paused for the whole rest of a run, and its client might have left. After an empty answer the next server is asked to repeat the newest event. Where that run divided its tokens into other events, the id never came: all its events were left out up to its end, and only then did the next try go on. Cause: only the end of such an answer counted as an answer without the event, though ids rise. Change: an answer is left as soon as an event with a higher number arrives in place of the repeated one. Ids that are not numbers can't be compared: such an answer is left at its end, as before. Ruled out: to relay events past the repeated one, which may hold tokens that the client has already.

--- a/packages/node/src/vaneturn_node/traffic/serving/events.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/events.py
@@ -13,6 +13,7 @@
 _EVENT_END: Final = re.compile(rb"\n\r?\n|\r\r")  # a blank line; lines end with LF, CRLF or CR
 _FIELD: Final = re.compile(rb"(?:^|[\r\n])[^:\r\n]")  # a line that is neither blank nor a comment
 _EVENT_ID: Final = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
+_NUMBER: Final = re.compile(r"[0-9]{1,100}")  # longer ones are costly to convert
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +37,7 @@
         self._remainder = bytearray()
         self._repeated = repeated
         self._has_event = False
+        self.has_passed = False  # a later event has arrived in place of the repeated one
 
     @property
     def body_end(self) -> BodyEnd:
@@ -68,6 +70,7 @@
             start = match.end()
             if self._repeated is not None:
                 if event_id != self._repeated:
+                    self.has_passed = self.has_passed or _is_later(event_id, self._repeated)
                     continue
                 self._repeated = None
                 self._has_event = True
@@ -78,4 +81,11 @@
         return events
 
 
+def _is_later(event_id: str | None, other: str) -> bool:
+    """Tell whether an event comes after another one; ids rise, but only those that are numbers can be compared."""
+    if event_id is None or not _NUMBER.fullmatch(event_id) or not _NUMBER.fullmatch(other):
+        return False
+    return int(event_id) > int(other)
+
+
 __all__ = ["MAX_EVENT_BYTES", "Event", "EventSplitter"]
--- a/packages/node/src/vaneturn_node/traffic/serving/streamrelay.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/streamrelay.py
@@ -82,6 +82,8 @@
                     self._parts.crash_watch.record_success(server, self._context.fingerprint)
                 return
             await self._relay(splitter, data)
+            if repeated is not None and splitter.has_passed:
+                self._reject_repetition(repeated)
             if splitter.is_too_long:
                 error = link.reject("event too long")
                 self._ends.record_lost(link, find_body_end(head, splitter, is_resumed=is_resumed), server)
--- a/tests/node/traffic/serving/test_events.py
+++ b/tests/node/traffic/serving/test_events.py
@@ -87,3 +87,26 @@
         assert splitter.split(piece) == []
         ends.append(splitter.body_end)
     assert ends == [BodyEnd.EMPTY, BodyEnd.INSIDE_EVENT, BodyEnd.AFTER_EVENT]
+
+
+@pytest.mark.parametrize(
+    ("repeated", "event", "has_passed"),
+    [
+        ("9", "8", False),
+        ("9", "10", True),
+        ("10", "9", False),
+        ("9", "9", False),
+        ("9", "x10", False),
+        ("x9", "10", False),
+    ],
+)
+def test_run_that_is_past_the_repeated_event_cannot_send_it(repeated: str, event: str, *, has_passed: bool) -> None:
+    splitter = EventSplitter(repeated)
+    assert splitter.split(f"id: {event}\ndata: x\n\n".encode()) == []
+    assert splitter.has_passed is has_passed
+
+
+def test_events_after_the_repeated_one_are_not_past_it() -> None:
+    splitter = EventSplitter("3")
+    splitter.split(STREAM)
+    assert not splitter.has_passed
--- a/tests/system/platform/test_emptyends.py
+++ b/tests/system/platform/test_emptyends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import anyio
 import httpx
 import pytest
 
@@ -35,6 +36,15 @@
     return fail
 
 
+async def divide_otherwise(exchange: Exchange, run: Run) -> None:
+    """Send events of two tokens each, with a pause between them."""
+    await exchange.begin(200, {"X-Request-Id": run.request, "X-Response-Seal": f"seal-{run.server}"})
+    for number in range(int(run.headers.get("last-event-id", "0")) + 2, ALL_IDS[-1] + 1, 2):
+        await exchange.send(f"id: {number}\ndata: tokens up to {number}\n\n".encode())
+        await anyio.sleep(1.0)
+    await exchange.end()
+
+
 @pytest.mark.parametrize(("headers", "body"), EMPTY_ANSWERS)
 async def test_stream_is_not_whole_because_one_server_has_no_more_events(
     traffic: Traffic, headers: str, body: str
@@ -58,6 +68,16 @@
     assert list_ids(answer.text) == ALL_IDS
 
 
+async def test_stream_goes_on_at_once_when_its_newest_event_cannot_be_repeated(traffic: Traffic) -> None:
+    """A run with other events was left out up to its end, while the client waited."""
+    await traffic.add_chains(per_hall=4)
+    set_faults(traffic, break_off(4), send_empty(*ENDS["length"]), divide_otherwise)
+    with anyio.fail_after(2.0):
+        answer = await traffic.ask("/letter/1")
+    assert list_ids(answer.text) == ALL_IDS
+    assert [run.headers.get("last-event-id") for run in traffic.fleet.runs] == [None, "4", "3", "4"]
+
+
 async def test_stream_that_lost_only_its_end_is_whole_after_an_empty_answer_to_the_question_for_its_last_event(
     traffic: Traffic,
 ) -> None:
