Count a server that two other nodes have named until neither names it

A request is taken back from one node, whose final count arrives in the background while a second node has the request already; both have used the same server. The final word of the second one, which has lost its path to that server meanwhile and names it no more, took the server off the count, though the first one had named it. Cause: the servers that other nodes name were one set, and each loan removed what it had named itself. Change: the number of loans that name a server is kept; it is removed with the last one. Ruled out: to add the named servers to those that the current loan knows, as it would then not count them when its own node has used them in place of the first.

--- a/packages/node/src/vaneturn_node/traffic/serving/attempts.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Collection, Iterable
 
 from vaneturn_core.traffic.servers import ServerId
@@ -31,6 +32,7 @@
         """
         self._servers = set(servers)
         self._own: set[ServerId] = set()  # those that this node itself has sent the request to
+        self._named: Counter[ServerId] = Counter()  # by how many other nodes each server is named
         self._unnamed = max(0, count - len(self._servers))
         self._is_lost = is_lost
         self._is_cut_off = is_cut_off
@@ -75,8 +77,13 @@
         self._own.discard(server)
 
     def replace_named(self, before: Collection[ServerId], after: Collection[ServerId]) -> None:
-        """Count the servers that another node names in place of those that it named before."""
-        self._servers -= set(before) - self._own
+        """Count the servers that another node names in place of those that it named before.
+
+        One that a further node names counts on.
+        """
+        self._named.subtract(before)
+        self._named.update(after)
+        self._servers -= {server for server in before if not self._named[server]} - self._own
         self._servers |= set(after)
 
     def add_unnamed(self, number: int) -> None:
--- a/tests/node/traffic/serving/test_attempts.py
+++ b/tests/node/traffic/serving/test_attempts.py
@@ -168,3 +168,16 @@
 def test_attempts_that_are_not_lent_count_without_an_id() -> None:
     loan = AttemptLoan(Attempts(), max_attempts=2)
     assert Attempts(loan.count).has_unnamed
+
+
+def test_server_that_two_other_nodes_have_named_counts_until_neither_does() -> None:
+    """The count of a node that a request was taken back from may arrive while the next node runs it."""
+    attempts = Attempts()
+    withdrawn, current = (AttemptLoan(attempts, max_attempts=3) for _ in range(2))
+    current.record_begun(3, [FIRST])
+    withdrawn.settle(3, [FIRST])
+    current.settle(2, [])
+    assert attempts.count == 1
+    assert attempts.servers == {FIRST}
+    withdrawn.settle(2, [])
+    assert attempts.count == 0
