Ask the only server of a stream to repeat the newest event while attempts are left

Callers saw: a stream of a route with two attempts or more lost its connection after its last event and was broken off a second later, though its client had all events, where one server held the first layer. With one attempt the same stream ended as whole. Cause: a server without an event was asked again only once the attempts were spent; with attempts left, a second server was waited for, which did not exist. Change: where no chain is found with the other servers, the servers that count may be asked to repeat the newest event. No server is added to the attempts, and an empty answer still ends no stream. Evidence: the new test fails before (2 of 2 cases: broken off); after, 2 of 2 pass in 7.9 s, and 267 tests of test_emptyends.py, test_emptyattempts.py, test_forwardedends.py and test_mechanisms.py pass in 128 s. Not run: tests of silences, spent attempts and retry budgets. A second server that is only busy or in backoff is no longer waited for in this case.

--- a/packages/node/src/vaneturn_node/traffic/serving/trypreparation.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/trypreparation.py
@@ -53,6 +53,8 @@
             return PeerTry(forwarder=self._peers, context=context, client=client, on_accepted=on_accepted)
         chooser = self._make_chooser(context, engine, is_begun=client.is_begun)
         chain = chooser.choose(self._list_eligible(context, client))
+        if chain is None and client.repeated_event is not None:
+            chain = chooser.choose(self._list_eligible(context, client, is_last_resort=True))
         if chain is None:
             return _find_shortage(context, client, chooser)
         retry_reason = reason if context.sends else None
@@ -82,7 +84,9 @@
             on_accepted=on_accepted,
         )
 
-    def _list_eligible(self, context: RequestContext, client: ClientStream) -> list[BackendServer]:
+    def _list_eligible(
+        self, context: RequestContext, client: ClientStream, *, is_last_resort: bool = False
+    ) -> list[BackendServer]:
         """List the servers that may get the request, but none that had no event after the newest one.
 
         Whether a stream is over is asked of a server that ran it, also if it has just lost its connection: this is no
@@ -90,6 +94,8 @@
         stream whose attempts are spent has no other servers left, and asks them at its own pace: the backoff of a
         server that fails may be longer than its client waits. It asks none that is silent, as a try there would be in
         vain.
+
+        :param is_last_resort: whether no other server holds a chain, though attempts may be left.
         """
         ended = client.empty_ends.servers
         is_spent = client.is_begun and not context.may_run_again
@@ -97,7 +103,7 @@
         if ended or is_spent:
             listed = self._parts.view.list_servers(context.service)
             attempted = context.attempts.servers
-            may_ask_again = is_spent and client.repeated_event is not None and attempted <= ended
+            may_ask_again = (is_spent or is_last_resort) and client.repeated_event is not None and attempted <= ended
             asked = attempted if may_ask_again else attempted - (ended or context.avoided)
             ran = [server for server in listed if server.id in asked]
             eligible += self._parts.beliefs.list_eligible(ran, (), read_clock())
--- a/tests/system/platform/test_emptyends.py
+++ b/tests/system/platform/test_emptyends.py
@@ -88,6 +88,18 @@
     assert list_ids(answer.text) == ALL_IDS
 
 
+@pytest.mark.parametrize(("events", "empty_answers"), [(10, 0), (4, 1)])
+async def test_only_server_of_a_stream_repeats_its_newest_event_while_attempts_are_left(
+    traffic: Traffic, events: int, empty_answers: int
+) -> None:
+    """The stream was broken off, as only a server of a spent stream was asked again."""
+    await traffic.add_chains(per_hall=1)
+    set_faults(traffic, break_off(events), *[send_empty(*ENDS["length"])] * empty_answers)
+    answer = await traffic.ask("/letter/1")
+    assert list_ids(answer.text) == ALL_IDS
+    assert len({run.server for run in traffic.fleet.runs}) == 1
+
+
 async def test_stream_of_one_event_that_lost_only_its_end_is_whole(traffic: Traffic) -> None:
     await traffic.add_chains(per_hall=4)
     traffic.fleet.answer_tokens = 1
