review: give out each port once in the stand-ins of the cases

Cause: two nodes of a case could get the same port. Change: ports that were given out aren't given out again.

--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -36,15 +36,21 @@
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 
 
+_PORTS: set[int] = set()  # that were given out
+
+
 def find_port() -> int:
-    """Find a free port; ports below those of outgoing connections, so that none of these takes it meanwhile."""
+    """Find a free port, below those of outgoing connections, so that none of these takes it meanwhile."""
     while True:
         port = random.randrange(10_000, 32_000)
+        if port in _PORTS:
+            continue
         with socket.socket() as one:
             try:
                 one.bind(("127.0.0.1", port))
             except OSError:
                 continue
+        _PORTS.add(port)
         return port
 
 
