--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,12 +1,13 @@
-"""Case: a node whose first registration is carried out late is never listed again and never takes the tenure."""
+"""Case: a node that missed a few versions of a long configuration reads nothing from the store any more."""
 
 from __future__ import annotations
 
 import json
-import signal
+import random
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import anyio
 from world import COULD_NOT_RUN, TROUBLE, Node, ask, find_port, run_case, wait_until
@@ -14,128 +15,157 @@
 from standins.platform.operator import KEY, configure, make_configuration
 from standins.platform.servers import Fleet
 from standins.platform.store import Store
-from standins.platform.wire import Exchange
+from standins.platform.wire import Exchange, serve
 
-LOST_S = 5.5  # platform_lost of swanreach-hq: for_s = 5.61
-LATE_S = 4.0  # "done 1 to 6 s later"
-LAPSE_S = 24.0  # after the start of the second node; its first lease has run out by then
-DOWN_S = 2.0  # until the crashed server is back; srv_crash of swanreach-hq: for_s = 3.0 to 4.8
-RECOVER_S = 12.0  # bounds.recover_s
-JUDGED_S = 10.0
-SPACING_S = 0.25
+ROUTES = 2800  # the configuration then has 0.58 MB; `value_bytes` is 1,048,576
+VERSIONS = 12  # config_storm of swanreach-hq: gap_s = 0.33 for 4.0 s
+GAP_S = 0.33
+CUT_S = 5.5  # core_cut of swanreach-hq: for_s = 5.5
+HISTORY_S = 20.0  # history_s
+CONTACT_S = 3.0  # contact_ms
+CONFIG_S = 2.0  # config_ms
+JUDGED_S = 20.0  # after the cut
+SPACING_S = 0.1
 
 
-class LateStore(Store):
-    """The project's stand-in of the store, which loses answers and carries the writes out late."""
+class ForgettingStore(Store):
+    """The project's stand-in of the store, which forgets its history after HISTORY_S; one caller can be cut off."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.is_losing = False
-        self.writes = 0  # while answers get lost
-        self.lost: list[str] = []  # keys of writes that were done late
-        self.started = time.monotonic()
-        self.record: list[str] = []
-
-    def note(self, text: str) -> None:
-        self.record.append(f"{time.monotonic() - self.started:.2f} {text}")
-
-    async def _answer(self, exchange: Exchange) -> None:
-        call = exchange.call
-        is_write = self.is_losing and call.path in {"/api/kv-txn", "/api/kv-lease"}
-        self.writes += is_write
-        if is_write and call.path == "/api/kv-txn" and not self.lost:
-            change = json.loads(call.body)
-            self.lost.append(change["put"][0]["key"])
-            self.note(f"write of {self.lost[0]} gets no answer (lease {change['put'][0]['lease']})")
-            await anyio.sleep(LATE_S)
-            status, _ = self._change(change)
-            self.note(f"write of {self.lost[0]} is done late: {status}")
+        self.is_cut = False
+        self.cut_exchanges: set[Exchange] = set()  # that came over the path that can be cut
+        self.written: list[tuple[float, int]] = []
+
+    async def forget(self) -> None:
+        while True:
+            await anyio.sleep(0.1)
+            old = [revision for at, revision in self.written if at < time.monotonic() - HISTORY_S]
+            if old and max(old) > self.oldest:
+                self.oldest = max(old)
+                self.events = [event for event in self.events if event["revision"] > self.oldest]
+                self.written = [(at, revision) for at, revision in self.written if revision > self.oldest]
+                self._wake()
+
+    def _record_event(self, event: dict[str, Any]) -> None:
+        self.written.append((time.monotonic(), event["revision"]))
+        super()._record_event(event)
+
+    async def answer_cut(self, exchange: Exchange) -> None:
+        """Answer a call over the path that can be cut: bytes of neither side pass meanwhile."""
+        if self.is_cut:
             await exchange.watch_client()
             await exchange.close()
-        if call.path == "/api/kv-txn":
-            change = json.loads(call.body)
-            self.note(f"write of {[put['key'] for put in change['put']]} (leases {[put['lease'] for put in change['put']]})")
-        await super()._answer(exchange)
+        self.cut_exchanges.add(exchange)
+        try:
+            await self._answer(exchange)
+        finally:
+            self.cut_exchanges.discard(exchange)
+
+    async def _reply(self, exchange: Exchange, status: int, body: bytes) -> None:
+        if self.is_cut and exchange in self.cut_exchanges:
+            await exchange.watch_client()
+            await exchange.close()
+        await super()._reply(exchange, status, body)
+
+
+def make_long(version: int, *, has_dropped: bool) -> dict[str, Any]:
+    rng = random.Random(7)
+    configuration = make_configuration(version)
+    template = {**configuration["routes"][3], "service": "desk"}
+    routes = configuration["routes"]
+    for number in range(ROUTES):
+        routes.append({**template, "name": f"r-{number}", "path_prefix": f"/{rng.getrandbits(56):x}/"})
+    routes[5]["timeout_ms"] = 1000 + version
+    if has_dropped:  # a public route, which the next versions drop
+        routes.append({**configuration["routes"][4], "name": "old", "path_prefix": "/old/"})
+    return configuration
 
 
 async def play(folder: Path, record: list[str], nodes: list[Node]) -> int:
     async with anyio.create_task_group() as tasks:
-        store = LateStore()
-        store.record = record
-        store_address = f"127.0.0.1:{find_port()}"
-        await store.start(store_address, tasks)
+        store = ForgettingStore()
+        address, cut_address = (f"127.0.0.1:{find_port()}" for _ in range(2))
+        await store.start(address, tasks)
+        await serve(cut_address, store.answer_cut, tasks)
+        tasks.start_soon(store.forget)
         fleet = Fleet(store, tasks)
-        configure(store, make_configuration(1))
-        code = await play_with(folder, store, fleet, store_address, nodes)
+        code = await play_with(folder, store, fleet, (address, cut_address), nodes, record)
         tasks.cancel_scope.cancel()
     return code
 
 
-async def play_with(folder: Path, store: LateStore, fleet: Fleet, store_address: str, nodes: list[Node]) -> int:
-    servers = [await fleet.add(f"127.0.0.1:{find_port()}", "llm", "east", "big") for _ in range(2)]
-    nodes.append(Node(folder, "edge-1", store_address))
-    if not await wait_until(nodes[0].is_ready, 20):
-        store.note("the first node did not become ready")
-        return COULD_NOT_RUN
-
-    async def is_served() -> bool:
-        return await ask(nodes[0].client, f"first-{time.monotonic()}", KEY, "/letter/a", "POST") == 200
-
-    if not await wait_until(is_served, 20):
-        store.note("the first node serves nothing")
-        return COULD_NOT_RUN
-    store.note("the first node serves")
-    store.is_losing = TROUBLE
-    added_at = time.monotonic()
-    nodes.append(Node(folder, "edge-2", store_address))
-    second = nodes[1]
-    if not await wait_until(second.is_ready, 20):
-        store.note("the second node did not become ready")
-        return COULD_NOT_RUN
-    store.note("the second node is added")
-    await anyio.sleep(max(0.0, added_at + LOST_S - time.monotonic()))
-    store.is_losing = False
-    store.note(f"the store loses no more answers: {len(store.lost)} of {store.writes} writing calls lost theirs")
-    await anyio.sleep(max(0.0, added_at + LAPSE_S - time.monotonic()))
-    store.note(f"keys in the store: {sorted(key for key in store.items if not key.startswith('op/'))}")
-    nodes[0].process.send_signal(signal.SIGTERM)
-    store.note("SIGTERM to the first node, which is removed for good")
-    while nodes[0].process.poll() is None:
-        await anyio.sleep(0.1)
-    store.note(f"the first node has ended with {nodes[0].process.returncode}")
-    results: list[tuple[float, int]] = []
-
-    async def send(number: int) -> None:
+async def play_with(
+    folder: Path, store: ForgettingStore, fleet: Fleet, addresses: tuple[str, str], nodes: list[Node], record: list[str]
+) -> int:
+    started = time.monotonic()
+
+    def note(text: str) -> None:
+        record.append(f"{time.monotonic() - started:.2f} {text}")
+
+    configure(store, make_long(1, has_dropped=True))
+    note(f"the configuration has {len(store.items['op/config'].value)} bytes")
+    for _ in range(2):
+        await fleet.add(f"127.0.0.1:{find_port()}", "desk", "east", None)
+    nodes += [Node(folder, f"edge-{number + 1}", address) for number, address in enumerate(addresses)]
+    for node in nodes:
+        if not await wait_until(node.is_ready, 20):
+            note("a node did not become ready")
+            return COULD_NOT_RUN
+    await anyio.sleep(3.0)
+    for node in nodes:
+        if await ask(node.client, f"first-{node.name}", KEY, "/old/a") != 200:
+            note("the route does not work before it is dropped")
+            return COULD_NOT_RUN
+    results: list[tuple[float, str, int, str, int]] = []
+    is_over = False
+
+    async def send(number: int, node: Node, path: str) -> None:
         at = time.monotonic()
-        results.append((at, await ask(second.client, f"r{number}", KEY, "/letter/a", "POST", 4.0)))
-
-    async def send_all(until: float, first: int) -> None:
-        async with anyio.create_task_group() as tasks:
-            number = first
-            while time.monotonic() < until:
-                number += 1
-                tasks.start_soon(send, number)
-                await anyio.sleep(SPACING_S)
-
-    await send_all(time.monotonic() + 3.0, 0)
-    before = [status for _, status in results]
-    store.note(f"before the crash {before.count(200)} of {len(before)} requests are served")
-    results.clear()
-    await servers[0].crash()
-    store.note("a model server crashes")
-    await anyio.sleep(DOWN_S)
-    store.remove(f"servers/{servers[0].id}")
-    await fleet.add(servers[0].address, "llm", "east", "big")
-    back_at = time.monotonic()
-    store.note("it is back, with a new id and empty")
-    await send_all(back_at + RECOVER_S + JUDGED_S, 1000)
-    judged = [status for at, status in results if at > back_at + RECOVER_S]
-    store.note(f"keys in the store: {sorted(key for key in store.items if not key.startswith('op/'))}")
-    store.note(f"later than {RECOVER_S} s after it is back {judged.count(200)} of {len(judged)} requests are served")
-    store.note(f"statuses: { {status: judged.count(status) for status in set(judged)} }")
-    if before.count(200) < len(before) / 4 or not judged:
-        return COULD_NOT_RUN
-    return 1 if judged.count(200) < len(judged) / 4 else 0
+        request = f"{node.name}-{path.strip('/')[:3]}-{number}"
+        status = await ask(node.client, request, KEY, path)
+        results.append((at, node.name, status, path, sum(run.request == request for run in fleet.runs)))
+
+    async def send_all(tasks: Any) -> None:
+        number = 0
+        while not is_over:
+            number += 1
+            for node in nodes:
+                tasks.start_soon(send, number, node, "/old/a")
+                tasks.start_soon(send, number, node, "/check/a")
+            await anyio.sleep(SPACING_S)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(send_all, tasks)
+        await anyio.sleep(1.0)
+        begun_at = time.monotonic()
+        store.is_cut = TROUBLE
+        note("the second node is cut from the store" if TROUBLE else "no node is cut from the store")
+        acknowledged = 0.0
+        for version in range(2, 2 + VERSIONS):
+            configure(store, make_long(version, has_dropped=False))
+            acknowledged = acknowledged or time.monotonic()
+            note(f"the store acknowledges version {version}")
+            await anyio.sleep(GAP_S)
+        await anyio.sleep(max(0.0, begun_at + CUT_S - time.monotonic()))
+        store.is_cut = False
+        healed_at = time.monotonic()
+        note("the cut has healed")
+        await anyio.sleep(JUDGED_S)
+        is_over = True
+    in_touch = healed_at + CONTACT_S if TROUBLE else acknowledged + CONFIG_S
+    results.sort()
+    late = [one for one in results if one[3] == "/old/a" and one[0] > in_touch and one[4]]
+    for name in (node.name for node in nodes):
+        for path in ("/old/a", "/check/a"):
+            told = [one for one in results if one[0] > in_touch and one[1] == name and one[3] == path]
+            counts = {status: sum(one[2] == status for one in told) for status in sorted({one[2] for one in told})}
+            note(f"{name}, {path}, in touch: statuses {counts}, {sum(one[4] for one in told)} runs")
+    for at, name, status, path, runs in results:
+        record.append(f"{at - started:.2f} {name} {path}: {status}, {runs} runs")
+    note(f"{len(late)} requests on the dropped route ran at machines in touch"
+         + (f", the last {late[-1][0] - acknowledged:.1f} s after the acknowledgement" if late else ""))
+    return 1 if late else 0
 
 
 if __name__ == "__main__":
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,131 +1,142 @@
-"""Case: three crashes of the first runner of a new version make nodes reject every request with a common prompt part."""
+"""Case: a revoked key runs after `revoke_ms` when a compaction of the store is followed by an outage."""
 
 from __future__ import annotations
 
-import json
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import anyio
-from world import COULD_NOT_RUN, TROUBLE, Node, call, find_port, run_case, wait_until
-
-from standins.platform.operator import HOST, KEY, configure, make_configuration
-from standins.platform.servers import Fleet, Server
-from standins.platform.store import Store
-
-PART = "5c1e07a2"  # the first part of each prompt, as of a common instruction
-OLD_RUNNERS = 3
-CRASHES = 3
-CRASH_DELAY_S = 0.4  # from the first request at the new runner to its crash
-DOWN_S = 3.0  # srv_crash (joined) of swanreach-hq: for_s = 3.0 to 4.8
-SPACING_S = 0.1
+from world import COULD_NOT_RUN, TROUBLE, Node, ask, find_port, run_case, wait_until
+
+from standins.platform.operator import KEY, configure, make_configuration
+from standins.platform.servers import Fleet
+from standins.platform.store import Mode, Store
+
+REVOKE_S = 5.0  # bounds.revoke_ms of swanreach-hq
+DEAF_S = 1.0  # "watches hear nothing for a second while changes are made"
+DOWN_S = 4.5  # platform_down (silent) of swanreach-hq: for_s = 4.5
+SPACING_S = 0.02  # between two requests of the client
+BEFORE_END_S = 0.97  # the key is taken away so long before the end of a watch that is waiting
+OTHER_KEY = "key-of-another"
 NODES = 2
 
 
-async def ask_stream(port: int, request: str) -> tuple[int, bytes]:
-    head = [
-        "POST /letter/a HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: {request}", "X-Deadline-Ms: 20000",
-        f"Authorization: Token {KEY}", "X-Token-Usage: 60,40", f"X-Prompt-Prefix: {PART}:40,{abs(hash(request)):x}:20",
-        f"Content-Length: {len(request)}",
-    ]  # fmt: skip
-    return await call(port, head, 20.0, request.encode())
-
-
-class Play:
-    def __init__(self, store: Store, fleet: Fleet, nodes: list[Node], record: list[str]) -> None:
-        self.store, self.fleet, self.nodes, self.record = store, fleet, nodes, record
-        self.started = time.monotonic()
-        self.results: list[tuple[float, str, int, bytes]] = []
-        self.is_over = False
-
-    def note(self, text: str) -> None:
-        self.record.append(f"{time.monotonic() - self.started:.2f} {text}")
-
-    async def send(self, number: int) -> None:
-        at = time.monotonic() - self.started
-        request = f"r{number}"
-        status, body = await ask_stream(self.nodes[number % NODES].client, request)
-        self.results.append((at, request, status, body if status >= 400 else b""))
-
-    async def send_all(self) -> None:
-        async with anyio.create_task_group() as tasks:
-            number = 0
-            while not self.is_over:
-                number += 1
-                tasks.start_soon(self.send, number)
-                await anyio.sleep(SPACING_S)
-
-    async def crash_soon_after_first_run(self, server: Server) -> bool:
-        async def has_run() -> bool:
-            return any(run.server == server.id for run in self.fleet.runs)
-
-        if not await wait_until(has_run, 20):
-            self.note(f"{server.id} gets no request")
-            return False
-        await anyio.sleep(CRASH_DELAY_S)
-        runs = sum(run.server == server.id for run in self.fleet.runs)
-        await server.crash()
-        self.note(f"{server.id} ({server.software}) crashes with {runs} requests begun there")
-        await anyio.sleep(DOWN_S)
-        self.store.remove(f"servers/{server.id}")
-        return True
+class CompactingStore(Store):
+    """The project's stand-in of the store, with a compaction as the pages describe it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.deaf_from = float("inf")  # monotonic; watches hear nothing from then on
+        self.deaf_revision = 0
+        self.waiting: dict[int, float] = {}  # monotonic end of each watch that waits
+
+    def begin_deafness(self) -> None:
+        self.deaf_from, self.deaf_revision = time.monotonic(), self.revision
+
+    def end_deafness(self) -> None:
+        """Drop the history, and cut the watches."""
+        self.deaf_from = float("inf")
+        self.compact()
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, Any]:
+        number = id(query)
+        wait_s = int(query["wait_ms"]) / 1000
+        self.waiting[number] = time.monotonic() + wait_s
+        try:
+            return await self._watch_deafly(query, wait_s)
+        finally:
+            self.waiting.pop(number, None)
+
+    async def _watch_deafly(self, query: dict[str, str], wait_s: float) -> tuple[int, Any]:
+        since = at = int(query["since_rev"])
+        with anyio.move_on_after(wait_s):
+            while True:
+                if since < self.oldest or since > self.revision:
+                    return 410, {}
+                if self.is_down:
+                    return 503, {}
+                is_deaf = time.monotonic() >= self.deaf_from
+                newest = self.deaf_revision if is_deaf else self.revision
+                events = [event for event in self.events if since < event["revision"] <= newest]
+                if events:
+                    return 200, {"events": events, "at": newest}
+                at = max(at, newest)
+                await self._changed.wait()
+        return 200, {"events": [], "at": at}
 
 
 async def play(folder: Path, record: list[str], nodes: list[Node]) -> int:
     async with anyio.create_task_group() as tasks:
-        store = Store()
+        store = CompactingStore()
         store_address = f"127.0.0.1:{find_port()}"
         await store.start(store_address, tasks)
-        fleet = Fleet(store, tasks, token_time=0.05, answer_tokens=40)
-        configuration = make_configuration(1)
-        engine = configuration["services"][0]["engine"]
-        engine["kinds"][0]["mb"] = 2 * engine["layers"] * engine["layer_mb"]  # each runner may hold all layers
-        configure(store, configuration)
-        code = await play_with(folder, Play(store, fleet, nodes, record), store_address)
+        fleet = Fleet(store, tasks)
+        tenants = [
+            {"name": "broker", "api_keys": [KEY], "priority": 1},
+            {"name": "other", "api_keys": [OTHER_KEY], "priority": 1},
+        ]
+        configure(store, make_configuration(1, tenants=tenants))
+        for _ in range(2):
+            await fleet.add(f"127.0.0.1:{find_port()}", "desk", "east", None)
+        nodes += [Node(folder, f"edge-{number + 1}", store_address) for number in range(NODES)]
+        code = COULD_NOT_RUN
+        if not all([await wait_until(node.is_ready, 20) for node in nodes]):
+            record.append("a node did not become ready")
+        else:
+            await anyio.sleep(2.0)
+            if await ask(nodes[0].client, "first", KEY, "/check/a") != 200:
+                record.append("the key does not work before it is taken away")
+            else:
+                code = await revoke(store, fleet, nodes, record)
         tasks.cancel_scope.cancel()
     return code
 
 
-async def play_with(folder: Path, play: Play, store_address: str) -> int:
-    fleet = play.fleet
-    for _ in range(OLD_RUNNERS):
-        await fleet.add(f"127.0.0.1:{find_port()}", "llm", "east", "big", software="v1")
-    for number in range(NODES):
-        play.nodes.append(Node(folder, f"edge-{number + 1}", store_address))
-    for node in play.nodes:
-        if not await wait_until(node.is_ready, 20):
-            return COULD_NOT_RUN
+async def revoke(store: CompactingStore, fleet: Fleet, nodes: list[Node], record: list[str]) -> int:
+    while not any(end - time.monotonic() > BEFORE_END_S for end in store.waiting.values()):
+        await anyio.sleep(0.01)
+    end = max(store.waiting.values())
+    await anyio.sleep(max(0.0, end - BEFORE_END_S - time.monotonic()))
+    if TROUBLE:
+        store.begin_deafness()
+    tenants = [{"name": "broker", "api_keys": [], "priority": 1}, {"name": "other", "api_keys": [OTHER_KEY]}]
+    configure(store, make_configuration(2, tenants=tenants))
+    acknowledged = time.monotonic()
+    record.append("0.000 the store acknowledges the configuration without the key")
+    sent: dict[str, tuple[float, int, int]] = {}
+
+    async def send_all(number: int, node: Node, tasks: Any) -> None:
+        async def send(request: str) -> None:
+            at = time.monotonic() - acknowledged
+            sent[request] = (at, number, await ask(node.client, request, KEY, "/check/a"))
+
+        count = 0
+        while time.monotonic() < acknowledged + REVOKE_S + 1.0:
+            count += 1
+            tasks.start_soon(send, f"r{number}-{count}")
+            await anyio.sleep(SPACING_S)
 
-    async def is_served() -> bool:
-        status, _ = await ask_stream(play.nodes[0].client, f"first-{time.monotonic()}")
-        return status == 200
-
-    if not await wait_until(is_served, 20):
-        play.note("nothing is served")
-        return COULD_NOT_RUN
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(play.send_all)
-        await anyio.sleep(3.0)
-        address = f"127.0.0.1:{find_port()}"
-        play.note("the release begins: a runner of version v2 starts beside three of v1, which all run on")
-        server = await fleet.add(address, "llm", "east", "big", software="v2")
-        for _ in range(CRASHES if TROUBLE else 0):
-            if not await play.crash_soon_after_first_run(server):
-                break
-            server = await fleet.add(address, "llm", "east", "big", software="v2")
-            play.note(f"it is back as {server.id}")
-        await anyio.sleep(10.0)
-        play.is_over = True
-    refused = [one for one in play.results if one[2] == 400]
-    counts = {status: sum(one[2] == status for one in play.results) for status in {one[2] for one in play.results}}
-    for at, request, status, body in sorted(play.results):
-        play.record.append(f"{at:.2f} {request}: {status} {body.decode('latin-1')[:200]}")
-    served_by_old = sum(fleet_run.server in {f"i-{n + 1:04x}" for n in range(OLD_RUNNERS)} for fleet_run in fleet.runs)
-    allowed = 5 + len(play.results) / 500
-    play.note(f"{len(play.results)} requests, statuses {counts}; {served_by_old} runs at the runners of v1")
-    play.note(f"{len(refused)} proper requests got a 400 of the node; {allowed:.1f} are allowed")
-    return 1 if len(refused) > allowed else 0
+        for number, node in enumerate(nodes, 1):
+            tasks.start_soon(send_all, number, node, tasks)
+        if TROUBLE:
+            await anyio.sleep(acknowledged + DEAF_S - time.monotonic())
+            store.end_deafness()
+            store.set_mode(Mode.SILENT)
+            record.append(f"{time.monotonic() - acknowledged:.3f} the history is dropped, the store falls silent")
+            await anyio.sleep(DOWN_S)
+            store.set_mode(Mode.HEALTHY)
+            record.append(f"{time.monotonic() - acknowledged:.3f} the store is back")
+    ran = {run.request: run.server for run in fleet.runs}
+    late = []
+    for request, (at, number, status) in sorted(sent.items(), key=lambda one: one[1][0]):
+        record.append(f"{at:.3f} {request} sent to node {number}: {status} {'ran at ' + ran[request] if request in ran else ''}")
+        if at > REVOKE_S and request in ran:
+            late.append(request)
+    record.append(f"{len(late)} requests sent later than {REVOKE_S} s after the acknowledgement ran: {late}")
+    return 1 if late else 0
 
 
 if __name__ == "__main__":
--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -10,7 +10,6 @@
 import tempfile
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
 
 import anyio
 
@@ -131,4 +130,4 @@
     return code
 
 
-__all__ = ["COULD_NOT_RUN", "ROOT", "TROUBLE", "Any", "Node", "ask", "call", "find_port", "run_case", "wait_until"]
+__all__ = ["COULD_NOT_RUN", "ROOT", "TROUBLE", "Node", "ask", "call", "find_port", "run_case", "wait_until"]
