--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import random
 import sys
 import time
@@ -10,12 +9,11 @@
 from typing import Any
 
 import anyio
-from world import COULD_NOT_RUN, TROUBLE, Node, ask, find_port, run_case, wait_until
+from world import COULD_NOT_RUN, TROUBLE, CutStore, Node, ask, find_port, run_case, wait_until
 
 from standins.platform.operator import KEY, configure, make_configuration
 from standins.platform.servers import Fleet
-from standins.platform.store import Store
-from standins.platform.wire import Exchange, serve
+from standins.platform.wire import serve
 
 ROUTES = 2800  # the configuration then has 0.58 MB; `value_bytes` is 1,048,576
 VERSIONS = 12  # config_storm of swanreach-hq: gap_s = 0.33 for 4.0 s
@@ -28,13 +26,11 @@
 SPACING_S = 0.1
 
 
-class ForgettingStore(Store):
-    """The project's stand-in of the store, which forgets its history after HISTORY_S; one caller can be cut off."""
+class ForgettingStore(CutStore):
+    """A store that forgets its history after HISTORY_S; one caller can be cut off."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.is_cut = False
-        self.cut_exchanges: set[Exchange] = set()  # that came over the path that can be cut
         self.written: list[tuple[float, int]] = []
 
     async def forget(self) -> None:
@@ -51,23 +47,6 @@
         self.written.append((time.monotonic(), event["revision"]))
         super()._record_event(event)
 
-    async def answer_cut(self, exchange: Exchange) -> None:
-        """Answer a call over the path that can be cut: bytes of neither side pass meanwhile."""
-        if self.is_cut:
-            await exchange.watch_client()
-            await exchange.close()
-        self.cut_exchanges.add(exchange)
-        try:
-            await self._answer(exchange)
-        finally:
-            self.cut_exchanges.discard(exchange)
-
-    async def _reply(self, exchange: Exchange, status: int, body: bytes) -> None:
-        if self.is_cut and exchange in self.cut_exchanges:
-            await exchange.watch_client()
-            await exchange.close()
-        await super()._reply(exchange, status, body)
-
 
 def make_long(version: int, *, has_dropped: bool) -> dict[str, Any]:
     rng = random.Random(7)
--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -14,6 +14,8 @@
 import anyio
 
 from standins.platform.operator import HOST
+from standins.platform.store import Store
+from standins.platform.wire import Exchange
 
 ROOT = Path(__file__).parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -73,6 +75,32 @@
         self.process.wait()
 
 
+class CutStore(Store):
+    """The project's stand-in of the store; a second address leads over a path that can be cut silently."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_cut = False
+        self._cut_exchanges: set[Exchange] = set()  # that came over the path that can be cut
+
+    async def answer_cut(self, exchange: Exchange) -> None:
+        """Answer a call over that path: bytes of neither side pass while it is cut."""
+        if self.is_cut:
+            await exchange.watch_client()
+            await exchange.close()
+        self._cut_exchanges.add(exchange)
+        try:
+            await self._answer(exchange)
+        finally:
+            self._cut_exchanges.discard(exchange)
+
+    async def _reply(self, exchange: Exchange, status: int, body: bytes) -> None:
+        if self.is_cut and exchange in self._cut_exchanges:
+            await exchange.watch_client()
+            await exchange.close()
+        await super()._reply(exchange, status, body)
+
+
 async def call(port: int, head: list[str], limit: float, body: bytes = b"") -> tuple[int, bytes]:
     """Send a request on a new connection that closes after the answer; return status 0 without a whole answer."""
     answer = b""
@@ -130,4 +158,4 @@
     return code
 
 
-__all__ = ["COULD_NOT_RUN", "ROOT", "TROUBLE", "Node", "ask", "call", "find_port", "run_case", "wait_until"]
+__all__ = ["COULD_NOT_RUN", "ROOT", "TROUBLE", "CutStore", "Node", "ask", "call", "find_port", "run_case", "wait_until"]
