--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,7 +13,7 @@
 
 from standins.platform.operator import KEY, configure, make_configuration
 from standins.platform.servers import Fleet
-from standins.platform.wire import serve
+from standins.platform.wire import Exchange, serve
 
 ROUTES = 2800  # the configuration then has 0.58 MB; `value_bytes` is 1,048,576
 VERSIONS = 12  # config_storm of swanreach-hq: gap_s = 0.33 for 4.0 s
@@ -24,6 +24,7 @@
 CONFIG_S = 2.0  # config_ms
 JUDGED_S = 20.0  # after the cut
 SPACING_S = 0.1
+LONG_BYTES = 4_000_000  # of an answer with some versions
 
 
 class ForgettingStore(CutStore):
@@ -32,6 +33,12 @@
     def __init__(self) -> None:
         super().__init__()
         self.written: list[tuple[float, int]] = []
+        self.long_answers: list[tuple[float, int]] = []  # monotonic times and bytes of answers with many versions
+
+    async def _reply(self, exchange: Exchange, status: int, body: bytes) -> None:
+        if exchange.call.path == "/api/kv-watch" and len(body) > LONG_BYTES and not self.is_cut:
+            self.long_answers.append((time.monotonic(), len(body)))
+        await super()._reply(exchange, status, body)
 
     async def forget(self) -> None:
         while True:
@@ -132,6 +139,12 @@
         note("the cut has healed")
         await anyio.sleep(JUDGED_S)
         is_over = True
+    if store.long_answers:
+        first, last = store.long_answers[0], store.long_answers[-1]
+        note(
+            f"{len(store.long_answers)} watches were answered with {first[1]} to {last[1]} bytes, "
+            f"the first {first[0] - healed_at:.1f} s and the last {last[0] - healed_at:.1f} s after the cut"
+        )
     in_touch = healed_at + CONTACT_S if TROUBLE else acknowledged + CONFIG_S
     results.sort()
     late = [one for one in results if one[3] == "/old/a" and one[0] > in_touch and one[4]]
@@ -142,8 +155,10 @@
             note(f"{name}, {path}, in touch: statuses {counts}, {sum(one[4] for one in told)} runs")
     for at, name, status, path, runs in results:
         record.append(f"{at - started:.2f} {name} {path}: {status}, {runs} runs")
-    note(f"{len(late)} requests on the dropped route ran at machines in touch"
-         + (f", the last {late[-1][0] - acknowledged:.1f} s after the acknowledgement" if late else ""))
+    note(
+        f"{len(late)} requests on the dropped route ran at machines in touch"
+        + (f", the last {late[-1][0] - acknowledged:.1f} s after the acknowledgement" if late else "")
+    )
     return 1 if late else 0
 
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -132,7 +132,9 @@
     ran = {run.request: run.server for run in fleet.runs}
     late = []
     for request, (at, number, status) in sorted(sent.items(), key=lambda one: one[1][0]):
-        record.append(f"{at:.3f} {request} sent to node {number}: {status} {'ran at ' + ran[request] if request in ran else ''}")
+        record.append(
+            f"{at:.3f} {request} sent to node {number}: {status} {'ran at ' + ran[request] if request in ran else ''}"
+        )
         if at > REVOKE_S and request in ran:
             late.append(request)
     record.append(f"{len(late)} requests sent later than {REVOKE_S} s after the acknowledgement ran: {late}")
