--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run
 cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=target/deps:tests:review/common-3 exec python3 -S review/8/case.py
+PYTHONPATH=target/deps:tests:review/8 exec python3 -S review/8/case.py
