Keep a node registered when a write of its record is done late

Cause: the first write of a node's record got no answer and was done 4 s later, without a condition, over the second one, under a lease that nobody renewed; the node never looked at its record again. Ruled out: the tenure, whose writes have conditions.

Change: each write of the record replaces the revision that the node knows, and after a conflict the record is read and written once more. If the store shows a later record, or none, the node writes its own again. The registration was the only write without a condition.

Failed before: the three tests of tests/system/platform/test_registration.py. The fake store of node/traffic/duties/test_registration.py now keeps conditions, where it asked for none.

--- a/packages/node/src/vaneturn_node/traffic/following/viewkeeping.py
+++ b/packages/node/src/vaneturn_node/traffic/following/viewkeeping.py
@@ -75,7 +75,7 @@
 
     def replace_all(self, items: Mapping[str, StoreItem], revision: StoreState) -> None:
         """Apply the whole state of the store."""
-        self._note_absent(items)
+        self._note_absent(items, revision)
         for item in items.values():
             if not item.key.startswith(SERVERS_PREFIX):
                 self.apply(item)
@@ -89,7 +89,7 @@
             self._departures.note(removed, revision)
             logger.info("server removed", extra={"server": removed, "cause": "not in the list"})
 
-    def _note_absent(self, items: Mapping[str, StoreItem]) -> None:
+    def _note_absent(self, items: Mapping[str, StoreItem], revision: StoreState) -> None:
         """Apply the absence of records and of the configuration in the whole state."""
         for vm in [vm for vm in self._view.nodes if NODES_PREFIX + vm not in items]:
             self._remove_node(vm)
@@ -100,7 +100,7 @@
         if CRASHES_KEY not in items:
             self._crash_recorder.note_record(None, NO_STATE)
         if NODES_PREFIX + self._parts.vm not in items:
-            self._registration.note_record(NO_STATE)
+            self._registration.note_absence(revision)
 
     def _read_servers(self, items: Mapping[str, StoreItem]) -> list[BackendServer]:
         """Read the entries of the whole state; outdated ones leave their servers as they are known."""
@@ -136,7 +136,8 @@
     def _apply_node(self, item: StoreItem) -> None:
         vm = VmId(item.key.removeprefix(NODES_PREFIX))
         if vm == self._parts.vm:
-            self._registration.note_record(item.revision if item.value is not None else NO_STATE)
+            note = self._registration.note_record if item.value is not None else self._registration.note_absence
+            note(item.revision)
         record = decode_node(item.value) if item.value is not None else None
         if record is not None:
             self._missing_nodes.pop(vm, None)
--- a/tests/node/traffic/duties/test_registration.py
+++ b/tests/node/traffic/duties/test_registration.py
@@ -1,7 +1,9 @@
-"""The registration of a node, over restores of the store."""
+"""The registration of a node, over restores of the store, lost answers and writes that are done late."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import anyio
 import pytest
 
@@ -9,9 +11,9 @@
 from vaneturn_core.traffic.servers import ServerAddress
 from vaneturn_node.http1.caller import Caller
 from vaneturn_node.http1.pool import LinkPool
-from vaneturn_node.platform.epochs import NO_STATE, StoreState, make_state
-from vaneturn_node.platform.store import Lease, PlatformStore
-from vaneturn_node.traffic.duties.registration import MAX_RESTORE_DELAY_S, RENEWAL_INTERVAL_S, Registration
+from vaneturn_node.platform.epochs import NO_STATE, StoreState, get_number, make_state
+from vaneturn_node.platform.store import Lease, MaybeDone, PlatformStore, StoreConflict, StoreItem
+from vaneturn_node.traffic.duties.registration import MAX_WRITE_DELAY_S, RENEWAL_INTERVAL_S, RETRY_DELAY_S, Registration
 
 pytestmark = pytest.mark.anyio
 
@@ -24,19 +26,37 @@
         self.written: list[int] = []
         self.next_lease = 1
         self.is_restored_before_write = False
+        self.held = 0  # revision of the record; 0 without one
+        self.late: list[Callable[[], bool]] = []  # writes that got no answer
+        self.loses_answers = False
 
     async def grant_lease(self, ttl_s: float) -> Lease:
         self.next_lease += 1
         return Lease(self.next_lease, ttl_s, self.epoch)
 
-    async def write(self, key: str, value: bytes, expected: StoreState | None, lease: int = 0) -> StoreState:
+    async def write(
+        self, key: str, value: bytes, expected: StoreState | None, lease: int = 0
+    ) -> StoreState | StoreConflict | MaybeDone:
         assert key
         assert value
-        assert expected is None
+        assert expected is not None, "a write that is done late may undo a later one"
+        if self.loses_answers:
+            self.late.append(lambda: self._do(expected, lease))
+            return MaybeDone("no answer in time")
         self._epochs.current += self.is_restored_before_write
         self.is_restored_before_write = False
+        return make_state(self.epoch, self.held) if self._do(expected, lease) else StoreConflict()
+
+    def _do(self, expected: StoreState, lease: int) -> bool:
+        """Write the record if its condition holds."""
+        if get_number(expected) != self.held:
+            return False
         self.written.append(lease)
-        return make_state(self.epoch, 10 + len(self.written))
+        self.held = 10 + len(self.written)
+        return True
+
+    async def read_key(self, key: str) -> StoreItem:
+        return StoreItem(key, b"" if self.held else None, make_state(self.epoch, self.held))
 
     async def renew_lease(self, lease: int) -> Lease:
         return Lease(lease, 20.0, self.epoch)
@@ -56,11 +76,12 @@
     store = FakeStore()
     async with anyio.create_task_group() as tasks:
         registration = await register(store, tasks)
+        store.held = get_number(found)
         registration.note_record(found)
         registration.enter_epoch(1)
-        await anyio.sleep(MAX_RESTORE_DELAY_S + 0.1)
+        await anyio.sleep(MAX_WRITE_DELAY_S + 0.1)
         tasks.cancel_scope.cancel()
-    assert MAX_RESTORE_DELAY_S < RENEWAL_INTERVAL_S
+    assert MAX_WRITE_DELAY_S < RENEWAL_INTERVAL_S
     assert store.written == [2, 3]
 
 
@@ -70,7 +91,7 @@
         registration = await register(store, tasks)
         registration.note_record(make_state(1, 11))
         registration.enter_epoch(1)
-        await anyio.sleep(MAX_RESTORE_DELAY_S + 0.1)
+        await anyio.sleep(MAX_WRITE_DELAY_S + 0.1)
         tasks.cancel_scope.cancel()
     assert store.written == [2]
 
@@ -84,3 +105,53 @@
         await anyio.sleep(1.2)
         tasks.cancel_scope.cancel()
     assert store.written == [2, 3]
+
+
+async def test_first_write_that_is_done_late_does_not_undo_the_second() -> None:
+    """The record was under the first lease again, which nobody renewed, and went with it for good."""
+    store = FakeStore()
+    store.loses_answers = True
+    async with anyio.create_task_group() as tasks:
+        await register(store, tasks)
+        store.loses_answers = False
+        await anyio.sleep(RETRY_DELAY_S + 0.1)
+        assert [write() for write in store.late] == [False]
+        tasks.cancel_scope.cancel()
+    assert store.written == [3]
+
+
+async def test_record_of_a_write_without_an_answer_is_replaced() -> None:
+    store = FakeStore()
+    store.loses_answers = True
+    async with anyio.create_task_group() as tasks:
+        await register(store, tasks)
+        assert [write() for write in store.late] == [True]
+        store.loses_answers = False
+        await anyio.sleep(RETRY_DELAY_S + 0.1)
+        tasks.cancel_scope.cancel()
+    assert store.written == [2, 3]
+
+
+@pytest.mark.parametrize("is_absent", [True, False], ids=["gone", "written by another call"])
+async def test_record_that_was_replaced_is_written_again(*, is_absent: bool) -> None:
+    """Nothing else ends it: the lease of this node is renewed all the time."""
+    store = FakeStore()
+    async with anyio.create_task_group() as tasks:
+        registration = await register(store, tasks)
+        store.held = 0 if is_absent else 20
+        note = registration.note_absence if is_absent else registration.note_record
+        note(make_state(0, 20))
+        await anyio.sleep(MAX_WRITE_DELAY_S + 0.1)
+        tasks.cancel_scope.cancel()
+    assert MAX_WRITE_DELAY_S < RENEWAL_INTERVAL_S
+    assert store.written == [2, 2], "its lease is still renewed"
+
+
+async def test_end_of_the_record_of_an_earlier_process_is_no_end_of_this_one() -> None:
+    store = FakeStore()
+    async with anyio.create_task_group() as tasks:
+        registration = await register(store, tasks)
+        registration.note_absence(make_state(0, 9))
+        await anyio.sleep(MAX_WRITE_DELAY_S + 0.1)
+        tasks.cancel_scope.cancel()
+    assert store.written == [2]
--- a/tests/rig/restoremechanisms.py
+++ b/tests/rig/restoremechanisms.py
@@ -66,7 +66,7 @@
     Proof(
         "nodes register again after a restore",
         f"{TESTS}/duties/test_registration.py::test_node_registers_again_when_the_restored_store_lacks_its_record",
-        (Edit(f"{DUTIES}/registration.py", "            self._restored.set()\n", "            pass\n"),),
+        (Edit(f"{DUTIES}/registration.py", "            self._must_write.set()\n", "            pass\n"),),
     ),
     Proof(
         "an entry of the copy does not bring back a server that left",
--- a/tests/rig/trafficmechanisms.py
+++ b/tests/rig/trafficmechanisms.py
@@ -73,6 +73,28 @@
         f"{SYSTEM}/test_invalidstatuses.py::test_status_that_is_none_is_no_answer",
         (Edit("node/src/vaneturn_node/http1/link.py", "if event.status_code > MAX_STATUS:", "if False:"),),
     ),
+    Proof(
+        "a late write of a registration does not undo a later one",
+        "tests/node/traffic/duties/test_registration.py::test_first_write_that_is_done_late_does_not_undo_the_second",
+        (
+            Edit(
+                f"{TRAFFIC}/duties/registration.py",
+                "encode_node(self._record), known, lease.id)",
+                "encode_node(self._record), None, lease.id)",
+            ),
+        ),
+    ),
+    Proof(
+        "a registration that was replaced is written again",
+        f"{SYSTEM}/test_registration.py::test_node_whose_record_was_replaced_registers_again",
+        (
+            Edit(
+                f"{TRAFFIC}/duties/registration.py",
+                "        self._must_write.set()\n\n    def enter",
+                "\n    def enter",
+            ),
+        ),
+    ),
     Proof(
         "requests to a limited server need a permit",
         f"{SYSTEM}/test_directives.py::test_rate_limit_of_a_server_is_kept_by_all_nodes_together",
