Compare reads of the store's state with the newest change that is known

A watch that leaves out a change might name the state after it. A read would then name the same state, and the node would take its keys for confirmed without the change. The read is compared with the newest state of which a change or a reading is known instead.

Tests: test_state_that_a_watch_names_without_its_changes_verifies_no_keys (the keys were verified before), test_state_without_its_changes_is_not_known.

--- a/packages/node/src/vaneturn_node/http1/caller.py
+++ b/packages/node/src/vaneturn_node/http1/caller.py
@@ -86,8 +86,8 @@
         :param is_due: tells from the headers of an answer whether it may be the one to this call.
         """
         link: HttpLink | None = None
-        received = _Body()
-        holder = self._pool.call_budget.open(received.parts.clear, is_answer=True)
+        answer_body = _Body()
+        holder = self._pool.call_budget.open(answer_body.parts.clear, is_answer=True)
         head = [(b"host", address.encode()), *headers]
         if body:
             head.append((b"content-type", b"application/json"))
@@ -98,13 +98,13 @@
                 answer = await _read_head(link, limit, is_due)
                 if arrival is not None:
                     scope.deadline += arrival.extra_time
-                await _read_body(link, limit, arrival, received, holder)
+                await _read_body(link, limit, arrival, answer_body, holder)
             # the call is cancelled as well if the limit passed just before it was extended, which fail_after ignores
             if scope.cancelled_caught or link is None:
                 raise TimeoutError  # noqa: TRY301
         except TimeoutError:
             await _abort(link)
-            count = received.received
+            count = answer_body.received
             cause = f"answer not whole in time, {count} bytes of it came" if count else "no answer in time"
             return Failed(cause, was_sent=link is not None, is_unfinished=bool(count), received=count)
         except LinkError as error:
@@ -116,18 +116,18 @@
                 is_gone=error.is_refused,
                 has_no_memory=error.has_no_memory,
                 is_too_long=error.is_too_long,
-                received=received.received,
+                received=answer_body.received,
             )
         except BaseException:
             await _abort(link)
             raise
         finally:
             holder.release()
-        whole = b"".join(received.parts)
+        whole = b"".join(answer_body.parts)
         if not _is_whole(link, whole):
             await _abort(link)
             cause = "answer broken off: its connection was closed inside its body"
-            return Failed(cause, was_sent=True, received=received.received)
+            return Failed(cause, was_sent=True, received=answer_body.received)
         await self._pool.release(link, address)
         return Reply(answer.status, whole, answer.headers)
 
@@ -143,14 +143,14 @@
 
 
 async def _read_body(
-    link: HttpLink, limit: float, arrival: BodyArrival | None, received: _Body, holder: ByteHolder
+    link: HttpLink, limit: float, arrival: BodyArrival | None, body: _Body, holder: ByteHolder
 ) -> None:
     while (data := await link.read_data(limit if arrival is None else arrival.stall_timeout)) is not None:
-        link.hold(holder, received.received + len(data))
-        received.add(data)
+        link.hold(holder, body.received + len(data))
+        body.add(data)
         if arrival is not None:
             arrival.last_data_at = read_clock()
-    link.hold(holder, received.received, is_whole=True)
+    link.hold(holder, body.received, is_whole=True)
 
 
 def _is_whole(link: HttpLink, body: bytes) -> bool:
--- a/packages/node/src/vaneturn_node/traffic/following/follower.py
+++ b/packages/node/src/vaneturn_node/traffic/following/follower.py
@@ -186,7 +186,7 @@
     async def _watch(self, revision: StoreState) -> bool:
         if not self.store_watch.may_watch(revision):
             return await self._reload_instead(revision)
-        page, valid_at, verified_at = await self.store_watch.run(revision)
+        page, valid_at, verified_at = await self.store_watch.run(revision, self._log.newest_known)
         if isinstance(page, HistoryGone):
             logger.info("store history gone", extra={"revision": get_number(revision)})
             return await self._reload()
--- a/packages/node/src/vaneturn_node/traffic/following/storewatch.py
+++ b/packages/node/src/vaneturn_node/traffic/following/storewatch.py
@@ -73,13 +73,16 @@
         """Note that all keys were read in place of changes that cannot be had."""
         self._unusable_after = None
 
-    async def run(self, revision: StoreState) -> Watched:
-        """Wait for changes after a revision."""
+    async def run(self, revision: StoreState, newest_known: StoreState) -> Watched:
+        """Wait for changes after a revision.
+
+        :param newest_known: the newest state of which a change or a reading is known.
+        """
         wait = self._choose_wait()
         started = read_clock()
         self._verified_at = float("-inf")
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._verify, revision, wait)
+            tasks.start_soon(self._verify, newest_known, wait)
             outcome = await self._watch(revision, wait)
             tasks.cancel_scope.cancel()
         if isinstance(outcome, NotDone) and not self._shows_outage(read_clock() - started, wait):
@@ -91,8 +94,8 @@
         is_silent = isinstance(outcome, StorePage) and not outcome.items and read_clock() - started >= wait
         return Watched(outcome, started + wait if is_silent else started, self._verified_at)
 
-    async def _verify(self, revision: StoreState, wait: float) -> None:
-        """Read the state of the store shortly before the end of a watch, and note when if it has not changed.
+    async def _verify(self, newest_known: StoreState, wait: float) -> None:
+        """Read the state of the store shortly before the end of a watch, and note when if it is the known one.
 
         In the second before the store drops its history, a watch reports no changes.
         """
@@ -100,7 +103,7 @@
             return
         await anyio.sleep(max(0.0, wait - READ_LEAD_S))
         asked_at = read_clock()
-        if await self._store.read_state() == revision:
+        if await self._store.read_state() == newest_known:
             self._verified_at = asked_at
 
     def _record_unusable(self, outcome: WatchOutcome, revision: StoreState) -> None:
--- a/packages/node/src/vaneturn_node/traffic/serving/requests.py
+++ b/packages/node/src/vaneturn_node/traffic/serving/requests.py
@@ -43,9 +43,7 @@
     facts: RequestFacts
     route: TrafficRoute
     service: ServiceName
-    customer: (
-        TrafficCustomer | None
-    )  # in whose name it is handled; none if the store has not confirmed its key recently
+    customer: TrafficCustomer | None  # in whose name it is handled, if the store has confirmed its key recently
     is_key_valid: Callable[[], bool]  # called right before each send: the key may have been revoked meanwhile
     crashes: CrashBoard
     first_node: FirstNode | None = None  # that forwarded it; such a request is not forwarded again
--- a/packages/node/src/vaneturn_node/traffic/sharing/changelog.py
+++ b/packages/node/src/vaneturn_node/traffic/sharing/changelog.py
@@ -58,6 +58,9 @@
         self._complete_after: StoreState | None = None  # every change after this state is kept
         self._last_states: dict[int, StoreState] = {}  # by epoch, the last state of each earlier one
         self.revision = NO_STATE
+        self.newest_known = (
+            NO_STATE  # of all changes and readings; a watch may state a later one, and leave out changes
+        )
         self._updated = anyio.Event()
 
     def replace(self, items: Iterable[StoreItem], revision: StoreState) -> None:
@@ -80,6 +83,7 @@
             gone = [StoreItem(key, None, revision) for key in self._state if key not in state]
             self._log([*sorted(changed, key=lambda item: item.revision), *gone])
         self.revision = max(self.revision, revision)
+        self.newest_known = max(self.newest_known, revision)
         self.wake()
 
     def append(self, items: Iterable[StoreItem], revision: StoreState) -> None:
@@ -117,7 +121,7 @@
         for by_key in (self._changes, self._prepared, self._bases, self._state, self._long):
             by_key.clear()
         self._complete_after = None
-        self.revision = NO_STATE
+        self.revision = self.newest_known = NO_STATE
 
     def _enter_epoch(self, revision: StoreState) -> None:
         """Carry what is kept over to a later epoch, before its first changes."""
@@ -135,6 +139,7 @@
     def _log(self, items: Iterable[StoreItem]) -> None:
         for item in items:
             self._keep_base(item)
+            self.newest_known = max(self.newest_known, item.revision)
             for by_key in (self._changes, self._prepared, self._state, self._long):
                 by_key.pop(item.key, None)
             self._changes[item.key] = item
--- a/tests/node/traffic/following/test_follower.py
+++ b/tests/node/traffic/following/test_follower.py
@@ -351,6 +351,16 @@
     assert view.are_keys_valid() is is_verified
 
 
+async def test_state_that_a_watch_names_without_its_changes_verifies_no_keys() -> None:
+    """A watch that leaves out a change may name the state after it, which a read then names as well."""
+    follower, view = make_follower(ReadableStore(StoreState(6)), Relays())
+    follower._log.replace([], StoreState(5))
+    assert await follower._watch(StoreState(5))
+    assert follower._revision == 6
+    assert await follower._watch(StoreState(6))
+    assert view.contact.verified_at == float("-inf")
+
+
 class OlderConfiguration(Keeper):
     """Finds that the store holds an older configuration than the one in force."""
 
--- a/tests/node/traffic/sharing/test_changelog.py
+++ b/tests/node/traffic/sharing/test_changelog.py
@@ -33,6 +33,15 @@
     assert log.revision == 16
 
 
+def test_state_without_its_changes_is_not_known() -> None:
+    log = ChangeLog()
+    log.replace([make_item(8)], StoreState(10))
+    log.append([], StoreState(15))
+    assert (log.revision, log.newest_known) == (15, 10)
+    log.append([make_item(16)], StoreState(17))
+    assert (log.revision, log.newest_known) == (17, 16)
+
+
 @pytest.mark.parametrize("revision", [0, 9])
 def test_changes_before_the_first_reading_are_not_told(revision: int) -> None:
     log = ChangeLog()
